--- /dev/null
+++ b/bench/FleetNode.ts
@@ -0,0 +1,14 @@
+import { LocalProcess } from "./LocalProcess/index.js";
+
+/** A VM of a local fleet: a proxy and the stand-in backend server beside it. */
+export interface FleetNode {
+    readonly name: string;
+    readonly endpointId: string;
+    readonly callerAddress: string;
+    readonly operatorAddress: string;
+    readonly standInAddress: string;
+    readonly settingsFile: string;
+    readonly standInOptions: readonly string[];
+    proxy: LocalProcess;
+    standIn: LocalProcess;
+}
--- /dev/null
+++ b/bench/standIn.ts
@@ -0,0 +1,28 @@
+import { Command } from "commander";
+import { StandInAnnouncer } from "./StandInAnnouncer/index.js";
+import { StandInServer } from "./StandInServer/index.js";
+
+const options = new Command("stand-in")
+    .requiredOption("--endpoint <id>")
+    .requiredOption("--service <name>")
+    .requiredOption("--port <port>")
+    .requiredOption("--announce-port <port>")
+    .option("--service-ms <ms>", "time to work on a request", "2")
+    .option("--bytes-per-ms <bytes>", "rate of large bodies", "0")
+    .parse()
+    .opts<Record<"endpoint" | "service" | "port" | "announcePort" | "serviceMs" | "bytesPerMs", string>>();
+
+const standIn = {
+    endpointId: options.endpoint,
+    service: options.service,
+    port: Number(options.port),
+    announcePort: Number(options.announcePort),
+    serviceMs: Number(options.serviceMs),
+    bytesPerMs: Number(options.bytesPerMs),
+};
+const server = await StandInServer.create(standIn);
+const announcer = StandInAnnouncer.create(standIn);
+process.on("SIGTERM", () => void announcer.leave().then(() => {
+    server.close();
+    process.exit(0);
+}));
--- /dev/null
+++ b/src/daemon/Daemon/index.ts
@@ -0,0 +1,228 @@
+import { randomBytes } from "node:crypto";
+import type { Server } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { ConfigurationController } from "../../controllers/ConfigurationController/index.js";
+import { ControlController } from "../../controllers/ControlController/index.js";
+import { LinkNetwork } from "../../controllers/LinkNetwork.js";
+import { MembershipController } from "../../controllers/MembershipController/index.js";
+import { listenHttp } from "../../http/listenHttp/index.js";
+import { InvariantMonitor } from "../../invariants/InvariantMonitor/index.js";
+import { LinkController } from "../../links/LinkController/index.js";
+import { LinkPort } from "../../links/LinkPort.js";
+import { Message } from "../../links/Message.js";
+import { MessageKind } from "../../links/MessageKind.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { FleetError } from "../../model/FleetError.js";
+import { MemberRecord } from "../../model/MemberRecord.js";
+import { MemberState } from "../../model/MemberState.js";
+import { Role } from "../../model/Role.js";
+import { createOperatorApp } from "../../operators/createOperatorApp/index.js";
+import { Settings } from "../../settings/Settings.js";
+import { FolderDisk } from "../../storage/FolderDisk/index.js";
+import { applyManifest } from "../applyManifest/index.js";
+import { describeDaemon } from "../describeDaemon/index.js";
+import { describeEndpoints } from "../describeEndpoints/index.js";
+import { findConfigurationWarnings } from "../findConfigurationWarnings/index.js";
+import { ProxyRole } from "../ProxyRole/index.js";
+
+const INCARNATION_BYTES = 6;
+const LEFT_SPREAD_MS = 200;
+
+/** A process of the fleet: its links, its membership, its configuration, and the roles that its settings name. */
+export class Daemon {
+    private links: LinkController | undefined;
+    private membership: MembershipController | undefined;
+    private proxy: ProxyRole | undefined;
+    private control: ControlController | undefined;
+    private operatorServer: Server | undefined;
+    private stopping: Promise<void> | undefined;
+    private isClosing = false;
+    private readonly configuration: ConfigurationController;
+    private readonly incarnation: string;
+
+    private constructor(private readonly settings: Settings, private readonly events: EventLog) {
+        this.configuration = ConfigurationController.create(events);
+        this.incarnation = `${settings.vm.name}@${randomBytes(INCARNATION_BYTES).toString("hex")}`;
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param settings - Checked settings.
+     * @returns The running process.
+     * @throws FleetError if a port is in use or the data folder cannot be used.
+     */
+    static async create(settings: Settings): Promise<Daemon> {
+        const daemon = new Daemon(settings, EventLog.create(settings.vm.name, settings.logs.format));
+        await daemon.start();
+        return daemon;
+    }
+
+    /** Drains the process and stops it; resolves when nothing of a caller is in flight any more. */
+    stop(): Promise<void> {
+        this.stopping ??= this.drainAndClose();
+        return this.stopping;
+    }
+
+    private async start(): Promise<void> {
+        const { settings, events } = this;
+        InvariantMonitor.shared.setListener((statement, subject) => events.record(EventNumber.InvariantViolated, { statement, subject }));
+        if (settings.control !== undefined && settings.roles.includes(Role.Control)) {
+            const disk = await FolderDisk.create(settings.control.dataFolder);
+            this.control = await ControlController.create(disk, this.configuration, events);
+        }
+        const self = this.ownRecord();
+        this.links = await this.startLinks(self);
+        this.membership = MembershipController.create(self, settings.links.seeds, this.networkOf(this.links), events, Math.random);
+        if (settings.proxy !== undefined && settings.roles.includes(Role.Proxy)) {
+            this.proxy = await ProxyRole.create(settings, settings.proxy, this.incarnation, this.configuration, this.membership, this.links, events);
+        }
+        this.configuration.addListener(() => this.configurationChanged());
+        this.operatorServer = await this.startOperators();
+        events.record(EventNumber.DaemonStarted, { roles: settings.roles, incarnation: this.incarnation });
+    }
+
+    private ownRecord(): MemberRecord {
+        const { vm, roles, links, proxy } = this.settings;
+        return {
+            vm: vm.name,
+            startedAtMs: Date.now(),
+            incarnation: this.incarnation,
+            sequence: 1,
+            failureDomain: vm.failureDomain,
+            roles,
+            state: MemberState.Serving,
+            linkAddress: `${vm.address}:${links.port}`,
+            gateAddress: proxy === undefined ? "" : `${vm.address}:${proxy.gatePort}`,
+            endpoints: [],
+        };
+    }
+
+    private startLinks(self: MemberRecord): Promise<LinkController> {
+        const { vm, links } = this.settings;
+        const { startedAtMs, failureDomain, roles, linkAddress } = self;
+        return LinkController.create(
+            {
+                identity: { vm: vm.name, startedAtMs, failureDomain, roles, linkAddress },
+                host: vm.address,
+                port: links.port,
+                fleetKey: links.fleetKey,
+            },
+            {
+                onOpen: (link) => this.linkOpened(link),
+                onMessage: (link, message) => this.receive(link, message),
+                onCall: (_link, message) => this.answer(message),
+                onClose: (link) => this.linkClosed(link),
+            },
+            () => this.configuration.view.position,
+            (error: FleetError) => this.events.record(EventNumber.LinkRefused, { error: error.message }),
+        );
+    }
+
+    private networkOf(links: LinkController): LinkNetwork {
+        const isClosing = (): boolean => this.isClosing;
+        return {
+            get linkedVms() {
+                return links.linkedVms;
+            },
+            get isClosing() {
+                return isClosing();
+            },
+            connect: async (address) => await links.connect(address) !== undefined,
+            broadcast: (message, exceptVm) => links.broadcast(message, exceptVm),
+            sendTo: (vm, message) => links.sendTo(vm, message),
+        };
+    }
+
+    private startOperators(): Promise<Server> {
+        const { operator } = this.settings;
+        const { control } = this;
+        const app = createOperatorApp({
+            status: () => describeDaemon(this.settings, this.incarnation, this.configuration, this.membership, this.links, this.proxy),
+            endpoints: () => describeEndpoints(this.membership, this.proxy),
+            explain: (text) => this.events.find(text),
+            drain: (endpointId) => this.drain(endpointId),
+            apply: control === undefined
+                ? undefined
+                : (text, fileName, basedOnVersion, changeId) => applyManifest(control, this.events, text, fileName, basedOnVersion, changeId),
+        }, operator.token);
+        return listenHttp(operator.host, operator.port, "operator.port", app);
+    }
+
+    private linkOpened(link: LinkPort): void {
+        this.events.record(EventNumber.LinkOpened, { peer: link.peer.vm });
+        this.membership?.open(link);
+    }
+
+    private linkClosed(link: LinkPort): void {
+        this.events.record(EventNumber.LinkClosed, { peer: link.peer.vm });
+        if (!this.isClosing) {
+            void this.membership?.lose(link);
+        }
+    }
+
+    private receive(link: LinkPort, message: Message): void {
+        switch (message.kind) {
+            case MessageKind.Heartbeat:
+                this.configuration.hear(link, message.position);
+                return;
+            case MessageKind.ConfigurationFetch: {
+                const reply = this.configuration.answerFetch(message.have);
+                if (reply !== undefined) {
+                    link.send(reply);
+                }
+                return;
+            }
+            case MessageKind.ConfigurationChanges:
+                this.configuration.installChanges(message.changes);
+                return;
+            case MessageKind.ConfigurationSnapshot:
+                this.configuration.installSnapshot(message.position, message.parts);
+                return;
+            default:
+                this.membership?.receive(link, message);
+        }
+    }
+
+    private answer(message: Message): Message | undefined {
+        if (message.kind !== MessageKind.Settle || this.proxy === undefined) {
+            return undefined;
+        }
+        const { gate, id, lowWater, mode } = message;
+        return { kind: MessageKind.Verdict, verdict: this.proxy.endpoints.settle(gate, id, lowWater, mode) };
+    }
+
+    private configurationChanged(): void {
+        this.links?.announcePosition();
+        this.proxy?.endpoints.configure();
+        const members = this.membership?.directory.live() ?? [];
+        findConfigurationWarnings(this.configuration.view, members).forEach((warning) => {
+            this.events.record(warning.event, { subject: warning.subject, detail: warning.detail });
+        });
+    }
+
+    private drain(endpointId: string | undefined): boolean {
+        if (endpointId !== undefined) {
+            return this.proxy?.endpoints.drain(endpointId) ?? false;
+        }
+        this.proxy?.startDrain();
+        return true;
+    }
+
+    private async drainAndClose(): Promise<void> {
+        this.events.record(EventNumber.DaemonStopping, {});
+        this.membership?.setState(MemberState.Draining);
+        await this.proxy?.drain();
+        this.membership?.setState(MemberState.Left);
+        await delay(LEFT_SPREAD_MS);
+        this.isClosing = true;
+        this.membership?.close();
+        this.proxy?.close();
+        await this.links?.close();
+        this.operatorServer?.close();
+        this.operatorServer?.closeAllConnections();
+        this.events.record(EventNumber.DaemonStopped, { uptimeMs: Math.round(nowMs()) });
+    }
+}
--- /dev/null
+++ b/src/daemon/ProxyRole/index.ts
@@ -0,0 +1,167 @@
+import type { Server } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { ConfigurationController } from "../../controllers/ConfigurationController/index.js";
+import { MembershipController } from "../../controllers/MembershipController/index.js";
+import { chooseEndpoint } from "../../decisions/balancing/chooseEndpoint/index.js";
+import { EndpointIndex } from "../../decisions/membership/EndpointIndex/index.js";
+import { RetryBudget } from "../../decisions/requests/RetryBudget/index.js";
+import { AttemptNumbering } from "../../entry/AttemptNumbering/index.js";
+import { AttemptSender } from "../../entry/AttemptSender/index.js";
+import { createCallerApp } from "../../entry/createCallerApp/index.js";
+import { EndpointLoads } from "../../entry/EndpointLoads/index.js";
+import { EntryController } from "../../entry/EntryController/index.js";
+import { EntryTools } from "../../entry/EntryTools.js";
+import { AttemptFilter } from "../../filters/AttemptFilter/index.js";
+import { DeadlineFilter } from "../../filters/DeadlineFilter/index.js";
+import { IdentifyFilter } from "../../filters/IdentifyFilter/index.js";
+import { LimitFilter } from "../../filters/LimitFilter/index.js";
+import { RecordFilter } from "../../filters/RecordFilter/index.js";
+import { createAnnounceApp } from "../../gate/createAnnounceApp/index.js";
+import { createGateApp } from "../../gate/createGateApp/index.js";
+import { EndpointController } from "../../gate/EndpointController/index.js";
+import { deriveToken } from "../../http/deriveToken/index.js";
+import { listenHttp } from "../../http/listenHttp/index.js";
+import { LinkController } from "../../links/LinkController/index.js";
+import { MessageKind } from "../../links/MessageKind.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { RequestMetrics } from "../../metrics/RequestMetrics/index.js";
+import { AttemptId } from "../../model/AttemptId.js";
+import { AttemptVerdict } from "../../model/AttemptVerdict.js";
+import { GateRef } from "../../model/GateRef.js";
+import { SettleMode } from "../../model/SettleMode.js";
+import { Settings } from "../../settings/Settings.js";
+
+const SETTLE_TIMEOUT_MS = 500;
+const CLOSE_IDLE_MS = 5_000;
+const DRAIN_POLL_MS = 20;
+const DRAIN_SPREAD_MS = 500;
+
+/** The proxy role of a process: entry for callers, and gate of the endpoints on its VM. */
+export class ProxyRole {
+    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly index: EndpointIndex;
+    private readonly timer: NodeJS.Timeout;
+    private servers: readonly Server[] = [];
+    readonly entry: EntryController;
+
+    private constructor(
+        private readonly configuration: ConfigurationController,
+        private readonly membership: MembershipController,
+        private readonly links: LinkController,
+        private readonly sender: AttemptSender,
+        readonly endpoints: EndpointController,
+        readonly metrics: RequestMetrics,
+        events: EventLog,
+        incarnation: string,
+    ) {
+        this.index = EndpointIndex.create(membership.directory);
+        const tools = this.createTools(AttemptNumbering.create(incarnation), EndpointLoads.create(), events);
+        const view = (): typeof configuration.view => configuration.view;
+        this.entry = EntryController.create([
+            RecordFilter.create(metrics, events),
+            IdentifyFilter.create(view),
+            LimitFilter.create(view),
+            DeadlineFilter.create(),
+            AttemptFilter.create(tools),
+        ], events);
+        this.timer = setInterval(() => sender.closeIdle(), CLOSE_IDLE_MS);
+    }
+
+    /**
+     * Starts the role: listens for callers, for attempts and for announcements.
+     *
+     * @throws FleetError if one of its ports cannot be listened on.
+     */
+    static async create(
+        settings: Settings,
+        ports: NonNullable<Settings["proxy"]>,
+        incarnation: string,
+        configuration: ConfigurationController,
+        membership: MembershipController,
+        links: LinkController,
+        events: EventLog,
+    ): Promise<ProxyRole> {
+        const token = deriveToken(settings.links.fleetKey);
+        const metrics = RequestMetrics.create(settings.metrics?.statsdHost, settings.metrics?.statsdPort);
+        const endpoints = EndpointController.create(settings.vm.name, incarnation, () => configuration.view, events);
+        endpoints.setListener(() => membership.setEndpoints(endpoints.records()));
+        const sender = AttemptSender.create(token);
+        const role = new ProxyRole(configuration, membership, links, sender, endpoints, metrics, events, incarnation);
+        const { address } = settings.vm;
+        role.servers = [
+            await listenHttp(address, ports.gatePort, "proxy.gatePort", createGateApp(endpoints, token)),
+            await listenHttp("127.0.0.1", ports.announcePort, "proxy.announcePort", createAnnounceApp(endpoints)),
+            await listenHttp(address, ports.callerPort, "proxy.callerPort", createCallerApp(role.entry)),
+        ];
+        return role;
+    }
+
+    /** Begins to drain: the endpoints on the VM take no new work. */
+    startDrain(): void {
+        this.endpoints.drainAll();
+    }
+
+    /** Drains endpoints and callers; resolves when nothing is in flight. */
+    async drain(): Promise<void> {
+        this.startDrain();
+        this.entry.startDrain();
+        await delay(DRAIN_SPREAD_MS);
+        const caller = this.servers.at(-1);
+        caller?.close();
+        caller?.closeIdleConnections();
+        while (this.entry.inFlight > 0 || !this.endpoints.isDrained) {
+            await delay(DRAIN_POLL_MS);
+        }
+    }
+
+    /** Stops listening and drops all connections. */
+    close(): void {
+        clearInterval(this.timer);
+        this.servers.forEach((server) => {
+            server.close();
+            server.closeAllConnections();
+        });
+        this.sender.close();
+        this.endpoints.close();
+        this.metrics.close();
+    }
+
+    private createTools(numbering: AttemptNumbering, loads: EndpointLoads, events: EventLog): EntryTools {
+        return {
+            sender: this.sender,
+            numbering,
+            loads,
+            events,
+            choose: (service, excluded) => this.choose(service, excluded, loads),
+            withdrawRetry: (service) => this.budget(service).withdraw(),
+            settle: (id, gate, mode) => this.settle(id, gate, numbering.lowWater, mode),
+        };
+    }
+
+    private choose(service: string, excluded: readonly GateRef[], loads: EndpointLoads): GateRef | undefined {
+        if (excluded.length === 0) {
+            this.budget(service).deposit(this.configuration.view.fleet?.retryShare ?? 0);
+        }
+        const atMs = nowMs();
+        const candidates = this.index.serving(service)
+            .filter((view) => !excluded.some((gate) => gate.gate === view.gate.gate))
+            .map((view) => ({ gate: view.gate, loadPerSlot: loads.loadPerSlot(view.gate, view.record.slots, atMs), weight: 1 }));
+        return chooseEndpoint(candidates, Math.random)?.gate;
+    }
+
+    private budget(service: string): RetryBudget {
+        const budget = this.budgets.get(service) ?? RetryBudget.create();
+        this.budgets.set(service, budget);
+        return budget;
+    }
+
+    private async settle(id: AttemptId, gate: GateRef, lowWater: number, mode: SettleMode): Promise<AttemptVerdict> {
+        if (gate.vm === this.membership.own.vm) {
+            return this.endpoints.settle(gate.gate, id, lowWater, mode);
+        }
+        const message = { kind: MessageKind.Settle as const, gate: gate.gate, id, lowWater, mode };
+        const reply = await this.links.call(gate.vm, gate.linkAddress, message, SETTLE_TIMEOUT_MS);
+        return reply?.kind === MessageKind.Verdict ? reply.verdict : AttemptVerdict.Unreachable;
+    }
+}
--- /dev/null
+++ b/src/decisions/configuration/ApplyDecisionKind.ts
@@ -0,0 +1,6 @@
+/** Outcomes of an apply request. */
+export enum ApplyDecisionKind {
+    Accept = "accept",
+    Repeat = "repeat",
+    Conflict = "conflict",
+}
--- /dev/null
+++ b/src/decisions/configuration/Manifest.ts
@@ -0,0 +1,5 @@
+import { z } from "zod";
+import { manifestSchema } from "./manifestSchema.js";
+
+/** A checked manifest with all defaults filled in. */
+export type Manifest = z.infer<typeof manifestSchema>;
--- /dev/null
+++ b/src/decisions/configuration/ManifestDelta.ts
@@ -0,0 +1,9 @@
+import { ManifestPart } from "./ManifestPart.js";
+
+/** Difference between two manifests. */
+export interface ManifestDelta {
+    /** Parts added or changed. */
+    readonly set: readonly ManifestPart[];
+    /** Keys of parts removed. */
+    readonly removed: readonly string[];
+}
--- /dev/null
+++ b/src/decisions/configuration/PartKind.ts
@@ -0,0 +1,7 @@
+/** Kinds of part into which a manifest is cut for storage and spread. */
+export enum PartKind {
+    Fleet = "fleet",
+    Service = "service",
+    Route = "route",
+    Customer = "customer",
+}
--- /dev/null
+++ b/src/decisions/configuration/ServiceIntent.ts
@@ -0,0 +1,4 @@
+import { Manifest } from "./Manifest.js";
+
+/** One service of the manifest. */
+export type ServiceIntent = Manifest["services"][number];
--- /dev/null
+++ b/src/decisions/configuration/parseManifest/index.ts
@@ -0,0 +1,27 @@
+import { describeIssues } from "../../../checks/describeIssues/index.js";
+import { parseDocument } from "../../../checks/parseDocument/index.js";
+import { FleetError } from "../../../model/FleetError.js";
+import { Step } from "../../../model/Step.js";
+import { findManifestProblems } from "../findManifestProblems/index.js";
+import { Manifest } from "../Manifest.js";
+import { manifestSchema } from "../manifestSchema.js";
+
+/**
+ * Parses and checks a manifest.
+ *
+ * @param text - Manifest text, TOML or JSON.
+ * @param fileName - Name of the file; its ending selects the format.
+ * @returns The manifest with defaults filled in.
+ * @throws FleetError that names each wrong field, what was found and what is allowed.
+ * @example
+ * parseManifest(readFileSync("manifest.toml", "utf8"), "manifest.toml").fleet.name;
+ */
+export function parseManifest(text: string, fileName: string): Manifest {
+    const document = parseDocument(text, fileName, Step.Manifest);
+    const checked = manifestSchema.safeParse(document);
+    const problems = checked.success ? findManifestProblems(checked.data) : describeIssues(checked.error, document);
+    if (!checked.success || problems.length > 0) {
+        throw FleetError.create({ step: Step.Manifest, peer: fileName }, problems.join("; "));
+    }
+    return checked.data;
+}
--- /dev/null
+++ b/src/decisions/configuration/partKey/index.ts
@@ -0,0 +1,26 @@
+import { assertNever } from "../../../model/assertNever/index.js";
+import { ManifestPart } from "../ManifestPart.js";
+import { PartKind } from "../PartKind.js";
+
+/**
+ * Names a manifest part; two parts with one key are versions of the same part.
+ *
+ * @param part - Part of a manifest.
+ * @returns Key such as `service/lookup-front` or `route/* /lookup`.
+ * @example
+ * partKey({ kind: PartKind.Fleet, value: fleet }); // "fleet"
+ */
+export function partKey(part: ManifestPart): string {
+    switch (part.kind) {
+        case PartKind.Fleet:
+            return "fleet";
+        case PartKind.Service:
+            return `service/${part.value.name}`;
+        case PartKind.Route:
+            return `route/${part.value.host} ${part.value.pathPrefix}`;
+        case PartKind.Customer:
+            return `customer/${part.value.name}`;
+        default:
+            return assertNever(part);
+    }
+}
--- /dev/null
+++ b/src/decisions/gate/GateLedger/test.ts
@@ -0,0 +1,232 @@
+import test from "ava";
+import { AttemptId } from "../../../model/AttemptId.js";
+import { AttemptVerdict } from "../../../model/AttemptVerdict.js";
+import { RefusalReason } from "../../../model/RefusalReason.js";
+import { ServiceClass } from "../../../model/ServiceClass.js";
+import { SettleMode } from "../../../model/SettleMode.js";
+import { GateAttempt } from "../GateAttempt.js";
+import { GateEffect } from "../GateEffect.js";
+import { GateEffectKind } from "../GateEffectKind.js";
+import { GateEvent } from "../GateEvent.js";
+import { GateEventKind } from "../GateEventKind.js";
+import { GateLedger } from "./index.js";
+
+const GATE = "vm-1@a.1";
+
+function id(sequence: number, entry = "entry"): AttemptId {
+    return { entry, sequence };
+}
+
+function attempt(sequence: number, overrides: Partial<GateAttempt> = {}): GateAttempt {
+    return {
+        id: id(sequence),
+        lowWater: 0,
+        gate: GATE,
+        customer: "customer",
+        serviceClass: ServiceClass.Order,
+        idempotent: false,
+        keyed: false,
+        deadlineAtMs: 1_000,
+        ...overrides,
+    };
+}
+
+function arrive(sequence: number, overrides: Partial<GateAttempt> = {}): GateEvent {
+    return { kind: GateEventKind.Arrive, attempt: attempt(sequence, overrides) };
+}
+
+function settle(sequence: number, mode = SettleMode.Void, lowWater = 0): GateEvent {
+    return { kind: GateEventKind.Settle, id: id(sequence), gate: GATE, lowWater, mode };
+}
+
+function finish(sequence: number): GateEvent {
+    return { kind: GateEventKind.Finish, id: id(sequence) };
+}
+
+function describe(effects: readonly GateEffect[]): readonly string[] {
+    return effects.map((effect) => {
+        switch (effect.kind) {
+            case GateEffectKind.Refuse:
+                return `refuse ${effect.id.sequence} ${effect.reason}`;
+            case GateEffectKind.Verdict:
+                return `verdict ${effect.id.sequence} ${effect.verdict}`;
+            case GateEffectKind.Drained:
+                return "drained";
+            default:
+                return `${effect.kind} ${effect.id.sequence}`;
+        }
+    });
+}
+
+interface Case {
+    readonly title: string;
+    readonly slots?: number;
+    readonly reservedSlots?: number;
+    readonly queue?: number;
+    readonly events: readonly (GateEvent | { readonly event: GateEvent; readonly atMs: number })[];
+    /** Effects of the last event. */
+    readonly expected: readonly string[];
+}
+
+const lookup = { serviceClass: ServiceClass.Lookup, idempotent: true };
+
+const cases: readonly Case[] = [
+    { title: "an attempt starts while there is a free slot", events: [arrive(1)], expected: ["start 1"] },
+    { title: "an attempt waits while all slots are taken", slots: 1, events: [arrive(1), arrive(2)], expected: [] },
+    { title: "a waiting attempt starts when a slot becomes free", slots: 1, events: [arrive(1), arrive(2), finish(1)], expected: ["start 2"] },
+    {
+        title: "a duplicate that arrives while the first runs is refused",
+        events: [arrive(1), arrive(1)],
+        expected: [`refuse 1 ${RefusalReason.Duplicate}`],
+    },
+    {
+        title: "a duplicate that arrives after the first finished is refused",
+        events: [arrive(1), finish(1), arrive(1)],
+        expected: [`refuse 1 ${RefusalReason.Duplicate}`],
+    },
+    {
+        title: "an attempt for another incarnation of the gate is refused",
+        events: [arrive(1, { gate: "vm-1@b.1" })],
+        expected: [`refuse 1 ${RefusalReason.WrongIncarnation}`],
+    },
+    { title: "a void before the arrival says voided", events: [settle(1)], expected: [`verdict 1 ${AttemptVerdict.Voided}`] },
+    {
+        title: "an attempt that arrives after it was voided never starts",
+        events: [settle(1), arrive(1)],
+        expected: [`refuse 1 ${RefusalReason.Voided}`],
+    },
+    {
+        title: "a query before the arrival says never arrived and voids nothing",
+        events: [settle(1, SettleMode.Query), arrive(1)],
+        expected: ["start 1"],
+    },
+    {
+        title: "a void takes a waiting attempt out of the queue",
+        slots: 1,
+        events: [arrive(1), arrive(2), settle(2), finish(1)],
+        expected: [],
+    },
+    { title: "a void of a running attempt says started", events: [arrive(1), settle(1)], expected: [`verdict 1 ${AttemptVerdict.Started}`] },
+    {
+        title: "a void of a finished attempt says finished",
+        events: [arrive(1), finish(1), settle(1)],
+        expected: [`verdict 1 ${AttemptVerdict.Finished}`],
+    },
+    {
+        title: "a settle for another incarnation of the gate says unknown",
+        events: [{ kind: GateEventKind.Settle, id: id(1), gate: "vm-1@b.1", lowWater: 0, mode: SettleMode.Void }],
+        expected: [`verdict 1 ${AttemptVerdict.Unknown}`],
+    },
+    {
+        title: "an attempt below the low-water mark never starts",
+        events: [arrive(5, { lowWater: 5 }), arrive(3, { lowWater: 3 })],
+        expected: [`refuse 3 ${RefusalReason.Voided}`],
+    },
+    {
+        title: "a forgotten attempt below the low-water mark is unknown, not voided",
+        events: [arrive(1), finish(1), arrive(5, { lowWater: 5 }), settle(1)],
+        expected: [`verdict 1 ${AttemptVerdict.Unknown}`],
+    },
+    {
+        title: "the fate of keyed work is kept below the low-water mark",
+        events: [arrive(1, { keyed: true }), finish(1), arrive(5, { lowWater: 5 }), settle(1)],
+        expected: [`verdict 1 ${AttemptVerdict.Finished}`],
+    },
+    {
+        title: "a waiting attempt whose connection is lost never starts",
+        slots: 1,
+        events: [arrive(1), arrive(2), { kind: GateEventKind.EntryLost, id: id(2) }, finish(1)],
+        expected: [],
+    },
+    {
+        title: "running idempotent work is cancelled when its connection is lost",
+        events: [arrive(1, lookup), { kind: GateEventKind.EntryLost, id: id(1) }],
+        expected: ["cancel-backend 1"],
+    },
+    {
+        title: "running work that is not idempotent goes on when its connection is lost",
+        events: [arrive(1), { kind: GateEventKind.EntryLost, id: id(1) }],
+        expected: [],
+    },
+    {
+        title: "new work is refused during a drain",
+        events: [{ kind: GateEventKind.StartDrain }, arrive(1)],
+        expected: [`refuse 1 ${RefusalReason.Draining}`],
+    },
+    {
+        title: "a drain ends only when the work in flight has ended",
+        events: [arrive(1), { kind: GateEventKind.StartDrain }, finish(1)],
+        expected: ["drained"],
+    },
+    {
+        title: "waiting work is still run during a drain",
+        slots: 1,
+        events: [arrive(1), arrive(2), { kind: GateEventKind.StartDrain }, finish(1)],
+        expected: ["start 2"],
+    },
+    {
+        title: "work that waits too long during a drain is refused",
+        slots: 1,
+        events: [
+            arrive(1, { deadlineAtMs: 90_000 }),
+            arrive(2, { deadlineAtMs: 90_000 }),
+            { kind: GateEventKind.StartDrain },
+            { event: { kind: GateEventKind.Tick }, atMs: 2_000 },
+        ],
+        expected: [`refuse 2 ${RefusalReason.Draining}`],
+    },
+    {
+        title: "waiting work is refused when its deadline passes",
+        slots: 1,
+        events: [arrive(1), arrive(2), { event: { kind: GateEventKind.Tick }, atMs: 1_000 }],
+        expected: [`refuse 2 ${RefusalReason.DeadlinePassed}`],
+    },
+    {
+        title: "an attempt whose deadline has passed is refused on arrival",
+        events: [{ event: arrive(1), atMs: 1_000 }],
+        expected: [`refuse 1 ${RefusalReason.DeadlinePassed}`],
+    },
+    {
+        title: "an attempt that could not start before its deadline is refused early",
+        slots: 1,
+        events: [arrive(1), arrive(2, { deadlineAtMs: 10 })],
+        expected: [`refuse 2 ${RefusalReason.Overloaded}`],
+    },
+    {
+        title: "a full queue refuses the newest attempt of the customer with the longest line",
+        slots: 1,
+        queue: 2,
+        events: [arrive(1), arrive(2), arrive(3), arrive(4, { customer: "other" })],
+        expected: [`refuse 3 ${RefusalReason.Overloaded}`],
+    },
+    {
+        title: "general work does not take reserved slots",
+        slots: 2,
+        reservedSlots: 1,
+        events: [arrive(1, lookup), arrive(2, lookup)],
+        expected: [],
+    },
+    {
+        title: "orders take reserved slots while general work waits",
+        slots: 2,
+        reservedSlots: 1,
+        events: [arrive(1, lookup), arrive(2, lookup), arrive(3)],
+        expected: ["start 3"],
+    },
+];
+
+for (const { title, slots = 5, reservedSlots = 0, queue = 10, events, expected } of cases) {
+    test(title, (t) => {
+        const ledger = GateLedger.create(GATE, { slots, reservedSlots, connections: 400, queue });
+        const results = events.map((entry) => "event" in entry ? ledger.step(entry.event, entry.atMs) : ledger.step(entry, 0));
+        t.deepEqual(describe(results.at(-1) ?? []), [...expected]);
+    });
+}
+
+test("waiting customers are served in turn", (t) => {
+    const ledger = GateLedger.create(GATE, { slots: 1, reservedSlots: 0, connections: 400, queue: 10 });
+    ledger.step(arrive(1), 0);
+    ["a", "a", "a", "b"].forEach((customer, index) => ledger.step(arrive(index + 2, { customer }), 0));
+    const order = [1, 2, 5, 3].map((sequence) => describe(ledger.step(finish(sequence), 0))[0]);
+    t.deepEqual(order, ["start 2", "start 5", "start 3", "start 4"]);
+});
--- /dev/null
+++ b/src/decisions/limits/TokenBucket/index.ts
@@ -0,0 +1,39 @@
+/** Token bucket (Turner 1986): allows a rate, and a burst above it. */
+export class TokenBucket {
+    private tokens: number;
+
+    private constructor(private readonly perSecond: number, private readonly burst: number, private atMs: number) {
+        this.tokens = burst;
+    }
+
+    /**
+     * Creates a full bucket.
+     *
+     * @param perSecond - Tokens added each second.
+     * @param burst - Most tokens held.
+     * @param nowMs - Current time.
+     */
+    static create(perSecond: number, burst: number, nowMs: number): TokenBucket {
+        return new TokenBucket(perSecond, burst, nowMs);
+    }
+
+    /**
+     * Takes one token.
+     *
+     * @returns 0 if there was one, else the time in ms until there will be one.
+     */
+    take(nowMs: number): number {
+        this.refill(nowMs);
+        if (this.tokens >= 1) {
+            this.tokens -= 1;
+            return 0;
+        }
+        return Math.ceil((1 - this.tokens) / this.perSecond * 1_000);
+    }
+
+    private refill(nowMs: number): void {
+        const elapsedMs = Math.max(0, nowMs - this.atMs);
+        this.tokens = Math.min(this.burst, this.tokens + elapsedMs * this.perSecond / 1_000);
+        this.atMs = nowMs;
+    }
+}
--- /dev/null
+++ b/src/decisions/membership/MemberStamp.ts
@@ -0,0 +1,6 @@
+/** Identifies one version of a member's record. */
+export interface MemberStamp {
+    readonly vm: string;
+    readonly startedAtMs: number;
+    readonly sequence: number;
+}
--- /dev/null
+++ b/src/decisions/membership/memberHash/index.ts
@@ -0,0 +1,14 @@
+import { crc32 } from "node:zlib";
+import { MemberStamp } from "../MemberStamp.js";
+
+/**
+ * Hashes one version of a member's record. Hashes of a set are combined by exclusive or.
+ *
+ * @param stamp - Version of a record.
+ * @returns Unsigned 32-bit integer.
+ * @example
+ * memberHash({ vm: "a", startedAtMs: 1, sequence: 1 });
+ */
+export function memberHash(stamp: MemberStamp): number {
+    return crc32(`${stamp.vm} ${stamp.startedAtMs} ${stamp.sequence}`);
+}
--- /dev/null
+++ b/src/decisions/requests/RequestEventKind.ts
@@ -0,0 +1,20 @@
+/** Events that a request machine takes. */
+export enum RequestEventKind {
+    Begin = "begin",
+    ClaimGranted = "claim-granted",
+    ClaimDenied = "claim-denied",
+    Refused = "refused",
+    NotSent = "not-sent",
+    Broken = "broken",
+    Corrupt = "corrupt",
+    Head = "head",
+    BodyBroken = "body-broken",
+    BodyEnd = "body-end",
+    AnswerUnavailable = "answer-unavailable",
+    Settled = "settled",
+    QueryDue = "query-due",
+    HedgeDue = "hedge-due",
+    DeadlineDue = "deadline-due",
+    FinalSettleDue = "final-settle-due",
+    CallerLost = "caller-lost",
+}
--- /dev/null
+++ b/src/decisions/requests/RequestMachine/index.ts
@@ -0,0 +1,427 @@
+import { assertInvariant } from "../../../invariants/assertInvariant/index.js";
+import { assertNever } from "../../../model/assertNever/index.js";
+import { AttemptId } from "../../../model/AttemptId.js";
+import { AttemptVerdict } from "../../../model/AttemptVerdict.js";
+import { Outcome } from "../../../model/Outcome.js";
+import { RefusalReason } from "../../../model/RefusalReason.js";
+import { SettleMode } from "../../../model/SettleMode.js";
+import { AttemptProgress } from "../AttemptProgress.js";
+import { RequestEffect } from "../RequestEffect.js";
+import { RequestEffectKind } from "../RequestEffectKind.js";
+import { RequestEvent } from "../RequestEvent.js";
+import { RequestEventKind } from "../RequestEventKind.js";
+import { RequestPlan } from "../RequestPlan.js";
+import { RequestPorts } from "../RequestPorts.js";
+import { TrackedAttempt } from "../TrackedAttempt.js";
+
+const SETTLE_RETRY_MS = 100;
+const FINAL_SETTLE_MS = 250;
+const MAX_RESUMPTIONS = 10;
+const FINISHED_VERDICTS_BEFORE_FETCH = 2;
+
+const STALE_VIEW_REASONS: ReadonlySet<RefusalReason> = new Set([
+    RefusalReason.Draining,
+    RefusalReason.WrongIncarnation,
+    RefusalReason.WrongEndpoint,
+    RefusalReason.BackendUnreachable,
+]);
+
+/**
+ * Drives one request of a caller to exactly one answer.
+ *
+ * The retry rule: work that is not idempotent goes to another gate only after every earlier attempt is known not to
+ * have run. Deterministic: no clock, no input or output.
+ */
+export class RequestMachine {
+    private readonly attempts: TrackedAttempt[] = [];
+    private isClosed = false;
+    private isClosing = false;
+    private resumptions = 0;
+    private lastReason: RefusalReason = RefusalReason.NoEndpoint;
+    private retryAfterMs = 0;
+
+    private constructor(private readonly plan: RequestPlan, private readonly ports: RequestPorts) {}
+
+    /** Creates the machine of a request. */
+    static create(plan: RequestPlan, ports: RequestPorts): RequestMachine {
+        return new RequestMachine(plan, ports);
+    }
+
+    /** True once the caller has its answer, or is gone. */
+    get closed(): boolean {
+        return this.isClosed;
+    }
+
+    /** Identities of all attempts made. */
+    get attemptIds(): readonly AttemptId[] {
+        return this.attempts.map((attempt) => attempt.id);
+    }
+
+    /**
+     * Takes one event.
+     *
+     * @param event - What happened.
+     * @param nowMs - Time on the entry's clock.
+     * @returns Effects to carry out, in order.
+     */
+    step(event: RequestEvent, nowMs: number): readonly RequestEffect[] {
+        if (this.isClosed) {
+            return event.kind === RequestEventKind.Head ? [{ kind: RequestEffectKind.Cancel, id: event.id }] : [];
+        }
+        switch (event.kind) {
+            case RequestEventKind.Begin:
+                return this.begin(nowMs);
+            case RequestEventKind.HedgeDue:
+                return this.hedge(nowMs);
+            case RequestEventKind.DeadlineDue:
+                return this.passDeadline(nowMs);
+            case RequestEventKind.FinalSettleDue:
+                return this.conclude(this.outcomeOfAttempts(), RefusalReason.DeadlinePassed);
+            case RequestEventKind.CallerLost:
+                return this.loseCaller();
+            default:
+                return this.stepAttempt(event, nowMs);
+        }
+    }
+
+    private stepAttempt(event: Extract<RequestEvent, { id: AttemptId }>, nowMs: number): readonly RequestEffect[] {
+        const attempt = this.attempts.find((candidate) => candidate.id.sequence === event.id.sequence);
+        if (attempt === undefined) {
+            return [];
+        }
+        switch (event.kind) {
+            case RequestEventKind.ClaimGranted:
+                return this.sendClaimed(attempt, nowMs);
+            case RequestEventKind.ClaimDenied:
+                return this.denyClaim(attempt, event.reason);
+            case RequestEventKind.Refused:
+                this.retryAfterMs = event.retryAfterMs;
+                return this.markNotRun(attempt, event.reason, nowMs);
+            case RequestEventKind.NotSent:
+                return this.markNotRun(attempt, RefusalReason.BackendUnreachable, nowMs);
+            case RequestEventKind.Broken:
+                return this.breakAttempt(attempt, nowMs);
+            case RequestEventKind.Corrupt:
+                return this.rejectCorrupt(attempt, nowMs);
+            case RequestEventKind.Head:
+                return this.deliver(attempt);
+            case RequestEventKind.BodyBroken:
+                return this.breakBody(attempt, event.resumable, nowMs);
+            case RequestEventKind.BodyEnd:
+                this.isClosed = true;
+                return [];
+            case RequestEventKind.AnswerUnavailable:
+                return this.missAnswer(attempt);
+            case RequestEventKind.Settled:
+                return this.settle(attempt, event.verdict, nowMs);
+            case RequestEventKind.QueryDue:
+                return this.query(attempt);
+            default:
+                return assertNever(event);
+        }
+    }
+
+    private begin(nowMs: number): readonly RequestEffect[] {
+        const deadline: RequestEffect = {
+            kind: RequestEffectKind.Arm,
+            timer: { kind: RequestEventKind.DeadlineDue },
+            atMs: this.plan.deadlineAtMs,
+        };
+        const first = this.tryNext(nowMs, false);
+        const { hedgeAfterMs } = this.plan;
+        if (hedgeAfterMs === undefined || !this.plan.idempotent || this.isClosed) {
+            return this.isClosed ? first : [deadline, ...first];
+        }
+        return [
+            deadline,
+            ...first,
+            { kind: RequestEffectKind.Arm, timer: { kind: RequestEventKind.HedgeDue }, atMs: nowMs + hedgeAfterMs },
+        ];
+    }
+
+    private tryNext(nowMs: number, resume: boolean): readonly RequestEffect[] {
+        const gate = this.ports.choose(this.attempts.map((attempt) => attempt.gate));
+        if (gate === undefined) {
+            return resume ? this.abort() : this.conclude(this.outcomeOfAttempts(), this.lastReason);
+        }
+        this.assertMayRun();
+        const attempt: TrackedAttempt = {
+            id: this.ports.nextId(),
+            gate,
+            resume,
+            progress: this.plan.claimed ? AttemptProgress.Claiming : AttemptProgress.Sent,
+            finishedVerdicts: 0,
+            fetched: false,
+        };
+        this.attempts.push(attempt);
+        return this.plan.claimed
+            ? [{ kind: RequestEffectKind.Claim, id: attempt.id, gate }]
+            : this.send(attempt, nowMs);
+    }
+
+    private assertMayRun(): void {
+        const mayRun = this.plan.idempotent || this.attempts.every((attempt) => attempt.progress === AttemptProgress.NotRun);
+        assertInvariant(mayRun, "work that is not idempotent is sent again only after its earlier attempts did not run", this.plan.requestId);
+    }
+
+    private send(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        attempt.progress = AttemptProgress.Sent;
+        return [
+            { kind: RequestEffectKind.Send, id: attempt.id, gate: attempt.gate, resume: attempt.resume },
+            this.armQuery(attempt, nowMs + this.plan.queryAfterMs),
+        ];
+    }
+
+    private sendClaimed(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        if (attempt.progress !== AttemptProgress.Claiming) {
+            return [];
+        }
+        return this.send(attempt, nowMs);
+    }
+
+    private denyClaim(attempt: TrackedAttempt, reason: RefusalReason): readonly RequestEffect[] {
+        attempt.progress = AttemptProgress.NotRun;
+        return this.conclude(this.outcomeOfAttempts(), reason);
+    }
+
+    private markNotRun(attempt: TrackedAttempt, reason: RefusalReason, nowMs: number): readonly RequestEffect[] {
+        if (!isOpen(attempt)) {
+            return [];
+        }
+        attempt.progress = AttemptProgress.NotRun;
+        this.lastReason = reason;
+        return this.retry(attempt, STALE_VIEW_REASONS.has(reason), nowMs);
+    }
+
+    private retry(failed: TrackedAttempt, isFree: boolean, nowMs: number): readonly RequestEffect[] {
+        if (failed.resume) {
+            return this.resume(nowMs);
+        }
+        if (this.attempts.some(isOpen)) {
+            return [];
+        }
+        if (this.isClosing || nowMs >= this.plan.deadlineAtMs) {
+            return this.conclude(this.outcomeOfAttempts(), RefusalReason.DeadlinePassed);
+        }
+        if (this.attempts.length >= this.plan.maxAttempts || !(isFree || this.ports.withdrawRetry())) {
+            return this.conclude(this.outcomeOfAttempts(), this.lastReason);
+        }
+        return this.tryNext(nowMs, false);
+    }
+
+    private breakAttempt(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        if (attempt.progress === AttemptProgress.Fetching) {
+            return this.missAnswer(attempt);
+        }
+        if (attempt.progress !== AttemptProgress.Sent) {
+            return [];
+        }
+        if (this.plan.idempotent) {
+            attempt.progress = AttemptProgress.Lost;
+            return this.retry(attempt, false, nowMs);
+        }
+        return this.askToVoid(attempt);
+    }
+
+    private askToVoid(attempt: TrackedAttempt): readonly RequestEffect[] {
+        attempt.progress = AttemptProgress.Settling;
+        return [{ kind: RequestEffectKind.Settle, id: attempt.id, gate: attempt.gate, mode: SettleMode.Void }];
+    }
+
+    private rejectCorrupt(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        if (this.plan.idempotent) {
+            attempt.progress = AttemptProgress.Lost;
+            return this.retry(attempt, false, nowMs);
+        }
+        return attempt.fetched ? this.conclude(Outcome.Ran, undefined) : this.fetch(attempt);
+    }
+
+    private fetch(attempt: TrackedAttempt): readonly RequestEffect[] {
+        attempt.progress = AttemptProgress.Fetching;
+        attempt.fetched = true;
+        return [{ kind: RequestEffectKind.Fetch, id: attempt.id, gate: attempt.gate }];
+    }
+
+    private missAnswer(attempt: TrackedAttempt): readonly RequestEffect[] {
+        attempt.progress = AttemptProgress.Lost;
+        return this.conclude(Outcome.Ran, undefined);
+    }
+
+    private deliver(attempt: TrackedAttempt): readonly RequestEffect[] {
+        const isAwaited = isOpen(attempt) && attempt.progress !== AttemptProgress.Claiming;
+        const isOther = this.attempts.some((other) => other !== attempt && other.progress === AttemptProgress.Delivering);
+        if (!isAwaited || (isOther && !attempt.resume)) {
+            return [{ kind: RequestEffectKind.Cancel, id: attempt.id }];
+        }
+        attempt.progress = AttemptProgress.Delivering;
+        const losers = this.attempts.filter((other) => other !== attempt && isOpen(other));
+        losers.forEach((other) => other.progress = AttemptProgress.Lost);
+        return [
+            ...losers.map((other): RequestEffect => ({ kind: RequestEffectKind.Cancel, id: other.id })),
+            { kind: RequestEffectKind.Deliver, id: attempt.id },
+        ];
+    }
+
+    private breakBody(attempt: TrackedAttempt, resumable: boolean, nowMs: number): readonly RequestEffect[] {
+        if (attempt.progress !== AttemptProgress.Delivering) {
+            return [];
+        }
+        attempt.progress = AttemptProgress.Lost;
+        if (!this.plan.idempotent || !resumable) {
+            return this.abort();
+        }
+        return this.resume(nowMs);
+    }
+
+    private resume(nowMs: number): readonly RequestEffect[] {
+        this.resumptions += 1;
+        return this.resumptions > MAX_RESUMPTIONS ? this.abort() : this.tryNext(nowMs, true);
+    }
+
+    private settle(attempt: TrackedAttempt, verdict: AttemptVerdict, nowMs: number): readonly RequestEffect[] {
+        const isAwaited = attempt.progress === AttemptProgress.Sent || attempt.progress === AttemptProgress.Settling;
+        if (!isAwaited) {
+            return [];
+        }
+        switch (verdict) {
+            case AttemptVerdict.Voided:
+                return [...this.suspect(attempt), ...this.markNotRun(attempt, RefusalReason.Voided, nowMs)];
+            case AttemptVerdict.NeverArrived:
+                return this.plan.idempotent ? this.giveUp(attempt, nowMs) : this.askToVoid(attempt);
+            case AttemptVerdict.Queued:
+            case AttemptVerdict.Started:
+                return this.isClosing ? this.conclude(Outcome.Unknown, RefusalReason.DeadlinePassed) : this.askLater(attempt, nowMs);
+            case AttemptVerdict.Finished:
+                return this.finish(attempt, nowMs);
+            case AttemptVerdict.Unknown:
+                return this.plan.idempotent ? this.giveUp(attempt, nowMs) : this.conclude(Outcome.Unknown, undefined);
+            case AttemptVerdict.Unreachable:
+                return this.plan.idempotent ? this.giveUp(attempt, nowMs) : this.askLater(attempt, nowMs);
+            default:
+                return assertNever(verdict);
+        }
+    }
+
+    private finish(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        attempt.finishedVerdicts += 1;
+        const mayBeOnItsWay = attempt.progress === AttemptProgress.Sent
+            && attempt.finishedVerdicts < FINISHED_VERDICTS_BEFORE_FETCH
+            && !this.isClosing;
+        if (mayBeOnItsWay) {
+            return [this.armQuery(attempt, nowMs + SETTLE_RETRY_MS)];
+        }
+        return this.plan.idempotent
+            ? this.giveUp(attempt, nowMs)
+            : [...this.suspect(attempt), ...this.fetch(attempt)];
+    }
+
+    private suspect(attempt: TrackedAttempt): readonly RequestEffect[] {
+        return [
+            { kind: RequestEffectKind.SuspectConnection, id: attempt.id, gate: attempt.gate },
+            { kind: RequestEffectKind.Cancel, id: attempt.id },
+        ];
+    }
+
+    private giveUp(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        attempt.progress = AttemptProgress.Lost;
+        return [...this.suspect(attempt), ...this.retry(attempt, false, nowMs)];
+    }
+
+    private askLater(attempt: TrackedAttempt, nowMs: number): readonly RequestEffect[] {
+        const waitMs = attempt.progress === AttemptProgress.Settling ? SETTLE_RETRY_MS : this.plan.queryAfterMs;
+        return [this.armQuery(attempt, nowMs + waitMs)];
+    }
+
+    private query(attempt: TrackedAttempt): readonly RequestEffect[] {
+        switch (attempt.progress) {
+            case AttemptProgress.Sent:
+                return [{ kind: RequestEffectKind.Settle, id: attempt.id, gate: attempt.gate, mode: SettleMode.Query }];
+            case AttemptProgress.Settling:
+                return this.askToVoid(attempt);
+            default:
+                return [];
+        }
+    }
+
+    private hedge(nowMs: number): readonly RequestEffect[] {
+        const open = this.attempts.filter(isOpen);
+        const isWaiting = open.length === 1 && open[0]?.progress === AttemptProgress.Sent;
+        if (!isWaiting || this.attempts.length >= this.plan.maxAttempts || !this.ports.withdrawRetry()) {
+            return [];
+        }
+        const gate = this.ports.choose(this.attempts.map((attempt) => attempt.gate));
+        return gate === undefined ? [] : this.tryNext(nowMs, false);
+    }
+
+    private passDeadline(nowMs: number): readonly RequestEffect[] {
+        if (this.attempts.some((attempt) => attempt.progress === AttemptProgress.Delivering || attempt.resume)) {
+            return [];
+        }
+        const open = this.attempts.filter(isOpen);
+        if (this.plan.idempotent) {
+            open.forEach((attempt) => attempt.progress = AttemptProgress.Lost);
+            return [...open.map(cancel), ...this.conclude(this.outcomeOfAttempts(), RefusalReason.DeadlinePassed)];
+        }
+        this.isClosing = true;
+        return [
+            ...open.flatMap((attempt) => this.closeAttempt(attempt)),
+            {
+                kind: RequestEffectKind.Arm,
+                timer: { kind: RequestEventKind.FinalSettleDue },
+                atMs: nowMs + FINAL_SETTLE_MS,
+            },
+        ];
+    }
+
+    private closeAttempt(attempt: TrackedAttempt): readonly RequestEffect[] {
+        switch (attempt.progress) {
+            case AttemptProgress.Claiming:
+                attempt.progress = AttemptProgress.NotRun;
+                return [];
+            case AttemptProgress.Sent:
+            case AttemptProgress.Settling:
+                return this.askToVoid(attempt);
+            default:
+                return [];
+        }
+    }
+
+    private loseCaller(): readonly RequestEffect[] {
+        this.isClosed = true;
+        const open = this.attempts.filter(isOpen);
+        return this.plan.idempotent
+            ? open.map(cancel)
+            : open.filter((attempt) => attempt.progress !== AttemptProgress.Claiming).flatMap((attempt) => this.askToVoid(attempt));
+    }
+
+    private abort(): readonly RequestEffect[] {
+        this.isClosed = true;
+        return [{ kind: RequestEffectKind.AbortCaller }];
+    }
+
+    private conclude(outcome: Outcome, reason: RefusalReason | undefined): readonly RequestEffect[] {
+        const mayHaveRun = this.attempts.some((attempt) => attempt.progress !== AttemptProgress.NotRun);
+        assertInvariant(outcome !== Outcome.NotRun || !mayHaveRun, "a request answered not-run has no attempt that may have run", this.plan.requestId);
+        this.isClosed = true;
+        return [
+            ...this.attempts.filter(isOpen).map(cancel),
+            { kind: RequestEffectKind.Conclude, outcome, reason, retryAfterMs: this.retryAfterMs },
+        ];
+    }
+
+    private outcomeOfAttempts(): Outcome {
+        return this.attempts.every((attempt) => attempt.progress === AttemptProgress.NotRun) ? Outcome.NotRun : Outcome.Unknown;
+    }
+
+    private armQuery(attempt: TrackedAttempt, atMs: number): RequestEffect {
+        return { kind: RequestEffectKind.Arm, timer: { kind: RequestEventKind.QueryDue, id: attempt.id }, atMs };
+    }
+}
+
+function isOpen(attempt: TrackedAttempt): boolean {
+    return attempt.progress !== AttemptProgress.NotRun && attempt.progress !== AttemptProgress.Lost;
+}
+
+function cancel(attempt: TrackedAttempt): RequestEffect {
+    return { kind: RequestEffectKind.Cancel, id: attempt.id };
+}
--- /dev/null
+++ b/src/entry/AttemptExchange.ts
@@ -0,0 +1,13 @@
+import { GateRef } from "../model/GateRef.js";
+import { ReadyAnswer } from "./ReadyAnswer.js";
+
+/** Input and output of one attempt. Owned and changed by its request only. */
+export interface AttemptExchange {
+    readonly gate: GateRef;
+    /** Whether it continues an answer that broke off. */
+    readonly resume: boolean;
+    readonly abort: AbortController;
+    /** Time at which the connection in use was opened, in ms. */
+    connectionBornAtMs: number | undefined;
+    answer: ReadyAnswer | undefined;
+}
--- /dev/null
+++ b/src/filters/DeadlineFilter/index.ts
@@ -0,0 +1,30 @@
+import { concludeRequest } from "../../entry/concludeRequest/index.js";
+import { headerValue } from "../../http/headerValue/index.js";
+import { HeaderName } from "../../http/HeaderName.js";
+import { Outcome } from "../../model/Outcome.js";
+import { RefusalReason } from "../../model/RefusalReason.js";
+import { RequestContext } from "../RequestContext.js";
+import { RequestFilter } from "../RequestFilter.js";
+
+const MAX_TIMEOUT_MS = 3_600_000;
+
+/** Sets the deadline: what the caller asks for by header, else what the service allows. */
+export class DeadlineFilter implements RequestFilter {
+    private constructor() {}
+
+    /** Creates the filter. */
+    static create(): DeadlineFilter {
+        return new DeadlineFilter();
+    }
+
+    async apply(context: RequestContext, next: () => Promise<void>): Promise<void> {
+        const text = headerValue(context.request.headers, HeaderName.TimeoutMs);
+        const timeoutMs = text === undefined ? context.service?.deadlineMs ?? 0 : Number(text);
+        if (!Number.isFinite(timeoutMs) || timeoutMs <= 0 || timeoutMs > MAX_TIMEOUT_MS) {
+            concludeRequest(context, Outcome.NotRun, RefusalReason.BadRequest, 0);
+            return;
+        }
+        context.deadlineAtMs = context.arrivedAtMs + timeoutMs;
+        await next();
+    }
+}
--- /dev/null
+++ b/src/gate/Announcement.ts
@@ -0,0 +1,5 @@
+import { z } from "zod";
+import { announcementSchema } from "./announcementSchema.js";
+
+/** A checked announcement of a backend server. */
+export type Announcement = z.infer<typeof announcementSchema>;
--- /dev/null
+++ b/src/gate/EndpointController/index.ts
@@ -0,0 +1,237 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { ConfigurationView } from "../../decisions/configuration/ConfigurationView/index.js";
+import { ServiceIntent } from "../../decisions/configuration/ServiceIntent.js";
+import { GateLimits } from "../../decisions/gate/GateLimits.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { AttemptId } from "../../model/AttemptId.js";
+import { AttemptVerdict } from "../../model/AttemptVerdict.js";
+import { EndpointRecord } from "../../model/EndpointRecord.js";
+import { EndpointState } from "../../model/EndpointState.js";
+import { FleetError } from "../../model/FleetError.js";
+import { SettleMode } from "../../model/SettleMode.js";
+import { Step } from "../../model/Step.js";
+import { Announcement } from "../Announcement.js";
+import { AnnouncementReply } from "../AnnouncementReply.js";
+import { GateController } from "../GateController/index.js";
+import { LocalEndpoint } from "../LocalEndpoint.js";
+import { ReceivedAttempt } from "../ReceivedAttempt.js";
+import { RetainedAnswers } from "../RetainedAnswers/index.js";
+
+const LEASE_MS = 3_000;
+const TICK_MS = 50;
+const MAX_ENDPOINTS = 64;
+const MAX_GATES = 256;
+
+/** Owns the endpoints on the own VM: announcements and leases, their gates, and their drains. */
+export class EndpointController {
+    private readonly endpoints = new Map<string, LocalEndpoint>();
+    private readonly gates = new Map<string, GateController>();
+    private openings = 0;
+    private readonly answers = RetainedAnswers.create();
+    private readonly timer: NodeJS.Timeout;
+    private isDraining = false;
+    private onChange: () => void = () => undefined;
+
+    private constructor(
+        private readonly vm: string,
+        private readonly incarnation: string,
+        private readonly view: () => ConfigurationView,
+        private readonly events: EventLog,
+    ) {
+        this.timer = setInterval(() => this.tick(), TICK_MS);
+    }
+
+    /**
+     * Creates the controller of a VM's endpoints.
+     *
+     * @param vm - Name of the VM.
+     * @param incarnation - Incarnation of the process.
+     * @param view - Configuration in force.
+     * @param events - Log.
+     */
+    static create(vm: string, incarnation: string, view: () => ConfigurationView, events: EventLog): EndpointController {
+        return new EndpointController(vm, incarnation, view, events);
+    }
+
+    /** Sets who is told when the records of the endpoints have changed. */
+    setListener(onChange: () => void): void {
+        this.onChange = onChange;
+    }
+
+    /** Records of all endpoints, to be spread to the fleet. */
+    records(): readonly EndpointRecord[] {
+        return [...this.endpoints].map(([endpointId, endpoint]) => ({
+            endpointId,
+            gate: endpoint.gate.gate,
+            service: endpoint.announcement.service,
+            state: endpoint.state,
+            slots: endpoint.limits.slots,
+            connections: endpoint.limits.connections,
+        }));
+    }
+
+    /** Endpoints by identity. */
+    all(): ReadonlyMap<string, LocalEndpoint> {
+        return this.endpoints;
+    }
+
+    /** Answers that the gates have kept. */
+    get retainedAnswers(): RetainedAnswers {
+        return this.answers;
+    }
+
+    /**
+     * Takes an announcement or its renewal.
+     *
+     * @throws FleetError if the service is unknown or too many endpoints are announced.
+     */
+    announce(endpointId: string, announcement: Announcement): AnnouncementReply {
+        const service = this.view().service(announcement.service);
+        if (service === undefined) {
+            throw this.reject(endpointId, `service: found "${announcement.service}": no such service in the configuration in force`);
+        }
+        const known = this.endpoints.get(endpointId);
+        const isNew = known === undefined || isOtherInstance(known, announcement);
+        if (isNew && this.endpoints.size >= MAX_ENDPOINTS && known === undefined) {
+            throw this.reject(endpointId, `more than ${MAX_ENDPOINTS} endpoints on one VM`);
+        }
+        const endpoint = isNew ? this.open(endpointId, announcement, service) : known;
+        this.renew(endpointId, endpoint, announcement);
+        return { endpointId, state: endpoint.state, leaseMs: LEASE_MS, mayStop: endpoint.gate.isDrained };
+    }
+
+    /** Begins to drain one endpoint; tells whether it is known. */
+    drain(endpointId: string): boolean {
+        const endpoint = this.endpoints.get(endpointId);
+        if (endpoint !== undefined && endpoint.state !== EndpointState.Draining) {
+            this.setState(endpointId, endpoint, EndpointState.Draining);
+            this.events.record(EventNumber.EndpointDraining, { endpoint: endpointId });
+            endpoint.gate.startDrain();
+        }
+        return endpoint !== undefined;
+    }
+
+    /** Begins to drain all endpoints; later announcements are drained at once. */
+    drainAll(): void {
+        this.isDraining = true;
+        [...this.endpoints.keys()].forEach((endpointId) => this.drain(endpointId));
+    }
+
+    /** Tells whether all gates have drained. */
+    get isDrained(): boolean {
+        return [...this.endpoints.values()].every((endpoint) => endpoint.gate.isDrained);
+    }
+
+    /** Takes an attempt; false if the endpoint is not here. */
+    arrive(received: ReceivedAttempt, request: IncomingMessage, response: ServerResponse): boolean {
+        const endpoint = this.endpoints.get(received.endpointId);
+        endpoint?.gate.arrive(received, request, response);
+        return endpoint !== undefined;
+    }
+
+    /** Answers a settle message. */
+    settle(gate: string, id: AttemptId, lowWater: number, mode: SettleMode): AttemptVerdict {
+        return this.gates.get(gate)?.settle(id, gate, lowWater, mode) ?? AttemptVerdict.Unknown;
+    }
+
+    /** Applies a new configuration to all gates. */
+    configure(): void {
+        this.endpoints.forEach((endpoint) => {
+            const service = this.view().service(endpoint.announcement.service);
+            if (service !== undefined) {
+                endpoint.limits = limitsOf(service, endpoint.announcement);
+                endpoint.gate.setLimits(endpoint.limits);
+            }
+        });
+        this.onChange();
+    }
+
+    /** Stops timers and connections. */
+    close(): void {
+        clearInterval(this.timer);
+        this.gates.forEach((gate) => gate.close());
+    }
+
+    private open(endpointId: string, announcement: Announcement, service: ServiceIntent): LocalEndpoint {
+        const limits = limitsOf(service, announcement);
+        this.openings += 1;
+        const gate = GateController.create({
+            endpointId,
+            gate: `${this.incarnation}.${this.openings}`,
+            vm: this.vm,
+            backendAddress: announcement.address,
+            limits,
+            notRunStatuses: service.notRunStatuses,
+            answers: this.answers,
+            events: this.events,
+            onDrained: () => this.events.record(EventNumber.EndpointDrained, { endpoint: endpointId }),
+        });
+        this.endpoints.get(endpointId)?.gate.startDrain();
+        this.keepGate(gate);
+        this.events.record(EventNumber.EndpointAnnounced, { endpoint: endpointId, service: service.name });
+        return { announcement, gate, limits, state: announcement.state, leaseEndsAtMs: 0 };
+    }
+
+    private keepGate(gate: GateController): void {
+        this.gates.set(gate.gate, gate);
+        if (this.gates.size > MAX_GATES) {
+            const oldest = [...this.gates.values()].find((candidate) => candidate.isDrained);
+            oldest?.close();
+            this.gates.delete(oldest?.gate ?? "");
+        }
+    }
+
+    private renew(endpointId: string, endpoint: LocalEndpoint, announcement: Announcement): void {
+        const isKnown = this.endpoints.get(endpointId) === endpoint;
+        const changed = !isKnown || endpoint.state !== announcement.state;
+        this.endpoints.set(endpointId, endpoint);
+        endpoint.leaseEndsAtMs = nowMs() + LEASE_MS;
+        if (this.isDraining || announcement.state === EndpointState.Draining) {
+            this.drain(endpointId);
+        }
+        else if (changed && endpoint.state !== EndpointState.Draining) {
+            this.setState(endpointId, endpoint, announcement.state);
+        }
+    }
+
+    private setState(endpointId: string, endpoint: LocalEndpoint, state: EndpointState): void {
+        endpoint.state = state;
+        this.endpoints.set(endpointId, endpoint);
+        this.onChange();
+    }
+
+    private tick(): void {
+        const atMs = nowMs();
+        this.gates.forEach((gate) => gate.tick());
+        this.endpoints.forEach((endpoint, endpointId) => {
+            if (endpoint.state !== EndpointState.Left && endpoint.leaseEndsAtMs <= atMs) {
+                this.events.record(EventNumber.EndpointLeaseLapsed, { endpoint: endpointId });
+                endpoint.gate.startDrain();
+                this.setState(endpointId, endpoint, EndpointState.Left);
+            }
+        });
+    }
+
+    private reject(endpointId: string, problem: string): FleetError {
+        this.events.record(EventNumber.EndpointRefused, { endpoint: endpointId, problem });
+        return FleetError.create({ step: Step.Announce, peer: endpointId }, problem);
+    }
+}
+
+function isOtherInstance(known: LocalEndpoint, announcement: Announcement): boolean {
+    return known.state === EndpointState.Left
+        || known.announcement.address !== announcement.address
+        || known.announcement.instance !== announcement.instance;
+}
+
+function limitsOf(service: ServiceIntent, announcement: Announcement): GateLimits {
+    const slots = Math.min(service.slotsPerEndpoint, announcement.slots ?? service.slotsPerEndpoint);
+    return {
+        slots,
+        reservedSlots: Math.min(service.reservedSlots, slots),
+        connections: Math.min(service.connectionsPerEndpoint, announcement.connections ?? service.connectionsPerEndpoint),
+        queue: service.queuePerEndpoint,
+    };
+}
--- /dev/null
+++ b/src/gate/ReceivedAttempt.ts
@@ -0,0 +1,8 @@
+import { GateAttempt } from "../decisions/gate/GateAttempt.js";
+
+/** An attempt as read from the header of its request. */
+export interface ReceivedAttempt {
+    readonly attempt: GateAttempt;
+    readonly endpointId: string;
+    readonly requestId: string;
+}
--- /dev/null
+++ b/src/gate/createAnnounceApp/index.ts
@@ -0,0 +1,46 @@
+import type { RequestListener } from "node:http";
+import { getRouterParam, H3, readBody } from "h3";
+import { toNodeHandler } from "h3/node";
+import { describeIssues } from "../../checks/describeIssues/index.js";
+import { createHttpError } from "../../http/createHttpError/index.js";
+import { toError } from "../../model/toError/index.js";
+import { announcementSchema } from "../announcementSchema.js";
+import { EndpointController } from "../EndpointController/index.js";
+
+const STATUS_UNPROCESSABLE = 422;
+const STATUS_NOT_FOUND = 404;
+
+/**
+ * Creates the HTTP interface on which the backend server on the own VM announces itself:
+ * `PUT /endpoints/<id>` announces or renews, `POST /endpoints/<id>/drain` begins a drain.
+ *
+ * @param endpoints - Endpoints on the own VM.
+ * @returns Listener for an HTTP server.
+ * @example
+ * await listenHttp("127.0.0.1", port, "proxy.announcePort", createAnnounceApp(endpoints));
+ */
+export function createAnnounceApp(endpoints: EndpointController): RequestListener {
+    const app = new H3();
+    app.put("/endpoints/:id", async (event) => {
+        const id = getRouterParam(event, "id") ?? "";
+        const body: unknown = await readBody(event);
+        const checked = announcementSchema.safeParse(body);
+        if (!checked.success) {
+            throw createHttpError(STATUS_UNPROCESSABLE, describeIssues(checked.error, body).join("; "));
+        }
+        try {
+            return endpoints.announce(id, checked.data);
+        }
+        catch (thrown) {
+            throw createHttpError(STATUS_UNPROCESSABLE, toError(thrown).message);
+        }
+    });
+    app.post("/endpoints/:id/drain", (event) => {
+        const id = getRouterParam(event, "id") ?? "";
+        if (!endpoints.drain(id)) {
+            throw createHttpError(STATUS_NOT_FOUND, `no endpoint "${id}" on this VM`);
+        }
+        return { endpointId: id };
+    });
+    return toNodeHandler(app);
+}
--- /dev/null
+++ b/src/http/endToEndHeaders/index.ts
@@ -0,0 +1,36 @@
+import { HeaderFields } from "../HeaderFields.js";
+import { HeaderName } from "../HeaderName.js";
+
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+]);
+
+/**
+ * Keeps the header fields that are passed on: drops hop-by-hop fields (RFC 9110, section 7.6.1), those that
+ * `Connection` names, and the system's own.
+ *
+ * @param headers - Header fields by lower-case name.
+ * @returns The fields to pass on.
+ * @example
+ * endToEndHeaders({ connection: "x-a", "x-a": "1", accept: "*" }); // { accept: "*" }
+ */
+export function endToEndHeaders(headers: HeaderFields): Record<string, string | string[]> {
+    const named = new Set(String(headers["connection"] ?? "").toLowerCase().split(",").map((name) => name.trim()));
+    const kept: Record<string, string | string[]> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        const isKept = value !== undefined && !HOP_BY_HOP.has(name) && !named.has(name) && !name.startsWith(HeaderName.Prefix);
+        if (isKept) {
+            kept[name] = value;
+        }
+    }
+    return kept;
+}
--- /dev/null
+++ b/src/http/isConnectFailure/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Tells whether a request failed while its connection was being opened, so that nothing of it was sent.
+ *
+ * @param error - Error of undici.
+ * @returns True if no connection came about.
+ * @example
+ * isConnectFailure(Object.assign(new Error("refused"), { syscall: "connect" })); // true
+ */
+export function isConnectFailure(error: Error): boolean {
+    const { code, syscall } = error as NodeJS.ErrnoException;
+    return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT";
+}
--- /dev/null
+++ b/src/links/Message.ts
@@ -0,0 +1,49 @@
+import { AcceptedChange } from "../decisions/configuration/AcceptedChange.js";
+import { ManifestPart } from "../decisions/configuration/ManifestPart.js";
+import { MemberStamp } from "../decisions/membership/MemberStamp.js";
+import { Suspicion } from "../decisions/membership/Suspicion.js";
+import { AttemptId } from "../model/AttemptId.js";
+import { AttemptVerdict } from "../model/AttemptVerdict.js";
+import { ConfigurationVersion } from "../model/ConfigurationVersion.js";
+import { MemberRecord } from "../model/MemberRecord.js";
+import { SettleMode } from "../model/SettleMode.js";
+import { MessageKind } from "./MessageKind.js";
+import { PeerIdentity } from "./PeerIdentity.js";
+
+/** A message on a link. */
+export type Message =
+    | { readonly kind: MessageKind.Challenge; readonly nonce: string }
+    | { readonly kind: MessageKind.Hello; readonly identity: PeerIdentity; readonly nonce: string; readonly proof: string }
+    | { readonly kind: MessageKind.Welcome; readonly identity: PeerIdentity; readonly proof: string }
+    /** Keeps a link alive both ways: `heard` is the last sequence received from the other end. */
+    | {
+        readonly kind: MessageKind.Heartbeat;
+        readonly sequence: number;
+        readonly heard: number;
+        readonly position: ConfigurationVersion;
+    }
+    | { readonly kind: MessageKind.Members; readonly records: readonly MemberRecord[] }
+    | { readonly kind: MessageKind.MemberSummary; readonly buckets: readonly number[] }
+    | {
+        readonly kind: MessageKind.MemberStamps;
+        readonly buckets: readonly number[];
+        readonly stamps: readonly MemberStamp[];
+        /** Whether the receiver should send its own stamps back. */
+        readonly wantsReply: boolean;
+    }
+    | { readonly kind: MessageKind.Suspicion; readonly suspicion: Suspicion }
+    | { readonly kind: MessageKind.ConfigurationFetch; readonly have: ConfigurationVersion }
+    | { readonly kind: MessageKind.ConfigurationChanges; readonly changes: readonly AcceptedChange[] }
+    | {
+        readonly kind: MessageKind.ConfigurationSnapshot;
+        readonly position: ConfigurationVersion;
+        readonly parts: readonly ManifestPart[];
+    }
+    | {
+        readonly kind: MessageKind.Settle;
+        readonly gate: string;
+        readonly id: AttemptId;
+        readonly lowWater: number;
+        readonly mode: SettleMode;
+    }
+    | { readonly kind: MessageKind.Verdict; readonly verdict: AttemptVerdict };
--- /dev/null
+++ b/src/logs/EventLog/index.ts
@@ -0,0 +1,45 @@
+import { createConsola, type ConsolaInstance, type LogObject } from "consola";
+import { EventNumber } from "../EventNumber.js";
+import { LogFields } from "../LogFields.js";
+import { LogFormat } from "../LogFormat.js";
+
+const RING_EVENTS = 1_000;
+const FIRST_REQUEST_EVENT = 500;
+
+/** Writes numbered events and keeps the latest ones for `gypsumpulley explain`. */
+export class EventLog {
+    private readonly ring: LogFields[] = [];
+
+    private constructor(private readonly vm: string, private readonly consola: ConsolaInstance | undefined) {}
+
+    /**
+     * Creates a log.
+     *
+     * @param vm - VM name, part of every event.
+     * @param format - Format of the lines, or undefined to keep the events in memory only.
+     */
+    static create(vm: string, format: LogFormat | undefined): EventLog {
+        if (format === undefined) {
+            return new EventLog(vm, undefined);
+        }
+        const reporters = [{ log: (entry: LogObject) => void process.stdout.write(`${String(entry.args[0])}\n`) }];
+        return new EventLog(vm, format === LogFormat.Json ? createConsola({ reporters }) : createConsola());
+    }
+
+    /** Records an event; events of single requests are kept in memory only. */
+    record(event: EventNumber, fields: LogFields): void {
+        const line = { atMs: Date.now(), event, name: EventNumber[event], vm: this.vm, ...fields };
+        this.ring.push(line);
+        if (this.ring.length > RING_EVENTS) {
+            this.ring.shift();
+        }
+        if ((event as number) < FIRST_REQUEST_EVENT) {
+            this.consola?.info(JSON.stringify(line));
+        }
+    }
+
+    /** Returns the latest events, oldest first, that have the text in one of their fields. */
+    find(text: string): readonly LogFields[] {
+        return this.ring.filter((fields) => Object.values(fields).some((value) => String(value).includes(text)));
+    }
+}
--- /dev/null
+++ b/src/logs/LogFormat.ts
@@ -0,0 +1,5 @@
+/** Formats of the log. */
+export enum LogFormat {
+    Json = "json",
+    Pretty = "pretty",
+}
--- /dev/null
+++ b/src/metrics/RequestMetrics/index.ts
@@ -0,0 +1,77 @@
+import { StatsD } from "hot-shots";
+import { build, type Histogram } from "hdr-histogram-js";
+import { Outcome } from "../../model/Outcome.js";
+import { ServiceClass } from "../../model/ServiceClass.js";
+import { LatencySummary } from "../LatencySummary.js";
+
+const MAX_SERIES = 512;
+const OTHER_CUSTOMERS = "other";
+const HIGHEST_MS = 3_600_000;
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Counts requests and keeps a latency histogram for each customer and class, in bounded memory. */
+export class RequestMetrics {
+    private readonly histograms = new Map<string, Histogram>();
+    private readonly outcomes = new Map<Outcome, number>();
+
+    private constructor(private readonly statsd: StatsD | undefined) {}
+
+    /**
+     * Creates metrics.
+     *
+     * @param host - Host of the StatsD server, or undefined to send nothing.
+     * @param port - Port of the StatsD server.
+     */
+    static create(host: string | undefined, port: number | undefined): RequestMetrics {
+        return new RequestMetrics(host === undefined
+            ? undefined
+            : new StatsD({ host, ...(port === undefined ? {} : { port }), prefix: "gypsumpulley.", errorHandler: () => undefined }));
+    }
+
+    /** Records one request that has ended. */
+    record(customer: string, serviceClass: ServiceClass, outcome: Outcome, durationMs: number): void {
+        this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1);
+        this.histogram(customer, serviceClass).recordValue(Math.max(1, Math.round(durationMs * MICROSECONDS_PER_MS)));
+        this.statsd?.timing("request", durationMs, { class: serviceClass, outcome });
+    }
+
+    /** Requests that ended, by outcome. */
+    counts(): Readonly<Record<string, number>> {
+        return Object.fromEntries(this.outcomes);
+    }
+
+    /** Latency of each customer and class. */
+    summaries(): readonly LatencySummary[] {
+        return [...this.histograms].map(([series, histogram]) => ({
+            series,
+            requests: histogram.totalCount,
+            p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
+            p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
+            maxMs: histogram.maxValue / MICROSECONDS_PER_MS,
+        }));
+    }
+
+    /** Stops sending. */
+    close(): void {
+        this.statsd?.close(() => undefined);
+    }
+
+    private histogram(customer: string, serviceClass: ServiceClass): Histogram {
+        const wanted = `${customer}/${serviceClass}`;
+        const series = this.histograms.has(wanted) || this.histograms.size < MAX_SERIES
+            ? wanted
+            : `${OTHER_CUSTOMERS}/${serviceClass}`;
+        const known = this.histograms.get(series);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = build({
+            lowestDiscernibleValue: 1,
+            highestTrackableValue: HIGHEST_MS * MICROSECONDS_PER_MS,
+            numberOfSignificantValueDigits: 2,
+            useWebAssembly: false,
+        });
+        this.histograms.set(series, created);
+        return created;
+    }
+}
--- /dev/null
+++ b/src/model/ConfigurationVersion.ts
@@ -0,0 +1,7 @@
+/** Position of a configuration in the accepted history. */
+export interface ConfigurationVersion {
+    /** Term of the control leader that accepted it; 0 before the first. */
+    readonly term: number;
+    /** Number of the accepted change, from 1; 0 before the first. */
+    readonly version: number;
+}
--- /dev/null
+++ b/src/model/FleetError.ts
@@ -0,0 +1,26 @@
+import VError from "verror";
+import { ErrorDetails } from "./ErrorDetails.js";
+import { Step } from "./Step.js";
+
+/** Error that names the step and the peer at which it arose. */
+export class FleetError extends VError {
+    readonly step: Step;
+    readonly peer: string;
+
+    private constructor(details: ErrorDetails, message: string) {
+        const options = { name: "FleetError", info: { step: details.step, peer: details.peer } };
+        super(details.cause === undefined ? options : { ...options, cause: details.cause }, "%s", message);
+        this.step = details.step;
+        this.peer = details.peer;
+    }
+
+    /**
+     * Creates an error.
+     *
+     * @param details - Step, peer and cause.
+     * @param message - What went wrong, in one line.
+     */
+    static create(details: ErrorDetails, message: string): FleetError {
+        return new FleetError(details, `${details.step} ${details.peer}: ${message}`);
+    }
+}
--- /dev/null
+++ b/src/model/Outcome.ts
@@ -0,0 +1,6 @@
+/** What the caller may conclude about the execution of its request. */
+export enum Outcome {
+    Ran = "ran",
+    NotRun = "not-run",
+    Unknown = "unknown",
+}
--- /dev/null
+++ b/src/model/Step.ts
@@ -0,0 +1,18 @@
+/** Step at which an error arose; carried by every FleetError. */
+export enum Step {
+    Settings = "settings",
+    Manifest = "manifest",
+    Listen = "listen",
+    Link = "link",
+    Handshake = "handshake",
+    Storage = "storage",
+    Apply = "apply",
+    Announce = "announce",
+    Identify = "identify",
+    Attempt = "attempt",
+    Settle = "settle",
+    Relay = "relay",
+    Drain = "drain",
+    Operator = "operator",
+    Invariant = "invariant",
+}
--- /dev/null
+++ b/src/model/toError/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Turns any thrown value into an Error.
+ *
+ * @param thrown - Value caught.
+ * @returns The value itself if it is an Error, else an Error with its text.
+ * @example
+ * toError("no").message; // "no"
+ */
+export function toError(thrown: unknown): Error {
+    return thrown instanceof Error ? thrown : new Error(String(thrown));
+}
--- /dev/null
+++ b/src/settings/parseSettings/index.ts
@@ -0,0 +1,25 @@
+import { describeIssues } from "../../checks/describeIssues/index.js";
+import { parseDocument } from "../../checks/parseDocument/index.js";
+import { FleetError } from "../../model/FleetError.js";
+import { Step } from "../../model/Step.js";
+import { Settings } from "../Settings.js";
+import { settingsSchema } from "../settingsSchema.js";
+
+/**
+ * Parses and checks the settings of a daemon.
+ *
+ * @param text - TOML text.
+ * @param fileName - Name of the file, for errors.
+ * @returns The settings with defaults filled in.
+ * @throws FleetError that names each wrong field, what was found and what is allowed.
+ * @example
+ * parseSettings(readFileSync("proxy.toml", "utf8"), "proxy.toml").vm.name;
+ */
+export function parseSettings(text: string, fileName: string): Settings {
+    const document = parseDocument(text, fileName, Step.Settings);
+    const checked = settingsSchema.safeParse(document);
+    if (!checked.success) {
+        throw FleetError.create({ step: Step.Settings, peer: fileName }, describeIssues(checked.error, document).join("; "));
+    }
+    return checked.data;
+}
