Prove attempts and claims by long randomised runs, and mend the duplicate refusal

Ruled out: the witnesses (unkeyed work showed it too) and the settle verdicts (the traced attempt was never settled).

Change: a duplicate refusal says nothing about the outcome, so the attempt is settled at its gate; the gate no longer labels it not-run. A claimant states which of its own attempts did not run, so that witnesses forget them.

--- /dev/null
+++ b/bench/soak/FaultRates.ts
@@ -0,0 +1,14 @@
+/** How often faults happen in a simulated run: chances from 0 to 1, or mean times between them. */
+export interface FaultRates {
+    readonly lostMessage: number;
+    readonly duplicateMessage: number;
+    readonly slowMessage: number;
+    readonly backendCrash: number;
+    readonly backendRefusal: number;
+    readonly brokenBody: number;
+    /** Mean time between faults of each kind, in ms. */
+    readonly cutEveryMs: number;
+    readonly killEveryMs: number;
+    readonly freezeEveryMs: number;
+    readonly drainEveryMs: number;
+}
--- /dev/null
+++ b/bench/soak/SoakNode/index.ts
@@ -0,0 +1,243 @@
+import { ClaimEntry } from "../../../src/decisions/claims/ClaimEntry.js";
+import { Recovery } from "../../../src/decisions/claims/Recovery.js";
+import { Roster } from "../../../src/decisions/claims/Roster.js";
+import { WitnessLedger } from "../../../src/decisions/claims/WitnessLedger/index.js";
+import { WitnessReply } from "../../../src/decisions/claims/WitnessReply.js";
+import { WitnessRequest } from "../../../src/decisions/claims/WitnessRequest.js";
+import { attemptKey } from "../../../src/decisions/gate/attemptKey/index.js";
+import { GateEffect } from "../../../src/decisions/gate/GateEffect.js";
+import { GateEffectKind } from "../../../src/decisions/gate/GateEffectKind.js";
+import { GateEvent } from "../../../src/decisions/gate/GateEvent.js";
+import { GateEventKind } from "../../../src/decisions/gate/GateEventKind.js";
+import { GateLedger } from "../../../src/decisions/gate/GateLedger/index.js";
+import { AttemptNumbering } from "../../../src/entry/AttemptNumbering/index.js";
+import { AttemptVerdict } from "../../../src/model/AttemptVerdict.js";
+import { GateRef } from "../../../src/model/GateRef.js";
+import { Outcome } from "../../../src/model/Outcome.js";
+import { SettleQuestion } from "../../../src/model/SettleQuestion.js";
+import { BackendResult } from "../BackendResult.js";
+import { GateAnswer } from "../GateAnswer.js";
+import { SentAttempt } from "../SentAttempt.js";
+import { SoakBackend } from "../SoakBackend/index.js";
+import { SoakNetwork } from "../SoakNetwork/index.js";
+import { VirtualClock } from "../VirtualClock/index.js";
+
+const LIMITS = { slots: 3, reservedSlots: 1, connections: 40, queue: 6 };
+const TICK_MS = 50;
+const SOAK_WITNESSES = 5;
+const RETENTION_MS = 3_600_000;
+
+/** A VM of a simulated run: entry, gate and witness in one process, which may be killed, frozen and drained. */
+export class SoakNode {
+    incarnation = "";
+    isAlive = false;
+    isDraining = false;
+    /** Requests of callers at this entry. */
+    inFlight = 0;
+    numbering = AttemptNumbering.create("");
+    witness = WitnessLedger.create("", "", 0);
+    private frozenUntilMs = 0;
+    private starts = 0;
+    private ledger = GateLedger.create("", LIMITS);
+    private pending = new Map<string, SentAttempt>();
+    private retained = new Map<string, GateAnswer>();
+    private onDrained: () => void = () => undefined;
+
+    private constructor(
+        readonly vm: string,
+        readonly failureDomain: string,
+        private readonly clock: VirtualClock,
+        private readonly network: SoakNetwork,
+        private readonly backend: SoakBackend,
+    ) {}
+
+    /** Creates a VM and starts its process. */
+    static create(vm: string, failureDomain: string, clock: VirtualClock, network: SoakNetwork, backend: SoakBackend): SoakNode {
+        const node = new SoakNode(vm, failureDomain, clock, network, backend);
+        node.start();
+        return node;
+    }
+
+    /** How other processes address the gate of this VM now. */
+    get gate(): GateRef {
+        const { vm, failureDomain, incarnation } = this;
+        return { vm, failureDomain, gate: incarnation, endpointId: vm, gateAddress: vm, linkAddress: vm };
+    }
+
+    /** Number of attempts running at the gate. */
+    get running(): number {
+        return this.ledger.load.running;
+    }
+
+    /** Starts a new process with empty memory. */
+    start(): void {
+        this.starts += 1;
+        this.incarnation = `${this.vm}@${this.starts}`;
+        this.isAlive = true;
+        this.isDraining = false;
+        this.inFlight = 0;
+        this.frozenUntilMs = 0;
+        this.numbering = AttemptNumbering.create(this.incarnation);
+        this.witness = WitnessLedger.create(this.vm, this.incarnation, this.clock.nowMs);
+        this.ledger = GateLedger.create(this.incarnation, LIMITS);
+        this.pending = new Map();
+        this.retained = new Map();
+        this.scheduleTick(this.incarnation);
+    }
+
+    /** Ends the process at once; connections to it break. */
+    kill(): void {
+        this.isAlive = false;
+        const broken = [...this.pending.values()];
+        this.pending.clear();
+        broken.forEach((sent) => this.network.send(this, sent.entry, false, () => sent.onAnswer(undefined)));
+    }
+
+    /** Stops the process for a time without ending it. */
+    freeze(durationMs: number): void {
+        this.frozenUntilMs = this.clock.nowMs + durationMs;
+    }
+
+    /** Begins a drain; the callback comes when nothing is in flight at gate and entry. */
+    drain(onDrained: () => void): void {
+        this.isDraining = true;
+        const { incarnation } = this;
+        this.onDrained = () => {
+            if (this.incarnation === incarnation && this.isAlive) {
+                onDrained();
+            }
+        };
+        this.step({ kind: GateEventKind.StartDrain });
+    }
+
+    /** Runs an action in the process that is alive now, once it is not frozen. */
+    whenAwake(action: () => void): void {
+        if (!this.isAlive) {
+            return;
+        }
+        if (this.frozenUntilMs <= this.clock.nowMs) {
+            action();
+            return;
+        }
+        const { incarnation } = this;
+        this.clock.at(this.frozenUntilMs, () => {
+            if (this.incarnation === incarnation) {
+                this.whenAwake(action);
+            }
+        });
+    }
+
+    /** Takes an attempt. */
+    arrive(sent: SentAttempt): void {
+        const key = attemptKey(sent.attempt.id);
+        if (!this.pending.has(key)) {
+            this.pending.set(key, sent);
+        }
+        this.step({ kind: GateEventKind.Arrive, attempt: sent.attempt });
+    }
+
+    /** Answers a settle message. */
+    settle(question: SettleQuestion): AttemptVerdict {
+        const verdict = this.step({ kind: GateEventKind.Settle, ...question }).find((effect) => effect.kind === GateEffectKind.Verdict);
+        return verdict?.kind === GateEffectKind.Verdict ? verdict.verdict : AttemptVerdict.Unknown;
+    }
+
+    /** The entry dropped the connection of an attempt. */
+    loseEntry(sent: SentAttempt): void {
+        if (this.pending.get(attemptKey(sent.attempt.id)) === sent) {
+            this.step({ kind: GateEventKind.EntryLost, id: sent.attempt.id });
+        }
+    }
+
+    /** Answer kept for an attempt. */
+    retainedAnswer(key: string): GateAnswer | undefined {
+        return this.retained.get(key);
+    }
+
+    /** Takes a request of a claimant. */
+    takeClaim(request: WitnessRequest, roster: Roster): WitnessReply {
+        return this.witness.take(request, roster, SOAK_WITNESSES, RETENTION_MS, this.clock.nowMs);
+    }
+
+    /** Gives the claims held to a restarted witness. */
+    giveClaims(to: Recovery, roster: Roster): readonly ClaimEntry[] | undefined {
+        const isComplete = this.witness.mayVote("any", roster, SOAK_WITNESSES, RETENTION_MS, this.clock.nowMs);
+        return this.witness.giveClaims(to, isComplete, this.clock.nowMs);
+    }
+
+    private step(event: GateEvent): readonly GateEffect[] {
+        const effects = this.ledger.step(event, this.clock.nowMs);
+        effects.forEach((effect) => this.carryOut(effect));
+        return effects;
+    }
+
+    private carryOut(effect: GateEffect): void {
+        switch (effect.kind) {
+            case GateEffectKind.Start:
+                this.run(effect);
+                return;
+            case GateEffectKind.Refuse: {
+                const sent = this.pending.get(attemptKey(effect.id));
+                const answer = { outcome: Outcome.NotRun, reason: effect.reason, workId: sent?.workId ?? "" };
+                this.reply(sent, answer);
+                return;
+            }
+            case GateEffectKind.Drained:
+                this.onDrained();
+                return;
+            default:
+                return;
+        }
+    }
+
+    private run(effect: Extract<GateEffect, { kind: GateEffectKind.Start }>): void {
+        const { incarnation } = this;
+        const key = attemptKey(effect.id);
+        const sent = this.pending.get(key);
+        if (sent === undefined) {
+            return;
+        }
+        this.backend.run(sent.workId, sent.requestId, (result) => {
+            if (this.incarnation !== incarnation || !this.isAlive) {
+                return;
+            }
+            this.whenAwake(() => this.finish(sent, key, result));
+        });
+    }
+
+    private finish(sent: SentAttempt, key: string, result: BackendResult): void {
+        const answer = { outcome: outcomeOf(result), reason: undefined, workId: sent.workId };
+        if (!sent.attempt.idempotent) {
+            this.retained.set(key, answer);
+        }
+        this.pending.delete(key);
+        this.reply(sent, answer);
+        this.step({ kind: GateEventKind.Finish, id: sent.attempt.id });
+    }
+
+    private reply(sent: SentAttempt | undefined, answer: GateAnswer): void {
+        if (sent !== undefined) {
+            this.network.send(this, sent.entry, false, () => sent.onAnswer(answer));
+        }
+    }
+
+    private scheduleTick(incarnation: string): void {
+        this.clock.after(TICK_MS, () => {
+            if (this.incarnation === incarnation && this.isAlive) {
+                this.whenAwake(() => this.step({ kind: GateEventKind.Tick }));
+                this.scheduleTick(incarnation);
+            }
+        });
+    }
+}
+
+function outcomeOf(result: BackendResult): Outcome {
+    switch (result) {
+        case BackendResult.Answered:
+            return Outcome.Ran;
+        case BackendResult.Crashed:
+            return Outcome.Unknown;
+        case BackendResult.Refused:
+            return Outcome.NotRun;
+    }
+}
--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -190,8 +190,7 @@
         if (message.kind !== MessageKind.Settle || this.proxy === undefined) {
             return undefined;
         }
-        const { gate, id, lowWater, mode } = message;
-        return { kind: MessageKind.Verdict, verdict: this.proxy.endpoints.settle(gate, id, lowWater, mode) };
+        return { kind: MessageKind.Verdict, verdict: this.proxy.endpoints.settle(message.question) };
     }
 
     private configurationChanged(): void {
--- a/src/daemon/ProxyRole/index.ts
+++ b/src/daemon/ProxyRole/index.ts
@@ -26,10 +26,9 @@
 import { MessageKind } from "../../links/MessageKind.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { RequestMetrics } from "../../metrics/RequestMetrics/index.js";
-import { AttemptId } from "../../model/AttemptId.js";
 import { AttemptVerdict } from "../../model/AttemptVerdict.js";
 import { GateRef } from "../../model/GateRef.js";
-import { SettleMode } from "../../model/SettleMode.js";
+import { SettleQuestion } from "../../model/SettleQuestion.js";
 import { Settings } from "../../settings/Settings.js";
 
 const SETTLE_TIMEOUT_MS = 500;
@@ -135,7 +134,7 @@
             events,
             choose: (service, excluded) => this.choose(service, excluded, loads),
             withdrawRetry: (service) => this.budget(service).withdraw(),
-            settle: (id, gate, mode) => this.settle(id, gate, numbering.lowWater, mode),
+            settle: (id, gate, mode, keyed) => this.settle(gate, { id, gate: gate.gate, lowWater: numbering.lowWater, keyed, mode }),
         };
     }
 
@@ -156,12 +155,11 @@
         return budget;
     }
 
-    private async settle(id: AttemptId, gate: GateRef, lowWater: number, mode: SettleMode): Promise<AttemptVerdict> {
+    private async settle(gate: GateRef, question: SettleQuestion): Promise<AttemptVerdict> {
         if (gate.vm === this.membership.own.vm) {
-            return this.endpoints.settle(gate.gate, id, lowWater, mode);
+            return this.endpoints.settle(question);
         }
-        const message = { kind: MessageKind.Settle as const, gate: gate.gate, id, lowWater, mode };
-        const reply = await this.links.call(gate.vm, gate.linkAddress, message, SETTLE_TIMEOUT_MS);
+        const reply = await this.links.call(gate.vm, gate.linkAddress, { kind: MessageKind.Settle, question }, SETTLE_TIMEOUT_MS);
         return reply?.kind === MessageKind.Verdict ? reply.verdict : AttemptVerdict.Unreachable;
     }
 }
--- a/src/decisions/gate/GateEvent.ts
+++ b/src/decisions/gate/GateEvent.ts
@@ -1,5 +1,5 @@
 import { AttemptId } from "../../model/AttemptId.js";
-import { SettleMode } from "../../model/SettleMode.js";
+import { SettleQuestion } from "../../model/SettleQuestion.js";
 import { GateAttempt } from "./GateAttempt.js";
 import { GateEventKind } from "./GateEventKind.js";
 
@@ -12,13 +12,7 @@
     /** The connection that carried the attempt is gone. */
     | { readonly kind: GateEventKind.EntryLost; readonly id: AttemptId }
     /** The entry asks for the state of an attempt. */
-    | {
-        readonly kind: GateEventKind.Settle;
-        readonly id: AttemptId;
-        readonly gate: string;
-        readonly lowWater: number;
-        readonly mode: SettleMode;
-    }
+    | { readonly kind: GateEventKind.Settle } & SettleQuestion
     /** The backend server or the gate is to leave. */
     | { readonly kind: GateEventKind.StartDrain }
     /** Time has passed. */
--- a/src/decisions/gate/GateLedger/index.ts
+++ b/src/decisions/gate/GateLedger/index.ts
@@ -189,7 +189,7 @@
     }
 
     private settle(event: Extract<GateEvent, { kind: GateEventKind.Settle }>, nowMs: number): AttemptVerdict {
-        const { id, gate, lowWater, mode } = event;
+        const { id, gate, lowWater, keyed, mode } = event;
         if (gate !== this.gate) {
             return AttemptVerdict.Unknown;
         }
@@ -200,7 +200,7 @@
         switch (phase) {
             case undefined:
                 if (isSettled) {
-                    return AttemptVerdict.Unknown;
+                    return keyed ? this.void(id, nowMs) : AttemptVerdict.Unknown;
                 }
                 return mode === SettleMode.Void ? this.void(id, nowMs) : AttemptVerdict.NeverArrived;
             case AttemptPhase.Queued:
--- a/src/decisions/gate/GateLedger/test.ts
+++ b/src/decisions/gate/GateLedger/test.ts
@@ -36,7 +36,7 @@
 }
 
 function settle(sequence: number, mode = SettleMode.Void, lowWater = 0): GateEvent {
-    return { kind: GateEventKind.Settle, id: id(sequence), gate: GATE, lowWater, mode };
+    return { kind: GateEventKind.Settle, id: id(sequence), gate: GATE, lowWater, keyed: false, mode };
 }
 
 function finish(sequence: number): GateEvent {
@@ -114,7 +114,7 @@
     },
     {
         title: "a settle for another incarnation of the gate says unknown",
-        events: [{ kind: GateEventKind.Settle, id: id(1), gate: "vm-1@b.1", lowWater: 0, mode: SettleMode.Void }],
+        events: [{ kind: GateEventKind.Settle, id: id(1), gate: "vm-1@b.1", lowWater: 0, keyed: false, mode: SettleMode.Void }],
         expected: [`verdict 1 ${AttemptVerdict.Unknown}`],
     },
     {
--- a/src/decisions/requests/RequestEffect.ts
+++ b/src/decisions/requests/RequestEffect.ts
@@ -10,6 +10,8 @@
 export type RequestEffect =
     /** Enter the attempt at the witnesses of the request's key. */
     | { readonly kind: RequestEffectKind.Claim; readonly id: AttemptId; readonly gate: GateRef }
+    /** Give the key up at its witnesses, since the request did not run. */
+    | { readonly kind: RequestEffectKind.Release }
     /** Send the request to a gate; `resume` continues an answer that broke off. */
     | { readonly kind: RequestEffectKind.Send; readonly id: AttemptId; readonly gate: GateRef; readonly resume: boolean }
     | {
--- a/src/decisions/requests/RequestEffectKind.ts
+++ b/src/decisions/requests/RequestEffectKind.ts
@@ -1,6 +1,7 @@
 /** Effects that a request machine asks its controller to carry out. */
 export enum RequestEffectKind {
     Claim = "claim",
+    Release = "release",
     Send = "send",
     Settle = "settle",
     Fetch = "fetch",
--- a/src/decisions/requests/RequestEvent.ts
+++ b/src/decisions/requests/RequestEvent.ts
@@ -1,6 +1,7 @@
 import { AttemptId } from "../../model/AttemptId.js";
 import { AttemptVerdict } from "../../model/AttemptVerdict.js";
 import { RefusalReason } from "../../model/RefusalReason.js";
+import { ClaimedAttempt } from "../claims/ClaimedAttempt.js";
 import { RequestEventKind } from "./RequestEventKind.js";
 
 /** Something that happened to a request at its entry. */
@@ -9,6 +10,10 @@
     /** A majority of the witnesses holds the attempt under the request's key. */
     | { readonly kind: RequestEventKind.ClaimGranted; readonly id: AttemptId }
     | { readonly kind: RequestEventKind.ClaimDenied; readonly id: AttemptId; readonly reason: RefusalReason }
+    /** The request ran already, as an attempt of an earlier request under the same key. */
+    | { readonly kind: RequestEventKind.ClaimFound; readonly id: AttemptId; readonly other: ClaimedAttempt }
+    /** An attempt of an earlier request under the same key may have run. */
+    | { readonly kind: RequestEventKind.ClaimUnknown; readonly id: AttemptId }
     /** The gate or the backend server says that the attempt did not run. */
     | {
         readonly kind: RequestEventKind.Refused;
--- a/src/decisions/requests/RequestEventKind.ts
+++ b/src/decisions/requests/RequestEventKind.ts
@@ -3,6 +3,8 @@
     Begin = "begin",
     ClaimGranted = "claim-granted",
     ClaimDenied = "claim-denied",
+    ClaimFound = "claim-found",
+    ClaimUnknown = "claim-unknown",
     Refused = "refused",
     NotSent = "not-sent",
     Broken = "broken",
--- a/src/decisions/requests/RequestMachine/index.ts
+++ b/src/decisions/requests/RequestMachine/index.ts
@@ -5,6 +5,8 @@
 import { Outcome } from "../../../model/Outcome.js";
 import { RefusalReason } from "../../../model/RefusalReason.js";
 import { SettleMode } from "../../../model/SettleMode.js";
+import { ClaimedAttempt } from "../../claims/ClaimedAttempt.js";
+import { attemptKey } from "../../gate/attemptKey/index.js";
 import { AttemptProgress } from "../AttemptProgress.js";
 import { RequestEffect } from "../RequestEffect.js";
 import { RequestEffectKind } from "../RequestEffectKind.js";
@@ -52,9 +54,9 @@
         return this.isClosed;
     }
 
-    /** Identities of all attempts made. */
+    /** Identities of all attempts that this request made. */
     get attemptIds(): readonly AttemptId[] {
-        return this.attempts.map((attempt) => attempt.id);
+        return this.attempts.filter((attempt) => !attempt.foreign).map((attempt) => attempt.id);
     }
 
     /**
@@ -85,7 +87,7 @@
     }
 
     private stepAttempt(event: Extract<RequestEvent, { id: AttemptId }>, nowMs: number): readonly RequestEffect[] {
-        const attempt = this.attempts.find((candidate) => candidate.id.sequence === event.id.sequence);
+        const attempt = this.attempts.find((candidate) => attemptKey(candidate.id) === attemptKey(event.id));
         if (attempt === undefined) {
             return [];
         }
@@ -94,9 +96,13 @@
                 return this.sendClaimed(attempt, nowMs);
             case RequestEventKind.ClaimDenied:
                 return this.denyClaim(attempt, event.reason);
+            case RequestEventKind.ClaimFound:
+                return this.fetchForeign(attempt, event.other);
+            case RequestEventKind.ClaimUnknown:
+                attempt.progress = AttemptProgress.Lost;
+                return this.conclude(Outcome.Unknown, RefusalReason.KeyInUse);
             case RequestEventKind.Refused:
-                this.retryAfterMs = event.retryAfterMs;
-                return this.markNotRun(attempt, event.reason, nowMs);
+                return this.refuse(attempt, event.reason, event.retryAfterMs, nowMs);
             case RequestEventKind.NotSent:
                 return this.markNotRun(attempt, RefusalReason.BackendUnreachable, nowMs);
             case RequestEventKind.Broken:
@@ -148,6 +154,7 @@
         const attempt: TrackedAttempt = {
             id: this.ports.nextId(),
             gate,
+            foreign: false,
             resume,
             progress: this.plan.claimed ? AttemptProgress.Claiming : AttemptProgress.Sent,
             finishedVerdicts: 0,
@@ -184,6 +191,32 @@
         return this.conclude(this.outcomeOfAttempts(), reason);
     }
 
+    private fetchForeign(attempt: TrackedAttempt, other: ClaimedAttempt): readonly RequestEffect[] {
+        if (attempt.progress !== AttemptProgress.Claiming) {
+            return [];
+        }
+        attempt.progress = AttemptProgress.NotRun;
+        const foreign: TrackedAttempt = {
+            id: other.id,
+            gate: other.gate,
+            foreign: true,
+            resume: false,
+            progress: AttemptProgress.Fetching,
+            finishedVerdicts: 0,
+            fetched: true,
+        };
+        this.attempts.push(foreign);
+        return [{ kind: RequestEffectKind.Fetch, id: foreign.id, gate: foreign.gate }];
+    }
+
+    private refuse(attempt: TrackedAttempt, reason: RefusalReason, retryAfterMs: number, nowMs: number): readonly RequestEffect[] {
+        if (reason === RefusalReason.Duplicate) {
+            return this.breakAttempt(attempt, nowMs);
+        }
+        this.retryAfterMs = retryAfterMs;
+        return this.markNotRun(attempt, reason, nowMs);
+    }
+
     private markNotRun(attempt: TrackedAttempt, reason: RefusalReason, nowMs: number): readonly RequestEffect[] {
         if (!isOpen(attempt)) {
             return [];
@@ -389,9 +422,16 @@
     private loseCaller(): readonly RequestEffect[] {
         this.isClosed = true;
         const open = this.attempts.filter(isOpen);
-        return this.plan.idempotent
-            ? open.map(cancel)
-            : open.filter((attempt) => attempt.progress !== AttemptProgress.Claiming).flatMap((attempt) => this.askToVoid(attempt));
+        if (this.plan.idempotent) {
+            return open.map(cancel);
+        }
+        const effects = open.flatMap((attempt) => this.closeAttempt(attempt));
+        return [...effects, ...this.release()];
+    }
+
+    private release(): readonly RequestEffect[] {
+        const didNotRun = this.outcomeOfAttempts() === Outcome.NotRun;
+        return this.plan.claimed && didNotRun ? [{ kind: RequestEffectKind.Release }] : [];
     }
 
     private abort(): readonly RequestEffect[] {
@@ -405,6 +445,7 @@
         this.isClosed = true;
         return [
             ...this.attempts.filter(isOpen).map(cancel),
+            ...this.release(),
             { kind: RequestEffectKind.Conclude, outcome, reason, retryAfterMs: this.retryAfterMs },
         ];
     }
--- a/src/decisions/requests/TrackedAttempt.ts
+++ b/src/decisions/requests/TrackedAttempt.ts
@@ -6,6 +6,8 @@
 export interface TrackedAttempt {
     readonly id: AttemptId;
     readonly gate: GateRef;
+    /** Whether an earlier request under the same key made it. */
+    readonly foreign: boolean;
     /** Whether the attempt continues an answer that broke off. */
     readonly resume: boolean;
     progress: AttemptProgress;
--- a/src/entry/AttemptSender/index.ts
+++ b/src/entry/AttemptSender/index.ts
@@ -117,7 +117,7 @@
 
 function interpret(answer: PooledAnswer): AttemptResult {
     const outcome = findEnumValue(Outcome, headerValue(answer.headers, HeaderName.Outcome));
-    if (outcome === Outcome.NotRun) {
+    if (outcome === Outcome.NotRun || readReason(answer.headers) === RefusalReason.Duplicate) {
         discard(answer);
         return {
             kind: AttemptResultKind.Refused,
--- a/src/entry/EntryTools.ts
+++ b/src/entry/EntryTools.ts
@@ -18,5 +18,5 @@
     /** Takes one retry of a service's budget. */
     withdrawRetry(service: string): boolean;
     /** Asks a gate about an attempt. */
-    settle(id: AttemptId, gate: GateRef, mode: SettleMode): Promise<AttemptVerdict>;
+    settle(id: AttemptId, gate: GateRef, mode: SettleMode, keyed: boolean): Promise<AttemptVerdict>;
 }
--- a/src/entry/RequestRun/index.ts
+++ b/src/entry/RequestRun/index.ts
@@ -89,6 +89,7 @@
     private carryOut(effect: RequestEffect): void {
         switch (effect.kind) {
             case RequestEffectKind.Claim:
+            case RequestEffectKind.Release:
                 return;
             case RequestEffectKind.Send:
                 void this.send(effect.id, effect.gate, effect.resume);
@@ -300,7 +301,7 @@
     }
 
     private async settle(id: AttemptId, gate: GateRef, mode: SettleMode): Promise<void> {
-        const verdict = await this.tools.settle(id, gate, mode);
+        const verdict = await this.tools.settle(id, gate, mode, this.plan.claimed);
         this.record(EventNumber.AttemptSettled, id, verdict);
         this.step({ kind: RequestEventKind.Settled, id, verdict });
     }
--- a/src/gate/EndpointController/index.ts
+++ b/src/gate/EndpointController/index.ts
@@ -5,12 +5,11 @@
 import { GateLimits } from "../../decisions/gate/GateLimits.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
-import { AttemptId } from "../../model/AttemptId.js";
 import { AttemptVerdict } from "../../model/AttemptVerdict.js";
 import { EndpointRecord } from "../../model/EndpointRecord.js";
 import { EndpointState } from "../../model/EndpointState.js";
 import { FleetError } from "../../model/FleetError.js";
-import { SettleMode } from "../../model/SettleMode.js";
+import { SettleQuestion } from "../../model/SettleQuestion.js";
 import { Step } from "../../model/Step.js";
 import { Announcement } from "../Announcement.js";
 import { AnnouncementReply } from "../AnnouncementReply.js";
@@ -132,8 +131,8 @@
     }
 
     /** Answers a settle message. */
-    settle(gate: string, id: AttemptId, lowWater: number, mode: SettleMode): AttemptVerdict {
-        return this.gates.get(gate)?.settle(id, gate, lowWater, mode) ?? AttemptVerdict.Unknown;
+    settle(question: SettleQuestion): AttemptVerdict {
+        return this.gates.get(question.gate)?.settle(question) ?? AttemptVerdict.Unknown;
     }
 
     /** Applies a new configuration to all gates. */
--- a/src/gate/GateController/index.ts
+++ b/src/gate/GateController/index.ts
@@ -24,8 +24,8 @@
 import { AttemptVerdict } from "../../model/AttemptVerdict.js";
 import { Outcome } from "../../model/Outcome.js";
 import { RefusalReason } from "../../model/RefusalReason.js";
-import { SettleMode } from "../../model/SettleMode.js";
 import { toError } from "../../model/toError/index.js";
+import { SettleQuestion } from "../../model/SettleQuestion.js";
 import { GateSetup } from "../GateSetup.js";
 import { ReceivedAttempt } from "../ReceivedAttempt.js";
 import { RetainedAnswer } from "../RetainedAnswer.js";
@@ -101,8 +101,8 @@
     }
 
     /** Answers a settle message. */
-    settle(id: AttemptId, gate: string, lowWater: number, mode: SettleMode): AttemptVerdict {
-        const effects = this.step({ kind: GateEventKind.Settle, id, gate, lowWater, mode });
+    settle(question: SettleQuestion): AttemptVerdict {
+        const effects = this.step({ kind: GateEventKind.Settle, ...question });
         const verdict = effects.find((effect) => effect.kind === GateEffectKind.Verdict);
         return verdict?.kind === GateEffectKind.Verdict ? verdict.verdict : AttemptVerdict.Unknown;
     }
@@ -281,7 +281,7 @@
             return;
         }
         response.writeHead(STATUS_REFUSED, {
-            ...this.outcomeHeaders(Outcome.NotRun),
+            ...this.outcomeHeaders(reason === RefusalReason.Duplicate ? Outcome.Unknown : Outcome.NotRun),
             [HeaderName.Reason]: reason,
             [HeaderName.RetryAfterMs]: String(retryAfterMs),
         });
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -2,11 +2,10 @@
 import { ManifestPart } from "../decisions/configuration/ManifestPart.js";
 import { MemberStamp } from "../decisions/membership/MemberStamp.js";
 import { Suspicion } from "../decisions/membership/Suspicion.js";
-import { AttemptId } from "../model/AttemptId.js";
 import { AttemptVerdict } from "../model/AttemptVerdict.js";
 import { ConfigurationVersion } from "../model/ConfigurationVersion.js";
 import { MemberRecord } from "../model/MemberRecord.js";
-import { SettleMode } from "../model/SettleMode.js";
+import { SettleQuestion } from "../model/SettleQuestion.js";
 import { MessageKind } from "./MessageKind.js";
 import { PeerIdentity } from "./PeerIdentity.js";
 
@@ -39,11 +38,5 @@
         readonly position: ConfigurationVersion;
         readonly parts: readonly ManifestPart[];
     }
-    | {
-        readonly kind: MessageKind.Settle;
-        readonly gate: string;
-        readonly id: AttemptId;
-        readonly lowWater: number;
-        readonly mode: SettleMode;
-    }
+    | { readonly kind: MessageKind.Settle; readonly question: SettleQuestion }
     | { readonly kind: MessageKind.Verdict; readonly verdict: AttemptVerdict };
