--- a/bench/LocalFleet/index.ts
+++ b/bench/LocalFleet/index.ts
@@ -44,14 +44,13 @@
             roles: ["control"],
             control: { dataFolder: join(folder, "control-1") },
         });
-        fleet.startControl();
-        await fleet.until("control answers", async () => (await fleet.status(fleet.controlOperator)) !== undefined);
-        await fleet.apply(plan.manifestFile);
-        for (const [index, standIn] of plan.standIns.entries()) {
-            const domain = plan.failureDomains[index % plan.failureDomains.length] ?? "";
-            fleet.nodes.push(await fleet.startNode(`vm-${index + 1}`, domain, standIn));
+        try {
+            await fleet.startAll(plan);
+        }
+        catch (thrown) {
+            await fleet.kill();
+            throw thrown;
         }
-        await fleet.ready(plan.standIns.length);
         return fleet;
     }
 
@@ -147,6 +146,17 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 
+    private async startAll(plan: FleetPlan): Promise<void> {
+        this.startControl();
+        await this.until("control answers", async () => (await this.status(this.controlOperator)) !== undefined);
+        await this.apply(plan.manifestFile);
+        for (const [index, standIn] of plan.standIns.entries()) {
+            const domain = plan.failureDomains[index % plan.failureDomains.length] ?? "";
+            this.nodes.push(await this.startNode(`vm-${index + 1}`, domain, standIn));
+        }
+        await this.ready(plan.standIns.length);
+    }
+
     private outputs(): string {
         return [this.controlProcess, ...this.nodes.flatMap((node) => [node.proxy, node.standIn])]
             .map((process) => process?.output ?? "")
--- a/bench/StandInAnnouncer/index.ts
+++ b/bench/StandInAnnouncer/index.ts
@@ -34,7 +34,7 @@
     private async renew(): Promise<void> {
         clearTimeout(this.timer);
         const reply = await this.announce();
-        if (reply?.mayStop === true) {
+        if (reply?.mayStop === true && this.state === EndpointState.Draining) {
             this.onMayStop();
             return;
         }
--- a/bench/soak/SoakNode/index.ts
+++ b/bench/soak/SoakNode/index.ts
@@ -1,5 +1,4 @@
 import { ClaimEntry } from "../../../src/decisions/claims/ClaimEntry.js";
-import { Recovery } from "../../../src/decisions/claims/Recovery.js";
 import { Roster } from "../../../src/decisions/claims/Roster.js";
 import { WitnessLedger } from "../../../src/decisions/claims/WitnessLedger/index.js";
 import { WitnessReply } from "../../../src/decisions/claims/WitnessReply.js";
@@ -22,7 +21,7 @@
 import { SoakNetwork } from "../SoakNetwork/index.js";
 import { VirtualClock } from "../VirtualClock/index.js";
 
-const LIMITS = { slots: 3, reservedSlots: 1, connections: 40, queue: 6 };
+const LIMITS = { slots: 3, reservedSlots: 1, connections: 40, keyedRetentionMs: 3_600_000, queue: 6 };
 const TICK_MS = 50;
 const SOAK_WITNESSES = 5;
 const RETENTION_MS = 3_600_000;
@@ -160,9 +159,13 @@
     }
 
     /** Gives the claims held to a restarted witness. */
-    giveClaims(to: Recovery, roster: Roster): readonly ClaimEntry[] | undefined {
-        const isComplete = this.witness.mayVote("any", roster, SOAK_WITNESSES, RETENTION_MS, this.clock.nowMs);
-        return this.witness.giveClaims(to, isComplete, this.clock.nowMs);
+    giveClaims(roster: Roster): readonly ClaimEntry[] | undefined {
+        return this.witness.giveClaims(roster, RETENTION_MS, this.clock.nowMs);
+    }
+
+    /** Tells whether the witness has its memory back after a restart. */
+    isWitnessComplete(roster: Roster): boolean {
+        return this.witness.isComplete(roster, RETENTION_MS, this.clock.nowMs);
     }
 
     private step(event: GateEvent): readonly GateEffect[] {
--- a/bench/soak/SoakWorld/index.ts
+++ b/bench/soak/SoakWorld/index.ts
@@ -257,10 +257,11 @@
         if (!isWitness || !node.isAlive || node.incarnation !== incarnation) {
             return;
         }
-        for (const other of this.roster.witnesses.filter((witness) => witness.vm !== node.vm)) {
+        const others = this.roster.witnesses.filter((witness) => witness.vm !== node.vm && node.witness.mayCopy(this.clock.nowMs));
+        for (const other of others) {
             const peer = this.node(other.vm);
             this.network.send(node, peer, false, () => {
-                const entries = peer.giveClaims({ vm: node.vm, incarnation }, this.roster);
+                const entries = peer.giveClaims(this.roster);
                 this.network.send(peer, node, false, () => {
                     if (node.incarnation === incarnation && entries !== undefined) {
                         node.witness.copyClaims(peer.vm, entries, this.clock.nowMs);
@@ -268,7 +269,7 @@
                 });
             });
         }
-        const isDone = node.witness.mayVote("any", this.roster, 5, 3_600_000, this.clock.nowMs);
+        const isDone = node.isWitnessComplete(this.roster);
         if (!isDone) {
             this.clock.after(RECOVERY_POLL_MS, () => this.recoverWitness(node, incarnation));
         }
--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -133,7 +133,7 @@
 function versionOf(decision: ApplyDecision): number {
     switch (decision.kind) {
         case ApplyDecisionKind.Accept:
-            return decision.change.position.version;
+            return decision.change.position.manifestVersion;
         case ApplyDecisionKind.Repeat:
             return decision.version;
         case ApplyDecisionKind.Conflict:
@@ -177,10 +177,10 @@
 }
 
 function renderStatus(status: DaemonStatus): string {
-    const { term, version } = status.configuration;
+    const { term, version, manifestVersion } = status.configuration;
     return [
         `${status.vm} (${status.failureDomain}, ${status.roles.join(" and ")}): ${status.state}\n`,
-        `configuration: version ${version}, term ${term}\n`,
+        `manifest: version ${manifestVersion}; configuration: version ${version}, term ${term}\n`,
         `links: ${status.links.join(", ")}\n`,
         `in flight: ${status.inFlight}; outcomes: ${JSON.stringify(status.outcomes)}; invariant violations: ${status.invariantViolations}\n`,
         printRows(["member", "failure domain", "state"], status.members.map((member) => [member.vm, member.failureDomain, member.lost ? "lost" : member.state])),
--- a/src/cli/waitInForce/index.ts
+++ b/src/cli/waitInForce/index.ts
@@ -6,7 +6,7 @@
 const POLL_MS = 50;
 
 /**
- * Waits until a configuration version is in force on processes.
+ * Waits until a manifest version is in force on processes.
  *
  * @param operators - Addresses of their operators' interfaces.
  * @param version - Version to wait for.
@@ -42,7 +42,7 @@
 async function readVersion(address: string, token: string | undefined): Promise<number | undefined> {
     try {
         const status = await callOperator<DaemonStatus>({ address, method: "GET", path: "/status", token });
-        return status.configuration.version;
+        return status.configuration.manifestVersion;
     }
     catch {
         return undefined;
--- a/src/controllers/ControlController/index.ts
+++ b/src/controllers/ControlController/index.ts
@@ -3,6 +3,8 @@
 import { ApplyDecision } from "../../decisions/configuration/ApplyDecision.js";
 import { ApplyDecisionKind } from "../../decisions/configuration/ApplyDecisionKind.js";
 import { ApplyRequest } from "../../decisions/configuration/ApplyRequest.js";
+import { Roster } from "../../decisions/claims/Roster.js";
+import { PartKind } from "../../decisions/configuration/PartKind.js";
 import { decideApply } from "../../decisions/configuration/decideApply/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -41,7 +43,7 @@
         }
         const control = new ControlController(log, configuration, events);
         const changes = log.recovered.map((payload) => unpackr.unpack(payload) as AcceptedChange);
-        changes.forEach((change) => control.versionsByChangeId.set(change.changeId, change.position.version));
+        changes.forEach((change) => control.versionsByChangeId.set(change.changeId, change.position.manifestVersion));
         configuration.installChanges(changes);
         return control;
     }
@@ -53,14 +55,34 @@
         return decision;
     }
 
+    /** Puts a roster of witnesses in force, unless another one has been put in force meanwhile. */
+    setRoster(roster: Roster): Promise<void> {
+        const done = this.queue.then(async () => {
+            const { position, roster: current } = this.configuration.view;
+            if (roster.epoch === (current?.epoch ?? 0) + 1) {
+                await this.accept({
+                    position: { ...position, term: SINGLE_CONTROL_TERM, version: position.version + 1 },
+                    changeId: `roster-${roster.epoch}`,
+                    delta: { set: [{ kind: PartKind.Roster, value: roster }], removed: [] },
+                });
+            }
+        });
+        this.queue = done.catch(() => undefined);
+        return done;
+    }
+
+    private async accept(change: AcceptedChange): Promise<void> {
+        await this.log.append([packr.pack(change)]);
+        const { term, version, manifestVersion } = change.position;
+        this.versionsByChangeId.set(change.changeId, manifestVersion);
+        this.events.record(EventNumber.ConfigurationAccepted, { term, version, manifestVersion, changeId: change.changeId });
+        this.configuration.installChanges([change]);
+    }
+
     private async decide(request: ApplyRequest): Promise<ApplyDecision> {
         const decision = decideApply(this.configuration.view, this.versionsByChangeId, request, SINGLE_CONTROL_TERM);
         if (decision.kind === ApplyDecisionKind.Accept) {
-            await this.log.append([packr.pack(decision.change)]);
-            const { term, version } = decision.change.position;
-            this.versionsByChangeId.set(request.changeId, version);
-            this.events.record(EventNumber.ConfigurationAccepted, { term, version, changeId: request.changeId });
-            this.configuration.installChanges([decision.change]);
+            await this.accept(decision.change);
         }
         if (decision.kind === ApplyDecisionKind.Conflict) {
             const { version, winner, differing } = decision;
--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -6,6 +6,7 @@
 import { ControlController } from "../../controllers/ControlController/index.js";
 import { LinkNetwork } from "../../controllers/LinkNetwork.js";
 import { MembershipController } from "../../controllers/MembershipController/index.js";
+import { RosterController } from "../../controllers/RosterController/index.js";
 import { listenHttp } from "../../http/listenHttp/index.js";
 import { InvariantMonitor } from "../../invariants/InvariantMonitor/index.js";
 import { LinkController } from "../../links/LinkController/index.js";
@@ -36,6 +37,7 @@
     private membership: MembershipController | undefined;
     private proxy: ProxyRole | undefined;
     private control: ControlController | undefined;
+    private roster: RosterController | undefined;
     private operatorServer: Server | undefined;
     private stopping: Promise<void> | undefined;
     private isClosing = false;
@@ -79,6 +81,10 @@
         if (settings.proxy !== undefined && settings.roles.includes(Role.Proxy)) {
             this.proxy = await ProxyRole.create(settings, settings.proxy, this.incarnation, this.configuration, this.membership, this.links, events);
         }
+        const { control, membership } = this;
+        this.roster = control === undefined
+            ? undefined
+            : RosterController.create(() => this.configuration.view, membership.directory, (roster) => control.setRoster(roster));
         this.configuration.addListener(() => this.configurationChanged());
         this.operatorServer = await this.startOperators();
         events.record(EventNumber.DaemonStarted, { roles: settings.roles, incarnation: this.incarnation });
@@ -187,10 +193,19 @@
     }
 
     private answer(message: Message): Message | undefined {
-        if (message.kind !== MessageKind.Settle || this.proxy === undefined) {
+        if (this.proxy === undefined) {
             return undefined;
         }
-        return { kind: MessageKind.Verdict, verdict: this.proxy.endpoints.settle(message.question) };
+        switch (message.kind) {
+            case MessageKind.Settle:
+                return { kind: MessageKind.Verdict, verdict: this.proxy.endpoints.settle(message.question) };
+            case MessageKind.Witness:
+                return { kind: MessageKind.WitnessReply, reply: this.proxy.witness.take(message.request) };
+            case MessageKind.ClaimsFetch:
+                return this.proxy.witness.giveClaims();
+            default:
+                return undefined;
+        }
     }
 
     private configurationChanged(): void {
@@ -218,6 +233,7 @@
         await delay(LEFT_SPREAD_MS);
         this.isClosing = true;
         this.membership?.close();
+        this.roster?.close();
         this.proxy?.close();
         await this.links?.close();
         this.operatorServer?.close();
--- a/src/daemon/ProxyRole/index.ts
+++ b/src/daemon/ProxyRole/index.ts
@@ -3,6 +3,10 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { ConfigurationController } from "../../controllers/ConfigurationController/index.js";
 import { MembershipController } from "../../controllers/MembershipController/index.js";
+import { WitnessController } from "../../controllers/WitnessController/index.js";
+import { RosterWitness } from "../../decisions/claims/RosterWitness.js";
+import { WitnessReply } from "../../decisions/claims/WitnessReply.js";
+import { WitnessRequest } from "../../decisions/claims/WitnessRequest.js";
 import { chooseEndpoint } from "../../decisions/balancing/chooseEndpoint/index.js";
 import { EndpointIndex } from "../../decisions/membership/EndpointIndex/index.js";
 import { RetryBudget } from "../../decisions/requests/RetryBudget/index.js";
@@ -43,6 +47,7 @@
     private readonly timer: NodeJS.Timeout;
     private servers: readonly Server[] = [];
     readonly entry: EntryController;
+    readonly witness: WitnessController;
 
     private constructor(
         private readonly configuration: ConfigurationController,
@@ -51,18 +56,20 @@
         private readonly sender: AttemptSender,
         readonly endpoints: EndpointController,
         readonly metrics: RequestMetrics,
-        events: EventLog,
+        private readonly events: EventLog,
         incarnation: string,
     ) {
+        const { vm } = membership.own;
+        this.witness = WitnessController.create(vm, incarnation, () => configuration.view, (...call) => links.call(...call), events);
         this.index = EndpointIndex.create(membership.directory);
-        const tools = this.createTools(AttemptNumbering.create(incarnation), EndpointLoads.create(), events);
+        const tools = this.createTools(AttemptNumbering.create(incarnation), EndpointLoads.create());
         const view = (): typeof configuration.view => configuration.view;
         this.entry = EntryController.create([
             RecordFilter.create(metrics, events),
             IdentifyFilter.create(view),
             LimitFilter.create(view),
             DeadlineFilter.create(),
-            AttemptFilter.create(tools),
+            AttemptFilter.create(tools, view),
         ], events);
         this.timer = setInterval(() => sender.closeIdle(), CLOSE_IDLE_MS);
     }
@@ -123,17 +130,20 @@
         });
         this.sender.close();
         this.endpoints.close();
+        this.witness.close();
         this.metrics.close();
     }
 
-    private createTools(numbering: AttemptNumbering, loads: EndpointLoads, events: EventLog): EntryTools {
+    private createTools(numbering: AttemptNumbering, loads: EndpointLoads): EntryTools {
         return {
             sender: this.sender,
             numbering,
             loads,
-            events,
+            events: this.events,
             choose: (service, excluded) => this.choose(service, excluded, loads),
             withdrawRetry: (service) => this.budget(service).withdraw(),
+            askWitness: (witness, request) => this.askWitness(witness, request),
+            settleOther: (id, gate, mode) => this.settle(gate, { id, gate: gate.gate, lowWater: 0, keyed: true, mode }),
             settle: (id, gate, mode, keyed) => this.settle(gate, { id, gate: gate.gate, lowWater: numbering.lowWater, keyed, mode }),
         };
     }
@@ -155,6 +165,15 @@
         return budget;
     }
 
+    private async askWitness(witness: RosterWitness, request: WitnessRequest): Promise<WitnessReply | undefined> {
+        if (witness.vm === this.membership.own.vm) {
+            return this.witness.take(request);
+        }
+        const message = { kind: MessageKind.Witness as const, request };
+        const reply = await this.links.call(witness.vm, witness.linkAddress, message, SETTLE_TIMEOUT_MS);
+        return reply?.kind === MessageKind.WitnessReply ? reply.reply : undefined;
+    }
+
     private async settle(gate: GateRef, question: SettleQuestion): Promise<AttemptVerdict> {
         if (gate.vm === this.membership.own.vm) {
             return this.endpoints.settle(question);
--- a/src/decisions/claims/ClaimMachine/index.ts
+++ b/src/decisions/claims/ClaimMachine/index.ts
@@ -36,6 +36,7 @@
     private replies = new Map<string, WitnessReply>();
     private phase = ClaimPhase.Idle;
     private round = 0;
+    private askedAtMs = 0;
     private fruitlessRounds = 0;
 
     private constructor(private readonly plan: ClaimPlan) {}
@@ -79,6 +80,7 @@
     private ask(nowMs: number): readonly ClaimEffect[] {
         this.phase = ClaimPhase.Asking;
         this.round += 1;
+        this.askedAtMs = nowMs;
         this.replies = new Map();
         const request: WitnessRequest = {
             kind: WitnessRequestKind.Claim,
@@ -94,7 +96,8 @@
     }
 
     private takeReply(round: number, vm: string, reply: WitnessReply, nowMs: number): readonly ClaimEffect[] {
-        if (round !== this.round || this.phase !== ClaimPhase.Asking) {
+        const isLate = nowMs - this.askedAtMs > ROUND_MS;
+        if (round !== this.round || this.phase !== ClaimPhase.Asking || isLate) {
             return [];
         }
         this.replies.set(vm, reply);
@@ -206,17 +209,12 @@
         return this.plan.witnessSets.every((set) => {
             const votes = set.filter((witness) => {
                 const reply = this.replies.get(witness.vm);
-                return reply !== undefined && condition(reply) && this.isCurrent(witness.vm, reply);
+                return reply !== undefined && condition(reply);
             });
             return votes.length >= majorityOf(set.length);
         });
     }
 
-    private isCurrent(vm: string, reply: WitnessReply): boolean {
-        return [...this.replies.values()].every((other) =>
-            other.recoveries.every((recovery) => recovery.vm !== vm || recovery.incarnation === reply.incarnation));
-    }
-
     private get witnesses(): readonly RosterWitness[] {
         const byVm = new Map(this.plan.witnessSets.flat().map((witness) => [witness.vm, witness]));
         return [...byVm.values()];
--- a/src/decisions/claims/WitnessLedger/index.ts
+++ b/src/decisions/claims/WitnessLedger/index.ts
@@ -3,7 +3,6 @@
 import { Claim } from "../Claim.js";
 import { ClaimEntry } from "../ClaimEntry.js";
 import { majorityOf } from "../majorityOf/index.js";
-import { Recovery } from "../Recovery.js";
 import { Roster } from "../Roster.js";
 import { WitnessReply } from "../WitnessReply.js";
 import { WitnessReplyKind } from "../WitnessReplyKind.js";
@@ -12,6 +11,7 @@
 import { witnessesFor } from "../witnessesFor/index.js";
 
 const CONTESTED = "";
+const COPY_DELAY_MS = 2_000;
 
 interface HeldClaim {
     readonly claim: Claim;
@@ -23,15 +23,14 @@
  * another claimant has voided all its attempts.
  *
  * A witness that restarted has no memory. It abstains from a key until it has copied the claims of a majority of the
- * key's other witnesses, or until all claims it may have forgotten have expired. Each copy is remembered by the witness
- * that gave it, so that claimants do not count votes that the restarted one gave before.
+ * key's other witnesses, or until all claims it may have forgotten have expired. It waits before it copies, for longer
+ * than claimants count replies, so that every claim that counts a vote from before the restart is in the copies.
  *
  * Deterministic: no clock, no input or output.
  */
 export class WitnessLedger {
     private readonly claims = new Map<string, HeldClaim>();
     private readonly copiedFrom = new Set<string>();
-    private readonly recoveries = new Map<string, string>();
 
     private constructor(
         private readonly vm: string,
@@ -68,14 +67,14 @@
         switch (request.kind) {
             case WitnessRequestKind.Claim:
                 if (request.epoch < roster.epoch || !this.mayVote(request.key, roster, witnessCount, retentionMs, nowMs)) {
-                    return { ...this.signature, kind: WitnessReplyKind.Abstains };
+                    return { kind: WitnessReplyKind.Abstains };
                 }
                 return this.claim(request.key, request.claim, request.voided, retentionMs, nowMs);
             case WitnessRequestKind.Release:
                 if (this.held(request.key, nowMs)?.claimant === request.claimant) {
                     this.claims.delete(request.key);
                 }
-                return { ...this.signature, kind: WitnessReplyKind.Granted };
+                return { kind: WitnessReplyKind.Granted };
             default:
                 return assertNever(request);
         }
@@ -83,32 +82,29 @@
 
     /** Tells whether the memory is complete enough to vote on a key. */
     mayVote(key: string, roster: Roster, witnessCount: number, retentionMs: number, nowMs: number): boolean {
-        const pools = [roster.witnesses, roster.previous].filter((pool) => pool.some((witness) => witness.vm === this.vm));
-        const isOldEnough = nowMs - this.startedAtMs >= retentionMs;
-        return pools.length > 0 && (isOldEnough || pools.every((pool) => {
-            const witnesses = witnessesFor(key, pool, witnessCount);
-            const own = witnesses.find((witness) => witness.vm === this.vm);
-            const others = witnesses.filter((witness) => witness.vm !== this.vm);
-            const copied = others.filter((witness) => this.copiedFrom.has(witness.vm));
-            return own?.incarnation === this.incarnation || (others.length > 0 && copied.length >= majorityOf(others.length));
-        }));
+        return this.hasMemoryOf((pool) => witnessesFor(key, pool, witnessCount), roster, retentionMs, nowMs);
     }
 
-    /**
-     * Gives all claims to a witness that has lost its memory, and remembers that it did.
-     *
-     * @returns The claims, or undefined while the own memory is not complete.
-     */
-    giveClaims(to: Recovery, isComplete: boolean, nowMs: number): readonly ClaimEntry[] | undefined {
-        if (!isComplete) {
+    /** Tells whether the restart is long enough ago to copy: no claimant still counts a vote given before it. */
+    mayCopy(nowMs: number): boolean {
+        return nowMs - this.startedAtMs >= COPY_DELAY_MS;
+    }
+
+    /** Returns all claims, for a witness that has lost its memory; undefined while the own memory is not complete. */
+    giveClaims(roster: Roster, retentionMs: number, nowMs: number): readonly ClaimEntry[] | undefined {
+        if (!this.isComplete(roster, retentionMs, nowMs)) {
             return undefined;
         }
-        this.recoveries.set(to.vm, to.incarnation);
         return [...this.claims]
             .filter(([, held]) => held.expiresAtMs > nowMs)
             .map(([key, held]) => ({ key, claim: held.claim, remainingMs: held.expiresAtMs - nowMs }));
     }
 
+    /** Tells whether the memory is complete for every key of the pools to which the witness belongs. */
+    isComplete(roster: Roster, retentionMs: number, nowMs: number): boolean {
+        return this.hasMemoryOf((pool) => pool, roster, retentionMs, nowMs);
+    }
+
     /**
      * Takes over the claims that another witness gave. Attempts are united; where two witnesses name different
      * claimants, neither is taken for the holder, so that whoever asks has to void all attempts first.
@@ -133,29 +129,42 @@
         }
     }
 
+    private hasMemoryOf(
+        select: (pool: Roster["witnesses"]) => Roster["witnesses"],
+        roster: Roster,
+        retentionMs: number,
+        nowMs: number,
+    ): boolean {
+        const sets = [roster.witnesses, roster.previous].map(select).filter((set) => set.some((witness) => witness.vm === this.vm));
+        const isOldEnough = nowMs - this.startedAtMs >= retentionMs;
+        return sets.length > 0 && (isOldEnough || sets.every((set) => this.knows(set)));
+    }
+
+    private knows(set: Roster["witnesses"]): boolean {
+        const own = set.find((witness) => witness.vm === this.vm);
+        const others = set.filter((witness) => witness.vm !== this.vm);
+        const copied = others.filter((witness) => this.copiedFrom.has(witness.vm));
+        return own?.incarnation === this.incarnation || (others.length > 0 && copied.length >= majorityOf(others.length));
+    }
+
     private claim(key: string, claim: Claim, voided: readonly string[], retentionMs: number, nowMs: number): WitnessReply {
         const held = this.held(key, nowMs);
         const isOwn = held === undefined || held.claimant === claim.claimant;
         const isVoid = held?.attempts.every((attempt) => voided.includes(attemptKey(attempt.id))) === true && held.digest === claim.digest;
         if (!isOwn && !isVoid) {
-            return { ...this.signature, kind: WitnessReplyKind.Held, claim: held };
+            return { kind: WitnessReplyKind.Held, claim: held };
         }
         const mayHaveRun = (held?.attempts ?? []).filter((attempt) => !voided.includes(attemptKey(attempt.id)));
         const attempts = uniteAttempts(mayHaveRun, claim.attempts);
         this.claims.delete(key);
         this.claims.set(key, { claim: { ...claim, attempts }, expiresAtMs: nowMs + retentionMs });
-        return { ...this.signature, kind: WitnessReplyKind.Granted };
+        return { kind: WitnessReplyKind.Granted };
     }
 
     private held(key: string, nowMs: number): Claim | undefined {
         const held = this.claims.get(key);
         return held !== undefined && held.expiresAtMs > nowMs ? held.claim : undefined;
     }
-
-    private get signature(): Pick<WitnessReply, "incarnation" | "recoveries"> {
-        const recoveries = [...this.recoveries].map(([vm, incarnation]) => ({ vm, incarnation }));
-        return { incarnation: this.incarnation, recoveries };
-    }
 }
 
 function uniteAttempts(left: Claim["attempts"], right: Claim["attempts"]): Claim["attempts"] {
--- a/src/decisions/configuration/ApplyDecision.ts
+++ b/src/decisions/configuration/ApplyDecision.ts
@@ -7,7 +7,7 @@
     | { readonly kind: ApplyDecisionKind.Repeat; readonly version: number }
     | {
         readonly kind: ApplyDecisionKind.Conflict;
-        /** Version in force. */
+        /** Manifest version in force. */
         readonly version: number;
         /** Change that won that version. */
         readonly winner: string;
--- a/src/decisions/configuration/ConfigurationView/index.ts
+++ b/src/decisions/configuration/ConfigurationView/index.ts
@@ -1,4 +1,5 @@
 import { ConfigurationVersion } from "../../../model/ConfigurationVersion.js";
+import { Roster } from "../../claims/Roster.js";
 import { applyDelta } from "../applyDelta/index.js";
 import { CustomerIntent } from "../CustomerIntent.js";
 import { FleetIntent } from "../FleetIntent.js";
@@ -24,7 +25,7 @@
 
     /** Creates the view that holds before the first configuration is accepted. */
     static createEmpty(): ConfigurationView {
-        return new ConfigurationView({ term: 0, version: 0 }, new Map());
+        return new ConfigurationView({ term: 0, version: 0, manifestVersion: 0 }, new Map());
     }
 
     /** Creates the view that follows this one by a delta. */
@@ -38,6 +39,12 @@
         return part?.kind === PartKind.Fleet ? part.value : undefined;
     }
 
+    /** Witnesses of idempotency keys, or undefined before they have been chosen. */
+    get roster(): Roster | undefined {
+        const part = this.parts.get("roster");
+        return part?.kind === PartKind.Roster ? part.value : undefined;
+    }
+
     /** All services. */
     get services(): readonly ServiceIntent[] {
         return [...this.parts.values()].flatMap((part) => part.kind === PartKind.Service ? [part.value] : []);
--- a/src/decisions/configuration/ManifestPart.ts
+++ b/src/decisions/configuration/ManifestPart.ts
@@ -1,3 +1,4 @@
+import { Roster } from "../claims/Roster.js";
 import { CustomerIntent } from "./CustomerIntent.js";
 import { FleetIntent } from "./FleetIntent.js";
 import { PartKind } from "./PartKind.js";
@@ -9,4 +10,5 @@
     | { readonly kind: PartKind.Fleet; readonly value: FleetIntent }
     | { readonly kind: PartKind.Service; readonly value: ServiceIntent }
     | { readonly kind: PartKind.Route; readonly value: RouteIntent }
-    | { readonly kind: PartKind.Customer; readonly value: CustomerIntent };
+    | { readonly kind: PartKind.Customer; readonly value: CustomerIntent }
+    | { readonly kind: PartKind.Roster; readonly value: Roster };
--- a/src/decisions/configuration/PartKind.ts
+++ b/src/decisions/configuration/PartKind.ts
@@ -4,4 +4,6 @@
     Service = "service",
     Route = "route",
     Customer = "customer",
+    /** Set by control, not by the manifest. */
+    Roster = "roster",
 }
--- a/src/decisions/configuration/manifestSchema.ts
+++ b/src/decisions/configuration/manifestSchema.ts
@@ -17,6 +17,7 @@
         detection: z.enum(DetectionWeighting),
         failureDomains: z.array(name).min(1).max(64),
         witnessCount: z.union([z.literal(1), z.literal(3), z.literal(5)]).default(5),
+        keyRetentionMs: positive.max(86_400_000).default(3_600_000),
         customerHeader: z.string().regex(/^[a-z0-9-]+$/, "a lower-case header name").default("x-customer"),
         customerDefault: rate.default({ requestsPerSecond: 1_000, burst: 2_000 }),
         retryShare: z.number().min(0).max(1).default(0.1),
--- a/src/decisions/configuration/partKey/index.ts
+++ b/src/decisions/configuration/partKey/index.ts
@@ -2,6 +2,9 @@
 import { ManifestPart } from "../ManifestPart.js";
 import { PartKind } from "../PartKind.js";
 
+const FLEET_KEY = "fleet";
+const ROSTER_KEY = "roster";
+
 /**
  * Names a manifest part; two parts with one key are versions of the same part.
  *
@@ -13,13 +16,15 @@
 export function partKey(part: ManifestPart): string {
     switch (part.kind) {
         case PartKind.Fleet:
-            return "fleet";
+            return FLEET_KEY;
         case PartKind.Service:
             return `service/${part.value.name}`;
         case PartKind.Route:
             return `route/${part.value.host} ${part.value.pathPrefix}`;
         case PartKind.Customer:
             return `customer/${part.value.name}`;
+        case PartKind.Roster:
+            return ROSTER_KEY;
         default:
             return assertNever(part);
     }
--- a/src/decisions/gate/GateLedger/index.ts
+++ b/src/decisions/gate/GateLedger/index.ts
@@ -18,7 +18,6 @@
 import { isReservedClass } from "../isReservedClass/index.js";
 
 const ENTRY_RETENTION_MS = 3_600_000;
-const KEYED_RETENTION_MS = 3_600_000;
 const DRAIN_QUEUE_GRACE_MS = 2_000;
 const INITIAL_SERVICE_MS = 20;
 const SERVICE_TIME_WEIGHT = 0.1;
@@ -173,7 +172,7 @@
         if (!isReservedClass(run.attempt.serviceClass)) {
             this.generalRunning -= 1;
         }
-        this.setPhase(id, AttemptPhase.Finished, run.attempt.keyed ? nowMs + KEYED_RETENTION_MS : 0);
+        this.setPhase(id, AttemptPhase.Finished, run.attempt.keyed ? nowMs + this.limits.keyedRetentionMs : 0);
         this.meanServiceMs += SERVICE_TIME_WEIGHT * (nowMs - run.startedAtMs - this.meanServiceMs);
         return [];
     }
@@ -221,7 +220,7 @@
         const isSame = (attempt: GateAttempt): boolean => attemptKey(attempt.id) === attemptKey(id);
         this.reservedQueue.removeWhere(isSame);
         this.generalQueue.removeWhere(isSame);
-        this.setPhase(id, AttemptPhase.Voided, nowMs + KEYED_RETENTION_MS);
+        this.setPhase(id, AttemptPhase.Voided, nowMs + this.limits.keyedRetentionMs);
         return AttemptVerdict.Voided;
     }
 
@@ -269,7 +268,7 @@
     }
 
     private refuse(attempt: GateAttempt, reason: RefusalReason, nowMs: number): GateEffect {
-        this.setPhase(attempt.id, AttemptPhase.Refused, attempt.keyed ? nowMs + KEYED_RETENTION_MS : 0);
+        this.setPhase(attempt.id, AttemptPhase.Refused, attempt.keyed ? nowMs + this.limits.keyedRetentionMs : 0);
         return refusal(attempt.id, reason, Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs())));
     }
 
--- a/src/decisions/gate/GateLedger/test.ts
+++ b/src/decisions/gate/GateLedger/test.ts
@@ -217,14 +217,14 @@
 
 for (const { title, slots = 5, reservedSlots = 0, queue = 10, events, expected } of cases) {
     test(title, (t) => {
-        const ledger = GateLedger.create(GATE, { slots, reservedSlots, connections: 400, queue });
+        const ledger = GateLedger.create(GATE, { slots, reservedSlots, connections: 400, keyedRetentionMs: 3_600_000, queue });
         const results = events.map((entry) => "event" in entry ? ledger.step(entry.event, entry.atMs) : ledger.step(entry, 0));
         t.deepEqual(describe(results.at(-1) ?? []), [...expected]);
     });
 }
 
 test("waiting customers are served in turn", (t) => {
-    const ledger = GateLedger.create(GATE, { slots: 1, reservedSlots: 0, connections: 400, queue: 10 });
+    const ledger = GateLedger.create(GATE, { slots: 1, reservedSlots: 0, connections: 400, keyedRetentionMs: 3_600_000, queue: 10 });
     ledger.step(arrive(1), 0);
     ["a", "a", "a", "b"].forEach((customer, index) => ledger.step(arrive(index + 2, { customer }), 0));
     const order = [1, 2, 5, 3].map((sequence) => describe(ledger.step(finish(sequence), 0))[0]);
--- a/src/decisions/gate/GateLimits.ts
+++ b/src/decisions/gate/GateLimits.ts
@@ -6,6 +6,8 @@
     readonly reservedSlots: number;
     /** Attempts that may be queued or running at the same time. */
     readonly connections: number;
+    /** Time for which the fate of work with an idempotency key is kept, in ms. */
+    readonly keyedRetentionMs: number;
     /** Attempts that may wait for a slot. */
     readonly queue: number;
 }
--- a/src/entry/AttemptExchange.ts
+++ b/src/entry/AttemptExchange.ts
@@ -1,3 +1,4 @@
+import type { EventEmitter } from "node:events";
 import { GateRef } from "../model/GateRef.js";
 import { ReadyAnswer } from "./ReadyAnswer.js";
 
@@ -6,7 +7,8 @@
     readonly gate: GateRef;
     /** Whether it continues an answer that broke off. */
     readonly resume: boolean;
-    readonly abort: AbortController;
+    /** Aborts the exchange by the event `abort`. */
+    readonly signal: EventEmitter;
     /** Time at which the connection in use was opened, in ms. */
     connectionBornAtMs: number | undefined;
     answer: ReadyAnswer | undefined;
--- a/src/entry/AttemptSender/index.ts
+++ b/src/entry/AttemptSender/index.ts
@@ -1,3 +1,4 @@
+import type { EventEmitter } from "node:events";
 import { attemptKey } from "../../decisions/gate/attemptKey/index.js";
 import { ConnectionPool } from "../../http/ConnectionPool/index.js";
 import { HeaderFields } from "../../http/HeaderFields.js";
@@ -49,7 +50,7 @@
     }
 
     /** Fetches the answer of an attempt that its gate has kept. */
-    async fetch(id: AttemptId, gate: GateRef, signal: AbortSignal): Promise<AttemptResult> {
+    async fetch(id: AttemptId, gate: GateRef, signal: EventEmitter): Promise<AttemptResult> {
         const result = await this.exchange(gate, {
             method: "GET",
             path: "/",
--- /dev/null
+++ b/src/entry/ClaimRun/index.ts
@@ -0,0 +1,111 @@
+import { nowMs } from "../../clock/nowMs/index.js";
+import { ClaimEffect } from "../../decisions/claims/ClaimEffect.js";
+import { ClaimEffectKind } from "../../decisions/claims/ClaimEffectKind.js";
+import { ClaimEvent } from "../../decisions/claims/ClaimEvent.js";
+import { ClaimEventKind } from "../../decisions/claims/ClaimEventKind.js";
+import { ClaimMachine } from "../../decisions/claims/ClaimMachine/index.js";
+import { ClaimPlan } from "../../decisions/claims/ClaimPlan.js";
+import { RequestEvent } from "../../decisions/requests/RequestEvent.js";
+import { RequestEventKind } from "../../decisions/requests/RequestEventKind.js";
+import { assertNever } from "../../model/assertNever/index.js";
+import { AttemptId } from "../../model/AttemptId.js";
+import { GateRef } from "../../model/GateRef.js";
+import { EntryTools } from "../EntryTools.js";
+
+/** Claims the idempotency key of one request: turns the effects of its claim machine into calls of witnesses and gates. */
+export class ClaimRun {
+    private readonly machine: ClaimMachine;
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private isStopped = false;
+
+    private constructor(
+        plan: ClaimPlan,
+        private readonly tools: EntryTools,
+        private readonly onEvent: (event: RequestEvent) => void,
+    ) {
+        this.machine = ClaimMachine.create(plan);
+    }
+
+    /**
+     * Creates the run of a claim.
+     *
+     * @param plan - Key, digest and witnesses.
+     * @param tools - What the requests of the entry share.
+     * @param onEvent - Takes what became of the claim.
+     */
+    static create(plan: ClaimPlan, tools: EntryTools, onEvent: (event: RequestEvent) => void): ClaimRun {
+        return new ClaimRun(plan, tools, onEvent);
+    }
+
+    /** Claims the key for an attempt. */
+    want(id: AttemptId, gate: GateRef): void {
+        this.step({ kind: ClaimEventKind.Want, attempt: { id, gate } });
+    }
+
+    /** Gives the key up at every witness. */
+    release(): void {
+        this.stop();
+        this.machine.release().forEach((effect) => this.carryOut(effect));
+    }
+
+    /** Ends the claim's timers; replies that still come are ignored. */
+    stop(): void {
+        this.isStopped = true;
+        this.timers.forEach((timer) => clearTimeout(timer));
+    }
+
+    private step(event: ClaimEvent): void {
+        if (!this.isStopped) {
+            this.machine.step(event, nowMs()).forEach((effect) => this.carryOut(effect));
+        }
+    }
+
+    private carryOut(effect: ClaimEffect): void {
+        switch (effect.kind) {
+            case ClaimEffectKind.Ask:
+                void this.ask(effect);
+                return;
+            case ClaimEffectKind.Settle:
+                void this.settle(effect);
+                return;
+            case ClaimEffectKind.ArmRound:
+                this.arm(effect.round, effect.atMs);
+                return;
+            case ClaimEffectKind.Granted:
+                this.onEvent({ kind: RequestEventKind.ClaimGranted, id: effect.attempt.id });
+                return;
+            case ClaimEffectKind.Denied:
+                this.onEvent({ kind: RequestEventKind.ClaimDenied, id: effect.attempt.id, reason: effect.reason });
+                return;
+            case ClaimEffectKind.Found:
+                this.onEvent({ kind: RequestEventKind.ClaimFound, id: effect.attempt.id, other: effect.other });
+                return;
+            case ClaimEffectKind.Unknown:
+                this.onEvent({ kind: RequestEventKind.ClaimUnknown, id: effect.attempt.id });
+                return;
+            default:
+                assertNever(effect);
+        }
+    }
+
+    private async ask(effect: Extract<ClaimEffect, { kind: ClaimEffectKind.Ask }>): Promise<void> {
+        const reply = await this.tools.askWitness(effect.witness, effect.request);
+        if (reply !== undefined) {
+            this.step({ kind: ClaimEventKind.Reply, round: effect.round, vm: effect.witness.vm, reply });
+        }
+    }
+
+    private async settle(effect: Extract<ClaimEffect, { kind: ClaimEffectKind.Settle }>): Promise<void> {
+        const { id, gate } = effect.attempt;
+        const verdict = await this.tools.settleOther(id, gate, effect.mode);
+        this.step({ kind: ClaimEventKind.Settled, id, verdict });
+    }
+
+    private arm(round: number, atMs: number): void {
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            this.step({ kind: ClaimEventKind.RoundOver, round });
+        }, Math.max(0, atMs - nowMs()));
+        this.timers.add(timer);
+    }
+}
--- a/src/entry/EntryTools.ts
+++ b/src/entry/EntryTools.ts
@@ -1,3 +1,6 @@
+import { RosterWitness } from "../decisions/claims/RosterWitness.js";
+import { WitnessReply } from "../decisions/claims/WitnessReply.js";
+import { WitnessRequest } from "../decisions/claims/WitnessRequest.js";
 import { EventLog } from "../logs/EventLog/index.js";
 import { AttemptId } from "../model/AttemptId.js";
 import { AttemptVerdict } from "../model/AttemptVerdict.js";
@@ -17,6 +20,10 @@
     choose(service: string, excluded: readonly GateRef[]): GateRef | undefined;
     /** Takes one retry of a service's budget. */
     withdrawRetry(service: string): boolean;
-    /** Asks a gate about an attempt. */
+    /** Asks a witness; undefined if it does not reply. */
+    askWitness(witness: RosterWitness, request: WitnessRequest): Promise<WitnessReply | undefined>;
+    /** Asks a gate about an attempt that another entry made under an idempotency key. */
+    settleOther(id: AttemptId, gate: GateRef, mode: SettleMode): Promise<AttemptVerdict>;
+    /** Asks a gate about an attempt of this entry. */
     settle(id: AttemptId, gate: GateRef, mode: SettleMode, keyed: boolean): Promise<AttemptVerdict>;
 }
--- a/src/entry/OutgoingAttempt.ts
+++ b/src/entry/OutgoingAttempt.ts
@@ -1,3 +1,4 @@
+import type { EventEmitter } from "node:events";
 import type { Readable } from "node:stream";
 import { AttemptId } from "../model/AttemptId.js";
 import { GateRef } from "../model/GateRef.js";
@@ -20,6 +21,7 @@
     readonly keyed: boolean;
     /** Time that the caller still waits, in ms. */
     readonly remainingMs: number;
-    readonly signal: AbortSignal;
+    /** Aborts the attempt by the event `abort`. */
+    readonly signal: EventEmitter;
     readonly onConnection: (bornAtMs: number) => void;
 }
--- a/src/entry/RequestRun/index.ts
+++ b/src/entry/RequestRun/index.ts
@@ -1,3 +1,4 @@
+import { EventEmitter } from "node:events";
 import { Readable } from "node:stream";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { attemptKey } from "../../decisions/gate/attemptKey/index.js";
@@ -7,6 +8,7 @@
 import { RequestEventKind } from "../../decisions/requests/RequestEventKind.js";
 import { RequestMachine } from "../../decisions/requests/RequestMachine/index.js";
 import { RequestPlan } from "../../decisions/requests/RequestPlan.js";
+import { ClaimPlan } from "../../decisions/claims/ClaimPlan.js";
 import { RequestContext } from "../../filters/RequestContext.js";
 import { AnswerVerifier } from "../../http/AnswerVerifier/index.js";
 import { collectBody } from "../../http/collectBody/index.js";
@@ -24,6 +26,7 @@
 import { AttemptExchange } from "../AttemptExchange.js";
 import { AttemptResult } from "../AttemptResult.js";
 import { AttemptResultKind } from "../AttemptResultKind.js";
+import { ClaimRun } from "../ClaimRun/index.js";
 import { concludeRequest } from "../concludeRequest/index.js";
 import { DeliveredAnswer } from "../DeliveredAnswer/index.js";
 import { EntryTools } from "../EntryTools.js";
@@ -37,6 +40,7 @@
     private readonly machine: RequestMachine;
     private readonly exchanges = new Map<number, AttemptExchange>();
     private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly claim: ClaimRun | undefined;
     private delivered: DeliveredAnswer | undefined;
     private finish: () => void = () => undefined;
     private isFinished = false;
@@ -46,7 +50,9 @@
         private readonly plan: RequestPlan,
         private readonly body: Buffer | Readable | undefined,
         private readonly tools: EntryTools,
+        claimPlan: ClaimPlan | undefined,
     ) {
+        this.claim = claimPlan === undefined ? undefined : ClaimRun.create(claimPlan, tools, (event) => this.step(event));
         this.machine = RequestMachine.create(plan, {
             choose: (excluded) => tools.choose(context.service?.name ?? "", excluded),
             nextId: () => tools.numbering.nextId(),
@@ -61,9 +67,16 @@
      * @param plan - What the request machine has to know.
      * @param body - Body of the request; a stream is sent once only.
      * @param tools - What the requests of the entry share.
+     * @param claimPlan - How its idempotency key is claimed, if it has one.
      */
-    static create(context: RequestContext, plan: RequestPlan, body: Buffer | Readable | undefined, tools: EntryTools): RequestRun {
-        return new RequestRun(context, plan, body, tools);
+    static create(
+        context: RequestContext,
+        plan: RequestPlan,
+        body: Buffer | Readable | undefined,
+        tools: EntryTools,
+        claimPlan: ClaimPlan | undefined,
+    ): RequestRun {
+        return new RequestRun(context, plan, body, tools, claimPlan);
     }
 
     /** Runs the request; resolves when it has been answered or its caller is gone. */
@@ -81,6 +94,7 @@
         if (this.machine.closed && !this.isFinished) {
             this.isFinished = true;
             this.timers.forEach((timer) => clearTimeout(timer));
+            this.claim?.stop();
             this.tools.numbering.settle(this.machine.attemptIds);
             this.finish();
         }
@@ -89,7 +103,10 @@
     private carryOut(effect: RequestEffect): void {
         switch (effect.kind) {
             case RequestEffectKind.Claim:
+                this.claim?.want(effect.id, effect.gate);
+                return;
             case RequestEffectKind.Release:
+                this.claim?.release();
                 return;
             case RequestEffectKind.Send:
                 void this.send(effect.id, effect.gate, effect.resume);
@@ -104,7 +121,7 @@
                 void this.deliver(effect.id);
                 return;
             case RequestEffectKind.Cancel:
-                this.exchanges.get(effect.id.sequence)?.abort.abort();
+                this.exchanges.get(effect.id.sequence)?.signal.emit("abort");
                 return;
             case RequestEffectKind.SuspectConnection:
                 this.suspect(effect.id, effect.gate);
@@ -142,7 +159,7 @@
             idempotent: this.plan.idempotent,
             keyed: this.plan.claimed,
             remainingMs: resume ? RESUME_TIMEOUT_MS : this.plan.deadlineAtMs - nowMs(),
-            signal: exchange.abort.signal,
+            signal: exchange.signal,
             onConnection: (bornAtMs) => exchange.connectionBornAtMs = bornAtMs,
         });
         this.tools.loads.end(gate);
@@ -151,14 +168,14 @@
 
     private async fetch(id: AttemptId, gate: GateRef): Promise<void> {
         const exchange = this.open(id, gate, false);
-        await this.take(id, exchange, await this.tools.sender.fetch(id, gate, exchange.abort.signal));
+        await this.take(id, exchange, await this.tools.sender.fetch(id, gate, exchange.signal));
     }
 
     private open(id: AttemptId, gate: GateRef, resume: boolean): AttemptExchange {
         const exchange: AttemptExchange = {
             gate,
             resume,
-            abort: new AbortController(),
+            signal: new EventEmitter(),
             connectionBornAtMs: undefined,
             answer: undefined,
         };
@@ -168,7 +185,7 @@
 
     private async take(id: AttemptId, exchange: AttemptExchange, result: AttemptResult): Promise<void> {
         if (this.exchanges.get(id.sequence) !== exchange) {
-            exchange.abort.abort();
+            exchange.signal.emit("abort");
             return;
         }
         switch (result.kind) {
@@ -266,7 +283,7 @@
     private async continueDelivery(id: AttemptId, exchange: AttemptExchange, answer: ReadyAnswer): Promise<void> {
         const { delivered } = this;
         if (delivered === undefined || !delivered.isContinuedBy(answer)) {
-            exchange.abort.abort();
+            exchange.signal.emit("abort");
             this.step({ kind: RequestEventKind.BodyBroken, id, resumable: true });
             return;
         }
--- a/src/filters/AttemptFilter/index.ts
+++ b/src/filters/AttemptFilter/index.ts
@@ -1,54 +1,111 @@
 import type { Readable } from "node:stream";
+import { ClaimPlan } from "../../decisions/claims/ClaimPlan.js";
+import { witnessesFor } from "../../decisions/claims/witnessesFor/index.js";
+import { ConfigurationView } from "../../decisions/configuration/ConfigurationView/index.js";
 import { RequestPlan } from "../../decisions/requests/RequestPlan.js";
+import { concludeRequest } from "../../entry/concludeRequest/index.js";
+import { digestRequest } from "../../entry/digestRequest/index.js";
 import { EntryTools } from "../../entry/EntryTools.js";
 import { RequestRun } from "../../entry/RequestRun/index.js";
 import { collectBody } from "../../http/collectBody/index.js";
+import { headerValue } from "../../http/headerValue/index.js";
 import { HeaderName } from "../../http/HeaderName.js";
+import { IdempotencyKeyPolicy } from "../../model/IdempotencyKeyPolicy.js";
+import { Outcome } from "../../model/Outcome.js";
+import { RefusalReason } from "../../model/RefusalReason.js";
 import { ServiceClass } from "../../model/ServiceClass.js";
 import { RequestContext } from "../RequestContext.js";
 import { RequestFilter } from "../RequestFilter.js";
 
 const REPLAYABLE_BODY_BYTES = 256 * 1_024;
+const MAX_KEY_CHARACTERS = 255;
 const MAX_ATTEMPTS = 4;
 const QUERY_AFTER_MS = 1_000;
 const QUERIES_PER_DEADLINE = 4;
 
-/** Sends the request to endpoints until it has an answer: the end of the chain. */
+/** Sends the request to endpoints until it has an answer, under its idempotency key if it has one: the end of the chain. */
 export class AttemptFilter implements RequestFilter {
-    private constructor(private readonly tools: EntryTools) {}
+    private constructor(private readonly tools: EntryTools, private readonly view: () => ConfigurationView) {}
 
-    /** Creates the filter. */
-    static create(tools: EntryTools): AttemptFilter {
-        return new AttemptFilter(tools);
+    /** Creates the filter over the configuration in force. */
+    static create(tools: EntryTools, view: () => ConfigurationView): AttemptFilter {
+        return new AttemptFilter(tools, view);
     }
 
     async apply(context: RequestContext, _next: () => Promise<void>): Promise<void> {
-        const { request } = context;
-        const lengthBytes = Number(request.headers[HeaderName.ContentLength] ?? 0);
-        const isChunked = request.headers[HeaderName.TransferEncoding] !== undefined;
-        const isReplayable = !isChunked && lengthBytes <= REPLAYABLE_BODY_BYTES;
-        const body = await readBody(context, isReplayable, lengthBytes);
-        const plan = planOf(context, isReplayable);
-        await RequestRun.create(context, plan, body, this.tools).run();
+        const isReplayable = hasReplayableBody(context);
+        const key = idempotencyKey(context);
+        const refusal = findRefusal(context, key, isReplayable);
+        if (refusal !== undefined) {
+            concludeRequest(context, Outcome.NotRun, refusal, 0);
+            return;
+        }
+        const body = await readBody(context, isReplayable);
+        const claimPlan = key === undefined ? undefined : planClaim(context, this.view(), key, Buffer.isBuffer(body) ? body : undefined);
+        if (key !== undefined && claimPlan === undefined) {
+            concludeRequest(context, Outcome.NotRun, RefusalReason.NoWitnessMajority, 0);
+            return;
+        }
+        const plan = planRequest(context, isReplayable, claimPlan !== undefined);
+        await RequestRun.create(context, plan, body, this.tools, claimPlan).run();
     }
 }
 
-async function readBody(context: RequestContext, isReplayable: boolean, lengthBytes: number): Promise<Buffer | Readable | undefined> {
+function hasReplayableBody(context: RequestContext): boolean {
+    const { headers } = context.request;
+    const isChunked = headers[HeaderName.TransferEncoding] !== undefined;
+    return !isChunked && Number(headers[HeaderName.ContentLength] ?? 0) <= REPLAYABLE_BODY_BYTES;
+}
+
+function idempotencyKey(context: RequestContext): string | undefined {
+    const isUsed = !context.idempotent && context.service?.idempotencyKey !== IdempotencyKeyPolicy.Ignored;
+    return isUsed ? headerValue(context.request.headers, HeaderName.IdempotencyKey) : undefined;
+}
+
+function findRefusal(context: RequestContext, key: string | undefined, isReplayable: boolean): RefusalReason | undefined {
+    const isRequired = !context.idempotent && context.service?.idempotencyKey === IdempotencyKeyPolicy.Required;
+    if (isRequired && key === undefined) {
+        return RefusalReason.KeyRequired;
+    }
+    const isBad = key !== undefined && (key === "" || key.length > MAX_KEY_CHARACTERS || !isReplayable);
+    return isBad ? RefusalReason.BadRequest : undefined;
+}
+
+async function readBody(context: RequestContext, isReplayable: boolean): Promise<Buffer | Readable | undefined> {
+    const { request } = context;
     if (!isReplayable) {
-        return context.request;
+        return request;
     }
-    return lengthBytes === 0 ? undefined : collectBody(context.request, REPLAYABLE_BODY_BYTES);
+    return Number(request.headers[HeaderName.ContentLength] ?? 0) === 0 ? undefined : collectBody(request, REPLAYABLE_BODY_BYTES);
 }
 
-function planOf(context: RequestContext, isReplayable: boolean): RequestPlan {
+function planRequest(context: RequestContext, isReplayable: boolean, claimed: boolean): RequestPlan {
     const timeoutMs = context.deadlineAtMs - context.arrivedAtMs;
     return {
         requestId: context.requestId,
         idempotent: context.idempotent,
-        claimed: false,
+        claimed,
         hedgeAfterMs: context.serviceClass === ServiceClass.Lookup ? context.service?.hedgeAfterMs : undefined,
         queryAfterMs: Math.min(QUERY_AFTER_MS, timeoutMs / QUERIES_PER_DEADLINE),
         deadlineAtMs: context.deadlineAtMs,
         maxAttempts: isReplayable ? MAX_ATTEMPTS : 1,
     };
 }
+
+function planClaim(context: RequestContext, view: ConfigurationView, key: string, body: Buffer | undefined): ClaimPlan | undefined {
+    const { roster, fleet } = view;
+    if (roster === undefined || fleet === undefined) {
+        return undefined;
+    }
+    const scopedKey = `${context.service?.name ?? ""}/${encodeURIComponent(context.customer)}/${key}`;
+    return {
+        key: scopedKey,
+        digest: digestRequest(context.request.method ?? "", context.request.url ?? "", body),
+        claimant: context.requestId,
+        epoch: roster.epoch,
+        witnessSets: [roster.witnesses, roster.previous]
+            .filter((pool) => pool.length > 0)
+            .map((pool) => witnessesFor(scopedKey, pool, fleet.witnessCount)),
+        deadlineAtMs: context.deadlineAtMs,
+    };
+}
--- a/src/gate/EndpointController/index.ts
+++ b/src/gate/EndpointController/index.ts
@@ -21,6 +21,7 @@
 const LEASE_MS = 3_000;
 const TICK_MS = 50;
 const MAX_ENDPOINTS = 64;
+const KEYED_RETENTION_MARGIN_MS = 600_000;
 const MAX_GATES = 256;
 
 /** Owns the endpoints on the own VM: announcements and leases, their gates, and their drains. */
@@ -140,7 +141,7 @@
         this.endpoints.forEach((endpoint) => {
             const service = this.view().service(endpoint.announcement.service);
             if (service !== undefined) {
-                endpoint.limits = limitsOf(service, endpoint.announcement);
+                endpoint.limits = limitsOf(this.view(), service, endpoint.announcement);
                 endpoint.gate.setLimits(endpoint.limits);
             }
         });
@@ -154,7 +155,7 @@
     }
 
     private open(endpointId: string, announcement: Announcement, service: ServiceIntent): LocalEndpoint {
-        const limits = limitsOf(service, announcement);
+        const limits = limitsOf(this.view(), service, announcement);
         this.openings += 1;
         const gate = GateController.create({
             endpointId,
@@ -225,12 +226,13 @@
         || known.announcement.instance !== announcement.instance;
 }
 
-function limitsOf(service: ServiceIntent, announcement: Announcement): GateLimits {
+function limitsOf(view: ConfigurationView, service: ServiceIntent, announcement: Announcement): GateLimits {
     const slots = Math.min(service.slotsPerEndpoint, announcement.slots ?? service.slotsPerEndpoint);
     return {
         slots,
         reservedSlots: Math.min(service.reservedSlots, slots),
         connections: Math.min(service.connectionsPerEndpoint, announcement.connections ?? service.connectionsPerEndpoint),
         queue: service.queuePerEndpoint,
+        keyedRetentionMs: (view.fleet?.keyRetentionMs ?? 0) + KEYED_RETENTION_MARGIN_MS,
     };
 }
--- a/src/gate/GateController/index.ts
+++ b/src/gate/GateController/index.ts
@@ -1,3 +1,4 @@
+import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { attemptKey } from "../../decisions/gate/attemptKey/index.js";
@@ -38,7 +39,7 @@
     readonly received: ReceivedAttempt;
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
-    readonly abort: AbortController;
+    readonly signal: EventEmitter;
 }
 
 /** Guards one endpoint: counts its work, carries attempts to the backend server, and answers for each of them. */
@@ -91,7 +92,7 @@
             this.writeRefusal(response, RefusalReason.Duplicate, 0);
             return;
         }
-        this.pending.set(key, { received, request, response, abort: new AbortController() });
+        this.pending.set(key, { received, request, response, signal: new EventEmitter() });
         response.once("close", () => {
             if (!response.writableFinished) {
                 this.step({ kind: GateEventKind.EntryLost, id });
@@ -138,7 +139,7 @@
                 this.refuse(effect.id, effect.reason, effect.retryAfterMs);
                 return;
             case GateEffectKind.CancelBackend:
-                this.pending.get(attemptKey(effect.id))?.abort.abort();
+                this.pending.get(attemptKey(effect.id))?.signal.emit("abort");
                 return;
             case GateEffectKind.Drained:
                 this.drained = true;
@@ -186,7 +187,7 @@
                 headers: this.backendHeaders(pending),
                 body: hasBody(request) ? request : undefined,
                 needsProof: !received.attempt.idempotent,
-                signal: pending.abort.signal,
+                signal: pending.signal,
             });
         }
         catch (thrown) {
--- a/src/http/PooledRequest.ts
+++ b/src/http/PooledRequest.ts
@@ -1,3 +1,4 @@
+import type { EventEmitter } from "node:events";
 import type { Readable } from "node:stream";
 
 /** Request to send over a pooled connection. */
@@ -8,7 +9,8 @@
     readonly body: Buffer | Readable | undefined;
     /** Whether the connection must be new or have answered within the last seconds. */
     readonly needsProof: boolean;
-    readonly signal: AbortSignal;
+    /** Aborts the request by the event `abort`. */
+    readonly signal: EventEmitter;
     /** Told when the connection was opened, as soon as one is chosen. */
     readonly onConnection?: (bornAtMs: number) => void;
 }
--- a/src/http/collectBody/index.ts
+++ b/src/http/collectBody/index.ts
@@ -10,15 +10,21 @@
  * @example
  * const body = await collectBody(request, 65_536);
  */
-export async function collectBody(source: Readable, maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of source as AsyncIterable<Buffer>) {
-        bytes += chunk.length;
-        if (bytes > maxBytes) {
-            return undefined;
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
+export function collectBody(source: Readable, maxBytes: number): Promise<Buffer | undefined> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        source.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            if (bytes > maxBytes) {
+                source.pause();
+                resolve(undefined);
+                return;
+            }
+            chunks.push(chunk);
+        });
+        source.once("end", () => resolve(Buffer.concat(chunks)));
+        source.once("error", reject);
+        source.once("close", () => reject(new Error("the body broke off")));
+    });
 }
--- a/src/http/relayBody/index.ts
+++ b/src/http/relayBody/index.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import type { Readable, Writable } from "node:stream";
 import { AnswerVerifier } from "../AnswerVerifier/index.js";
 
@@ -35,23 +34,25 @@
     return true;
 }
 
-async function write(sink: Writable, chunk: Buffer): Promise<void> {
+function write(sink: Writable, chunk: Buffer): Promise<void> {
     if (sink.destroyed) {
-        throw new Error("the receiver is gone");
+        return Promise.reject(new Error("the receiver is gone"));
     }
     if (sink.write(chunk)) {
-        return;
-    }
-    const stop = new AbortController();
-    try {
-        await Promise.race([
-            once(sink, "drain", { signal: stop.signal }),
-            once(sink, "close", { signal: stop.signal }).then(() => {
-                throw new Error("the receiver is gone");
-            }),
-        ]);
-    }
-    finally {
-        stop.abort();
-    }
+        return Promise.resolve();
+    }
+    return new Promise((resolve, reject) => {
+        const finish = (): void => {
+            sink.off("drain", finish);
+            sink.off("close", finish);
+            if (sink.destroyed) {
+                reject(new Error("the receiver is gone"));
+            }
+            else {
+                resolve();
+            }
+        };
+        sink.on("drain", finish);
+        sink.on("close", finish);
+    });
 }
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -1,3 +1,6 @@
+import { ClaimEntry } from "../decisions/claims/ClaimEntry.js";
+import { WitnessReply } from "../decisions/claims/WitnessReply.js";
+import { WitnessRequest } from "../decisions/claims/WitnessRequest.js";
 import { AcceptedChange } from "../decisions/configuration/AcceptedChange.js";
 import { ManifestPart } from "../decisions/configuration/ManifestPart.js";
 import { MemberStamp } from "../decisions/membership/MemberStamp.js";
@@ -39,4 +42,10 @@
         readonly parts: readonly ManifestPart[];
     }
     | { readonly kind: MessageKind.Settle; readonly question: SettleQuestion }
-    | { readonly kind: MessageKind.Verdict; readonly verdict: AttemptVerdict };
+    | { readonly kind: MessageKind.Verdict; readonly verdict: AttemptVerdict }
+    | { readonly kind: MessageKind.Witness; readonly request: WitnessRequest }
+    | { readonly kind: MessageKind.WitnessReply; readonly reply: WitnessReply }
+    /** A witness that has lost its memory asks for the claims of another. */
+    | { readonly kind: MessageKind.ClaimsFetch }
+    /** `entries` is undefined while the memory of the asked witness is not complete itself. */
+    | { readonly kind: MessageKind.ClaimsCopy; readonly entries: readonly ClaimEntry[] | undefined };
--- a/src/links/MessageKind.ts
+++ b/src/links/MessageKind.ts
@@ -13,4 +13,8 @@
     ConfigurationSnapshot = "configuration-snapshot",
     Settle = "settle",
     Verdict = "verdict",
+    Witness = "witness",
+    WitnessReply = "witness-reply",
+    ClaimsFetch = "claims-fetch",
+    ClaimsCopy = "claims-copy",
 }
--- a/src/logs/EventLog/index.ts
+++ b/src/logs/EventLog/index.ts
@@ -1,4 +1,4 @@
-import { createConsola, type ConsolaInstance, type LogObject } from "consola";
+import { createConsola, type ConsolaInstance, LogLevels, type LogObject } from "consola";
 import { EventNumber } from "../EventNumber.js";
 import { LogFields } from "../LogFields.js";
 import { LogFormat } from "../LogFormat.js";
@@ -23,7 +23,8 @@
             return new EventLog(vm, undefined);
         }
         const reporters = [{ log: (entry: LogObject) => void process.stdout.write(`${String(entry.args[0])}\n`) }];
-        return new EventLog(vm, format === LogFormat.Json ? createConsola({ reporters }) : createConsola());
+        const options = { level: LogLevels.info };
+        return new EventLog(vm, createConsola(format === LogFormat.Json ? { ...options, reporters } : options));
     }
 
     /** Records an event; events of single requests are kept in memory only. */
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -18,6 +18,7 @@
     FloorAboveCapacity = 303,
     UnknownFailureDomain = 304,
     LogTailDropped = 310,
+    WitnessComplete = 320,
     EndpointAnnounced = 400,
     EndpointRefused = 401,
     EndpointLeaseLapsed = 402,
--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,180 @@
+import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import { HeaderName } from "../src/http/HeaderName.js";
+import { FleetNode } from "../bench/FleetNode.js";
+import { LocalFleet } from "../bench/LocalFleet/index.js";
+import { makeBody } from "../bench/makeBody/index.js";
+import { TimedAnswer } from "../bench/TimedAnswer.js";
+import { timeRequest } from "../bench/timeRequest/index.js";
+
+const BUNDLE_BYTES = 4 * 1_024 * 1_024;
+const BUNDLE_BYTES_PER_MS = 2_000;
+
+const slowArchive = { service: "archive", serviceMs: 2, bytesPerMs: BUNDLE_BYTES_PER_MS };
+const desk = { service: "submissions-desk", serviceMs: 5, bytesPerMs: 0 };
+const lookups = { service: "lookup-front", serviceMs: 2, bytesPerMs: 0 };
+
+let fleet: LocalFleet;
+let started: LocalFleet | undefined;
+
+test.before(async () => {
+    started = await LocalFleet.create({
+        manifestFile: "examples/muscat/manifest.toml",
+        failureDomains: ["mutrah", "ruwi", "seeb"],
+        standIns: [lookups, desk, desk, slowArchive, slowArchive],
+    });
+    fleet = started;
+});
+
+test.after.always(() => started?.kill());
+
+function node(endpointId: string): FleetNode {
+    const found = fleet.nodes.find((candidate) => candidate.endpointId === endpointId);
+    if (found === undefined) {
+        throw new Error(`no node ${endpointId}`);
+    }
+    return found;
+}
+
+function submit(entry: FleetNode, workId: string, headers: Record<string, string> = {}): Promise<TimedAnswer> {
+    return timeRequest({
+        address: entry.callerAddress,
+        method: "POST",
+        path: "/submissions",
+        headers: { "x-work-id": workId, ...headers },
+        body: `correction ${workId}`,
+    });
+}
+
+async function executions(workId: string): Promise<number> {
+    const counts = await Promise.all(fleet.nodes.map(async (candidate) => {
+        const answer = await timeRequest({ address: candidate.standInAddress, method: "GET", path: "/stand-in/executions" });
+        return (JSON.parse(answer.body.toString()) as Record<string, number>)[workId] ?? 0;
+    }));
+    return counts.reduce((sum, count) => sum + count, 0);
+}
+
+test.serial("every proxy serves every service whole, whichever VM its endpoint is on", async (t) => {
+    for (const entry of fleet.nodes) {
+        const answer = await timeRequest({ address: entry.callerAddress, method: "GET", path: "/lookup/kitab" });
+        t.is(answer.status, 200);
+        t.is(answer.headers[HeaderName.Outcome], "ran");
+        t.true(answer.body.equals(makeBody("/lookup/kitab", 512)));
+        t.is((await submit(entry, `plain-${entry.name}`)).status, 201);
+        t.is(await executions(`plain-${entry.name}`), 1);
+    }
+});
+
+test.serial("a request without a route is answered not-run", async (t) => {
+    const answer = await timeRequest({ address: node("lookup-front-vm-1").callerAddress, method: "GET", path: "/nowhere" });
+    t.is(answer.status, 404);
+    t.is(answer.headers[HeaderName.Outcome], "not-run");
+});
+
+test.serial("one idempotency key at two entries at once runs once, and a resend gets the same answer", async (t) => {
+    await fleet.until("the witnesses are in force", async () => {
+        const probe = await submit(node("lookup-front-vm-1"), "roster-probe", { "idempotency-key": "roster-probe" });
+        return probe.status === 201;
+    });
+    const keyed = { "idempotency-key": "correction-7", "x-work-ms": "200" };
+    const [first, second] = await Promise.all([
+        submit(node("lookup-front-vm-1"), "keyed-7", keyed),
+        submit(node("archive-vm-4"), "keyed-7", keyed),
+    ]);
+    const resend = await submit(node("archive-vm-5"), "keyed-7", keyed);
+    t.is(await executions("keyed-7"), 1);
+    t.is(resend.status, 201);
+    const answered = [first, second].filter((answer) => answer.status === 201);
+    t.true(answered.length >= 1);
+    answered.forEach((answer) => t.true(answer.body.equals(resend.body)));
+});
+
+test.serial("another body under the same idempotency key is refused", async (t) => {
+    const key = { "idempotency-key": "correction-8" };
+    await submit(node("lookup-front-vm-1"), "keyed-8", key);
+    const other = await timeRequest({
+        address: node("archive-vm-4").callerAddress,
+        method: "POST",
+        path: "/submissions",
+        headers: { "x-work-id": "keyed-8-other", ...key },
+        body: "another correction",
+    });
+    t.is(other.status, 422);
+    t.is(await executions("keyed-8-other"), 0);
+});
+
+test.serial("a planned stop of a proxy lets a download through it end whole, and the process exits with 0", async (t) => {
+    const entry = node("archive-vm-4");
+    const download = timeRequest({ address: entry.callerAddress, method: "GET", path: `/archive/bundle-1?bytes=${BUNDLE_BYTES}` });
+    await delay(300);
+    const exit = entry.proxy.stop();
+    t.true((await download).body.equals(makeBody("/archive/bundle-1", BUNDLE_BYTES)));
+    t.is(await exit, 0);
+    fleet.startProxy(entry);
+    await fleet.ready(5);
+});
+
+test.serial("a planned stop of a backend server cuts no download in flight", async (t) => {
+    const downloads = Array.from({ length: 4 }, (_, index) => timeRequest({
+        address: node("lookup-front-vm-1").callerAddress,
+        method: "GET",
+        path: `/archive/bundle-${index}?bytes=${BUNDLE_BYTES}`,
+    }));
+    await delay(300);
+    const leaving = node("archive-vm-5");
+    t.is(await leaving.standIn.stop(), 0);
+    for (const [index, download] of (await Promise.all(downloads)).entries()) {
+        t.true(download.body.equals(makeBody(`/archive/bundle-${index}`, BUNDLE_BYTES)));
+    }
+    fleet.startStandIn(leaving);
+    await fleet.ready(5);
+});
+
+test.serial("killed proxies never make a submission run twice, nor one run that was answered not-run", async (t) => {
+    const entry = node("lookup-front-vm-1");
+    const gate = node("submissions-desk-vm-2");
+    const submissions = Array.from({ length: 30 }, async (_, index) => {
+        await delay(index * 20);
+        return { workId: `killed-${index}`, answer: await submit(entry, `killed-${index}`, { "x-work-ms": "50" }) };
+    });
+    await delay(300);
+    await gate.proxy.stop("SIGKILL");
+    for (const { workId, answer } of await Promise.all(submissions)) {
+        const count = await executions(workId);
+        t.true(count <= 1, `${workId} ran ${count} times`);
+        t.true(answer.headers[HeaderName.Outcome] !== "not-run" || count === 0, `${workId} was answered not-run`);
+    }
+    fleet.startProxy(gate);
+    await fleet.ready(5);
+});
+
+test.serial("a frozen gate makes no submission run twice, nor one run that was answered not-run", async (t) => {
+    const entry = node("lookup-front-vm-1");
+    const gate = node("submissions-desk-vm-2");
+    const submissions = Array.from({ length: 20 }, async (_, index) => {
+        await delay(index * 20);
+        return { workId: `frozen-${index}`, answer: await submit(entry, `frozen-${index}`, { "gypsumpulley-timeout-ms": "1500" }) };
+    });
+    await delay(100);
+    gate.proxy.signal("SIGSTOP");
+    await delay(2_500);
+    gate.proxy.signal("SIGCONT");
+    const results = await Promise.all(submissions);
+    await delay(500);
+    for (const { workId, answer } of results) {
+        const count = await executions(workId);
+        t.true(count <= 1, `${workId} ran ${count} times`);
+        t.true(answer.headers[HeaderName.Outcome] !== "not-run" || count === 0, `${workId} was answered not-run`);
+    }
+    await fleet.ready(5);
+});
+
+test.serial("requests are served while control is down, and control comes back with the manifest", async (t) => {
+    await fleet.control?.stop("SIGKILL");
+    const answer = await timeRequest({ address: node("archive-vm-4").callerAddress, method: "GET", path: "/lookup/qalam" });
+    t.is(answer.status, 200);
+    t.is((await submit(node("archive-vm-4"), "no-control", { "idempotency-key": "no-control" })).status, 201);
+    fleet.startControl();
+    await fleet.until("control has the manifest", async () => (await fleet.status(fleet.controlOperator))?.configuration.manifestVersion === 1);
+    t.is(await fleet.apply("examples/muscat/manifest.toml"), 2);
+});
