Quarantine requests that crash backend servers, and prove resumption and damaged answers

Cause: a request that crashes its backend server was retried on the next one, up to four in a row, and again with each resend.

Ruled out: counting strikes by request at one gate (one loss with five requests in flight would quarantine innocent ones).

--- a/bench/StandInServer/index.ts
+++ b/bench/StandInServer/index.ts
@@ -40,6 +40,9 @@
             response.end(JSON.stringify(Object.fromEntries(this.executions)));
             return;
         }
+        if (url.searchParams.get("fault") === "crash") {
+            process.exit(1);
+        }
         if (request.method === "GET" || request.method === "HEAD") {
             await this.sendDocument(request, response, url);
             return;
@@ -65,7 +68,7 @@
         const tag = `"${createHash("sha256").update(whole).digest("hex").slice(0, 16)}"`;
         const from = rangeStart(request, tag);
         await delay(this.options.serviceMs);
-        const body = whole.subarray(from ?? 0);
+        const body = damage(whole.subarray(from ?? 0), url.searchParams.get("fault"));
         response.writeHead(from === undefined ? 200 : 206, {
             "content-type": "application/octet-stream",
             "content-length": body.length,
@@ -78,6 +81,10 @@
             response.end();
             return;
         }
+        if (url.searchParams.get("fault") === "truncate") {
+            response.write(body.subarray(0, body.length / 2), () => response.destroy());
+            return;
+        }
         await this.send(response, body);
     }
 
@@ -96,6 +103,15 @@
     }
 }
 
+function damage(body: Buffer, fault: string | null): Buffer {
+    if (fault !== "corrupt") {
+        return body;
+    }
+    const damaged = Buffer.from(body);
+    damaged[0] = (damaged[0] ?? 0) ^ 1;
+    return damaged;
+}
+
 function rangeStart(request: IncomingMessage, tag: string): number | undefined {
     const match = /^bytes=(\d+)-$/.exec(request.headers.range ?? "");
     const mayUse = request.headers["if-range"] === undefined || request.headers["if-range"] === tag;
--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -77,9 +77,11 @@
         }
         const self = this.ownRecord();
         this.links = await this.startLinks(self);
-        this.membership = MembershipController.create(self, settings.links.seeds, this.networkOf(this.links), events, Math.random);
+        const network = this.networkOf(this.links);
+        this.membership = MembershipController.create(self, settings.links.seeds, network, events, Math.random);
         if (settings.proxy !== undefined && settings.roles.includes(Role.Proxy)) {
-            this.proxy = await ProxyRole.create(settings, settings.proxy, this.incarnation, this.configuration, this.membership, this.links, events);
+            const { proxy } = settings;
+            this.proxy = await ProxyRole.create(settings, proxy, this.incarnation, this.configuration, this.membership, this.links, network, events);
         }
         const { control, membership } = this;
         this.roster = control === undefined
@@ -187,6 +189,12 @@
             case MessageKind.ConfigurationSnapshot:
                 this.configuration.installSnapshot(message.position, message.parts);
                 return;
+            case MessageKind.Strike:
+                this.proxy?.quarantine.strike(message.fingerprint, message.loss, link.peer.vm);
+                return;
+            case MessageKind.Acquittal:
+                this.proxy?.quarantine.acquit(message.fingerprint, link.peer.vm);
+                return;
             default:
                 this.membership?.receive(link, message);
         }
--- a/src/daemon/ProxyRole/index.ts
+++ b/src/daemon/ProxyRole/index.ts
@@ -2,7 +2,9 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { ConfigurationController } from "../../controllers/ConfigurationController/index.js";
+import { LinkNetwork } from "../../controllers/LinkNetwork.js";
 import { MembershipController } from "../../controllers/MembershipController/index.js";
+import { QuarantineController } from "../../controllers/QuarantineController/index.js";
 import { WitnessController } from "../../controllers/WitnessController/index.js";
 import { RosterWitness } from "../../decisions/claims/RosterWitness.js";
 import { WitnessReply } from "../../decisions/claims/WitnessReply.js";
@@ -17,10 +19,13 @@
 import { EntryController } from "../../entry/EntryController/index.js";
 import { EntryTools } from "../../entry/EntryTools.js";
 import { AttemptFilter } from "../../filters/AttemptFilter/index.js";
+import { BodyFilter } from "../../filters/BodyFilter/index.js";
 import { DeadlineFilter } from "../../filters/DeadlineFilter/index.js";
 import { IdentifyFilter } from "../../filters/IdentifyFilter/index.js";
 import { LimitFilter } from "../../filters/LimitFilter/index.js";
+import { QuarantineFilter } from "../../filters/QuarantineFilter/index.js";
 import { RecordFilter } from "../../filters/RecordFilter/index.js";
+import { RequestContext } from "../../filters/RequestContext.js";
 import { createAnnounceApp } from "../../gate/createAnnounceApp/index.js";
 import { createGateApp } from "../../gate/createGateApp/index.js";
 import { EndpointController } from "../../gate/EndpointController/index.js";
@@ -55,6 +60,7 @@
         private readonly links: LinkController,
         private readonly sender: AttemptSender,
         readonly endpoints: EndpointController,
+        readonly quarantine: QuarantineController,
         readonly metrics: RequestMetrics,
         private readonly events: EventLog,
         incarnation: string,
@@ -69,6 +75,8 @@
             IdentifyFilter.create(view),
             LimitFilter.create(view),
             DeadlineFilter.create(),
+            BodyFilter.create(),
+            QuarantineFilter.create(quarantine),
             AttemptFilter.create(tools, view),
         ], events);
         this.timer = setInterval(() => sender.closeIdle(), CLOSE_IDLE_MS);
@@ -86,14 +94,16 @@
         configuration: ConfigurationController,
         membership: MembershipController,
         links: LinkController,
+        network: LinkNetwork,
         events: EventLog,
     ): Promise<ProxyRole> {
         const token = deriveToken(settings.links.fleetKey);
         const metrics = RequestMetrics.create(settings.metrics?.statsdHost, settings.metrics?.statsdPort);
-        const endpoints = EndpointController.create(settings.vm.name, incarnation, () => configuration.view, events);
+        const quarantine = QuarantineController.create(network, events);
+        const endpoints = EndpointController.create(settings.vm.name, incarnation, () => configuration.view, quarantine, events);
         endpoints.setListener(() => membership.setEndpoints(endpoints.records()));
         const sender = AttemptSender.create(token);
-        const role = new ProxyRole(configuration, membership, links, sender, endpoints, metrics, events, incarnation);
+        const role = new ProxyRole(configuration, membership, links, sender, endpoints, quarantine, metrics, events, incarnation);
         const { address } = settings.vm;
         role.servers = [
             await listenHttp(address, ports.gatePort, "proxy.gatePort", createGateApp(endpoints, token)),
@@ -140,7 +150,8 @@
             numbering,
             loads,
             events: this.events,
-            choose: (service, excluded) => this.choose(service, excluded, loads),
+            quarantine: this.quarantine,
+            choose: (context, excluded) => this.choose(context, excluded, loads),
             withdrawRetry: (service) => this.budget(service).withdraw(),
             askWitness: (witness, request) => this.askWitness(witness, request),
             settleOther: (id, gate, mode) => this.settle(gate, { id, gate: gate.gate, lowWater: 0, keyed: true, mode }),
@@ -148,7 +159,11 @@
         };
     }
 
-    private choose(service: string, excluded: readonly GateRef[], loads: EndpointLoads): GateRef | undefined {
+    private choose(context: RequestContext, excluded: readonly GateRef[], loads: EndpointLoads): GateRef | undefined {
+        const service = context.service?.name ?? "";
+        if (this.quarantine.isQuarantined(context.fingerprint)) {
+            return undefined;
+        }
         if (excluded.length === 0) {
             this.budget(service).deposit(this.configuration.view.fleet?.retryShare ?? 0);
         }
--- a/src/entry/AttemptSender/index.ts
+++ b/src/entry/AttemptSender/index.ts
@@ -112,6 +112,7 @@
             [HeaderName.Idempotent]: attempt.idempotent ? "1" : "0",
             [HeaderName.Keyed]: attempt.keyed ? "1" : "0",
             [HeaderName.RequestId]: attempt.requestId,
+            [HeaderName.Fingerprint]: attempt.fingerprint,
         };
     }
 }
--- a/src/entry/EntryController/index.ts
+++ b/src/entry/EntryController/index.ts
@@ -64,6 +64,9 @@
         serviceClass: ServiceClass.Internal,
         idempotent: false,
         deadlineAtMs: 0,
+        body: undefined,
+        isReplayable: true,
+        fingerprint: "",
         outcome: undefined,
         reason: undefined,
     };
--- a/src/entry/EntryTools.ts
+++ b/src/entry/EntryTools.ts
@@ -1,6 +1,8 @@
+import { QuarantineController } from "../controllers/QuarantineController/index.js";
 import { RosterWitness } from "../decisions/claims/RosterWitness.js";
 import { WitnessReply } from "../decisions/claims/WitnessReply.js";
 import { WitnessRequest } from "../decisions/claims/WitnessRequest.js";
+import { RequestContext } from "../filters/RequestContext.js";
 import { EventLog } from "../logs/EventLog/index.js";
 import { AttemptId } from "../model/AttemptId.js";
 import { AttemptVerdict } from "../model/AttemptVerdict.js";
@@ -16,8 +18,9 @@
     readonly numbering: AttemptNumbering;
     readonly loads: EndpointLoads;
     readonly events: EventLog;
-    /** Chooses an endpoint of a service outside the excluded ones. */
-    choose(service: string, excluded: readonly GateRef[]): GateRef | undefined;
+    readonly quarantine: QuarantineController;
+    /** Chooses an endpoint for a request outside the excluded ones. */
+    choose(context: RequestContext, excluded: readonly GateRef[]): GateRef | undefined;
     /** Takes one retry of a service's budget. */
     withdrawRetry(service: string): boolean;
     /** Asks a witness; undefined if it does not reply. */
--- a/src/entry/OutgoingAttempt.ts
+++ b/src/entry/OutgoingAttempt.ts
@@ -15,6 +15,7 @@
     /** Header fields of the caller, without those that are not passed on. */
     readonly headers: Record<string, string | string[]>;
     readonly body: Buffer | Readable | undefined;
+    readonly fingerprint: string;
     readonly customer: string;
     readonly serviceClass: ServiceClass;
     readonly idempotent: boolean;
--- a/src/entry/RequestRun/index.ts
+++ b/src/entry/RequestRun/index.ts
@@ -22,6 +22,7 @@
 import { AttemptId } from "../../model/AttemptId.js";
 import { GateRef } from "../../model/GateRef.js";
 import { Outcome } from "../../model/Outcome.js";
+import { RefusalReason } from "../../model/RefusalReason.js";
 import { SettleMode } from "../../model/SettleMode.js";
 import { AttemptExchange } from "../AttemptExchange.js";
 import { AttemptResult } from "../AttemptResult.js";
@@ -48,13 +49,12 @@
     private constructor(
         private readonly context: RequestContext,
         private readonly plan: RequestPlan,
-        private readonly body: Buffer | Readable | undefined,
         private readonly tools: EntryTools,
         claimPlan: ClaimPlan | undefined,
     ) {
         this.claim = claimPlan === undefined ? undefined : ClaimRun.create(claimPlan, tools, (event) => this.step(event));
         this.machine = RequestMachine.create(plan, {
-            choose: (excluded) => tools.choose(context.service?.name ?? "", excluded),
+            choose: (excluded) => tools.choose(context, excluded),
             nextId: () => tools.numbering.nextId(),
             withdrawRetry: () => tools.withdrawRetry(context.service?.name ?? ""),
         });
@@ -65,18 +65,16 @@
      *
      * @param context - The request.
      * @param plan - What the request machine has to know.
-     * @param body - Body of the request; a stream is sent once only.
      * @param tools - What the requests of the entry share.
      * @param claimPlan - How its idempotency key is claimed, if it has one.
      */
     static create(
         context: RequestContext,
         plan: RequestPlan,
-        body: Buffer | Readable | undefined,
         tools: EntryTools,
         claimPlan: ClaimPlan | undefined,
     ): RequestRun {
-        return new RequestRun(context, plan, body, tools, claimPlan);
+        return new RequestRun(context, plan, tools, claimPlan);
     }
 
     /** Runs the request; resolves when it has been answered or its caller is gone. */
@@ -153,7 +151,8 @@
             method: request.method ?? "GET",
             path: request.url ?? "/",
             headers: { ...endToEndHeaders(request.headers), ...resumeHeaders },
-            body: this.body,
+            body: this.context.body,
+            fingerprint: this.context.fingerprint,
             customer: this.context.customer,
             serviceClass: this.context.serviceClass,
             idempotent: this.plan.idempotent,
@@ -216,6 +215,9 @@
     private async prepare(id: AttemptId, exchange: AttemptExchange, answer: ReadyAnswer & { body: Readable }): Promise<void> {
         const { status, headers, body, outcome } = answer;
         const isInconclusive = outcome === Outcome.Unknown && this.plan.idempotent;
+        if (headerValue(headers, HeaderName.Reason) === RefusalReason.BackendLost) {
+            this.tools.quarantine.strike(this.context.fingerprint, exchange.gate.gate);
+        }
         if (isInconclusive) {
             body.on("error", () => undefined).resume();
             this.step({ kind: RequestEventKind.Broken, id });
--- a/src/filters/AttemptFilter/index.ts
+++ b/src/filters/AttemptFilter/index.ts
@@ -1,4 +1,3 @@
-import type { Readable } from "node:stream";
 import { ClaimPlan } from "../../decisions/claims/ClaimPlan.js";
 import { witnessesFor } from "../../decisions/claims/witnessesFor/index.js";
 import { ConfigurationView } from "../../decisions/configuration/ConfigurationView/index.js";
@@ -7,7 +6,6 @@
 import { digestRequest } from "../../entry/digestRequest/index.js";
 import { EntryTools } from "../../entry/EntryTools.js";
 import { RequestRun } from "../../entry/RequestRun/index.js";
-import { collectBody } from "../../http/collectBody/index.js";
 import { headerValue } from "../../http/headerValue/index.js";
 import { HeaderName } from "../../http/HeaderName.js";
 import { IdempotencyKeyPolicy } from "../../model/IdempotencyKeyPolicy.js";
@@ -17,7 +15,6 @@
 import { RequestContext } from "../RequestContext.js";
 import { RequestFilter } from "../RequestFilter.js";
 
-const REPLAYABLE_BODY_BYTES = 256 * 1_024;
 const MAX_KEY_CHARACTERS = 255;
 const MAX_ATTEMPTS = 4;
 const QUERY_AFTER_MS = 1_000;
@@ -33,53 +30,37 @@
     }
 
     async apply(context: RequestContext, _next: () => Promise<void>): Promise<void> {
-        const isReplayable = hasReplayableBody(context);
         const key = idempotencyKey(context);
-        const refusal = findRefusal(context, key, isReplayable);
+        const refusal = findRefusal(context, key);
         if (refusal !== undefined) {
             concludeRequest(context, Outcome.NotRun, refusal, 0);
             return;
         }
-        const body = await readBody(context, isReplayable);
-        const claimPlan = key === undefined ? undefined : planClaim(context, this.view(), key, Buffer.isBuffer(body) ? body : undefined);
+        const claimPlan = key === undefined ? undefined : planClaim(context, this.view(), key);
         if (key !== undefined && claimPlan === undefined) {
             concludeRequest(context, Outcome.NotRun, RefusalReason.NoWitnessMajority, 0);
             return;
         }
-        const plan = planRequest(context, isReplayable, claimPlan !== undefined);
-        await RequestRun.create(context, plan, body, this.tools, claimPlan).run();
+        const plan = planRequest(context, claimPlan !== undefined);
+        await RequestRun.create(context, plan, this.tools, claimPlan).run();
     }
 }
 
-function hasReplayableBody(context: RequestContext): boolean {
-    const { headers } = context.request;
-    const isChunked = headers[HeaderName.TransferEncoding] !== undefined;
-    return !isChunked && Number(headers[HeaderName.ContentLength] ?? 0) <= REPLAYABLE_BODY_BYTES;
-}
-
 function idempotencyKey(context: RequestContext): string | undefined {
     const isUsed = !context.idempotent && context.service?.idempotencyKey !== IdempotencyKeyPolicy.Ignored;
     return isUsed ? headerValue(context.request.headers, HeaderName.IdempotencyKey) : undefined;
 }
 
-function findRefusal(context: RequestContext, key: string | undefined, isReplayable: boolean): RefusalReason | undefined {
+function findRefusal(context: RequestContext, key: string | undefined): RefusalReason | undefined {
     const isRequired = !context.idempotent && context.service?.idempotencyKey === IdempotencyKeyPolicy.Required;
     if (isRequired && key === undefined) {
         return RefusalReason.KeyRequired;
     }
-    const isBad = key !== undefined && (key === "" || key.length > MAX_KEY_CHARACTERS || !isReplayable);
+    const isBad = key !== undefined && (key === "" || key.length > MAX_KEY_CHARACTERS || !context.isReplayable);
     return isBad ? RefusalReason.BadRequest : undefined;
 }
 
-async function readBody(context: RequestContext, isReplayable: boolean): Promise<Buffer | Readable | undefined> {
-    const { request } = context;
-    if (!isReplayable) {
-        return request;
-    }
-    return Number(request.headers[HeaderName.ContentLength] ?? 0) === 0 ? undefined : collectBody(request, REPLAYABLE_BODY_BYTES);
-}
-
-function planRequest(context: RequestContext, isReplayable: boolean, claimed: boolean): RequestPlan {
+function planRequest(context: RequestContext, claimed: boolean): RequestPlan {
     const timeoutMs = context.deadlineAtMs - context.arrivedAtMs;
     return {
         requestId: context.requestId,
@@ -88,11 +69,11 @@
         hedgeAfterMs: context.serviceClass === ServiceClass.Lookup ? context.service?.hedgeAfterMs : undefined,
         queryAfterMs: Math.min(QUERY_AFTER_MS, timeoutMs / QUERIES_PER_DEADLINE),
         deadlineAtMs: context.deadlineAtMs,
-        maxAttempts: isReplayable ? MAX_ATTEMPTS : 1,
+        maxAttempts: context.isReplayable ? MAX_ATTEMPTS : 1,
     };
 }
 
-function planClaim(context: RequestContext, view: ConfigurationView, key: string, body: Buffer | undefined): ClaimPlan | undefined {
+function planClaim(context: RequestContext, view: ConfigurationView, key: string): ClaimPlan | undefined {
     const { roster, fleet } = view;
     if (roster === undefined || fleet === undefined) {
         return undefined;
@@ -100,7 +81,7 @@
     const scopedKey = `${context.service?.name ?? ""}/${encodeURIComponent(context.customer)}/${key}`;
     return {
         key: scopedKey,
-        digest: digestRequest(context.request.method ?? "", context.request.url ?? "", body),
+        digest: digestRequest(context.request.method ?? "", context.request.url ?? "", Buffer.isBuffer(context.body) ? context.body : undefined),
         claimant: context.requestId,
         epoch: roster.epoch,
         witnessSets: [roster.witnesses, roster.previous]
--- a/src/filters/RequestContext.ts
+++ b/src/filters/RequestContext.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Readable } from "node:stream";
 import { RouteIntent } from "../decisions/configuration/RouteIntent.js";
 import { ServiceIntent } from "../decisions/configuration/ServiceIntent.js";
 import { Outcome } from "../model/Outcome.js";
@@ -17,6 +18,12 @@
     serviceClass: ServiceClass;
     idempotent: boolean;
     deadlineAtMs: number;
+    /** Body in memory, the stream of a body that is sent once only, or undefined for none. */
+    body: Buffer | Readable | undefined;
+    /** Whether the request can be sent more than once. */
+    isReplayable: boolean;
+    /** Recognises the request when its caller sends it again. */
+    fingerprint: string;
     /** Set once the request has been answered. */
     outcome: Outcome | undefined;
     reason: RefusalReason | undefined;
--- a/src/gate/EndpointController/index.ts
+++ b/src/gate/EndpointController/index.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { QuarantineController } from "../../controllers/QuarantineController/index.js";
 import { ConfigurationView } from "../../decisions/configuration/ConfigurationView/index.js";
 import { ServiceIntent } from "../../decisions/configuration/ServiceIntent.js";
 import { GateLimits } from "../../decisions/gate/GateLimits.js";
@@ -38,6 +39,7 @@
         private readonly vm: string,
         private readonly incarnation: string,
         private readonly view: () => ConfigurationView,
+        private readonly quarantine: QuarantineController,
         private readonly events: EventLog,
     ) {
         this.timer = setInterval(() => this.tick(), TICK_MS);
@@ -49,10 +51,17 @@
      * @param vm - Name of the VM.
      * @param incarnation - Incarnation of the process.
      * @param view - Configuration in force.
+     * @param quarantine - Requests that crash backend servers.
      * @param events - Log.
      */
-    static create(vm: string, incarnation: string, view: () => ConfigurationView, events: EventLog): EndpointController {
-        return new EndpointController(vm, incarnation, view, events);
+    static create(
+        vm: string,
+        incarnation: string,
+        view: () => ConfigurationView,
+        quarantine: QuarantineController,
+        events: EventLog,
+    ): EndpointController {
+        return new EndpointController(vm, incarnation, view, quarantine, events);
     }
 
     /** Sets who is told when the records of the endpoints have changed. */
@@ -165,6 +174,7 @@
             limits,
             notRunStatuses: service.notRunStatuses,
             answers: this.answers,
+            quarantine: this.quarantine,
             events: this.events,
             onDrained: () => this.events.record(EventNumber.EndpointDrained, { endpoint: endpointId }),
         });
--- a/src/gate/GateController/index.ts
+++ b/src/gate/GateController/index.ts
@@ -17,6 +17,7 @@
 import { HeaderName } from "../../http/HeaderName.js";
 import { isBodiless } from "../../http/isBodiless/index.js";
 import { isConnectFailure } from "../../http/isConnectFailure/index.js";
+import { isListening } from "../../http/isListening/index.js";
 import { PooledAnswer } from "../../http/PooledAnswer.js";
 import { relayBody } from "../../http/relayBody/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -40,6 +41,8 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly signal: EventEmitter;
+    /** Whether the entry gave the attempt up. */
+    isCancelled: boolean;
 }
 
 /** Guards one endpoint: counts its work, carries attempts to the backend server, and answers for each of them. */
@@ -92,7 +95,7 @@
             this.writeRefusal(response, RefusalReason.Duplicate, 0);
             return;
         }
-        this.pending.set(key, { received, request, response, signal: new EventEmitter() });
+        this.pending.set(key, { received, request, response, signal: new EventEmitter(), isCancelled: false });
         response.once("close", () => {
             if (!response.writableFinished) {
                 this.step({ kind: GateEventKind.EntryLost, id });
@@ -139,7 +142,7 @@
                 this.refuse(effect.id, effect.reason, effect.retryAfterMs);
                 return;
             case GateEffectKind.CancelBackend:
-                this.pending.get(attemptKey(effect.id))?.signal.emit("abort");
+                this.cancel(effect.id);
                 return;
             case GateEffectKind.Drained:
                 this.drained = true;
@@ -152,6 +155,14 @@
         }
     }
 
+    private cancel(id: AttemptId): void {
+        const pending = this.pending.get(attemptKey(id));
+        if (pending !== undefined) {
+            pending.isCancelled = true;
+            pending.signal.emit("abort");
+        }
+    }
+
     private refuse(id: AttemptId, reason: RefusalReason, retryAfterMs: number): void {
         const pending = this.pending.get(attemptKey(id));
         if (pending !== undefined) {
@@ -170,6 +181,9 @@
         catch (thrown) {
             this.setup.events.record(EventNumber.AnswerAborted, { attempt: attemptKey(id), error: toError(thrown).message });
             pending?.response.destroy();
+            if (pending !== undefined) {
+                await this.findLoss(pending);
+            }
         }
         finally {
             this.pending.delete(attemptKey(id));
@@ -191,23 +205,33 @@
             });
         }
         catch (thrown) {
-            this.failBeforeHead(pending, toError(thrown));
+            await this.failBeforeHead(pending, toError(thrown));
             return;
         }
         await this.relay(pending, answer);
     }
 
-    private failBeforeHead(pending: PendingAttempt, error: Error): void {
+    private async failBeforeHead(pending: PendingAttempt, error: Error): Promise<void> {
         const didNotRun = isConnectFailure(error);
         const outcome = didNotRun ? Outcome.NotRun : Outcome.Unknown;
-        const reason = didNotRun ? RefusalReason.BackendUnreachable : undefined;
+        const reason = didNotRun ? RefusalReason.BackendUnreachable : await this.findLoss(pending);
         const headers = { ...this.outcomeHeaders(outcome), ...(reason === undefined ? {} : { [HeaderName.Reason]: reason }) };
         const status = didNotRun ? STATUS_REFUSED : STATUS_BAD_ANSWER;
         this.finishAnswer(pending, { status, headers, body: Buffer.alloc(0), outcome });
     }
 
+    /** If the backend server is lost, the request gets a strike: it may have crashed it. */
+    private async findLoss(pending: PendingAttempt): Promise<RefusalReason | undefined> {
+        if (pending.isCancelled || await isListening(this.setup.backendAddress)) {
+            return undefined;
+        }
+        this.setup.quarantine.strike(pending.received.fingerprint, this.setup.gate);
+        return RefusalReason.BackendLost;
+    }
+
     private async relay(pending: PendingAttempt, answer: PooledAnswer): Promise<void> {
-        const { attempt } = pending.received;
+        const { attempt, fingerprint } = pending.received;
+        this.setup.quarantine.acquit(fingerprint);
         const isShed = this.setup.notRunStatuses.includes(answer.status);
         const outcome = isShed ? Outcome.NotRun : Outcome.Ran;
         const headers = { ...endToEndHeaders(answer.headers), ...this.outcomeHeaders(outcome) };
@@ -242,7 +266,7 @@
             body = await collectBody(answer.body, RETAINED_BODY_BYTES);
         }
         catch (thrown) {
-            this.failBeforeHead(pending, toError(thrown));
+            await this.failBeforeHead(pending, toError(thrown));
             return;
         }
         this.finishAnswer(pending, { status: answer.status, headers, body: body ?? Buffer.alloc(0), outcome });
--- a/src/gate/GateSetup.ts
+++ b/src/gate/GateSetup.ts
@@ -1,3 +1,4 @@
+import { QuarantineController } from "../controllers/QuarantineController/index.js";
 import { GateLimits } from "../decisions/gate/GateLimits.js";
 import { EventLog } from "../logs/EventLog/index.js";
 import { RetainedAnswers } from "./RetainedAnswers/index.js";
@@ -15,6 +16,7 @@
     /** Status codes by which the backend server says that the work did not run. */
     readonly notRunStatuses: readonly number[];
     readonly answers: RetainedAnswers;
+    readonly quarantine: QuarantineController;
     readonly events: EventLog;
     readonly onDrained: () => void;
 }
--- a/src/gate/ReceivedAttempt.ts
+++ b/src/gate/ReceivedAttempt.ts
@@ -5,4 +5,6 @@
     readonly attempt: GateAttempt;
     readonly endpointId: string;
     readonly requestId: string;
+    /** Recognises the request when its caller sends it again. */
+    readonly fingerprint: string;
 }
--- a/src/gate/readAttempt/index.ts
+++ b/src/gate/readAttempt/index.ts
@@ -34,6 +34,7 @@
         attempt,
         endpointId: readText(headers, HeaderName.Endpoint),
         requestId: readText(headers, HeaderName.RequestId),
+        fingerprint: readText(headers, HeaderName.Fingerprint),
     };
 }
 
--- a/src/http/HeaderName.ts
+++ b/src/http/HeaderName.ts
@@ -12,6 +12,7 @@
     Keyed = "gypsumpulley-keyed",
     Token = "gypsumpulley-token",
     RequestId = "gypsumpulley-request-id",
+    Fingerprint = "gypsumpulley-fingerprint",
     Fetch = "gypsumpulley-fetch",
     Outcome = "gypsumpulley-outcome",
     Reason = "gypsumpulley-reason",
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -45,6 +45,8 @@
     | { readonly kind: MessageKind.Verdict; readonly verdict: AttemptVerdict }
     | { readonly kind: MessageKind.Witness; readonly request: WitnessRequest }
     | { readonly kind: MessageKind.WitnessReply; readonly reply: WitnessReply }
+    | { readonly kind: MessageKind.Strike; readonly fingerprint: string; readonly loss: string }
+    | { readonly kind: MessageKind.Acquittal; readonly fingerprint: string }
     /** A witness that has lost its memory asks for the claims of another. */
     | { readonly kind: MessageKind.ClaimsFetch }
     /** `entries` is undefined while the memory of the asked witness is not complete itself. */
--- a/src/links/MessageKind.ts
+++ b/src/links/MessageKind.ts
@@ -16,5 +16,7 @@
     Witness = "witness",
     WitnessReply = "witness-reply",
     ClaimsFetch = "claims-fetch",
+    Strike = "strike",
+    Acquittal = "acquittal",
     ClaimsCopy = "claims-copy",
 }
--- a/src/model/RefusalReason.ts
+++ b/src/model/RefusalReason.ts
@@ -17,6 +17,8 @@
     NoWitnessMajority = "no-witness-majority",
     NotReady = "not-ready",
     BadRequest = "bad-request",
+    /** The backend server was lost while the request was in flight. */
+    BackendLost = "backend-lost",
     ShedByBackend = "shed-by-backend",
     BackendUnreachable = "backend-unreachable",
 }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import { callOperator } from "../src/cli/callOperator/index.js";
+import { EndpointStatus } from "../src/operators/EndpointStatus.js";
 import { HeaderName } from "../src/http/HeaderName.js";
 import { FleetNode } from "../bench/FleetNode.js";
 import { LocalFleet } from "../bench/LocalFleet/index.js";
@@ -36,6 +38,12 @@
     return found;
 }
 
+async function runningAt(endpointId: string): Promise<number> {
+    const found = node(endpointId);
+    const endpoints = await callOperator<readonly EndpointStatus[]>({ address: found.operatorAddress, method: "GET", path: "/endpoints" });
+    return endpoints.find((endpoint) => endpoint.endpointId === endpointId)?.running ?? 0;
+}
+
 function submit(entry: FleetNode, workId: string, headers: Record<string, string> = {}): Promise<TimedAnswer> {
     return timeRequest({
         address: entry.callerAddress,
@@ -169,6 +177,49 @@
     await fleet.ready(5);
 });
 
+test.serial("a download is resumed at another backend server when the first one is killed", async (t) => {
+    const download = timeRequest({
+        address: node("lookup-front-vm-1").callerAddress,
+        method: "GET",
+        path: `/archive/bundle-9?bytes=${BUNDLE_BYTES}`,
+    });
+    await delay(500);
+    const loads = await Promise.all(["archive-vm-4", "archive-vm-5"].map(async (endpointId) => ({ endpointId, running: await runningAt(endpointId) })));
+    const serving = node(loads.find((load) => load.running > 0)?.endpointId ?? "");
+    await serving.standIn.stop("SIGKILL");
+    t.true((await download).body.equals(makeBody("/archive/bundle-9", BUNDLE_BYTES)));
+    fleet.startStandIn(serving);
+    await fleet.ready(5);
+});
+
+test.serial("an answer cut short or damaged never ends cleanly", async (t) => {
+    const { callerAddress } = node("lookup-front-vm-1");
+    await t.throwsAsync(timeRequest({ address: callerAddress, method: "GET", path: `/archive/cut?bytes=${BUNDLE_BYTES}&fault=truncate` }));
+    await t.throwsAsync(timeRequest({ address: callerAddress, method: "GET", path: `/archive/bad?bytes=${BUNDLE_BYTES}&fault=corrupt` }));
+    const small = await timeRequest({ address: callerAddress, method: "GET", path: "/lookup/bad?fault=corrupt" });
+    t.not(small.status, 200);
+});
+
+test.serial("a request that crashes its backend servers is refused everywhere after two of them", async (t) => {
+    const crash = { method: "GET" as const, path: "/archive/poison?fault=crash" };
+    const first = await timeRequest({ ...crash, address: node("lookup-front-vm-1").callerAddress });
+    t.is(first.headers[HeaderName.Outcome], "unknown");
+    for (const endpointId of ["archive-vm-4", "archive-vm-5"]) {
+        await node(endpointId).standIn.stop();
+        fleet.startStandIn(node(endpointId));
+    }
+    await fleet.ready(5);
+    for (const entry of fleet.nodes) {
+        const again = await timeRequest({ ...crash, address: entry.callerAddress });
+        t.is(again.headers[HeaderName.Outcome], "not-run");
+        t.is(again.headers[HeaderName.Reason], "quarantined");
+    }
+    await fleet.until("other requests are served", async () => {
+        const other = await timeRequest({ address: node("lookup-front-vm-1").callerAddress, method: "GET", path: "/archive/fine" });
+        return other.status === 200;
+    });
+});
+
 test.serial("requests are served while control is down, and control comes back with the manifest", async (t) => {
     await fleet.control?.stop("SIGKILL");
     const answer = await timeRequest({ address: node("archive-vm-4").callerAddress, method: "GET", path: "/lookup/qalam" });
