Bound the links of a process, count their bytes, and add the latency and slope benchmarks

Cause: every proxy kept the link to its seed, so control's cost would grow with the fleet, and links opened for one settle stayed for ever.

Change: a process with more than 10 links closes one at a time after saying so, which neither end takes for a failure. Status shows the bytes of all links.

--- a/bench/FleetPlan.ts
+++ b/bench/FleetPlan.ts
@@ -6,4 +6,6 @@
     readonly failureDomains: readonly string[];
     /** One proxy and one stand-in backend server for each entry. */
     readonly standIns: readonly StandInPlan[];
+    /** Proxies without a backend server beside them. */
+    readonly bareProxies?: number;
 }
--- a/bench/LocalFleet/index.ts
+++ b/bench/LocalFleet/index.ts
@@ -154,6 +154,10 @@
             const domain = plan.failureDomains[index % plan.failureDomains.length] ?? "";
             this.nodes.push(await this.startNode(`vm-${index + 1}`, domain, standIn));
         }
+        for (let index = 0; index < (plan.bareProxies ?? 0); index += 1) {
+            const domain = plan.failureDomains[index % plan.failureDomains.length] ?? "";
+            this.nodes.push(await this.startNode(`bare-${index + 1}`, domain, undefined));
+        }
         await this.ready(plan.standIns.length);
     }
 
@@ -164,7 +168,8 @@
             .slice(-4_000);
     }
 
-    private async startNode(name: string, failureDomain: string, standIn: StandInPlan): Promise<FleetNode> {
+    private async startNode(name: string, failureDomain: string, plan: StandInPlan | undefined): Promise<FleetNode> {
+        const standIn = plan ?? { service: "none", serviceMs: 0, bytesPerMs: 0 };
         const ports = await findFreePorts(PORTS_PER_NODE);
         const [link = 0, operator = 0, caller = 0, gate = 0, announce = 0, backend = 0] = ports;
         const settingsFile = this.writeSettings(name, failureDomain, link, operator, {
@@ -195,7 +200,7 @@
             settingsFile,
             standInOptions,
             proxy: LocalProcess.create(DAEMON, ["--settings", settingsFile]),
-            standIn: LocalProcess.create(STAND_IN, standInOptions),
+            standIn: plan === undefined ? LocalProcess.createEnded() : LocalProcess.create(STAND_IN, standInOptions),
         };
     }
 
--- a/bench/LocalProcess/index.ts
+++ b/bench/LocalProcess/index.ts
@@ -7,9 +7,14 @@
 export class LocalProcess {
     private text = "";
 
-    private constructor(private readonly child: ChildProcess) {
-        child.stdout?.on("data", (data: Buffer) => this.keep(data));
-        child.stderr?.on("data", (data: Buffer) => this.keep(data));
+    private constructor(private readonly child: ChildProcess | undefined) {
+        child?.stdout?.on("data", (data: Buffer) => this.keep(data));
+        child?.stderr?.on("data", (data: Buffer) => this.keep(data));
+    }
+
+    /** Stands for a process that was never started. */
+    static createEnded(): LocalProcess {
+        return new LocalProcess(undefined);
     }
 
     /**
@@ -29,22 +34,22 @@
 
     /** Exit code, or undefined while it runs or if a signal ended it. */
     get exitCode(): number | undefined {
-        return this.child.exitCode ?? undefined;
+        return this.child?.exitCode ?? undefined;
     }
 
     /** True while the process has not ended. */
     get isRunning(): boolean {
-        return this.child.exitCode === null && this.child.signalCode === null;
+        return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
     }
 
     /** Sends a signal. */
     signal(signal: NodeJS.Signals): void {
-        this.child.kill(signal);
+        this.child?.kill(signal);
     }
 
     /** Ends the process and waits for its exit; resolves to its exit code. */
     async stop(signal: NodeJS.Signals = "SIGTERM"): Promise<number | undefined> {
-        if (this.isRunning) {
+        if (this.child !== undefined && this.isRunning) {
             const exit = once(this.child, "exit");
             this.child.kill(signal);
             await exit;
--- /dev/null
+++ b/bench/slopes/SlopePoint.ts
@@ -0,0 +1,5 @@
+/** One measurement of a slope. */
+export interface SlopePoint {
+    readonly size: number;
+    readonly value: number;
+}
--- /dev/null
+++ b/bench/slopes/measureMemory/index.ts
@@ -0,0 +1,24 @@
+/**
+ * Measures the heap that a value keeps alive.
+ *
+ * @param create - Makes the value.
+ * @returns Bytes; needs Node.js to run with `--expose-gc`.
+ * @example
+ * measureMemory(() => new Array(1_000).fill(0));
+ */
+export function measureMemory(create: () => unknown): number {
+    collect();
+    const beforeBytes = process.memoryUsage().heapUsed;
+    const value = create();
+    collect();
+    const bytes = process.memoryUsage().heapUsed - beforeBytes;
+    return value === undefined ? 0 : bytes;
+}
+
+function collect(): void {
+    if (globalThis.gc === undefined) {
+        throw new Error("run Node.js with --expose-gc");
+    }
+    globalThis.gc();
+    globalThis.gc();
+}
--- a/src/controllers/LinkNetwork.ts
+++ b/src/controllers/LinkNetwork.ts
@@ -8,6 +8,8 @@
     readonly isClosing: boolean;
     /** Opens a link to an address; tells whether it is open. */
     connect(address: string): Promise<boolean>;
+    /** Closes the link to a VM. */
+    unlink(vm: string): void;
     /** Sends to all linked peers except one. */
     broadcast(message: Message, exceptVm?: string): void;
     /** Sends to one linked peer; tells whether there is a link. */
--- a/src/controllers/MembershipController/index.ts
+++ b/src/controllers/MembershipController/index.ts
@@ -15,6 +15,8 @@
 import { LinkNetwork } from "../LinkNetwork.js";
 
 const TICK_MS = 500;
+const MAX_LINKS = 10;
+const UNLINK_DELAY_MS = 200;
 const TICKS_BETWEEN_SUMMARIES = 10;
 const SUSPECT_AFTER_FAILED_CONNECTS = 1;
 
@@ -22,6 +24,8 @@
 export class MembershipController {
     readonly directory = MemberDirectory.create();
     private readonly failedConnects = new Map<string, number>();
+    /** VMs to which a link is being closed because one end has too many. */
+    private readonly unlinked = new Set<string>();
     private readonly timer: NodeJS.Timeout;
     private self: MemberRecord;
     private ticks = 0;
@@ -75,6 +79,7 @@
     /** A link is open: both ends tell each other what they know. */
     open(link: LinkPort): void {
         this.failedConnects.delete(link.peer.vm);
+        this.unlinked.delete(link.peer.vm);
         link.send({ kind: MessageKind.Members, records: [this.self] });
         link.send({ kind: MessageKind.MemberSummary, buckets: this.directory.summary() });
         this.directory.openSuspicions().forEach((suspicion) => link.send({ kind: MessageKind.Suspicion, suspicion }));
@@ -83,6 +88,9 @@
     /** A link is gone: if the peer cannot be reached again, it is suspected. */
     async lose(link: LinkPort): Promise<void> {
         const { vm, linkAddress } = link.peer;
+        if (this.unlinked.delete(vm)) {
+            return;
+        }
         const record = this.directory.record(vm);
         if (record === undefined || record.state === MemberState.Left || this.network.isClosing) {
             return;
@@ -105,6 +113,9 @@
             case MessageKind.MemberStamps:
                 this.reconcile(link, message.buckets, message.stamps, message.wantsReply);
                 return;
+            case MessageKind.Unlink:
+                this.unlinked.add(link.peer.vm);
+                return;
             case MessageKind.Suspicion:
                 this.hearSuspicion(message.suspicion, link.peer.vm);
                 return;
@@ -205,6 +216,7 @@
         this.directory.expireSuspicions(nowMs()).forEach((vm) => this.events.record(EventNumber.MemberLost, { member: vm }));
         this.directory.expire(nowMs());
         this.connectMore();
+        this.closeSurplus();
         this.ticks += 1;
         if (this.ticks % TICKS_BETWEEN_SUMMARIES === 0) {
             this.sendSummary();
@@ -227,6 +239,17 @@
         }
     }
 
+    private closeSurplus(): void {
+        const linked = [...this.network.linkedVms];
+        if (linked.length <= MAX_LINKS) {
+            return;
+        }
+        const vm = linked[Math.floor(this.random() * linked.length)] ?? "";
+        this.unlinked.add(vm);
+        this.network.sendTo(vm, { kind: MessageKind.Unlink });
+        setTimeout(() => this.network.unlink(vm), UNLINK_DELAY_MS);
+    }
+
     private sendSummary(): void {
         const peers = [...this.network.linkedVms];
         const peer = peers[Math.floor(this.random() * peers.length)];
--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -139,6 +139,7 @@
                 return isClosing();
             },
             connect: async (address) => await links.connect(address) !== undefined,
+            unlink: (vm) => links.unlink(vm),
             broadcast: (message, exceptVm) => links.broadcast(message, exceptVm),
             sendTo: (vm, message) => links.sendTo(vm, message),
         };
--- a/src/daemon/describeDaemon/index.ts
+++ b/src/daemon/describeDaemon/index.ts
@@ -40,6 +40,7 @@
         state: membership?.own.state ?? MemberState.Left,
         configuration: configuration.view.position,
         links: [...links?.linkedVms ?? []].sort(),
+        linkBytes: links?.bytes ?? { sent: 0, received: 0 },
         members: (directory?.all() ?? []).map((record) => ({
             vm: record.vm,
             failureDomain: record.failureDomain,
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -5,6 +5,7 @@
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { LinkBytes } from "../LinkBytes.js";
 import { LinkHandler } from "../LinkHandler.js";
 import { LinkSettings } from "../LinkSettings.js";
 import { Message } from "../Message.js";
@@ -30,6 +31,8 @@
 
 /** Owns the links of a process: accepts and opens them, proves them alive both ways, and routes calls. */
 export class LinkController {
+    /** Payload bytes over all links since the start. */
+    readonly bytes: LinkBytes = { sent: 0, received: 0 };
     private readonly links = new Map<WsLink, LinkHealth>();
     private readonly byVm = new Map<string, WsLink>();
     private readonly opening = new Map<string, Promise<WsLink | undefined>>();
@@ -111,6 +114,11 @@
         return link !== undefined;
     }
 
+    /** Closes the link to a VM. */
+    unlink(vm: string): void {
+        this.byVm.get(vm)?.close();
+    }
+
     /** Calls a VM over its open link, or over one opened for the call; undefined if no reply came in time. */
     async call(vm: string, address: string, message: Message, timeoutMs: number): Promise<Message | undefined> {
         const link = this.byVm.get(vm) ?? await this.connect(address);
@@ -160,6 +168,7 @@
             fleetKey: this.settings.fleetKey,
             accepted,
             address,
+            bytes: this.bytes,
             onOpen: (link) => this.addLink(link),
             onMessage: (link, message) => this.receive(link, message),
             onCall: (link, message) => this.handler.onCall(link, message),
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -34,6 +34,8 @@
         readonly wantsReply: boolean;
     }
     | { readonly kind: MessageKind.Suspicion; readonly suspicion: Suspicion }
+    /** The sender has more links than it needs and is about to close this one. */
+    | { readonly kind: MessageKind.Unlink }
     | { readonly kind: MessageKind.ConfigurationFetch; readonly have: ConfigurationVersion }
     | { readonly kind: MessageKind.ConfigurationChanges; readonly changes: readonly AcceptedChange[] }
     | {
--- a/src/links/MessageKind.ts
+++ b/src/links/MessageKind.ts
@@ -8,6 +8,7 @@
     MemberSummary = "member-summary",
     MemberStamps = "member-stamps",
     Suspicion = "suspicion",
+    Unlink = "unlink",
     ConfigurationFetch = "configuration-fetch",
     ConfigurationChanges = "configuration-changes",
     ConfigurationSnapshot = "configuration-snapshot",
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -89,11 +89,14 @@
 
     private transmit(envelope: Envelope): void {
         if (this.socket.readyState === WebSocket.OPEN && this.socket.bufferedAmount < MAX_BUFFERED_BYTES) {
-            this.socket.send(packr.pack(envelope));
+            const data = packr.pack(envelope);
+            this.options.bytes.sent += data.length;
+            this.socket.send(data);
         }
     }
 
     private receive(data: Buffer): void {
+        this.options.bytes.received += data.length;
         try {
             this.accept(unpackr.unpack(data) as Envelope);
         }
--- a/src/links/WsLinkOptions.ts
+++ b/src/links/WsLinkOptions.ts
@@ -1,4 +1,5 @@
 import { FleetError } from "../model/FleetError.js";
+import { LinkBytes } from "./LinkBytes.js";
 import { Message } from "./Message.js";
 import { PeerIdentity } from "./PeerIdentity.js";
 import { WsLink } from "./WsLink/index.js";
@@ -11,6 +12,8 @@
     readonly accepted: boolean;
     /** Address of the other end, for errors before it has said who it is. */
     readonly address: string;
+    /** Counts the bytes of all links of the process. */
+    readonly bytes: LinkBytes;
     readonly onOpen: (link: WsLink) => void;
     readonly onMessage: (link: WsLink, message: Message) => void;
     readonly onCall: (link: WsLink, message: Message) => Message | undefined;
--- a/src/operators/DaemonStatus.ts
+++ b/src/operators/DaemonStatus.ts
@@ -1,3 +1,4 @@
+import { LinkBytes } from "../links/LinkBytes.js";
 import { LatencySummary } from "../metrics/LatencySummary.js";
 import { ConfigurationVersion } from "../model/ConfigurationVersion.js";
 import { MemberState } from "../model/MemberState.js";
@@ -13,6 +14,7 @@
     readonly state: MemberState;
     readonly configuration: ConfigurationVersion;
     readonly links: readonly string[];
+    readonly linkBytes: LinkBytes;
     readonly members: readonly MemberStatus[];
     /** Requests of callers being worked on. */
     readonly inFlight: number;
