Let a restarted proxy serve only by the newest configuration its peers know, and harden the quorum's proof

Cause: a restarted proxy served by the first configuration it heard of, which an isolated peer may have had from before; and the randomised run of the quorum does not notice a voter that forgets its vote.

Change: a proxy is ready once peers in two failure domains (or all there are) have told positions none of which is newer. Table tests of the quorum machine for votes across restarts; the randomised run kills voters right after half of their votes.

The table test does notice it.

--- a/bench/LocalFleet/index.ts
+++ b/bench/LocalFleet/index.ts
@@ -87,7 +87,8 @@
     async ready(endpoints: number): Promise<void> {
         await this.until("every proxy knows every endpoint", async () => {
             const counts = await Promise.all(this.nodes.map((node) => this.servingEndpoints(node.operatorAddress)));
-            return counts.every((count) => count === endpoints);
+            const statuses = await Promise.all(this.nodes.map((node) => this.status(node.operatorAddress)));
+            return counts.every((count) => count === endpoints) && statuses.every((status) => status?.ready);
         });
     }
 
--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -17,7 +17,10 @@
 const QUIET_MS = 8_000;
 const LOST_SHARE = 0.02;
 const SLOW_SHARE = 0.03;
-const KILL_EVERY_MS = 1_500;
+const KILL_EVERY_MS = 300;
+const LONGEST_DOWN_MS = 300;
+const SHORT_DOWN_MS = 3;
+const KILL_AFTER_VOTE_SHARE = 0.5;
 const CUT_EVERY_MS = 700;
 const FREEZE_EVERY_MS = 2_500;
 const DISK_LOSS_EVERY_MS = 9_000;
@@ -159,10 +162,18 @@
         }
     }
 
-    private kill(vm: ControlVm): void {
+    private kill(vm: ControlVm, longestDownMs = LONGEST_DOWN_MS): void {
         vm.machine = undefined;
         vm.run += 1;
-        this.clock.after(this.random() * 2_000, () => this.restart(vm));
+        this.clock.after(this.random() * longestDownMs, () => this.restart(vm));
+    }
+
+    /** A voter that restarts right after its vote must not vote again in the same term. */
+    private killAfterVote(vm: ControlVm, output: QuorumOutput): void {
+        const hasVoted = output.hardState?.votedFor !== undefined;
+        if (hasVoted && !this.isQuiet && this.random() < KILL_AFTER_VOTE_SHARE) {
+            this.kill(vm, SHORT_DOWN_MS);
+        }
     }
 
     /** The disk is lost only while a majority of the voters has its own; the VM returns under a new identity. */
@@ -267,6 +278,7 @@
         output.messages.forEach(({ to, message }) => this.send(vm.identity, to, message));
         output.committed.forEach((entry) => this.noteCommitted(vm, entry));
         this.compact(vm, output);
+        this.killAfterVote(vm, output);
     }
 
     private compact(vm: ControlVm, output: QuorumOutput): void {
--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -175,6 +175,7 @@
     private receive(link: LinkPort, message: Message): void {
         switch (message.kind) {
             case MessageKind.Heartbeat:
+                this.proxy?.receive(link, message);
                 this.configuration.hear(link, message.position);
                 return;
             case MessageKind.ConfigurationFetch: {
--- a/src/daemon/ProxyRole/index.ts
+++ b/src/daemon/ProxyRole/index.ts
@@ -10,6 +10,7 @@
 import { WitnessReply } from "../../decisions/claims/WitnessReply.js";
 import { WitnessRequest } from "../../decisions/claims/WitnessRequest.js";
 import { chooseEndpoint } from "../../decisions/balancing/chooseEndpoint/index.js";
+import { ReadinessTracker } from "../../decisions/configuration/ReadinessTracker/index.js";
 import { EndpointIndex } from "../../decisions/membership/EndpointIndex/index.js";
 import { RetryBudget } from "../../decisions/requests/RetryBudget/index.js";
 import { AttemptNumbering } from "../../entry/AttemptNumbering/index.js";
@@ -50,6 +51,7 @@
 /** The proxy role of a process: entry for callers, and gate of the endpoints on its VM. */
 export class ProxyRole {
     private readonly budgets = new Map<string, RetryBudget>();
+    private readonly readiness = ReadinessTracker.create();
     private readonly index: EndpointIndex;
     private readonly timer: NodeJS.Timeout;
     private servers: readonly Server[] = [];
@@ -74,7 +76,7 @@
         const view = (): typeof configuration.view => configuration.view;
         this.entry = EntryController.create([
             RecordFilter.create(metrics, events),
-            IdentifyFilter.create(view),
+            IdentifyFilter.create(view, () => this.isReady),
             LimitFilter.create(view),
             DeadlineFilter.create(),
             BodyFilter.create(),
@@ -115,6 +117,16 @@
         return role;
     }
 
+    /** True once the process knows that its configuration is the newest, as far as its peers can tell. */
+    get isReady(): boolean {
+        if (this.readiness.hasBeenReady) {
+            return true;
+        }
+        const { own, directory } = this.membership;
+        const others = directory.live().filter((member) => member.vm !== own.vm);
+        return this.readiness.isReady(this.configuration.view.position, new Set(others.map((member) => member.failureDomain)));
+    }
+
     /** Answers a call of another process; undefined if it is not for the proxy role. */
     answer(message: Message): Message | undefined {
         switch (message.kind) {
@@ -132,6 +144,9 @@
     /** Takes a message of another process if it is for the proxy role. */
     receive(link: LinkPort, message: Message): void {
         switch (message.kind) {
+            case MessageKind.Heartbeat:
+                this.readiness.hear(link.peer.vm, link.peer.failureDomain, message.position);
+                return;
             case MessageKind.Strike:
                 this.quarantine.strike(message.fingerprint, message.loss, link.peer.vm);
                 return;
--- a/src/daemon/describeDaemon/index.ts
+++ b/src/daemon/describeDaemon/index.ts
@@ -39,6 +39,7 @@
         incarnation,
         state: membership?.own.state ?? MemberState.Left,
         configuration: configuration.view.position,
+        ready: proxy?.isReady ?? true,
         links: [...links?.linkedVms ?? []].sort(),
         linkBytes: links?.bytes ?? { sent: 0, received: 0 },
         members: (directory?.all() ?? []).map((record) => ({
--- /dev/null
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -0,0 +1,135 @@
+import test from "ava";
+import { EntryKind } from "../EntryKind.js";
+import { HardState } from "../HardState.js";
+import { LogEntry } from "../LogEntry.js";
+import { QuorumEventKind } from "../QuorumEventKind.js";
+import { QuorumMessage } from "../QuorumMessage.js";
+import { QuorumMessageKind } from "../QuorumMessageKind.js";
+import { QuorumMachine } from "./index.js";
+
+const VOTERS = ["a", "b", "c"];
+const NO_LEADER_MS = 10_000;
+
+function barrier(index: number, term: number): LogEntry {
+    return { index, term, kind: EntryKind.Barrier };
+}
+
+function create(hardState: HardState, entries: readonly LogEntry[]): QuorumMachine {
+    const snapshot = {
+        lastIndex: 0,
+        lastTerm: 0,
+        voters: VOTERS,
+        parts: [],
+        retained: [],
+        position: { term: 0, version: 0, manifestVersion: 0 },
+    };
+    return QuorumMachine.create("a", { hardState, snapshot, entries }, () => 0, 0);
+}
+
+function vote(kind: QuorumMessageKind.Vote | QuorumMessageKind.PreVote, term: number, lastIndex: number, lastTerm: number): QuorumMessage {
+    return { kind, term, lastIndex, lastTerm };
+}
+
+interface Case {
+    readonly title: string;
+    readonly hardState: HardState;
+    readonly entries?: readonly LogEntry[];
+    readonly message: QuorumMessage;
+    readonly granted: boolean;
+}
+
+const cases: readonly Case[] = [
+    {
+        title: "a voter votes for a candidate with an equal log",
+        hardState: { term: 1, votedFor: undefined },
+        entries: [barrier(1, 1)],
+        message: vote(QuorumMessageKind.Vote, 2, 1, 1),
+        granted: true,
+    },
+    {
+        title: "a voter that has voted and restarted does not vote for another in the same term",
+        hardState: { term: 2, votedFor: "c" },
+        message: vote(QuorumMessageKind.Vote, 2, 5, 2),
+        granted: false,
+    },
+    {
+        title: "a voter that has voted and restarted votes for the same candidate again",
+        hardState: { term: 2, votedFor: "b" },
+        message: vote(QuorumMessageKind.Vote, 2, 5, 2),
+        granted: true,
+    },
+    {
+        title: "a candidate whose last entry is of an older term gets no vote, however long its log",
+        hardState: { term: 2, votedFor: undefined },
+        entries: [barrier(1, 1), barrier(2, 2)],
+        message: vote(QuorumMessageKind.Vote, 3, 9, 1),
+        granted: false,
+    },
+    {
+        title: "a candidate with a shorter log of the same term gets no vote",
+        hardState: { term: 2, votedFor: undefined },
+        entries: [barrier(1, 2), barrier(2, 2)],
+        message: vote(QuorumMessageKind.Vote, 3, 1, 2),
+        granted: false,
+    },
+    {
+        title: "a candidate of an old term gets no vote",
+        hardState: { term: 5, votedFor: undefined },
+        message: vote(QuorumMessageKind.Vote, 4, 9, 4),
+        granted: false,
+    },
+    {
+        title: "a pre-vote for a term already begun is not granted",
+        hardState: { term: 5, votedFor: undefined },
+        message: vote(QuorumMessageKind.PreVote, 5, 9, 4),
+        granted: false,
+    },
+];
+
+for (const { title, hardState, entries = [], message, granted } of cases) {
+    test(title, (t) => {
+        const machine = create(hardState, entries);
+        const output = machine.step({ kind: QuorumEventKind.Message, from: "b", message }, NO_LEADER_MS);
+        const reply = output.messages[0]?.message;
+        t.true(reply !== undefined && "granted" in reply);
+        t.is(reply !== undefined && "granted" in reply && reply.granted, granted);
+    });
+}
+
+test("a vote is made durable before it is sent", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const output = machine.step({ kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.Vote, 2, 0, 0) }, NO_LEADER_MS);
+    t.deepEqual(output.hardState, { term: 2, votedFor: "b" });
+});
+
+test("a pre-vote changes neither term nor vote", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const output = machine.step({ kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.PreVote, 9, 0, 0) }, NO_LEADER_MS);
+    t.is(output.hardState, undefined);
+    t.is(machine.term, 1);
+});
+
+test("a voter that hears its leader grants no pre-vote", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const append: QuorumMessage = { kind: QuorumMessageKind.Append, term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 };
+    machine.step({ kind: QuorumEventKind.Message, from: "c", message: append }, NO_LEADER_MS);
+    const output = machine.step(
+        { kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.PreVote, 2, 9, 1) },
+        NO_LEADER_MS + 999,
+    );
+    const reply = output.messages[0]?.message;
+    t.is(reply !== undefined && "granted" in reply && reply.granted, false);
+});
+
+test("a single voter founds a log once, and never from a log that it has", (t) => {
+    const empty = QuorumMachine.create("a", {
+        hardState: { term: 0, votedFor: undefined },
+        entries: [],
+        snapshot: { lastIndex: 0, lastTerm: 0, voters: [], parts: [], retained: [], position: { term: 0, version: 0, manifestVersion: 0 } },
+    }, () => 0, 0);
+    empty.step({ kind: QuorumEventKind.Bootstrap }, 0);
+    t.true(empty.isReady);
+    const used = create({ term: 3, votedFor: undefined }, [barrier(1, 3)]);
+    used.step({ kind: QuorumEventKind.Bootstrap }, 0);
+    t.false(used.isLeader);
+});
--- a/src/filters/IdentifyFilter/index.ts
+++ b/src/filters/IdentifyFilter/index.ts
@@ -12,17 +12,22 @@
 
 /** Finds the route, service and customer of a request. */
 export class IdentifyFilter implements RequestFilter {
-    private constructor(private readonly view: () => ConfigurationView) {}
+    private constructor(private readonly view: () => ConfigurationView, private readonly isReady: () => boolean) {}
 
-    /** Creates the filter over the configuration in force. */
-    static create(view: () => ConfigurationView): IdentifyFilter {
-        return new IdentifyFilter(view);
+    /**
+     * Creates the filter.
+     *
+     * @param view - Configuration in force.
+     * @param isReady - Whether the process may serve by it.
+     */
+    static create(view: () => ConfigurationView, isReady: () => boolean): IdentifyFilter {
+        return new IdentifyFilter(view, isReady);
     }
 
     async apply(context: RequestContext, next: () => Promise<void>): Promise<void> {
         const { request } = context;
         const view = this.view();
-        if (view.fleet === undefined) {
+        if (view.fleet === undefined || !this.isReady()) {
             concludeRequest(context, Outcome.NotRun, RefusalReason.NotReady, 0);
             return;
         }
--- a/src/operators/DaemonStatus.ts
+++ b/src/operators/DaemonStatus.ts
@@ -13,6 +13,8 @@
     readonly incarnation: string;
     readonly state: MemberState;
     readonly configuration: ConfigurationVersion;
+    /** True once a proxy serves callers; always true without the proxy role. */
+    readonly ready: boolean;
     readonly links: readonly string[];
     readonly linkBytes: LinkBytes;
     readonly members: readonly MemberStatus[];
