Split what a leader knows of its peers and the list of attempts from their machines

Enum members that nothing used stood in Step and EventNumber.

Change: PeerProgress and AttemptList.

--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -5,6 +5,7 @@
 import { EntryKind } from "../EntryKind.js";
 import { HardState } from "../HardState.js";
 import { LogEntry } from "../LogEntry.js";
+import { PeerProgress } from "../PeerProgress/index.js";
 import { QuorumEvent } from "../QuorumEvent.js";
 import { QuorumEventKind } from "../QuorumEventKind.js";
 import { QuorumLog } from "../QuorumLog/index.js";
@@ -18,19 +19,12 @@
 const HEARTBEAT_MS = 100;
 const ELECTION_MS = 1_000;
 const MAX_ENTRIES_PER_APPEND = 64;
-const MAX_LAG_ENTRIES = 10;
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
 type AppendReply = Extract<QuorumMessage, { kind: QuorumMessageKind.AppendReply }>;
 type VoteRequest = Extract<QuorumMessage, { kind: QuorumMessageKind.PreVote | QuorumMessageKind.Vote }>;
 type SnapshotMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Snapshot }>;
 
-interface Progress {
-    nextIndex: number;
-    matchIndex: number;
-    heardAtMs: number;
-}
-
 /**
  * Agrees on the log of accepted changes with the other control VMs (Raft, Ongaro and Ousterhout 2014), with a vote
  * before the vote so that a VM that was cut off does not disturb (section 9.6 of Ongaro's thesis), leaders that step
@@ -41,7 +35,7 @@
  */
 export class QuorumMachine {
     private readonly log: QuorumLog;
-    private readonly progress = new Map<string, Progress>();
+    private readonly progress: PeerProgress;
     private hardState: HardState;
     private role = QuorumRole.Follower;
     private leader: string | undefined;
@@ -66,6 +60,7 @@
         nowMs: number,
     ) {
         this.log = QuorumLog.create(state.snapshot, state.entries);
+        this.progress = PeerProgress.create(self);
         this.hardState = state.hardState;
         this.savedState = state.hardState;
         this.commitIndex = state.snapshot.lastIndex;
@@ -139,11 +134,7 @@
 
     /** Tells on the leader whether a peer answers and lacks no more than a few entries, so that it may vote. */
     hasCaughtUp(peer: string, nowMs: number): boolean {
-        const progress = this.progress.get(peer);
-        return progress !== undefined
-            && nowMs - progress.heardAtMs < ELECTION_MS
-            && progress.matchIndex > 0
-            && this.log.lastIndex - progress.matchIndex <= MAX_LAG_ENTRIES;
+        return this.progress.hasCaughtUp(peer, this.log.lastIndex, nowMs);
     }
 
     /** Sets the identities that get the log without a vote, as VMs to be added. */
@@ -221,8 +212,7 @@
     }
 
     private tickLeader(nowMs: number): void {
-        const heard = this.voters.filter((voter) => voter === this.self || nowMs - (this.progress.get(voter)?.heardAtMs ?? 0) < ELECTION_MS);
-        if (heard.length < majorityOf(this.voters.length)) {
+        if (!this.progress.hearsMajority(this.voters, nowMs)) {
             this.follow(this.hardState.term, undefined, nowMs);
             return;
         }
@@ -271,8 +261,7 @@
     private lead(nowMs: number): void {
         this.role = QuorumRole.Leader;
         this.leader = this.self;
-        this.progress.clear();
-        this.peers().forEach((peer) => this.progress.set(peer, { nextIndex: this.log.lastIndex + 1, matchIndex: 0, heardAtMs: nowMs }));
+        this.progress.reset(this.peers(), this.log.lastIndex, nowMs);
         this.heartbeatAtMs = nowMs;
         this.propose({ kind: EntryKind.Barrier }, nowMs);
     }
@@ -418,29 +407,20 @@
     }
 
     private takeAppendReply(from: string, message: AppendReply, nowMs: number): void {
-        const progress = this.progress.get(from);
-        if (!this.isLeader || message.term !== this.hardState.term || progress === undefined) {
+        if (!this.isLeader || message.term !== this.hardState.term) {
             return;
         }
-        progress.heardAtMs = nowMs;
-        if (message.accepted) {
-            progress.matchIndex = Math.max(progress.matchIndex, message.matchIndex);
-            progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
-            this.advanceCommit();
-        }
-        else {
-            progress.nextIndex = Math.max(progress.matchIndex + 1, Math.min(progress.nextIndex - 1, message.matchIndex + 1));
+        if (!this.progress.take(from, message.accepted, message.matchIndex, nowMs)) {
+            return;
         }
-        if (progress.nextIndex <= this.log.lastIndex) {
+        this.advanceCommit();
+        if (this.progress.nextIndex(from, this.log.lastIndex) <= this.log.lastIndex) {
             this.sendAppend(from);
         }
     }
 
     private advanceCommit(): void {
-        const indexes = this.voters
-            .map((voter) => voter === this.self ? this.log.lastIndex : this.progress.get(voter)?.matchIndex ?? 0)
-            .sort((left, right) => right - left);
-        const index = indexes[majorityOf(this.voters.length) - 1] ?? 0;
+        const index = this.progress.majorityIndex(this.voters, this.log.lastIndex);
         if (index > this.commitIndex && this.log.termAt(index) === this.hardState.term) {
             this.commitIndex = index;
             this.heartbeatAtMs = 0;
@@ -448,16 +428,15 @@
     }
 
     private sendAppend(to: string): void {
-        const progress = this.progress.get(to) ?? { nextIndex: this.log.lastIndex + 1, matchIndex: 0, heardAtMs: 0 };
-        this.progress.set(to, progress);
-        const previousIndex = progress.nextIndex - 1;
+        const nextIndex = this.progress.nextIndex(to, this.log.lastIndex);
+        const previousIndex = nextIndex - 1;
         const previousTerm = this.log.termAt(previousIndex);
         const { term } = this.hardState;
         if (previousTerm === undefined) {
             this.send(to, { kind: QuorumMessageKind.Snapshot, term, snapshot: this.log.snapshot });
             return;
         }
-        const entries = this.log.slice(progress.nextIndex, previousIndex + MAX_ENTRIES_PER_APPEND);
+        const entries = this.log.slice(nextIndex, previousIndex + MAX_ENTRIES_PER_APPEND);
         this.send(to, { kind: QuorumMessageKind.Append, term, previousIndex, previousTerm, entries, commitIndex: this.commitIndex });
     }
 
--- a/src/decisions/requests/RequestMachine/index.ts
+++ b/src/decisions/requests/RequestMachine/index.ts
@@ -6,7 +6,7 @@
 import { RefusalReason } from "../../../model/RefusalReason.js";
 import { SettleMode } from "../../../model/SettleMode.js";
 import { ClaimedAttempt } from "../../claims/ClaimedAttempt.js";
-import { attemptKey } from "../../gate/attemptKey/index.js";
+import { AttemptList } from "../AttemptList/index.js";
 import { AttemptProgress } from "../AttemptProgress.js";
 import { RequestEffect } from "../RequestEffect.js";
 import { RequestEffectKind } from "../RequestEffectKind.js";
@@ -35,7 +35,7 @@
  * have run. Deterministic: no clock, no input or output.
  */
 export class RequestMachine {
-    private readonly attempts: TrackedAttempt[] = [];
+    private readonly attempts = AttemptList.create();
     private isClosed = false;
     private isClosing = false;
     private resumptions = 0;
@@ -56,7 +56,7 @@
 
     /** Identities of all attempts that this request made. */
     get attemptIds(): readonly AttemptId[] {
-        return this.attempts.filter((attempt) => !attempt.foreign).map((attempt) => attempt.id);
+        return this.attempts.ownIds;
     }
 
     /**
@@ -78,7 +78,7 @@
             case RequestEventKind.DeadlineDue:
                 return this.passDeadline(nowMs);
             case RequestEventKind.FinalSettleDue:
-                return this.conclude(this.outcomeOfAttempts(), RefusalReason.DeadlinePassed);
+                return this.conclude(this.attempts.outcome, RefusalReason.DeadlinePassed);
             case RequestEventKind.CallerLost:
                 return this.loseCaller();
             default:
@@ -87,7 +87,7 @@
     }
 
     private stepAttempt(event: Extract<RequestEvent, { id: AttemptId }>, nowMs: number): readonly RequestEffect[] {
-        const attempt = this.attempts.find((candidate) => attemptKey(candidate.id) === attemptKey(event.id));
+        const attempt = this.attempts.find(event.id);
         if (attempt === undefined) {
             return [];
         }
@@ -146,28 +146,20 @@
     }
 
     private tryNext(nowMs: number, resume: boolean): readonly RequestEffect[] {
-        const gate = this.ports.choose(this.attempts.map((attempt) => attempt.gate));
+        const gate = this.ports.choose(this.attempts.gates);
         if (gate === undefined) {
-            return resume ? this.abort() : this.conclude(this.outcomeOfAttempts(), this.lastReason);
+            return resume ? this.abort() : this.conclude(this.attempts.outcome, this.lastReason);
         }
         this.assertMayRun();
-        const attempt: TrackedAttempt = {
-            id: this.ports.nextId(),
-            gate,
-            foreign: false,
-            resume,
-            progress: this.plan.claimed ? AttemptProgress.Claiming : AttemptProgress.Sent,
-            finishedVerdicts: 0,
-            fetched: false,
-        };
-        this.attempts.push(attempt);
+        const progress = this.plan.claimed ? AttemptProgress.Claiming : AttemptProgress.Sent;
+        const attempt = this.attempts.addOwn(this.ports.nextId(), gate, resume, progress);
         return this.plan.claimed
             ? [{ kind: RequestEffectKind.Claim, id: attempt.id, gate }]
             : this.send(attempt, nowMs);
     }
 
     private assertMayRun(): void {
-        const mayRun = this.plan.idempotent || this.attempts.every((attempt) => attempt.progress === AttemptProgress.NotRun);
+        const mayRun = this.plan.idempotent || this.attempts.allNotRun;
         assertInvariant(mayRun, "work that is not idempotent is sent again only after its earlier attempts did not run", this.plan.requestId);
     }
 
@@ -188,7 +180,7 @@
 
     private denyClaim(attempt: TrackedAttempt, reason: RefusalReason): readonly RequestEffect[] {
         attempt.progress = AttemptProgress.NotRun;
-        return this.conclude(this.outcomeOfAttempts(), reason);
+        return this.conclude(this.attempts.outcome, reason);
     }
 
     private fetchForeign(attempt: TrackedAttempt, other: ClaimedAttempt): readonly RequestEffect[] {
@@ -196,16 +188,7 @@
             return [];
         }
         attempt.progress = AttemptProgress.NotRun;
-        const foreign: TrackedAttempt = {
-            id: other.id,
-            gate: other.gate,
-            foreign: true,
-            resume: false,
-            progress: AttemptProgress.Fetching,
-            finishedVerdicts: 0,
-            fetched: true,
-        };
-        this.attempts.push(foreign);
+        const foreign = this.attempts.addForeign(other.id, other.gate);
         return [{ kind: RequestEffectKind.Fetch, id: foreign.id, gate: foreign.gate }];
     }
 
@@ -218,7 +201,7 @@
     }
 
     private markNotRun(attempt: TrackedAttempt, reason: RefusalReason, nowMs: number): readonly RequestEffect[] {
-        if (!isOpen(attempt)) {
+        if (!this.attempts.isOpen(attempt)) {
             return [];
         }
         attempt.progress = AttemptProgress.NotRun;
@@ -230,14 +213,14 @@
         if (failed.resume) {
             return this.resume(nowMs);
         }
-        if (this.attempts.some(isOpen)) {
+        if (this.attempts.open.length > 0) {
             return [];
         }
         if (this.isClosing || nowMs >= this.plan.deadlineAtMs) {
-            return this.conclude(this.outcomeOfAttempts(), RefusalReason.DeadlinePassed);
+            return this.conclude(this.attempts.outcome, RefusalReason.DeadlinePassed);
         }
-        if (this.attempts.length >= this.plan.maxAttempts || !(isFree || this.ports.withdrawRetry())) {
-            return this.conclude(this.outcomeOfAttempts(), this.lastReason);
+        if (this.attempts.size >= this.plan.maxAttempts || !(isFree || this.ports.withdrawRetry())) {
+            return this.conclude(this.attempts.outcome, this.lastReason);
         }
         return this.tryNext(nowMs, false);
     }
@@ -281,13 +264,12 @@
     }
 
     private deliver(attempt: TrackedAttempt): readonly RequestEffect[] {
-        const isAwaited = isOpen(attempt) && attempt.progress !== AttemptProgress.Claiming;
-        const isOther = this.attempts.some((other) => other !== attempt && other.progress === AttemptProgress.Delivering);
-        if (!isAwaited || (isOther && !attempt.resume)) {
+        const isAwaited = this.attempts.isOpen(attempt) && attempt.progress !== AttemptProgress.Claiming;
+        if (!isAwaited || (this.attempts.isOtherDelivering(attempt) && !attempt.resume)) {
             return [{ kind: RequestEffectKind.Cancel, id: attempt.id }];
         }
         attempt.progress = AttemptProgress.Delivering;
-        const losers = this.attempts.filter((other) => other !== attempt && isOpen(other));
+        const losers = this.attempts.open.filter((other) => other !== attempt);
         losers.forEach((other) => other.progress = AttemptProgress.Lost);
         return [
             ...losers.map((other): RequestEffect => ({ kind: RequestEffectKind.Cancel, id: other.id })),
@@ -377,23 +359,23 @@
     }
 
     private hedge(nowMs: number): readonly RequestEffect[] {
-        const open = this.attempts.filter(isOpen);
+        const open = this.attempts.open;
         const isWaiting = open.length === 1 && open[0]?.progress === AttemptProgress.Sent;
-        if (!isWaiting || this.attempts.length >= this.plan.maxAttempts || !this.ports.withdrawRetry()) {
+        if (!isWaiting || this.attempts.size >= this.plan.maxAttempts || !this.ports.withdrawRetry()) {
             return [];
         }
-        const gate = this.ports.choose(this.attempts.map((attempt) => attempt.gate));
+        const gate = this.ports.choose(this.attempts.gates);
         return gate === undefined ? [] : this.tryNext(nowMs, false);
     }
 
     private passDeadline(nowMs: number): readonly RequestEffect[] {
-        if (this.attempts.some((attempt) => attempt.progress === AttemptProgress.Delivering || attempt.resume)) {
+        if (this.attempts.isDelivering) {
             return [];
         }
-        const open = this.attempts.filter(isOpen);
+        const open = this.attempts.open;
         if (this.plan.idempotent) {
             open.forEach((attempt) => attempt.progress = AttemptProgress.Lost);
-            return [...open.map(cancel), ...this.conclude(this.outcomeOfAttempts(), RefusalReason.DeadlinePassed)];
+            return [...open.map(cancel), ...this.conclude(this.attempts.outcome, RefusalReason.DeadlinePassed)];
         }
         this.isClosing = true;
         return [
@@ -421,7 +403,7 @@
 
     private loseCaller(): readonly RequestEffect[] {
         this.isClosed = true;
-        const open = this.attempts.filter(isOpen);
+        const open = this.attempts.open;
         if (this.plan.idempotent) {
             return open.map(cancel);
         }
@@ -430,7 +412,7 @@
     }
 
     private release(): readonly RequestEffect[] {
-        const didNotRun = this.outcomeOfAttempts() === Outcome.NotRun;
+        const didNotRun = this.attempts.outcome === Outcome.NotRun;
         return this.plan.claimed && didNotRun ? [{ kind: RequestEffectKind.Release }] : [];
     }
 
@@ -440,29 +422,20 @@
     }
 
     private conclude(outcome: Outcome, reason: RefusalReason | undefined): readonly RequestEffect[] {
-        const mayHaveRun = this.attempts.some((attempt) => attempt.progress !== AttemptProgress.NotRun);
-        assertInvariant(outcome !== Outcome.NotRun || !mayHaveRun, "a request answered not-run has no attempt that may have run", this.plan.requestId);
+        assertInvariant(outcome !== Outcome.NotRun || this.attempts.allNotRun, "a request answered not-run has no attempt that may have run", this.plan.requestId);
         this.isClosed = true;
         return [
-            ...this.attempts.filter(isOpen).map(cancel),
+            ...this.attempts.open.map(cancel),
             ...this.release(),
             { kind: RequestEffectKind.Conclude, outcome, reason, retryAfterMs: this.retryAfterMs },
         ];
     }
 
-    private outcomeOfAttempts(): Outcome {
-        return this.attempts.every((attempt) => attempt.progress === AttemptProgress.NotRun) ? Outcome.NotRun : Outcome.Unknown;
-    }
-
     private armQuery(attempt: TrackedAttempt, atMs: number): RequestEffect {
         return { kind: RequestEffectKind.Arm, timer: { kind: RequestEventKind.QueryDue, id: attempt.id }, atMs };
     }
 }
 
-function isOpen(attempt: TrackedAttempt): boolean {
-    return attempt.progress !== AttemptProgress.NotRun && attempt.progress !== AttemptProgress.Lost;
-}
-
 function cancel(attempt: TrackedAttempt): RequestEffect {
     return { kind: RequestEffectKind.Cancel, id: attempt.id };
 }
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -3,7 +3,6 @@
     DaemonStarted = 100,
     DaemonStopping = 101,
     DaemonStopped = 102,
-    DaemonFailed = 103,
     InvariantViolated = 190,
     LinkOpened = 200,
     LinkClosed = 201,
--- a/src/model/Step.ts
+++ b/src/model/Step.ts
@@ -8,11 +8,6 @@
     Storage = "storage",
     Apply = "apply",
     Announce = "announce",
-    Identify = "identify",
     Attempt = "attempt",
-    Settle = "settle",
-    Relay = "relay",
-    Drain = "drain",
-    Operator = "operator",
     Invariant = "invariant",
 }
