--- a/src/entry/RequestRun/index.ts
+++ b/src/entry/RequestRun/index.ts
@@ -10,12 +10,11 @@
 import { RequestPlan } from "../../decisions/requests/RequestPlan.js";
 import { ClaimPlan } from "../../decisions/claims/ClaimPlan.js";
 import { RequestContext } from "../../filters/RequestContext.js";
-import { AnswerVerifier } from "../../http/AnswerVerifier/index.js";
-import { collectBody } from "../../http/collectBody/index.js";
 import { endToEndHeaders } from "../../http/endToEndHeaders/index.js";
 import { headerValue } from "../../http/headerValue/index.js";
 import { HeaderName } from "../../http/HeaderName.js";
 import { isBodiless } from "../../http/isBodiless/index.js";
+import { PooledAnswer } from "../../http/PooledAnswer.js";
 import { relayBody } from "../../http/relayBody/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
@@ -28,6 +27,8 @@
 import { AttemptResult } from "../AttemptResult.js";
 import { AttemptResultKind } from "../AttemptResultKind.js";
 import { ClaimRun } from "../ClaimRun/index.js";
+import { collectAnswer } from "../collectAnswer/index.js";
+import { CollectedAnswer } from "../CollectedAnswer.js";
 import { concludeRequest } from "../concludeRequest/index.js";
 import { DeliveredAnswer } from "../DeliveredAnswer/index.js";
 import { EntryTools } from "../EntryTools.js";
@@ -190,7 +191,7 @@
         switch (result.kind) {
             case AttemptResultKind.Answer:
                 this.tools.loads.report(exchange.gate, headerValue(result.answer.headers, HeaderName.Load) ?? "", nowMs());
-                await this.prepare(id, exchange, { ...result.answer, outcome: result.outcome });
+                await this.prepare(id, exchange, result.answer, result.outcome);
                 return;
             case AttemptResultKind.Refused:
                 this.record(EventNumber.AttemptRetried, id, result.reason);
@@ -212,13 +213,12 @@
         }
     }
 
-    private async prepare(id: AttemptId, exchange: AttemptExchange, answer: ReadyAnswer & { body: Readable }): Promise<void> {
-        const { status, headers, body, outcome } = answer;
-        const isInconclusive = outcome === Outcome.Unknown && this.plan.idempotent;
+    private async prepare(id: AttemptId, exchange: AttemptExchange, answer: PooledAnswer, outcome: Outcome): Promise<void> {
+        const { status, headers, body } = answer;
         if (headerValue(headers, HeaderName.Reason) === RefusalReason.BackendLost) {
             this.tools.quarantine.strike(this.context.fingerprint, exchange.gate.gate);
         }
-        if (isInconclusive) {
+        if (outcome === Outcome.Unknown && this.plan.idempotent) {
             body.on("error", () => undefined).resume();
             this.step({ kind: RequestEventKind.Broken, id });
             return;
@@ -226,33 +226,13 @@
         const lengthBytes = Number(headerValue(headers, HeaderName.ContentLength) ?? Number.POSITIVE_INFINITY);
         const bodiless = isBodiless(this.context.request.method ?? "GET", status);
         if (!bodiless && lengthBytes > BUFFERED_ANSWER_BYTES) {
-            exchange.answer = answer;
+            exchange.answer = { status, headers, outcome, body };
             this.step({ kind: RequestEventKind.Head, id });
             return;
         }
-        await this.collect(id, exchange, answer, bodiless);
-    }
-
-    private async collect(
-        id: AttemptId,
-        exchange: AttemptExchange,
-        answer: ReadyAnswer & { body: Readable },
-        bodiless: boolean,
-    ): Promise<void> {
-        let body: Buffer | undefined;
-        try {
-            body = await collectBody(answer.body, BUFFERED_ANSWER_BYTES);
-        }
-        catch {
-            this.step({ kind: RequestEventKind.Broken, id });
-            return;
-        }
-        const whole = body ?? Buffer.alloc(0);
-        exchange.answer = { status: answer.status, headers: answer.headers, outcome: answer.outcome, body: whole };
-        const verifier = AnswerVerifier.create(answer.headers);
-        verifier.update(whole);
-        const isSound = bodiless || verifier.matches();
-        this.step({ kind: isSound ? RequestEventKind.Head : RequestEventKind.Corrupt, id });
+        const collected = await collectAnswer(answer, outcome, bodiless, BUFFERED_ANSWER_BYTES);
+        exchange.answer = collected?.answer;
+        this.step({ kind: eventOf(collected), id });
     }
 
     private async deliver(id: AttemptId): Promise<void> {
@@ -351,3 +331,10 @@
         this.tools.events.record(event, { requestId: this.context.requestId, attempt: attemptKey(id), detail });
     }
 }
+
+function eventOf(collected: CollectedAnswer | undefined): RequestEventKind.Broken | RequestEventKind.Corrupt | RequestEventKind.Head {
+    if (collected === undefined) {
+        return RequestEventKind.Broken;
+    }
+    return collected.isSound ? RequestEventKind.Head : RequestEventKind.Corrupt;
+}
--- a/src/gate/GateController/index.ts
+++ b/src/gate/GateController/index.ts
@@ -28,6 +28,7 @@
 import { RefusalReason } from "../../model/RefusalReason.js";
 import { toError } from "../../model/toError/index.js";
 import { SettleQuestion } from "../../model/SettleQuestion.js";
+import { outcomeHeaders } from "../outcomeHeaders/index.js";
 import { GateSetup } from "../GateSetup.js";
 import { ReceivedAttempt } from "../ReceivedAttempt.js";
 import { RetainedAnswer } from "../RetainedAnswer.js";
@@ -215,7 +216,7 @@
         const didNotRun = isConnectFailure(error);
         const outcome = didNotRun ? Outcome.NotRun : Outcome.Unknown;
         const reason = didNotRun ? RefusalReason.BackendUnreachable : await this.findLoss(pending);
-        const headers = { ...this.outcomeHeaders(outcome), ...(reason === undefined ? {} : { [HeaderName.Reason]: reason }) };
+        const headers = { ...this.headersOf(outcome), ...(reason === undefined ? {} : { [HeaderName.Reason]: reason }) };
         const status = didNotRun ? STATUS_REFUSED : STATUS_BAD_ANSWER;
         this.finishAnswer(pending, { status, headers, body: Buffer.alloc(0), outcome });
     }
@@ -234,7 +235,7 @@
         this.setup.quarantine.acquit(fingerprint);
         const isShed = this.setup.notRunStatuses.includes(answer.status);
         const outcome = isShed ? Outcome.NotRun : Outcome.Ran;
-        const headers = { ...endToEndHeaders(answer.headers), ...this.outcomeHeaders(outcome) };
+        const headers = { ...endToEndHeaders(answer.headers), ...this.headersOf(outcome) };
         if (isShed) {
             headers[HeaderName.Reason] = RefusalReason.ShedByBackend;
         }
@@ -292,13 +293,8 @@
         };
     }
 
-    private outcomeHeaders(outcome: Outcome): Record<string, string | string[]> {
-        const { running, queued, slots } = this.ledger.load;
-        return {
-            [HeaderName.Outcome]: outcome,
-            [HeaderName.Load]: `${running}/${queued}/${slots}`,
-            [HeaderName.Server]: `${this.setup.vm}/${this.setup.endpointId}`,
-        };
+    private headersOf(outcome: Outcome): Record<string, string | string[]> {
+        return outcomeHeaders(outcome, this.ledger.load, `${this.setup.vm}/${this.setup.endpointId}`);
     }
 
     private writeRefusal(response: ServerResponse, reason: RefusalReason, retryAfterMs: number): void {
@@ -306,7 +302,7 @@
             return;
         }
         response.writeHead(STATUS_REFUSED, {
-            ...this.outcomeHeaders(reason === RefusalReason.Duplicate ? Outcome.Unknown : Outcome.NotRun),
+            ...this.headersOf(reason === RefusalReason.Duplicate ? Outcome.Unknown : Outcome.NotRun),
             [HeaderName.Reason]: reason,
             [HeaderName.RetryAfterMs]: String(retryAfterMs),
         });
--- a/src/model/FleetError.ts
+++ b/src/model/FleetError.ts
@@ -8,7 +8,7 @@
     readonly peer: string;
 
     private constructor(details: ErrorDetails, message: string) {
-        const options = { name: "FleetError", info: { step: details.step, peer: details.peer } };
+        const options = { name: "FleetError", info: { step: details.step, peer: details.peer }, skipCauseMessage: true };
         super(details.cause === undefined ? options : { ...options, cause: details.cause }, "%s", message);
         this.step = details.step;
         this.peer = details.peer;
