--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -76,8 +76,8 @@
         const network = this.networkOf(this.links);
         this.membership = MembershipController.create(self, settings.links.seeds, network, events, Math.random);
         if (settings.proxy !== undefined && settings.roles.includes(Role.Proxy)) {
-            const { proxy } = settings;
-            this.proxy = await ProxyRole.create(settings, proxy, this.incarnation, this.configuration, this.membership, this.links, network, events);
+            const { incarnation, configuration, membership, links } = this;
+            this.proxy = await ProxyRole.create({ settings, ports: settings.proxy, incarnation, configuration, membership, links, network, events });
         }
         this.control?.attach(this.membership, this.links);
         this.configuration.addListener(() => this.configurationChanged());
--- a/src/daemon/ProxyRole/index.ts
+++ b/src/daemon/ProxyRole/index.ts
@@ -1,9 +1,6 @@
 import type { Server } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { nowMs } from "../../clock/nowMs/index.js";
-import { ConfigurationController } from "../../controllers/ConfigurationController/index.js";
-import { LinkNetwork } from "../../controllers/LinkNetwork.js";
-import { MembershipController } from "../../controllers/MembershipController/index.js";
 import { QuarantineController } from "../../controllers/QuarantineController/index.js";
 import { WitnessController } from "../../controllers/WitnessController/index.js";
 import { RosterWitness } from "../../decisions/claims/RosterWitness.js";
@@ -32,16 +29,14 @@
 import { EndpointController } from "../../gate/EndpointController/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
 import { listenHttp } from "../../http/listenHttp/index.js";
-import { LinkController } from "../../links/LinkController/index.js";
 import { LinkPort } from "../../links/LinkPort.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
-import { EventLog } from "../../logs/EventLog/index.js";
 import { RequestMetrics } from "../../metrics/RequestMetrics/index.js";
 import { AttemptVerdict } from "../../model/AttemptVerdict.js";
 import { GateRef } from "../../model/GateRef.js";
 import { SettleQuestion } from "../../model/SettleQuestion.js";
-import { Settings } from "../../settings/Settings.js";
+import { ProxySetup } from "../ProxySetup.js";
 
 const SETTLE_TIMEOUT_MS = 500;
 const CLOSE_IDLE_MS = 5_000;
@@ -59,16 +54,13 @@
     readonly witness: WitnessController;
 
     private constructor(
-        private readonly configuration: ConfigurationController,
-        private readonly membership: MembershipController,
-        private readonly links: LinkController,
+        private readonly setup: ProxySetup,
         private readonly sender: AttemptSender,
         readonly endpoints: EndpointController,
         readonly quarantine: QuarantineController,
         readonly metrics: RequestMetrics,
-        private readonly events: EventLog,
-        incarnation: string,
     ) {
+        const { incarnation, configuration, membership, links, events } = setup;
         const { vm } = membership.own;
         this.witness = WitnessController.create(vm, incarnation, () => configuration.view, (...call) => links.call(...call), events);
         this.index = EndpointIndex.create(membership.directory);
@@ -89,25 +81,17 @@
     /**
      * Starts the role: listens for callers, for attempts and for announcements.
      *
+     * @param setup - What the role is made from.
      * @throws FleetError if one of its ports cannot be listened on.
      */
-    static async create(
-        settings: Settings,
-        ports: NonNullable<Settings["proxy"]>,
-        incarnation: string,
-        configuration: ConfigurationController,
-        membership: MembershipController,
-        links: LinkController,
-        network: LinkNetwork,
-        events: EventLog,
-    ): Promise<ProxyRole> {
+    static async create(setup: ProxySetup): Promise<ProxyRole> {
+        const { settings, ports, incarnation, configuration, membership, network, events } = setup;
         const token = deriveToken(settings.links.fleetKey);
         const metrics = RequestMetrics.create(settings.metrics?.statsdHost, settings.metrics?.statsdPort);
         const quarantine = QuarantineController.create(network, events);
         const endpoints = EndpointController.create(settings.vm.name, incarnation, () => configuration.view, quarantine, events);
         endpoints.setListener(() => membership.setEndpoints(endpoints.records()));
-        const sender = AttemptSender.create(token);
-        const role = new ProxyRole(configuration, membership, links, sender, endpoints, quarantine, metrics, events, incarnation);
+        const role = new ProxyRole(setup, AttemptSender.create(token), endpoints, quarantine, metrics);
         const { address } = settings.vm;
         role.servers = [
             await listenHttp(address, ports.gatePort, "proxy.gatePort", createGateApp(endpoints, token)),
@@ -122,9 +106,9 @@
         if (this.readiness.hasBeenReady) {
             return true;
         }
-        const { own, directory } = this.membership;
+        const { own, directory } = this.setup.membership;
         const others = directory.live().filter((member) => member.vm !== own.vm);
-        return this.readiness.isReady(this.configuration.view.position, new Set(others.map((member) => member.failureDomain)));
+        return this.readiness.isReady(this.setup.configuration.view.position, new Set(others.map((member) => member.failureDomain)));
     }
 
     /** Answers a call of another process; undefined if it is not for the proxy role. */
@@ -194,7 +178,7 @@
             sender: this.sender,
             numbering,
             loads,
-            events: this.events,
+            events: this.setup.events,
             quarantine: this.quarantine,
             choose: (context, excluded) => this.choose(context, excluded, loads),
             withdrawRetry: (service) => this.budget(service).withdraw(),
@@ -210,7 +194,7 @@
             return undefined;
         }
         if (excluded.length === 0) {
-            this.budget(service).deposit(this.configuration.view.fleet?.retryShare ?? 0);
+            this.budget(service).deposit(this.setup.configuration.view.fleet?.retryShare ?? 0);
         }
         const atMs = nowMs();
         const candidates = this.index.serving(service)
@@ -226,19 +210,19 @@
     }
 
     private async askWitness(witness: RosterWitness, request: WitnessRequest): Promise<WitnessReply | undefined> {
-        if (witness.vm === this.membership.own.vm) {
+        if (witness.vm === this.setup.membership.own.vm) {
             return this.witness.take(request);
         }
         const message = { kind: MessageKind.Witness as const, request };
-        const reply = await this.links.call(witness.vm, witness.linkAddress, message, SETTLE_TIMEOUT_MS);
+        const reply = await this.setup.links.call(witness.vm, witness.linkAddress, message, SETTLE_TIMEOUT_MS);
         return reply?.kind === MessageKind.WitnessReply ? reply.reply : undefined;
     }
 
     private async settle(gate: GateRef, question: SettleQuestion): Promise<AttemptVerdict> {
-        if (gate.vm === this.membership.own.vm) {
+        if (gate.vm === this.setup.membership.own.vm) {
             return this.endpoints.settle(question);
         }
-        const reply = await this.links.call(gate.vm, gate.linkAddress, { kind: MessageKind.Settle, question }, SETTLE_TIMEOUT_MS);
+        const reply = await this.setup.links.call(gate.vm, gate.linkAddress, { kind: MessageKind.Settle, question }, SETTLE_TIMEOUT_MS);
         return reply?.kind === MessageKind.Verdict ? reply.verdict : AttemptVerdict.Unreachable;
     }
 }
