--- a/src/decisions/gate/GateLedger/index.ts
+++ b/src/decisions/gate/GateLedger/index.ts
@@ -4,10 +4,10 @@
 import { AttemptVerdict } from "../../../model/AttemptVerdict.js";
 import { RefusalReason } from "../../../model/RefusalReason.js";
 import { SettleMode } from "../../../model/SettleMode.js";
+import { AdmissionQueue } from "../AdmissionQueue/index.js";
 import { attemptKey } from "../attemptKey/index.js";
 import { AttemptPhase } from "../AttemptPhase.js";
 import { EntryLedger } from "../EntryLedger/index.js";
-import { FairQueue } from "../FairQueue/index.js";
 import { GateAttempt } from "../GateAttempt.js";
 import { GateEffect } from "../GateEffect.js";
 import { GateEffectKind } from "../GateEffectKind.js";
@@ -37,8 +37,7 @@
 export class GateLedger {
     private readonly entries = new Map<string, EntryLedger>();
     private readonly running = new Map<string, RunningAttempt>();
-    private readonly reservedQueue = FairQueue.create();
-    private readonly generalQueue = FairQueue.create();
+    private readonly queue = AdmissionQueue.create();
     private generalRunning = 0;
     private meanServiceMs = INITIAL_SERVICE_MS;
     private drainStartedAtMs: number | undefined;
@@ -66,7 +65,7 @@
 
     /** Current load. */
     get load(): GateLoad {
-        return { running: this.running.size, queued: this.queued, slots: this.limits.slots };
+        return { running: this.running.size, queued: this.queue.size, slots: this.limits.slots };
     }
 
     /** True once a drain has begun. */
@@ -144,7 +143,7 @@
         if (attempt.deadlineAtMs <= nowMs) {
             return RefusalReason.DeadlinePassed;
         }
-        if (this.running.size + this.queued >= this.limits.connections) {
+        if (this.running.size + this.queue.size >= this.limits.connections) {
             return RefusalReason.Overloaded;
         }
         const waitMs = this.canStart(attempt) ? 0 : this.expectedWaitMs();
@@ -152,15 +151,12 @@
     }
 
     private enqueue(attempt: GateAttempt, nowMs: number): readonly GateEffect[] {
-        const queue = this.queueOf(attempt);
         this.setPhase(attempt.id, AttemptPhase.Queued);
-        queue.push(attempt);
-        if (this.queued <= this.limits.queue || this.canStart(attempt)) {
+        this.queue.push(attempt);
+        if (this.queue.size <= this.limits.queue || this.canStart(attempt)) {
             return [];
         }
-        const dropped = queue.sizeOf(attempt.customer) >= queue.longest ? attempt : queue.popLongest() ?? attempt;
-        queue.remove(dropped);
-        return [this.refuse(dropped, RefusalReason.Overloaded, nowMs)];
+        return [this.refuse(this.queue.dropFor(attempt), RefusalReason.Overloaded, nowMs)];
     }
 
     private finish(id: AttemptId, nowMs: number): readonly GateEffect[] {
@@ -217,9 +213,7 @@
     }
 
     private void(id: AttemptId, nowMs: number): AttemptVerdict {
-        const isSame = (attempt: GateAttempt): boolean => attemptKey(attempt.id) === attemptKey(id);
-        this.reservedQueue.removeWhere(isSame);
-        this.generalQueue.removeWhere(isSame);
+        this.queue.remove(attemptKey(id));
         this.setPhase(id, AttemptPhase.Voided, nowMs + this.limits.keyedRetentionMs);
         return AttemptVerdict.Voided;
     }
@@ -229,9 +223,9 @@
         [...this.entries].filter(([, entry]) => entry.isIdleSince(idleSinceMs, nowMs)).forEach(([name]) => this.entries.delete(name));
         const drainExpired = this.drainStartedAtMs !== undefined && nowMs >= this.drainStartedAtMs + DRAIN_QUEUE_GRACE_MS;
         if (drainExpired) {
-            return this.removeQueued(() => true).map((attempt) => this.refuse(attempt, RefusalReason.Draining, nowMs));
+            return this.queue.removeWhere(() => true).map((attempt) => this.refuse(attempt, RefusalReason.Draining, nowMs));
         }
-        return this.removeQueued((attempt) => attempt.deadlineAtMs <= nowMs)
+        return this.queue.removeWhere((attempt) => attempt.deadlineAtMs <= nowMs)
             .map((attempt) => this.refuse(attempt, RefusalReason.DeadlinePassed, nowMs));
     }
 
@@ -252,8 +246,7 @@
         if (this.running.size >= this.limits.slots) {
             return undefined;
         }
-        const reserved = this.reservedQueue.shift();
-        return reserved ?? (this.generalRunning < this.generalSlots ? this.generalQueue.shift() : undefined);
+        return this.queue.shift(this.generalRunning < this.generalSlots);
     }
 
     private start(attempt: GateAttempt, nowMs: number): GateEffect {
@@ -273,7 +266,7 @@
     }
 
     private reportDrained(): readonly GateEffect[] {
-        if (!this.isDraining || this.drainReported || this.running.size + this.queued > 0) {
+        if (!this.isDraining || this.drainReported || this.running.size + this.queue.size > 0) {
             return [];
         }
         this.drainReported = true;
@@ -286,19 +279,7 @@
     }
 
     private expectedWaitMs(): number {
-        return (this.queued + 1) * this.meanServiceMs / this.limits.slots;
-    }
-
-    private removeQueued(condition: (attempt: GateAttempt) => boolean): readonly GateAttempt[] {
-        return [...this.reservedQueue.removeWhere(condition), ...this.generalQueue.removeWhere(condition)];
-    }
-
-    private queueOf(attempt: GateAttempt): FairQueue {
-        return isReservedClass(attempt.serviceClass) ? this.reservedQueue : this.generalQueue;
-    }
-
-    private get queued(): number {
-        return this.reservedQueue.size + this.generalQueue.size;
+        return (this.queue.size + 1) * this.meanServiceMs / this.limits.slots;
     }
 
     private get generalSlots(): number {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,4 +1,4 @@
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { setTimeout as delay } from "node:timers/promises";
 import { callOperator } from "../src/cli/callOperator/index.js";
 import { EndpointStatus } from "../src/operators/EndpointStatus.js";
@@ -62,6 +62,19 @@
     return counts.reduce((sum, count) => sum + count, 0);
 }
 
+interface Submission {
+    readonly workId: string;
+    readonly answer: TimedAnswer;
+}
+
+async function checkTruthful(t: ExecutionContext, submissions: readonly Submission[]): Promise<void> {
+    for (const { workId, answer } of submissions) {
+        const count = await executions(workId);
+        t.true(count <= 1, `${workId} ran ${count} times`);
+        t.true(answer.headers[HeaderName.Outcome] !== "not-run" || count === 0, `${workId} was answered not-run`);
+    }
+}
+
 test.serial("every proxy serves every service whole, whichever VM its endpoint is on", async (t) => {
     for (const entry of fleet.nodes) {
         const answer = await timeRequest({ address: entry.callerAddress, method: "GET", path: "/lookup/kitab" });
@@ -147,11 +160,7 @@
     });
     await delay(300);
     await gate.proxy.stop("SIGKILL");
-    for (const { workId, answer } of await Promise.all(submissions)) {
-        const count = await executions(workId);
-        t.true(count <= 1, `${workId} ran ${count} times`);
-        t.true(answer.headers[HeaderName.Outcome] !== "not-run" || count === 0, `${workId} was answered not-run`);
-    }
+    await checkTruthful(t, await Promise.all(submissions));
     fleet.startProxy(gate);
     await fleet.ready(5);
 });
@@ -169,11 +178,7 @@
     gate.proxy.signal("SIGCONT");
     const results = await Promise.all(submissions);
     await delay(500);
-    for (const { workId, answer } of results) {
-        const count = await executions(workId);
-        t.true(count <= 1, `${workId} ran ${count} times`);
-        t.true(answer.headers[HeaderName.Outcome] !== "not-run" || count === 0, `${workId} was answered not-run`);
-    }
+    await checkTruthful(t, results);
     await fleet.ready(5);
 });
 
