--- a/src/decisions/claims/ClaimMachine/test.ts
+++ b/src/decisions/claims/ClaimMachine/test.ts
@@ -27,6 +27,10 @@
 const settled = (verdict: AttemptVerdict): ClaimEvent => ({ kind: ClaimEventKind.Settled, id: other.id, verdict });
 const roundOver = (round: number): ClaimEvent => ({ kind: ClaimEventKind.RoundOver, round });
 
+function create(epoch: number, witnessSets: readonly (readonly RosterWitness[])[]): ClaimMachine {
+    return ClaimMachine.create({ key: "key", digest: "digest", claimant: "own", epoch, witnessSets, deadlineAtMs: 10_000 });
+}
+
 function describe(effects: readonly ClaimEffect[]): readonly string[] {
     const names = effects
         .filter((effect) => effect.kind !== ClaimEffectKind.ArmRound)
@@ -100,42 +104,21 @@
 
 for (const { title, events, expected } of cases) {
     test(title, (t) => {
-        const machine = ClaimMachine.create({
-            key: "key",
-            digest: "digest",
-            claimant: "own",
-            epoch: 1,
-            witnessSets: [WITNESSES],
-            deadlineAtMs: 10_000,
-        });
+        const machine = create(1, [WITNESSES]);
         const results = events.map((event) => machine.step(event, 0));
         t.deepEqual(describe(results.at(-1) ?? []), [...expected]);
     });
 }
 
 test("votes that come after the round do not count, since a witness may have lost its memory meanwhile", (t) => {
-    const machine = ClaimMachine.create({
-        key: "key",
-        digest: "digest",
-        claimant: "own",
-        epoch: 1,
-        witnessSets: [WITNESSES],
-        deadlineAtMs: 10_000,
-    });
+    const machine = create(1, [WITNESSES]);
     machine.step(want, 0);
     const results = replies(1, granted, granted, granted).map((event) => machine.step(event, 301));
     t.deepEqual(results.flat(), []);
 });
 
 test("in a joint roster a majority of both sets is needed", (t) => {
-    const machine = ClaimMachine.create({
-        key: "key",
-        digest: "digest",
-        claimant: "own",
-        epoch: 2,
-        witnessSets: [WITNESSES.slice(0, 3), WITNESSES.slice(2)],
-        deadlineAtMs: 10_000,
-    });
+    const machine = create(2, [WITNESSES.slice(0, 3), WITNESSES.slice(2)]);
     machine.step(want, 0);
     const results = replies(1, granted, granted, granted, granted).map((event) => describe(machine.step(event, 0)));
     t.deepEqual(results, [[], [], [], ["granted"]]);
