--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -33,6 +33,7 @@
         lastTerm: 0,
         voters: [],
         parts: [],
+        items: [],
         retained: [],
         position: { term: 0, version: 0, manifestVersion: 0 },
     },
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const MAX_LINE_CHARACTERS = 150;
 
 export default tseslint.config(
-    { ignores: ["dist/", "node_modules/", "data/", "reports/"] },
+    { ignores: ["dist/", "target/", "journal/", "node_modules/", "data/", "reports/"] },
     ...tseslint.configs.strictTypeChecked,
     stylistic.configs.customize({ indent: 4, quotes: "double", semi: true, braceStyle: "stroustrup", arrowParens: true }),
     {
@@ -37,5 +37,5 @@
             "@typescript-eslint/no-non-null-assertion": "off",
         },
     },
-    { files: ["**/*.js"], ...tseslint.configs.disableTypeChecked },
+    { files: ["**/*.js", "**/*.mjs"], ...tseslint.configs.disableTypeChecked },
 );
--- /dev/null
+++ b/src/backend/BackendConnection/index.ts
@@ -0,0 +1,176 @@
+import { connect, Socket } from "node:net";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { findHeader } from "../../http/findHeader/index.js";
+import { toError } from "../../model/toError/index.js";
+import { AnswerDialect } from "../AnswerDialect.js";
+import { AnswerParser } from "../AnswerParser/index.js";
+import { BackendCall } from "../BackendCall.js";
+import { BackendResult } from "../BackendResult.js";
+import { BackendResultKind } from "../BackendResultKind.js";
+import { ParsedAnswer } from "../ParsedAnswer.js";
+import { encodeCall } from "../encodeCall/index.js";
+
+/** Longest idle time of a connection whose backend server does not state one, in ms. */
+const DEFAULT_IDLE_MS = 4_000;
+/** Time before the stated idle limit at which a connection is no longer used, in ms. */
+const IDLE_MARGIN_MS = 1_000;
+const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
+
+/**
+ * One connection to a backend server, for one request at a time. Answers are told apart by the id that they echo: what
+ * belongs to an earlier request is passed over, and bytes after a complete answer end the connection's use.
+ */
+export class BackendConnection {
+    private readonly parser: AnswerParser;
+    private call: BackendCall | undefined;
+    private settle: ((result: BackendResult) => void) | undefined;
+    private idleLimitMs = DEFAULT_IDLE_MS;
+    private requestCount = 0;
+    private isOpen = false;
+    private isSpent = false;
+    private answeredAtMs = nowMs();
+
+    private constructor(private readonly socket: Socket, private readonly dialect: AnswerDialect) {
+        this.parser = AnswerParser.create((answer) => this.take(answer));
+        socket.setNoDelay(true);
+        socket.on("data", (chunk: Buffer) => this.receive(chunk));
+        socket.on("end", () => this.receiveEnd());
+        socket.on("error", (error) => this.fail(error.message));
+        socket.on("close", () => this.fail("the connection was closed"));
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param host - IP address of the backend server.
+     * @param port - Its port.
+     * @param timeoutMs - Time to wait for the connection.
+     * @param dialect - How answers tell what they belong to.
+     * @throws Error if the connection cannot be opened in time.
+     */
+    static create(host: string, port: number, timeoutMs: number, dialect: AnswerDialect): Promise<BackendConnection> {
+        return new Promise((resolve, reject) => {
+            const socket = connect({ host, port });
+            const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs);
+            const refuse = (error: Error): void => {
+                clearTimeout(timer);
+                reject(error);
+            };
+            socket.once("error", refuse);
+            socket.once("connect", () => {
+                clearTimeout(timer);
+                socket.off("error", refuse);
+                const connection = new BackendConnection(socket, dialect);
+                connection.isOpen = true;
+                resolve(connection);
+            });
+        });
+    }
+
+    /** Tells whether a request may be sent now, on a connection that was last used at most some time ago. */
+    isUsable(atMs: number, maxIdleMs: number): boolean {
+        const idleMs = atMs - this.answeredAtMs;
+        return this.isOpen && !this.isSpent && this.call === undefined && idleMs <= Math.min(maxIdleMs, this.idleLimitMs);
+    }
+
+    /** True while a request is under way. */
+    get isBusy(): boolean {
+        return this.call !== undefined;
+    }
+
+    /** True once no request can be sent any more. */
+    get isDone(): boolean {
+        return this.call === undefined && (!this.isOpen || this.isSpent);
+    }
+
+    /** Time at which the last answer was complete, or the connection was opened. */
+    get lastUsedAtMs(): number {
+        return this.answeredAtMs;
+    }
+
+    /** Sends a request and waits for its answer. */
+    exchange(call: BackendCall): Promise<BackendResult> {
+        this.call = call;
+        this.requestCount += 1;
+        this.parser.expect(call.method);
+        return new Promise((resolve) => {
+            this.settle = resolve;
+            this.socket.write(encodeCall(call));
+        });
+    }
+
+    /** Closes the connection at once; a request on it is broken off. */
+    close(): void {
+        this.isOpen = false;
+        this.socket.destroy();
+        this.fail("the connection was closed by this side");
+    }
+
+    private receive(chunk: Buffer): void {
+        if (this.call === undefined) {
+            this.close();
+            return;
+        }
+        try {
+            this.parser.take(chunk);
+        }
+        catch (thrown) {
+            this.isSpent = true;
+            this.fail(`not an answer: ${toError(thrown).message}`);
+            this.socket.destroy();
+        }
+    }
+
+    private receiveEnd(): void {
+        try {
+            this.parser.end();
+        }
+        catch (thrown) {
+            this.fail(toError(thrown).message);
+        }
+        this.isOpen = false;
+        this.socket.destroy();
+    }
+
+    private take(answer: ParsedAnswer): void {
+        const { call } = this;
+        const id = this.dialect.requestIdOf(answer.headers);
+        if (call === undefined || (id !== undefined && id !== call.requestId)) {
+            this.isSpent = true;
+            return;
+        }
+        if (id === undefined && call.requestId !== "" && !this.dialect.saysNotRun(answer.status, answer.headers)) {
+            this.isSpent = true;
+            this.fail("an answer without the id of its request");
+            this.socket.destroy();
+            return;
+        }
+        const statedS = Number(KEEP_ALIVE_TIMEOUT.exec(findHeader(answer.headers, "keep-alive") ?? "")?.[1]);
+        this.idleLimitMs = Number.isFinite(statedS) ? Math.max(0, statedS * 1_000 - IDLE_MARGIN_MS) : DEFAULT_IDLE_MS;
+        if (!answer.keepsAlive || this.socket.writableLength > 0) {
+            this.isSpent = true;
+        }
+        this.answeredAtMs = nowMs();
+        this.finish({ kind: BackendResultKind.Answered, answer: { status: answer.status, headers: answer.headers, body: answer.body } });
+        if (this.isSpent) {
+            this.socket.end();
+        }
+    }
+
+    private fail(problem: string): void {
+        this.isOpen = false;
+        this.finish({
+            kind: BackendResultKind.Broken,
+            problem,
+            wasReused: this.requestCount > 1,
+            hadAnswerBytes: this.parser.bytesSinceExpected > 0,
+        });
+    }
+
+    private finish(result: BackendResult): void {
+        const { settle } = this;
+        this.call = undefined;
+        this.settle = undefined;
+        settle?.(result);
+    }
+}
--- /dev/null
+++ b/src/backend/BackendPool/test.ts
@@ -0,0 +1,184 @@
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import { HeaderList } from "../../model/HeaderList.js";
+import { AnswerDialect } from "../AnswerDialect.js";
+import { BackendCall } from "../BackendCall.js";
+import { BackendResult } from "../BackendResult.js";
+import { BackendResultKind } from "../BackendResultKind.js";
+import { BackendPool } from "./index.js";
+
+const DIALECT: AnswerDialect = {
+    requestIdOf: (headers: HeaderList) => headers.find(([name]) => name.toLowerCase() === "id")?.[1],
+    saysNotRun: (_status, headers) => headers.some(([name]) => name.toLowerCase() === "not-run"),
+    isSigned: () => true,
+};
+
+function call(id: string, method = "GET"): BackendCall {
+    return { method, path: "/", headers: [["Host", "a.example"]], body: Buffer.alloc(0), hasBody: false, requestId: id };
+}
+
+function answer(id: string, body = "ok"): string {
+    return `HTTP/1.1 200 OK\r\nId: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Runs a pool against a server that handles each connection's requests by their number on it. */
+async function withServer(
+    t: ExecutionContext,
+    onRequest: (socket: Socket, number: number, connection: number) => void,
+    run: (pool: BackendPool) => Promise<void>,
+): Promise<void> {
+    let connections = 0;
+    const server: Server = createServer((socket) => {
+        connections += 1;
+        const connection = connections;
+        let requests = 0;
+        socket.on("error", () => undefined);
+        socket.on("data", () => {
+            requests += 1;
+            onRequest(socket, requests, connection);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const pool = BackendPool.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, DIALECT);
+    try {
+        await run(pool);
+    }
+    finally {
+        pool.close();
+        server.close();
+        t.pass();
+    }
+}
+
+function bodyOf(result: BackendResult): string | undefined {
+    return result.kind === BackendResultKind.Answered ? result.answer.body.toString() : undefined;
+}
+
+test("a connection is used again, also for work that must not be repeated if it has just answered", async (t) => {
+    await withServer(t, (socket, number) => socket.write(answer(String(number))), async (pool) => {
+        t.is(bodyOf(await pool.send(call("1"), false).result), "ok");
+        t.is(bodyOf(await pool.send(call("2"), true).result), "ok");
+        t.is(pool.openedCount, 1);
+    });
+});
+
+test("an extra answer that comes late is passed over, and the request gets its own", async (t) => {
+    await withServer(t, (socket, number, connection) => {
+        if (connection === 1 && number === 1) {
+            socket.write(answer("1"));
+            return;
+        }
+        socket.write(answer("1", "stale") + answer("2", "own"));
+    }, async (pool) => {
+        await pool.send(call("1"), false).result;
+        t.is(bodyOf(await pool.send(call("2"), true).result), "own");
+    });
+});
+
+test("bytes behind a complete answer end the use of its connection", async (t) => {
+    await withServer(t, (socket, _number, connection) => socket.write(answer(String(connection)) + answer(String(connection), "extra")), async (pool) => {
+        t.is(bodyOf(await pool.send(call("1"), false).result), "ok");
+        t.is(bodyOf(await pool.send(call("2"), false).result), "ok");
+        t.is(pool.openedCount, 2);
+    });
+});
+
+test("an answer that is cut short is broken, by its length and by its chunks", async (t) => {
+    await withServer(t, (socket, _number, connection) => {
+        socket.end(connection === 1
+            ? "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf"
+            : "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    }, async (pool) => {
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+    });
+});
+
+test("an answer without a length is whole at the end of its connection, and broken by a reset", async (t) => {
+    await withServer(t, (socket, _number, connection) => {
+        socket.write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall there is", () => {
+            if (connection === 1) {
+                socket.end();
+            }
+            else {
+                setTimeout(() => socket.resetAndDestroy(), 20);
+            }
+        });
+    }, async (pool) => {
+        t.is(bodyOf(await pool.send(call("1"), true).result), "all there is");
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+    });
+});
+
+test("bytes that are no answer, and a malformed chunk size, break the exchange", async (t) => {
+    const garbage = ["SSH-2.0 hello\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n\r\n"];
+    await withServer(t, (socket, _number, connection) => socket.write(garbage[connection - 1] ?? ""), async (pool) => {
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+    });
+});
+
+test("an answer without the id of its request counts only if it says that nothing has run", async (t) => {
+    await withServer(t, (socket, _number, connection) => {
+        socket.write(connection === 1
+            ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+            : "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    }, async (pool) => {
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+        t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Answered);
+    });
+});
+
+test("a repeatable request is sent again on a new connection if a kept one was reset before any answer", async (t) => {
+    await withServer(t, (socket, number, connection) => {
+        if (connection === 1 && number === 2) {
+            socket.resetAndDestroy();
+            return;
+        }
+        socket.write(answer(connection === 1 ? "1" : "2"));
+    }, async (pool) => {
+        await pool.send(call("1"), false).result;
+        t.is(bodyOf(await pool.send(call("2"), false).result), "ok");
+        t.is(pool.openedCount, 2);
+    });
+});
+
+test("work that must not be repeated is never sent twice", async (t) => {
+    let arrivals = 0;
+    await withServer(t, (socket, number, connection) => {
+        if (connection === 1 && number === 1) {
+            socket.write(answer("1"));
+            return;
+        }
+        arrivals += 1;
+        socket.resetAndDestroy();
+    }, async (pool) => {
+        await pool.send(call("1"), false).result;
+        const result = await pool.send(call("2", "POST"), true).result;
+        t.is(result.kind, BackendResultKind.Broken);
+        t.is(arrivals, 1);
+    });
+});
+
+test("a backend server that cannot be reached is told apart from one that broke off", async (t) => {
+    const pool = BackendPool.create("127.0.0.1:1", DIALECT);
+    t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.NotConnected);
+});
+
+test("an exchange that is given up closes its connection", async (t) => {
+    let closed = false;
+    await withServer(t, (socket) => {
+        socket.on("close", () => {
+            closed = true;
+        });
+    }, async (pool) => {
+        const exchange = pool.send(call("1"), true);
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        exchange.cancel();
+        t.is((await exchange.result).kind, BackendResultKind.Broken);
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        t.true(closed);
+    });
+});
--- a/src/controllers/ControlController/index.ts
+++ b/src/controllers/ControlController/index.ts
@@ -39,10 +39,12 @@
             send,
             learners,
             apply: (change) => this.install(change),
+            applyItems: () => undefined,
             restore: (restored) => this.restore(restored),
             snapshot: () => ({
                 position: configuration.view.position,
                 parts: [...configuration.view.parts.values()],
+                items: [],
                 retained: [...this.versionsByChangeId].map(([changeId, manifestVersion]) => ({ changeId, manifestVersion })),
             }),
         }, events);
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -69,6 +69,21 @@
         return this.machine.knownLeader;
     }
 
+    /** True while this VM has applied all that its leader says is committed. */
+    get isCurrent(): boolean {
+        return this.failure === undefined && this.machine.isCurrent;
+    }
+
+    /** True once the disk has failed; nothing is decided here any more. */
+    get hasFailed(): boolean {
+        return this.failure !== undefined;
+    }
+
+    /** True if this VM has no log yet. */
+    get isEmpty(): boolean {
+        return this.machine.lastIndex === 0 && this.machine.term === 0;
+    }
+
     /** Current term. */
     get term(): number {
         return this.machine.term;
@@ -79,6 +94,11 @@
         return this.machine.voters;
     }
 
+    /** Tells on the leader whether another control VM has caught up with the log, so that it may vote. */
+    hasCaughtUp(identity: string): boolean {
+        return this.machine.hasCaughtUp(identity, nowMs());
+    }
+
     /** Takes a message of another control VM. */
     receive(from: string, message: QuorumMessage): void {
         void this.take({ kind: QuorumEventKind.Message, from, message });
@@ -183,6 +203,9 @@
         if (entry.kind === EntryKind.Change) {
             this.ports.apply(entry.change);
         }
+        if (entry.kind === EntryKind.Items) {
+            this.ports.applyItems(entry.proposal, entry.changes);
+        }
         const waiter = this.waiters.get(entry.index);
         if (waiter !== undefined) {
             this.waiters.delete(entry.index);
--- a/src/controllers/QuorumPorts.ts
+++ b/src/controllers/QuorumPorts.ts
@@ -1,4 +1,5 @@
 import { AcceptedChange } from "../decisions/configuration/AcceptedChange.js";
+import { VersionedItem } from "../decisions/items/VersionedItem.js";
 import { QuorumMessage } from "../decisions/quorum/QuorumMessage.js";
 import { QuorumSnapshot } from "../decisions/quorum/QuorumSnapshot.js";
 
@@ -8,10 +9,12 @@
     send(to: string, message: QuorumMessage): void;
     /** Applies a committed change. */
     apply(change: AcceptedChange): void;
+    /** Applies a committed change of items. */
+    applyItems(proposal: string, changes: readonly VersionedItem[]): void;
     /** Applies the snapshot of another control VM. */
     restore(snapshot: QuorumSnapshot): void;
     /** Current state, without its position in the log. */
-    snapshot(): Pick<QuorumSnapshot, "position" | "parts" | "retained">;
+    snapshot(): Pick<QuorumSnapshot, "position" | "parts" | "items" | "retained">;
     /** Identities of live control VMs, which get the log whether they vote or not. */
     learners(): readonly string[];
 }
--- a/src/controllers/QuorumStore/index.ts
+++ b/src/controllers/QuorumStore/index.ts
@@ -22,6 +22,7 @@
     voters: [],
     position: { term: 0, version: 0, manifestVersion: 0 },
     parts: [],
+    items: [],
     retained: [],
 };
 
@@ -46,7 +47,7 @@
     static async create(disk: Disk, vm: string): Promise<QuorumStore> {
         const identity = await readIdentity(disk, vm);
         const hardState = await readFile<HardState>(disk, HARD_STATE_FILE) ?? { term: 0, votedFor: undefined };
-        const snapshot = await readFile<QuorumSnapshot>(disk, SNAPSHOT_FILE) ?? EMPTY_SNAPSHOT;
+        const snapshot = { ...EMPTY_SNAPSHOT, ...await readFile<QuorumSnapshot>(disk, SNAPSHOT_FILE) };
         const log = await RecordLog.create(disk, LOG_FILE);
         const state = { hardState, snapshot, entries: replay(log.recovered) };
         return new QuorumStore(disk, log, identity, state);
--- /dev/null
+++ b/src/decisions/course/RequestCourse/index.ts
@@ -0,0 +1,284 @@
+import { BackendAnswer } from "../../../backend/BackendAnswer.js";
+import { assertInvariant } from "../../../invariants/assertInvariant/index.js";
+import { RefusalCause } from "../../../model/RefusalCause.js";
+import { RequestKind } from "../../../model/RequestKind.js";
+import { GateReply } from "../../../tunnel/GateReply.js";
+import { GateReplyKind } from "../../../tunnel/GateReplyKind.js";
+import { Grade } from "../../fleet/Grade.js";
+import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
+import { CourseEffect } from "../CourseEffect.js";
+import { CourseEffectKind } from "../CourseEffectKind.js";
+import { CourseEvent } from "../CourseEvent.js";
+import { CourseEventKind } from "../CourseEventKind.js";
+import { CourseFailure } from "../CourseFailure.js";
+import { CoursePlan } from "../CoursePlan.js";
+import { CoursePorts } from "../CoursePorts.js";
+import { OfferTerms } from "../OfferTerms.js";
+
+/** Gates asked for a free slot before a place in a queue is taken. */
+const FREE_SLOT_OFFERS = 3;
+/** Offers of one request in all; a refusal costs a round trip and reaches no endpoint. */
+const MAX_OFFERS = 8;
+/** Gates asked for a place in their queue. */
+const MAX_QUEUE_OFFERS = 2;
+/** Time without an answer after which a repeatable request is hedged, as a multiple of the mean service time. */
+const HEDGE_FACTOR = 3;
+/** Shortest time before a hedge, in ms; calls of running work push an answer out by about this. */
+const MIN_HEDGE_MS = 600;
+/** Statuses from which on an answer is a failure of the endpoint. */
+const FAILED_STATUS = 500;
+/** Shortest time after which a refused caller is told to return, in ms. */
+const MIN_RETRY_AFTER_MS = 100;
+
+interface Attempt {
+    readonly vm: string;
+    phase: GateReplyKind.Queued | GateReplyKind.Started | undefined;
+}
+
+/**
+ * Decides where a request is offered, when it is repeated, and what its caller is told. A request that must not be
+ * repeated is offered again only after a gate has said that it has not run, and "not run" is said to the caller only if
+ * every gate has said so.
+ *
+ * Answers for services with a few slots at each endpoint, some of which fail most of what they run.
+ *
+ * Deterministic but for its ports: no clock, no input or output.
+ */
+export class RequestCourse {
+    private readonly open = new Map<number, Attempt>();
+    private readonly refused = new Set<string>();
+    private readonly tried = new Set<string>();
+    private offers = 0;
+    private arrivals = 0;
+    /** Attempts that have run or may have. */
+    private runs = 0;
+    private queueOffers = 0;
+    private isDone = false;
+    private retryAfterMs = Number.POSITIVE_INFINITY;
+    private lastCause = RefusalCause.NoEndpoint;
+    private failedAnswer: { readonly answer: BackendAnswer; readonly attempt: number } | undefined;
+    private lastProblem = "";
+
+    private constructor(private readonly plan: CoursePlan, private readonly ports: CoursePorts) {}
+
+    /**
+     * Creates the course of a request.
+     *
+     * @param plan - What is known of the request.
+     * @param ports - How it learns of gates and of the retry budget.
+     */
+    static create(plan: CoursePlan, ports: CoursePorts): RequestCourse {
+        return new RequestCourse(plan, ports);
+    }
+
+    /** True once the caller has been answered or is gone. */
+    get isFinished(): boolean {
+        return this.isDone;
+    }
+
+    /** Endpoints that the request has reached. */
+    get arrivalCount(): number {
+        return this.arrivals;
+    }
+
+    /** Takes one event and returns what to do, in order. */
+    step(event: CourseEvent, nowMs: number): readonly CourseEffect[] {
+        if (this.isDone) {
+            return [];
+        }
+        switch (event.kind) {
+            case CourseEventKind.Begin:
+                return this.place(nowMs);
+            case CourseEventKind.Reply:
+                return this.takeReply(event.attempt, event.reply, nowMs);
+            case CourseEventKind.Hedge:
+                return this.hedge(event.attempt, nowMs);
+            case CourseEventKind.Deadline:
+                return this.conclude(this.expire());
+            case CourseEventKind.CallerGone:
+                return this.conclude();
+        }
+    }
+
+    private takeReply(number: number, reply: GateReply, nowMs: number): readonly CourseEffect[] {
+        const attempt = this.open.get(number);
+        if (attempt === undefined) {
+            return [];
+        }
+        switch (reply.kind) {
+            case GateReplyKind.Queued:
+                attempt.phase = reply.kind;
+                return [];
+            case GateReplyKind.Started:
+                return this.start(number, attempt, nowMs);
+            case GateReplyKind.Refused:
+                this.open.delete(number);
+                return this.takeRefusal(attempt, reply, nowMs);
+            case GateReplyKind.Answered:
+                this.open.delete(number);
+                return this.takeAnswer(number, reply.answer, nowMs);
+            case GateReplyKind.Broken:
+                this.open.delete(number);
+                this.lastProblem = reply.problem;
+                this.countArrival(attempt);
+                return this.repeatOrConclude(nowMs);
+        }
+    }
+
+    private start(number: number, attempt: Attempt, nowMs: number): readonly CourseEffect[] {
+        this.countArrival(attempt);
+        attempt.phase = GateReplyKind.Started;
+        const hedgeAtMs = nowMs + Math.max(MIN_HEDGE_MS, HEDGE_FACTOR * this.ports.serviceMs);
+        return this.isRepeatable && hedgeAtMs < this.plan.deadlineAtMs
+            ? [{ kind: CourseEffectKind.ArmHedge, attempt: number, atMs: hedgeAtMs }]
+            : [];
+    }
+
+    private countArrival(attempt: Attempt): void {
+        if (attempt.phase !== GateReplyKind.Started) {
+            this.arrivals += 1;
+            this.runs += 1;
+            this.tried.add(attempt.vm);
+        }
+    }
+
+    /** Takes back that a started attempt reached its endpoint. */
+    private discountArrival(attempt: Attempt): void {
+        if (attempt.phase === GateReplyKind.Started) {
+            this.arrivals -= 1;
+            this.runs -= 1;
+        }
+    }
+
+    private takeRefusal(attempt: Attempt, reply: Extract<GateReply, { kind: GateReplyKind.Refused }>, nowMs: number): readonly CourseEffect[] {
+        this.refused.add(attempt.vm);
+        this.lastCause = reply.cause;
+        if (reply.retryAfterMs > 0) {
+            this.retryAfterMs = Math.min(this.retryAfterMs, reply.retryAfterMs);
+        }
+        if (!reply.reachedEndpoint) {
+            this.discountArrival(attempt);
+            return this.open.size > 0 ? [] : this.place(nowMs);
+        }
+        this.countArrival(attempt);
+        this.runs -= 1;
+        return this.repeatOrConclude(nowMs);
+    }
+
+    private takeAnswer(number: number, answer: BackendAnswer, nowMs: number): readonly CourseEffect[] {
+        if (answer.status < FAILED_STATUS) {
+            return this.conclude({ kind: CourseEffectKind.Deliver, answer, attempt: number });
+        }
+        this.failedAnswer = { answer, attempt: number };
+        return this.repeatOrConclude(nowMs);
+    }
+
+    private repeatOrConclude(nowMs: number): readonly CourseEffect[] {
+        if (this.open.size > 0) {
+            return [];
+        }
+        const mayRepeat = this.isRepeatable || !this.mayHaveRun;
+        const isInTime = nowMs + this.ports.serviceMs / 2 < this.plan.deadlineAtMs;
+        if (mayRepeat && isInTime && this.arrivals < this.plan.maxAttempts && this.hasOtherGate() && this.ports.withdrawRepeat()) {
+            return this.place(nowMs);
+        }
+        return this.conclude(this.giveUp());
+    }
+
+    private hedge(number: number, nowMs: number): readonly CourseEffect[] {
+        const isWorthwhile = nowMs + this.ports.serviceMs < this.plan.deadlineAtMs;
+        if (!this.isRepeatable || !this.open.has(number) || this.open.size > 1 || !isWorthwhile || this.arrivals >= this.plan.maxAttempts) {
+            return [];
+        }
+        const [best] = this.untried();
+        if (best === undefined || isUntrusted(best) || !this.ports.withdrawRepeat()) {
+            return [];
+        }
+        return [this.offer(best, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
+    }
+
+    private place(nowMs: number): readonly CourseEffect[] {
+        if (nowMs >= this.plan.deadlineAtMs) {
+            return this.conclude(this.giveUp());
+        }
+        const candidates = this.untried();
+        const trial = this.offers === 0 && this.isRepeatable ? candidates.find(wantsTrial) : undefined;
+        if (trial !== undefined && this.ports.drawTrial()) {
+            return [this.offer(trial, { maxQueueMs: 0, isTrial: true, isLastResort: false })];
+        }
+        const trusted = candidates.filter((candidate) => !isUntrusted(candidate));
+        const fresh = trusted.find(({ record }) => !this.refused.has(record.vm));
+        if (fresh !== undefined && this.offers < FREE_SLOT_OFFERS) {
+            return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
+        }
+        return this.queueSomewhere(trusted[0] ?? candidates[0], trusted.length === 0, nowMs);
+    }
+
+    private queueSomewhere(best: PlacementCandidate | undefined, isLastResort: boolean, nowMs: number): readonly CourseEffect[] {
+        const maxQueueMs = this.plan.deadlineAtMs - nowMs - this.ports.serviceMs;
+        if (best === undefined || this.offers >= MAX_OFFERS || this.queueOffers >= MAX_QUEUE_OFFERS || maxQueueMs <= 0) {
+            return this.conclude(this.giveUp());
+        }
+        this.queueOffers += 1;
+        return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort })];
+    }
+
+    private offer(candidate: PlacementCandidate, terms: OfferTerms): CourseEffect {
+        assertInvariant(this.isRepeatable || !this.mayHaveRun, "work that must not be repeated is offered once it has not run", candidate.record.vm);
+        this.offers += 1;
+        const attempt = this.offers;
+        this.open.set(attempt, { vm: candidate.record.vm, phase: undefined });
+        return { kind: CourseEffectKind.Offer, attempt, vm: candidate.record.vm, terms };
+    }
+
+    private untried(): readonly PlacementCandidate[] {
+        const ranked = this.ports.rank(this.refused).filter(({ isReachable }) => isReachable);
+        const isOpen = (vm: string): boolean => [...this.open.values()].some((attempt) => attempt.vm === vm);
+        return ranked.filter(({ record }) => !this.tried.has(record.vm) && !isOpen(record.vm));
+    }
+
+    private hasOtherGate(): boolean {
+        return this.untried().length > 0;
+    }
+
+    private giveUp(): CourseEffect {
+        if (this.failedAnswer !== undefined) {
+            return { kind: CourseEffectKind.Deliver, ...this.failedAnswer };
+        }
+        if (this.mayHaveRun) {
+            return { kind: CourseEffectKind.Fail, failure: CourseFailure.OutcomeUnknown, problem: this.lastProblem };
+        }
+        const retryAfterMs = Number.isFinite(this.retryAfterMs) ? Math.max(MIN_RETRY_AFTER_MS, this.retryAfterMs) : MIN_RETRY_AFTER_MS;
+        return { kind: CourseEffectKind.Refuse, cause: this.lastCause, retryAfterMs };
+    }
+
+    private expire(): CourseEffect {
+        if (this.failedAnswer !== undefined) {
+            return { kind: CourseEffectKind.Deliver, ...this.failedAnswer };
+        }
+        return { kind: CourseEffectKind.Fail, failure: CourseFailure.TimedOut, problem: this.lastProblem };
+    }
+
+    private conclude(...last: readonly CourseEffect[]): readonly CourseEffect[] {
+        this.isDone = true;
+        const cancels = [...this.open.keys()].map((attempt): CourseEffect => ({ kind: CourseEffectKind.Cancel, attempt }));
+        this.open.clear();
+        return [...last, ...cancels];
+    }
+
+    private get mayHaveRun(): boolean {
+        return this.runs > 0;
+    }
+
+    private get isRepeatable(): boolean {
+        return this.plan.requestKind !== RequestKind.Once;
+    }
+}
+
+function isUntrusted(candidate: PlacementCandidate): boolean {
+    return candidate.load?.grade === Grade.Ejected;
+}
+
+function wantsTrial(candidate: PlacementCandidate): boolean {
+    return isUntrusted(candidate) && candidate.load?.wantsTrial === true;
+}
--- /dev/null
+++ b/src/decisions/items/Item.ts
@@ -0,0 +1,6 @@
+import { LimitsItem } from "./LimitsItem.js";
+import { RouteItem } from "./RouteItem.js";
+import { ServiceItem } from "./ServiceItem.js";
+
+/** Content of a configuration item. */
+export type Item = RouteItem | ServiceItem | LimitsItem;
--- /dev/null
+++ b/src/decisions/items/ItemOutcomeKind.ts
@@ -0,0 +1,6 @@
+/** What became of a change of items. */
+export enum ItemOutcomeKind {
+    Accepted = "accepted",
+    Conflict = "conflict",
+    UnknownService = "unknown-service",
+}
--- /dev/null
+++ b/src/decisions/items/RouteTable/index.ts
@@ -0,0 +1,46 @@
+import { Item } from "../Item.js";
+import { ItemKind } from "../ItemKind.js";
+import { LimitsItem } from "../LimitsItem.js";
+import { RouteItem } from "../RouteItem.js";
+import { ServiceItem } from "../ServiceItem.js";
+import { VersionedItem } from "../VersionedItem.js";
+
+/** The configuration items in force, indexed for the request path. Immutable. */
+export class RouteTable {
+    private readonly routesByHost = new Map<string, RouteItem[]>();
+    private readonly services = new Map<string, ServiceItem>();
+    /** Limits on callers, or undefined if none are set. */
+    readonly limits: LimitsItem | undefined;
+
+    private constructor(items: readonly VersionedItem[]) {
+        const contents = items.flatMap(({ content }) => content === undefined ? [] : [content]);
+        contents.forEach((content) => this.index(content));
+        this.routesByHost.forEach((routes) => routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
+        this.limits = contents.find((content) => content.kind === ItemKind.Limits);
+    }
+
+    /** Creates the table of a set of items. */
+    static create(items: readonly VersionedItem[]): RouteTable {
+        return new RouteTable(items);
+    }
+
+    /** Finds the route with the longest prefix that begins the path. */
+    route(host: string, path: string): RouteItem | undefined {
+        return this.routesByHost.get(host.toLowerCase())?.find((route) => path.startsWith(route.pathPrefix));
+    }
+
+    /** Looks up a service by name. */
+    service(name: string): ServiceItem | undefined {
+        return this.services.get(name);
+    }
+
+    private index(content: Item): void {
+        if (content.kind === ItemKind.Route) {
+            const host = content.host.toLowerCase();
+            this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], content]);
+        }
+        if (content.kind === ItemKind.Service) {
+            this.services.set(content.name, content);
+        }
+    }
+}
--- /dev/null
+++ b/src/decisions/placement/rankGates/index.ts
@@ -0,0 +1,75 @@
+import { RequestKind } from "../../../model/RequestKind.js";
+import { Grade } from "../../fleet/Grade.js";
+import { PlacementCandidate } from "../PlacementCandidate.js";
+
+/** Service time assumed for a gate that has not reported, in ms. */
+const UNKNOWN_SERVICE_MS = 300;
+/** Factor on the service time of an endpoint that has just started. */
+const COLD_FACTOR = 2;
+/** Waits that differ by less are equal, in ms: load reports are this old. */
+const EQUAL_WAIT_MS = 40;
+/** Wait that a doubted endpoint is charged for work that must not be repeated, in ms. */
+const DOUBT_WAIT_MS = 400;
+/** Wait that an ejected endpoint is charged, in ms; above any real wait. */
+const EJECTED_WAIT_MS = 100_000;
+/** Wait that a gate is charged that cannot be reached, in ms. */
+const UNREACHABLE_WAIT_MS = 1_000_000;
+
+interface Scored {
+    readonly candidate: PlacementCandidate;
+    readonly score: number;
+    readonly tie: number;
+}
+
+/**
+ * Orders gates by where a request is likely to be answered first: the expected wait for a slot and the time of the work,
+ * with trust in the endpoint counted in. Gates of the same score are ordered by chance, with those in the entry's own
+ * failure domain first.
+ *
+ * Answers for many entries that place at the same time by reports up to half a second old.
+ *
+ * @param candidates - Gates of the service.
+ * @param requestKind - Whether the request may be repeated.
+ * @param failureDomain - Failure domain of the entry.
+ * @param random - Source of numbers from 0 up to, but not including, 1.
+ * @returns The candidates, the best one first.
+ * @example
+ * rankGates(candidates, RequestKind.Once, "muscat-a", Math.random)[0]?.record.vm;
+ */
+export function rankGates(
+    candidates: readonly PlacementCandidate[],
+    requestKind: RequestKind,
+    failureDomain: string,
+    random: () => number,
+): readonly PlacementCandidate[] {
+    const scored = candidates.map((candidate): Scored => ({
+        candidate,
+        score: Math.round(score(candidate, requestKind) / EQUAL_WAIT_MS),
+        tie: random() + (candidate.record.failureDomain === failureDomain ? 0 : 1),
+    }));
+    return scored
+        .sort((left, right) => left.score - right.score || left.tie - right.tie)
+        .map(({ candidate }) => candidate);
+}
+
+function score(candidate: PlacementCandidate, requestKind: RequestKind): number {
+    const { load, record, offeredSince } = candidate;
+    const slots = Math.max(1, load?.slots ?? record.endpoint?.slots ?? 1);
+    const serviceMs = (load?.serviceMs ?? UNKNOWN_SERVICE_MS) * (candidate.isCold ? COLD_FACTOR : 1);
+    const busy = (load === undefined ? 0 : load.running + load.queued) + offeredSince;
+    const waitMs = busy < slots ? 0 : (busy - slots + 1) * serviceMs / slots;
+    const spreadMs = EQUAL_WAIT_MS * 2 * busy / slots;
+    return waitMs + spreadMs + serviceMs / 2 + trustPenaltyMs(load?.grade ?? Grade.Trusted, requestKind)
+        + (candidate.isReachable ? 0 : UNREACHABLE_WAIT_MS);
+}
+
+function trustPenaltyMs(grade: Grade, requestKind: RequestKind): number {
+    switch (grade) {
+        case Grade.Trusted:
+            return 0;
+        case Grade.Doubted:
+            return requestKind === RequestKind.Once ? DOUBT_WAIT_MS : 0;
+        case Grade.Ejected:
+            return EJECTED_WAIT_MS;
+    }
+}
--- a/src/decisions/quorum/EntryKind.ts
+++ b/src/decisions/quorum/EntryKind.ts
@@ -6,4 +6,6 @@
     Voters = "voters",
     /** A change of the configuration. */
     Change = "change",
+    /** A change of configuration items that have versions of their own. */
+    Items = "items",
 }
--- a/src/decisions/quorum/LogEntry.ts
+++ b/src/decisions/quorum/LogEntry.ts
@@ -1,4 +1,5 @@
 import { AcceptedChange } from "../configuration/AcceptedChange.js";
+import { VersionedItem } from "../items/VersionedItem.js";
 import { EntryKind } from "./EntryKind.js";
 
 /** One entry of the replicated log. */
@@ -11,4 +12,5 @@
     | { readonly kind: EntryKind.Barrier }
     | { readonly kind: EntryKind.Voters; readonly voters: readonly string[] }
     | { readonly kind: EntryKind.Change; readonly change: AcceptedChange }
+    | { readonly kind: EntryKind.Items; readonly proposal: string; readonly changes: readonly VersionedItem[] }
 );
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -44,6 +44,8 @@
     private heardLeaderAtMs: number;
     private electionAtMs: number;
     private heartbeatAtMs = 0;
+    /** Commit index in the leader's latest message. */
+    private leaderCommitIndex = Number.POSITIVE_INFINITY;
     private learners: readonly string[] = [];
 
     private savedState: HardState;
@@ -92,6 +94,11 @@
         return this.isLeader && this.log.termAt(this.commitIndex) === this.hardState.term;
     }
 
+    /** True while this VM leads, or has applied all that its leader says is committed. */
+    get isCurrent(): boolean {
+        return this.isReady || (this.role === QuorumRole.Follower && this.leader !== undefined && this.commitIndex >= this.leaderCommitIndex);
+    }
+
     /** Leader of the term as far as known. */
     get knownLeader(): string | undefined {
         return this.leader;
@@ -359,6 +366,7 @@
             return;
         }
         this.hear(from, nowMs);
+        this.leaderCommitIndex = message.commitIndex;
         const { previousIndex, previousTerm, entries, commitIndex } = message;
         const known = this.log.termAt(previousIndex);
         if (previousIndex > this.log.snapshot.lastIndex && known !== previousTerm) {
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -20,6 +20,7 @@
         lastTerm: 0,
         voters: VOTERS,
         parts: [],
+        items: [],
         retained: [],
         position: { term: 0, version: 0, manifestVersion: 0 },
     };
@@ -125,7 +126,15 @@
     const empty = QuorumMachine.create("a", {
         hardState: { term: 0, votedFor: undefined },
         entries: [],
-        snapshot: { lastIndex: 0, lastTerm: 0, voters: [], parts: [], retained: [], position: { term: 0, version: 0, manifestVersion: 0 } },
+        snapshot: {
+            lastIndex: 0,
+            lastTerm: 0,
+            voters: [],
+            parts: [],
+            items: [],
+            retained: [],
+            position: { term: 0, version: 0, manifestVersion: 0 },
+        },
     }, () => 0, 0);
     empty.step({ kind: QuorumEventKind.Bootstrap }, 0);
     t.true(empty.isReady);
--- /dev/null
+++ b/src/decisions/serving/AdmissionKind.ts
@@ -0,0 +1,6 @@
+/** What a gate does with a request. */
+export enum AdmissionKind {
+    Start = "start",
+    Queue = "queue",
+    Refuse = "refuse",
+}
--- /dev/null
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -0,0 +1,193 @@
+import { assertInvariant } from "../../../invariants/assertInvariant/index.js";
+import { RefusalCause } from "../../../model/RefusalCause.js";
+import { RequestKind } from "../../../model/RequestKind.js";
+import { Grade } from "../../fleet/Grade.js";
+import { Admission } from "../Admission.js";
+import { AdmissionKind } from "../AdmissionKind.js";
+import { ServingRequest } from "../ServingRequest.js";
+
+/** Service time assumed before the first answer, in ms; about the work of a short request. */
+const INITIAL_SERVICE_MS = 300;
+/** Weight of the latest service time in the mean. */
+const SERVICE_WEIGHT = 0.1;
+/** Time between two trials of an ejected endpoint, in ms. */
+const TRIAL_INTERVAL_MS = 600;
+/** Shortest time after which a refused caller is told to return, in ms; less than the time to go round once. */
+const MIN_RETRY_AFTER_MS = 50;
+
+interface Waiting {
+    readonly request: ServingRequest;
+    readonly arrivedAtMs: number;
+}
+
+/**
+ * Decides which requests an endpoint runs, which wait and which are refused. No more than the endpoint's slots are
+ * handed out, so that what waits has certainly not run. Among waiting requests the higher rank goes first; within a
+ * rank those that can still meet their target go before those that cannot, each in order of arrival.
+ *
+ * Answers for many independent entries that place by load reports up to half a second old, and for surges above the
+ * endpoint's capacity.
+ */
+export class ServingQueue {
+    private readonly running = new Map<string, number>();
+    private waiting: Waiting[] = [];
+    private meanServiceMs = INITIAL_SERVICE_MS;
+    private lastTrialAtMs = Number.NEGATIVE_INFINITY;
+    private slotCount: number;
+
+    private constructor(slots: number) {
+        this.slotCount = slots;
+    }
+
+    /**
+     * Creates the queue of an endpoint.
+     *
+     * @param slots - Requests that the endpoint runs at the same time.
+     */
+    static create(slots: number): ServingQueue {
+        return new ServingQueue(slots);
+    }
+
+    /** Requests that the endpoint runs at the same time. */
+    get slots(): number {
+        return this.slotCount;
+    }
+
+    /** Number of requests handed to the endpoint. */
+    get runningCount(): number {
+        return this.running.size;
+    }
+
+    /** Number of requests that wait for a slot. */
+    get waitingCount(): number {
+        return this.waiting.length;
+    }
+
+    /** Mean time that a request occupies a slot. */
+    get serviceMs(): number {
+        return this.meanServiceMs;
+    }
+
+    /** Changes the number of slots; running requests are not touched. */
+    setSlots(slots: number): void {
+        this.slotCount = slots;
+    }
+
+    /** Tells whether an ejected endpoint should be tried again. */
+    wantsTrial(nowMs: number): boolean {
+        return nowMs - this.lastTrialAtMs >= TRIAL_INTERVAL_MS && this.running.size < this.slotCount;
+    }
+
+    /** Time that a request of a rank would wait for a slot. */
+    expectedWaitMs(priority: number): number {
+        if (this.running.size + this.waiting.length < this.slotCount) {
+            return 0;
+        }
+        const before = this.waiting.filter(({ request }) => request.priority <= priority).length;
+        return (before + 1) * this.meanServiceMs / this.slotCount;
+    }
+
+    /**
+     * Takes a request that arrives. A request that is started occupies a slot until `finish`; after one that is queued,
+     * `startNext` has to be called.
+     */
+    arrive(request: ServingRequest, grade: Grade, nowMs: number): Admission {
+        const refusal = this.findRefusal(request, grade, nowMs);
+        if (refusal !== undefined) {
+            return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request.priority) };
+        }
+        if (grade === Grade.Ejected) {
+            this.lastTrialAtMs = nowMs;
+        }
+        if (this.running.size < this.slotCount && this.waiting.length === 0) {
+            this.start(request, nowMs);
+            return { kind: AdmissionKind.Start };
+        }
+        this.waiting.push({ request, arrivedAtMs: nowMs });
+        return { kind: AdmissionKind.Queue };
+    }
+
+    /**
+     * Frees the slot of a request.
+     *
+     * @param key - The request.
+     * @param nowMs - Current time.
+     * @param isMeasured - False if the request was broken off, so that its time says nothing of the endpoint's speed.
+     */
+    finish(key: string, nowMs: number, isMeasured: boolean): void {
+        const startedAtMs = this.running.get(key);
+        if (startedAtMs !== undefined) {
+            this.running.delete(key);
+            if (isMeasured) {
+                this.meanServiceMs += SERVICE_WEIGHT * (nowMs - startedAtMs - this.meanServiceMs);
+            }
+        }
+    }
+
+    /** Takes a request out of the queue; true if it was waiting. */
+    withdraw(key: string): boolean {
+        const before = this.waiting.length;
+        this.waiting = this.waiting.filter(({ request }) => request.key !== key);
+        return this.waiting.length < before;
+    }
+
+    /** Takes all requests out of the queue, as when the endpoint drains. */
+    withdrawAll(): readonly ServingRequest[] {
+        const withdrawn = this.waiting.map(({ request }) => request);
+        this.waiting = [];
+        return withdrawn;
+    }
+
+    /** Takes out the waiting requests that have waited too long or cannot meet their deadline any more. */
+    takeOverdue(nowMs: number): readonly ServingRequest[] {
+        const overdue = this.waiting.filter((waiting) => this.isOverdue(waiting, nowMs));
+        this.waiting = this.waiting.filter((waiting) => !overdue.includes(waiting));
+        return overdue.map(({ request }) => request);
+    }
+
+    /** Starts the waiting requests for which there are slots. */
+    startNext(nowMs: number): readonly ServingRequest[] {
+        const started: ServingRequest[] = [];
+        while (this.running.size < this.slotCount && this.waiting.length > 0) {
+            const next = this.waiting.reduce((best, candidate) => this.goesBefore(candidate, best, nowMs) ? candidate : best);
+            this.waiting = this.waiting.filter((waiting) => waiting !== next);
+            this.start(next.request, nowMs);
+            started.push(next.request);
+        }
+        return started;
+    }
+
+    private start(request: ServingRequest, nowMs: number): void {
+        assertInvariant(!this.running.has(request.key), "a request occupies one slot", request.key);
+        this.running.set(request.key, nowMs);
+    }
+
+    private findRefusal(request: ServingRequest, grade: Grade, nowMs: number): RefusalCause | undefined {
+        if (grade === Grade.Ejected && !request.isLastResort) {
+            const isTrialDue = request.isTrial && request.requestKind !== RequestKind.Once && this.wantsTrial(nowMs);
+            return isTrialDue ? undefined : RefusalCause.Ejected;
+        }
+        const waitMs = this.expectedWaitMs(request.priority);
+        if (nowMs + waitMs >= request.deadlineAtMs) {
+            return RefusalCause.Deadline;
+        }
+        return waitMs > request.maxQueueMs ? RefusalCause.Busy : undefined;
+    }
+
+    private isOverdue({ request, arrivedAtMs }: Waiting, nowMs: number): boolean {
+        return nowMs >= request.deadlineAtMs || nowMs - arrivedAtMs > request.maxQueueMs;
+    }
+
+    private goesBefore(left: Waiting, right: Waiting, nowMs: number): boolean {
+        if (left.request.priority !== right.request.priority) {
+            return left.request.priority < right.request.priority;
+        }
+        const isLeftTimely = nowMs + this.meanServiceMs <= left.request.targetAtMs;
+        const isRightTimely = nowMs + this.meanServiceMs <= right.request.targetAtMs;
+        return isLeftTimely === isRightTimely ? left.arrivedAtMs < right.arrivedAtMs : isLeftTimely;
+    }
+
+    private retryAfterMs(priority: number): number {
+        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(priority)));
+    }
+}
--- /dev/null
+++ b/src/decisions/suspicion/OutcomeTest/index.ts
@@ -0,0 +1,57 @@
+import { Grade } from "../../fleet/Grade.js";
+import { ObservedOutcome } from "../ObservedOutcome.js";
+
+/** Log-likelihood ratio of a failure: ln(0.6 / 0.02), a gray endpoint against a sound one. */
+const FAILURE_WEIGHT = 3.4;
+/** Log-likelihood ratio of a success: ln(0.4 / 0.98). */
+const SUCCESS_WEIGHT = -0.9;
+/** Score from which an endpoint is doubted: one failure. */
+const DOUBT_SCORE = 3;
+/** Score from which an endpoint is ejected: two failures with no more than two successes between them. */
+const EJECT_SCORE = 5;
+/** Bounds the score, and with it the successes that lead back: three from the bound to doubt, four more to trust. */
+const MAX_SCORE = 6;
+/** A success in a trial counts twice, as trials are few. */
+const TRIAL_FACTOR = 2;
+/** Time after which a score is halved if nothing was observed, so that an idle endpoint is tried again. */
+const HALF_LIFE_MS = 6_000;
+
+/**
+ * Sequential test of one endpoint by the outcomes of its requests (cumulative sum of log-likelihood ratios, Page 1954).
+ *
+ * Answers for a service whose endpoints fail about one request in a hundred, and one endpoint of which begins to fail
+ * most of its requests while its health check passes.
+ */
+export class OutcomeTest {
+    private score = 0;
+    private changedAtMs = 0;
+
+    private constructor() {}
+
+    /** Creates the test of an endpoint of which nothing is known. */
+    static create(): OutcomeTest {
+        return new OutcomeTest();
+    }
+
+    /** Takes the outcome of a request. */
+    observe(outcome: ObservedOutcome, nowMs: number): void {
+        const score = this.scoreAt(nowMs);
+        const isTrial = score >= EJECT_SCORE;
+        const weight = outcome === ObservedOutcome.Failure ? FAILURE_WEIGHT : SUCCESS_WEIGHT * (isTrial ? TRIAL_FACTOR : 1);
+        this.score = Math.min(MAX_SCORE, Math.max(0, score + weight));
+        this.changedAtMs = nowMs;
+    }
+
+    /** Grade of the endpoint at a time. */
+    grade(nowMs: number): Grade {
+        const score = this.scoreAt(nowMs);
+        if (score >= EJECT_SCORE) {
+            return Grade.Ejected;
+        }
+        return score >= DOUBT_SCORE ? Grade.Doubted : Grade.Trusted;
+    }
+
+    private scoreAt(nowMs: number): number {
+        return this.score * 0.5 ** ((nowMs - this.changedAtMs) / HALF_LIFE_MS);
+    }
+}
--- /dev/null
+++ b/src/entrance/CallerDesk/index.ts
@@ -0,0 +1,288 @@
+import { createHash } from "node:crypto";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { CourseEffect } from "../../decisions/course/CourseEffect.js";
+import { CourseEffectKind } from "../../decisions/course/CourseEffectKind.js";
+import { CourseEvent } from "../../decisions/course/CourseEvent.js";
+import { CourseEventKind } from "../../decisions/course/CourseEventKind.js";
+import { CourseFailure } from "../../decisions/course/CourseFailure.js";
+import { RequestCourse } from "../../decisions/course/RequestCourse/index.js";
+import { drawService } from "../../decisions/items/drawService/index.js";
+import { RouteItem } from "../../decisions/items/RouteItem.js";
+import { RouteTable } from "../../decisions/items/RouteTable/index.js";
+import { QuarantineLedger } from "../../decisions/quarantine/QuarantineLedger/index.js";
+import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { assertNever } from "../../model/assertNever/index.js";
+import { RefusalCause } from "../../model/RefusalCause.js";
+import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
+import { WorkHandle } from "../../tunnel/WorkHandle.js";
+import { CallerDeskSetup } from "../CallerDeskSetup.js";
+import { CallerExchange } from "../CallerExchange.js";
+import { FleetView } from "../FleetView/index.js";
+
+/** Time after which a caller is told to return when there is no configuration or the process stops, in ms. */
+const SHORT_RETRY_AFTER_MS = 300;
+/** Part of the repeatable requests that try an ejected endpoint which wants a trial. */
+const TRIAL_SHARE = 0.3;
+const STATUS_NOT_FOUND = 404;
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_REFUSED = 503;
+const STATUS_TIMED_OUT = 504;
+const PORT_SUFFIX = /:\d+$/;
+
+/** A request on its way. */
+interface Run {
+    readonly exchange: CallerExchange;
+    readonly route: RouteItem;
+    readonly service: string;
+    readonly course: RequestCourse;
+    readonly fingerprint: string;
+    readonly deadlineAtMs: number;
+    readonly targetAtMs: number;
+    readonly handles: Map<number, WorkHandle>;
+    readonly vms: Map<number, string>;
+    readonly timers: Set<NodeJS.Timeout>;
+}
+
+/** Serves the requests of callers: finds their route, has their course decided, and carries it out. */
+export class CallerDesk {
+    private readonly budget: FleetRetryBudget;
+    private readonly quarantine = QuarantineLedger.create();
+    private table: RouteTable | undefined;
+    private offers = 0;
+    private open = 0;
+    private refusesAll = false;
+
+    private constructor(private readonly setup: CallerDeskSetup, private readonly view: FleetView, private readonly events: EventLog) {
+        this.budget = FleetRetryBudget.create(setup.retryTerms);
+    }
+
+    /**
+     * Creates a desk that has no configuration yet.
+     *
+     * @param setup - Names, terms and how callers are spoken to.
+     * @param view - The fleet's gates.
+     * @param events - Log.
+     */
+    static create(setup: CallerDeskSetup, view: FleetView, events: EventLog): CallerDesk {
+        return new CallerDesk(setup, view, events);
+    }
+
+    /** Requests on their way. */
+    get openCount(): number {
+        return this.open;
+    }
+
+    /** Puts a configuration in force. */
+    setTable(table: RouteTable): void {
+        this.table = table;
+    }
+
+    /** Refuses all requests from now on, as the process is about to end. */
+    refuseAll(): void {
+        this.refusesAll = true;
+    }
+
+    /** Serves a request. */
+    serve(exchange: CallerExchange): void {
+        const { request } = exchange;
+        if (this.refusesAll) {
+            this.refuse(exchange, RefusalCause.Stopping, SHORT_RETRY_AFTER_MS);
+            return;
+        }
+        if (this.table === undefined) {
+            this.refuse(exchange, RefusalCause.NoConfiguration, SHORT_RETRY_AFTER_MS);
+            return;
+        }
+        const route = this.table.route(request.host.replace(PORT_SUFFIX, ""), request.path);
+        if (route === undefined) {
+            this.answerItself(exchange, STATUS_NOT_FOUND, undefined);
+            return;
+        }
+        const service = drawService(route.services, Math.random);
+        if (service === undefined) {
+            this.refuse(exchange, RefusalCause.NoEndpoint, SHORT_RETRY_AFTER_MS);
+            return;
+        }
+        const fingerprint = createHash("sha1").update(`${service} ${request.method} ${request.path} `).update(request.body).digest("base64");
+        if (this.quarantine.isQuarantined(fingerprint, nowMs())) {
+            this.refuse(exchange, RefusalCause.Quarantined, SHORT_RETRY_AFTER_MS);
+            return;
+        }
+        this.begin(exchange, route, service, fingerprint);
+    }
+
+    private begin(exchange: CallerExchange, route: RouteItem, service: string, fingerprint: string): void {
+        const { arrivedAtMs, patienceMs } = exchange.request;
+        const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
+        const targetAtMs = arrivedAtMs + route.targetLatencyMs;
+        this.budget.countRequest(service, nowMs());
+        const course = RequestCourse.create(
+            { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
+            {
+                rank: (refused) => this.view.rank(service, route.requestKind, refused),
+                withdrawRepeat: () => this.budget.withdraw(service, this.view.openCount, nowMs()),
+                drawTrial: () => Math.random() < TRIAL_SHARE,
+                serviceMs: this.view.serviceMs(service),
+            },
+        );
+        const run: Run = {
+            exchange,
+            route,
+            service,
+            course,
+            fingerprint,
+            deadlineAtMs,
+            targetAtMs,
+            handles: new Map(),
+            vms: new Map(),
+            timers: new Set(),
+        };
+        this.open += 1;
+        exchange.onGone(() => this.step(run, { kind: CourseEventKind.CallerGone }));
+        this.arm(run, deadlineAtMs, { kind: CourseEventKind.Deadline });
+        this.step(run, { kind: CourseEventKind.Begin });
+    }
+
+    private step(run: Run, event: CourseEvent): void {
+        if (run.course.isFinished) {
+            return;
+        }
+        const effects = run.course.step(event, nowMs());
+        this.noteFinish(run);
+        effects.forEach((effect) => this.carryOut(run, effect));
+    }
+
+    private noteFinish(run: Run): void {
+        if (run.course.isFinished) {
+            this.open -= 1;
+            run.timers.forEach((timer) => clearTimeout(timer));
+        }
+    }
+
+    private carryOut(run: Run, effect: CourseEffect): void {
+        switch (effect.kind) {
+            case CourseEffectKind.Offer:
+                this.offer(run, effect);
+                return;
+            case CourseEffectKind.Cancel:
+                run.handles.get(effect.attempt)?.cancel();
+                return;
+            case CourseEffectKind.ArmHedge:
+                this.arm(run, effect.atMs, { kind: CourseEventKind.Hedge, attempt: effect.attempt });
+                return;
+            case CourseEffectKind.Deliver:
+                this.deliver(run, effect);
+                return;
+            case CourseEffectKind.Refuse:
+                this.refuse(run.exchange, effect.cause, effect.retryAfterMs);
+                return;
+            case CourseEffectKind.Fail:
+                this.fail(run, effect.failure, effect.problem);
+                return;
+            default:
+                assertNever(effect);
+        }
+    }
+
+    private offer(run: Run, effect: Extract<CourseEffect, { kind: CourseEffectKind.Offer }>): void {
+        const { attempt, vm, terms } = effect;
+        const { request } = run.exchange;
+        const port = this.view.port(vm);
+        const atMs = nowMs();
+        this.offers += 1;
+        this.view.countOffer(vm);
+        run.vms.set(attempt, vm);
+        const handle = port?.offer({
+            key: `${this.setup.entryRun}/${this.offers}`,
+            requestId: request.requestId,
+            service: run.service,
+            callerService: this.setup.callerService(),
+            endpointId: this.view.find(vm)?.endpoint?.id ?? "",
+            requestKind: run.route.requestKind,
+            priority: run.route.priority,
+            method: request.method,
+            path: request.path,
+            headers: request.headers,
+            body: request.body,
+            hasBody: request.hasBody,
+            remainingMs: run.deadlineAtMs - atMs,
+            targetRemainingMs: run.targetAtMs - atMs,
+            ...terms,
+        }, (reply) => {
+            if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
+                this.view.takeLoad(reply.load);
+            }
+            if (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken) {
+                this.events.record(EventNumber.AttemptRetried, {
+                    requestId: request.requestId,
+                    peer: vm,
+                    outcome: reply.kind,
+                    cause: reply.kind === GateReplyKind.Refused ? reply.cause : reply.problem,
+                });
+            }
+            if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint && this.quarantine.strike(run.fingerprint, `${vm}/${Math.round(nowMs())}`, nowMs())) {
+                this.events.record(EventNumber.RequestStruck, { requestId: request.requestId, peer: vm, fingerprint: run.fingerprint });
+            }
+            this.step(run, { kind: CourseEventKind.Reply, attempt, reply });
+        });
+        if (handle !== undefined && !run.course.isFinished) {
+            run.handles.set(attempt, handle);
+        }
+    }
+
+    private deliver(run: Run, { answer, attempt }: Extract<CourseEffect, { kind: CourseEffectKind.Deliver }>): void {
+        const { exchange } = run;
+        if (!this.setup.dialect.isGenuine(answer.status, answer.headers)) {
+            this.fail(run, CourseFailure.OutcomeUnknown, "the answer is not an endpoint's own");
+            return;
+        }
+        this.quarantine.acquit(run.fingerprint, nowMs());
+        this.events.record(EventNumber.RequestAnswered, {
+            requestId: exchange.request.requestId,
+            service: run.service,
+            status: answer.status,
+            peer: run.vms.get(attempt),
+            arrivals: run.course.arrivalCount,
+            tookMs: Math.round(nowMs() - exchange.request.arrivedAtMs),
+        });
+        exchange.answer(answer);
+    }
+
+    private fail(run: Run, failure: CourseFailure, problem: string): void {
+        const { exchange } = run;
+        this.events.record(EventNumber.RequestFailed, {
+            requestId: exchange.request.requestId,
+            service: run.service,
+            failure,
+            problem,
+            peers: [...run.vms.values()],
+            arrivals: run.course.arrivalCount,
+            tookMs: Math.round(nowMs() - exchange.request.arrivedAtMs),
+        });
+        this.answerItself(exchange, failure === CourseFailure.TimedOut ? STATUS_TIMED_OUT : STATUS_BAD_GATEWAY, undefined);
+    }
+
+    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number): void {
+        const { requestId, arrivedAtMs } = exchange.request;
+        this.events.record(EventNumber.RequestRefused, { requestId, cause, retryAfterMs, tookMs: Math.round(nowMs() - arrivedAtMs) });
+        this.answerItself(exchange, STATUS_REFUSED, retryAfterMs);
+    }
+
+    private answerItself(exchange: CallerExchange, status: number, retryAfterMs: number | undefined): void {
+        exchange.answer({
+            status,
+            headers: this.setup.dialect.ownAnswerHeaders(exchange.request.requestId, retryAfterMs),
+            body: Buffer.alloc(0),
+        });
+    }
+
+    private arm(run: Run, atMs: number, event: CourseEvent): void {
+        const timer = setTimeout(() => {
+            run.timers.delete(timer);
+            this.step(run, event);
+        }, Math.max(0, atMs - nowMs()));
+        run.timers.add(timer);
+    }
+}
--- /dev/null
+++ b/src/entrance/FleetView/index.ts
@@ -0,0 +1,149 @@
+import { nowMs } from "../../clock/nowMs/index.js";
+import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
+import { FleetTable } from "../../decisions/fleet/FleetTable/index.js";
+import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
+import { GateRecord } from "../../decisions/fleet/GateRecord.js";
+import { PlacementCandidate } from "../../decisions/placement/PlacementCandidate.js";
+import { rankGates } from "../../decisions/placement/rankGates/index.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { RequestKind } from "../../model/RequestKind.js";
+import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
+import { WorkPort } from "../../tunnel/WorkPort.js";
+import { FleetViewSetup } from "../FleetViewSetup.js";
+
+/** Time between two looks at the connections to gates, in ms; nothing is looked at while none is waited for. */
+const TICK_MS = 100;
+/** Service time assumed before any gate has reported, in ms. */
+const UNKNOWN_SERVICE_MS = 300;
+
+/** What an entry knows of the gates of the fleet, and its connections to them. */
+export class FleetView {
+    private readonly table = FleetTable.create();
+    private readonly loads = new Map<string, GateLoadReport>();
+    private readonly offeredSince = new Map<string, number>();
+    private readonly coldUntilMs = new Map<string, number>();
+    private readonly tunnels = new Map<string, TunnelClient>();
+
+    private timer: NodeJS.Timeout | undefined;
+
+    private constructor(private readonly setup: FleetViewSetup, private readonly events: EventLog) {}
+
+    /**
+     * Creates a view in which only the gate of the own process can be reached.
+     *
+     * @param setup - Own VM, its gate and the fleet's token.
+     * @param events - Log.
+     */
+    static create(setup: FleetViewSetup, events: EventLog): FleetView {
+        return new FleetView(setup, events);
+    }
+
+    /** Number of proxies that are open. */
+    get openCount(): number {
+        return this.table.all.filter(({ isOpen }) => isOpen).length;
+    }
+
+    /** Looks up the record of a VM. */
+    find(vm: string): GateRecord | undefined {
+        return this.table.find(vm);
+    }
+
+    /** Takes news of other proxies' gates. */
+    take(records: readonly GateRecord[], loads: readonly GateLoadReport[]): void {
+        this.table.merge(records).forEach((record) => this.index(record));
+        loads.forEach((load) => this.takeLoad(load));
+    }
+
+    /** Takes the load that a gate has reported. */
+    takeLoad(load: GateLoadReport): void {
+        this.loads.set(load.vm, load);
+        this.offeredSince.delete(load.vm);
+    }
+
+    /** Orders the gates of a service by where a request is likely to be answered first. */
+    rank(service: string, requestKind: RequestKind, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
+        const candidates = this.serving(service).map((record) => this.candidate(record, refused));
+        return rankGates(candidates, requestKind, this.setup.failureDomain, Math.random);
+    }
+
+    /** Mean time that a request occupies a slot of a service, over its gates. */
+    serviceMs(service: string): number {
+        const times = this.serving(service).flatMap(({ vm }) => this.loads.get(vm)?.serviceMs ?? []);
+        return times.length === 0 ? UNKNOWN_SERVICE_MS : times.reduce((sum, time) => sum + time, 0) / times.length;
+    }
+
+    /** The gate of a VM. */
+    port(vm: string): WorkPort | undefined {
+        if (vm === this.setup.vm) {
+            return this.setup.ownGate;
+        }
+        const record = this.table.find(vm);
+        return record === undefined ? undefined : this.tunnel(record);
+    }
+
+    /** Counts a request that is offered to a gate. */
+    countOffer(vm: string): void {
+        this.offeredSince.set(vm, (this.offeredSince.get(vm) ?? 0) + 1);
+        this.armTick();
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        clearTimeout(this.timer);
+        this.tunnels.forEach((tunnel) => tunnel.close());
+        this.tunnels.clear();
+    }
+
+    private armTick(): void {
+        this.timer ??= setTimeout(() => {
+            this.timer = undefined;
+            const tunnels = [...this.tunnels.values()];
+            tunnels.forEach((tunnel) => tunnel.tick());
+            if (tunnels.some((tunnel) => tunnel.isWaiting)) {
+                this.armTick();
+            }
+        }, TICK_MS);
+    }
+
+    private index(record: GateRecord): void {
+        const { endpoint, vm, isOpen } = record;
+        if (endpoint !== undefined) {
+            this.coldUntilMs.set(vm, nowMs() + endpoint.coldRemainingMs);
+        }
+        if (!isOpen) {
+            this.tunnels.get(vm)?.close();
+            this.tunnels.delete(vm);
+        }
+    }
+
+    private serving(service: string): readonly GateRecord[] {
+        return this.table.all.filter(({ isOpen, endpoint }) =>
+            isOpen && endpoint?.service === service && endpoint.phase === EndpointPhase.Ready);
+    }
+
+    private candidate(record: GateRecord, refused: ReadonlySet<string>): PlacementCandidate {
+        const { vm } = record;
+        return {
+            record,
+            load: this.loads.get(vm),
+            offeredSince: this.offeredSince.get(vm) ?? 0,
+            isReachable: this.tunnels.get(vm)?.isReachable ?? true,
+            isCold: nowMs() < (this.coldUntilMs.get(vm) ?? 0),
+            hasRefused: refused.has(vm),
+        };
+    }
+
+    private tunnel(record: GateRecord): TunnelClient {
+        const { vm, gateAddress } = record;
+        const known = this.tunnels.get(vm);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = TunnelClient.create(gateAddress, this.setup.token, (isReachable, problem) => {
+            this.events.record(isReachable ? EventNumber.PathRegained : EventNumber.PathLost, { peer: vm, problem });
+        });
+        this.tunnels.set(vm, created);
+        return created;
+    }
+}
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -5,6 +5,10 @@
 import { ApplyDecision } from "../decisions/configuration/ApplyDecision.js";
 import { ApplyRequest } from "../decisions/configuration/ApplyRequest.js";
 import { ManifestPart } from "../decisions/configuration/ManifestPart.js";
+import { GateLoadReport } from "../decisions/fleet/GateLoadReport.js";
+import { GateRecord } from "../decisions/fleet/GateRecord.js";
+import { ItemOutcome } from "../decisions/items/ItemOutcome.js";
+import { VersionedItem } from "../decisions/items/VersionedItem.js";
 import { MemberStamp } from "../decisions/membership/MemberStamp.js";
 import { Suspicion } from "../decisions/membership/Suspicion.js";
 import { QuorumMessage } from "../decisions/quorum/QuorumMessage.js";
@@ -12,6 +16,7 @@
 import { ConfigurationVersion } from "../model/ConfigurationVersion.js";
 import { MemberRecord } from "../model/MemberRecord.js";
 import { SettleQuestion } from "../model/SettleQuestion.js";
+import { ControlPeer } from "./ControlPeer.js";
 import { MessageKind } from "./MessageKind.js";
 import { PeerIdentity } from "./PeerIdentity.js";
 
@@ -59,5 +64,17 @@
     | { readonly kind: MessageKind.Acquittal; readonly fingerprint: string }
     /** A witness that has lost its memory asks for the claims of another. */
     | { readonly kind: MessageKind.ClaimsFetch }
+    /** What a process knows of the control VMs: all tell each other, so that stale seeds do not matter for long. */
+    | { readonly kind: MessageKind.ControlPeers; readonly self: ControlPeer | undefined; readonly peers: readonly ControlPeer[] }
+    /** The sender wants, or no longer wants, the news of the fleet and of the items from this control VM. */
+    | { readonly kind: MessageKind.Subscribe; readonly wants: boolean; readonly wantsLoads: boolean }
+    | { readonly kind: MessageKind.FleetNews; readonly records: readonly GateRecord[]; readonly loads: readonly GateLoadReport[] }
+    /** `isComplete` if these are all items, so that what is not among them does not exist. */
+    | { readonly kind: MessageKind.ItemNews; readonly items: readonly VersionedItem[]; readonly isComplete: boolean }
+    | { readonly kind: MessageKind.ProposeItems; readonly changes: readonly VersionedItem[] }
+    /** `outcome` is undefined if it is not known; `problem` says why. */
+    | { readonly kind: MessageKind.ItemsDecided; readonly outcome: ItemOutcome | undefined; readonly problem: string }
+    | { readonly kind: MessageKind.ReadItems }
+    | { readonly kind: MessageKind.ItemsRead; readonly items: readonly VersionedItem[] | undefined; readonly problem: string }
     /** `entries` is undefined while the memory of the asked witness is not complete itself. */
     | { readonly kind: MessageKind.ClaimsCopy; readonly entries: readonly ClaimEntry[] | undefined };
--- a/src/links/MessageKind.ts
+++ b/src/links/MessageKind.ts
@@ -23,4 +23,12 @@
     Strike = "strike",
     Acquittal = "acquittal",
     ClaimsCopy = "claims-copy",
+    ControlPeers = "control-peers",
+    Subscribe = "subscribe",
+    FleetNews = "fleet-news",
+    ItemNews = "item-news",
+    ProposeItems = "propose-items",
+    ItemsDecided = "items-decided",
+    ReadItems = "read-items",
+    ItemsRead = "items-read",
 }
--- a/src/logs/EventLog/index.ts
+++ b/src/logs/EventLog/index.ts
@@ -10,7 +10,11 @@
 export class EventLog {
     private readonly ring: LogFields[] = [];
 
-    private constructor(private readonly vm: string, private readonly consola: ConsolaInstance | undefined) {}
+    private constructor(
+        private readonly vm: string,
+        private readonly consola: ConsolaInstance | undefined,
+        private readonly write: ((line: string) => void) | undefined,
+    ) {}
 
     /**
      * Creates a log.
@@ -20,20 +24,31 @@
      */
     static create(vm: string, format: LogFormat | undefined): EventLog {
         if (format === undefined) {
-            return new EventLog(vm, undefined);
+            return new EventLog(vm, undefined, undefined);
         }
         const reporters = [{ log: (entry: LogObject) => void process.stdout.write(`${String(entry.args[0])}\n`) }];
         const options = { level: LogLevels.info };
-        return new EventLog(vm, createConsola(format === LogFormat.Json ? { ...options, reporters } : options));
+        return new EventLog(vm, createConsola(format === LogFormat.Json ? { ...options, reporters } : options), undefined);
     }
 
-    /** Records an event; events of single requests are kept in memory only. */
+    /**
+     * Creates a log that writes every event, those of single requests included.
+     *
+     * @param vm - VM name, part of every event.
+     * @param write - Takes each line.
+     */
+    static createWith(vm: string, write: (line: string) => void): EventLog {
+        return new EventLog(vm, undefined, write);
+    }
+
+    /** Records an event; unless the log writes every event, those of single requests are kept in memory only. */
     record(event: EventNumber, fields: LogFields): void {
         const line = { atMs: Date.now(), event, name: EventNumber[event], vm: this.vm, ...fields };
         this.ring.push(line);
         if (this.ring.length > RING_EVENTS) {
             this.ring.shift();
         }
+        this.write?.(JSON.stringify(line));
         if ((event as number) < FIRST_REQUEST_EVENT) {
             this.consola?.info(JSON.stringify(line));
         }
--- /dev/null
+++ b/src/mesh/SidecarRole/index.ts
@@ -0,0 +1,323 @@
+import { randomBytes } from "node:crypto";
+import { setTimeout as delay } from "node:timers/promises";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { EndpointLife } from "../../decisions/fleet/EndpointLife/index.js";
+import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { GateRecord } from "../../decisions/fleet/GateRecord.js";
+import { Grade } from "../../decisions/fleet/Grade.js";
+import { ItemBook } from "../../decisions/items/ItemBook/index.js";
+import { RouteTable } from "../../decisions/items/RouteTable/index.js";
+import { VersionedItem } from "../../decisions/items/VersionedItem.js";
+import { CallerDesk } from "../../entrance/CallerDesk/index.js";
+import { CallerServer } from "../../entrance/CallerServer/index.js";
+import { FleetView } from "../../entrance/FleetView/index.js";
+import { deriveToken } from "../../http/deriveToken/index.js";
+import { LinkPort } from "../../links/LinkPort.js";
+import { Message } from "../../links/Message.js";
+import { MessageKind } from "../../links/MessageKind.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { Role } from "../../model/Role.js";
+import { ServingGate } from "../../serving/ServingGate/index.js";
+import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
+import { MeshDialect } from "../MeshDialect.js";
+import { MeshLinks } from "../MeshLinks/index.js";
+import { MeshSettings } from "../MeshSettings.js";
+
+/** Control VMs whose news a proxy takes; the second one covers for the first when it is cut off. */
+const SUBSCRIPTIONS = 2;
+/** Time without a word after which another control VM is subscribed to, in ms: two heartbeats and a round trip. */
+const QUIET_MS = 2_200;
+const SUBSCRIBE_MS = 1_000;
+/** Time between two reports of the own load, in ms. */
+const LOAD_MS = 150;
+/** Time after the request to stop until which new connections are taken, in ms; callers have turned away by then. */
+const LISTEN_ON_MS = 2_500;
+/** Time before the end of the grace at which the process ends in any case, in ms. */
+const END_MARGIN_MS = 400;
+const STOP_POLL_MS = 50;
+const RUN_BYTES = 6;
+
+/** A proxy beside an endpoint: entry for the callers on its VM, and gate of the endpoint. */
+export class SidecarRole {
+    private readonly gateRun = randomBytes(RUN_BYTES).toString("hex");
+    private readonly life = EndpointLife.create();
+    private readonly book = ItemBook.create();
+    private readonly subscribed = new Set<string>();
+    private readonly timers: NodeJS.Timeout[] = [];
+    private record: GateRecord;
+    private hasItems = false;
+    private hasFleet = false;
+    private isOpen = true;
+    private loadsFrom: string | undefined;
+    private loadTimer: NodeJS.Timeout | undefined;
+    private links: MeshLinks | undefined;
+    private tunnels: TunnelServer | undefined;
+    private callers: CallerServer | undefined;
+
+    private constructor(
+        private settings: MeshSettings,
+        private readonly events: EventLog,
+        private readonly gate: ServingGate,
+        private readonly view: FleetView,
+        private readonly desk: CallerDesk,
+        private readonly owner: { role?: SidecarRole },
+    ) {
+        const { vm, links } = settings;
+        this.owner.role = this;
+        this.record = {
+            vm: vm.name,
+            failureDomain: vm.failureDomain,
+            gateAddress: `${vm.ip}:${links.firstPort + 1}`,
+            run: Date.now(),
+            sequence: 1,
+            isOpen: true,
+            endpoint: undefined,
+        };
+    }
+
+    /**
+     * Starts a proxy.
+     *
+     * @param settings - Settings with a proxy table.
+     * @param dialect - How callers and backend servers are spoken to.
+     * @param events - Log.
+     * @throws FleetError if a port is in use.
+     */
+    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog): Promise<SidecarRole> {
+        const { vm, links, terms, proxy } = settings;
+        const owner: { role?: SidecarRole } = {};
+        const token = deriveToken(links.fleetKey);
+        const gate = ServingGate.create({
+            vm: vm.name,
+            backendAddress: proxy?.backendAddress ?? "",
+            dialect,
+            events,
+            onLoad: () => owner.role?.noteLoad(),
+        });
+        const view = FleetView.create({ vm: vm.name, failureDomain: vm.failureDomain, ownGate: gate, token }, events);
+        const desk = CallerDesk.create({
+            entryRun: `${vm.name}-${randomBytes(RUN_BYTES).toString("hex")}`,
+            retryTerms: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
+            dialect,
+            callerService: () => owner.role?.callerService ?? "",
+        }, view, events);
+        const role = new SidecarRole(settings, events, gate, view, desk, owner);
+        await role.start(token, dialect);
+        return role;
+    }
+
+    /** True while callers should send their requests here. */
+    get isReady(): boolean {
+        return this.isOpen && this.hasItems && this.hasFleet;
+    }
+
+    /** Service that runs on this VM. */
+    get callerService(): string {
+        return this.life.report?.service ?? this.settings.proxy?.service ?? "";
+    }
+
+    /** Takes new settings. */
+    reload(settings: MeshSettings): void {
+        this.settings = settings;
+        this.links?.setSeeds(settings);
+    }
+
+    /** Takes what the endpoint says of itself. */
+    report(report: EndpointReport): void {
+        if (this.life.take(report, nowMs())) {
+            this.endpointChanged();
+        }
+    }
+
+    /** Takes the last word of an endpoint that leaves. */
+    leave(id: string): void {
+        if (this.life.leave(id, nowMs(), Date.now())) {
+            this.endpointChanged();
+        }
+    }
+
+    /** Stops within the grace: callers are served to the end, and nothing new is taken when they have turned away. */
+    async stop(): Promise<void> {
+        const startedAtMs = nowMs();
+        const endAtMs = startedAtMs + this.settings.terms.grace - END_MARGIN_MS;
+        this.events.record(EventNumber.DaemonStopping, { callers: this.desk.openCount, work: this.gate.workCount });
+        this.isOpen = false;
+        this.gate.stop();
+        this.publish({ isOpen: false });
+        this.callers?.startStopping();
+        await delay(LISTEN_ON_MS);
+        this.desk.refuseAll();
+        this.callers?.stopListening();
+        while (nowMs() < endAtMs && (this.desk.openCount > 0 || this.gate.workCount > 0)) {
+            await delay(STOP_POLL_MS);
+        }
+        this.events.record(EventNumber.DaemonStopped, { callers: this.desk.openCount, work: this.gate.workCount });
+        await this.close();
+    }
+
+    private async start(token: string, dialect: MeshDialect): Promise<void> {
+        const { vm, links, proxy } = this.settings;
+        this.view.take([this.record], []);
+        this.tunnels = await TunnelServer.create({ host: vm.ip, port: links.firstPort + 1, token, gateRun: this.gateRun, gate: this.gate });
+        this.callers = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.desk.serve(exchange));
+        this.links = await MeshLinks.create(this.settings, Role.Proxy, {
+            onOpen: (link) => this.linkOpened(link),
+            onMessage: (_link, message) => this.receive(message),
+            onCall: () => Promise.resolve(undefined),
+            onClose: (link) => this.linkClosed(link),
+        }, () => undefined, this.events);
+        this.timers.push(
+            setInterval(() => this.keepSubscriptions(), SUBSCRIBE_MS),
+        );
+    }
+
+    private async close(): Promise<void> {
+        this.timers.forEach((timer) => clearInterval(timer));
+        clearTimeout(this.loadTimer);
+        this.callers?.close();
+        this.tunnels?.close();
+        this.view.close();
+        this.gate.close();
+        await this.links?.close();
+    }
+
+    private linkOpened(link: LinkPort): void {
+        link.send({ kind: MessageKind.FleetNews, records: [this.record], loads: [this.gate.load] });
+        this.keepSubscriptions();
+    }
+
+    private linkClosed(link: LinkPort): void {
+        if (this.subscribed.delete(link.peer.vm)) {
+            this.events.record(EventNumber.ControlLost, { peer: link.peer.vm, left: this.subscribed.size });
+        }
+        this.keepSubscriptions();
+    }
+
+    private receive(message: Message): void {
+        switch (message.kind) {
+            case MessageKind.FleetNews:
+                this.view.take(message.records.filter((record) => record.vm !== this.record.vm), message.loads);
+                message.records.filter((record) => record.vm === this.record.vm).forEach((record) => this.meetFormerRun(record));
+                this.hasFleet = true;
+                return;
+            case MessageKind.ItemNews:
+                this.takeItems(message.items, message.isComplete);
+                return;
+            default:
+        }
+    }
+
+    /** What an earlier run of this proxy has published: its drains bind, and the own record has to be newer. */
+    private meetFormerRun(record: GateRecord): void {
+        if (record.run === this.record.run) {
+            return;
+        }
+        if (record.endpoint !== undefined && this.life.restore(record.endpoint)) {
+            this.events.record(EventNumber.RetainedPhaseRestored, { endpoint: record.endpoint.id, phase: record.endpoint.phase });
+            this.endpointChanged();
+        }
+        if (record.run > this.record.run) {
+            this.record = { ...this.record, run: record.run + 1 };
+            this.publish({});
+        }
+    }
+
+    private takeItems(items: readonly VersionedItem[], isComplete: boolean): void {
+        const news = this.book.merge(items);
+        if (isComplete && !this.hasItems) {
+            this.hasItems = true;
+        }
+        else if (news.length === 0) {
+            return;
+        }
+        if (this.hasItems) {
+            const table = RouteTable.create(this.book.all);
+            this.desk.setTable(table);
+            this.callers?.setLimits(table.limits);
+            this.events.record(EventNumber.ItemsInForce, { news: news.length, items: this.book.size });
+        }
+    }
+
+    private endpointChanged(): void {
+        const { report } = this.life;
+        if (report !== undefined) {
+            this.gate.setEndpoint(report);
+            this.events.record(EventNumber.EndpointReported, {
+                endpoint: report.id,
+                service: report.service,
+                phase: report.phase,
+                sequence: report.sequence,
+                bornAtMs: report.bornAtMs,
+            });
+            this.publish({ endpoint: report });
+        }
+    }
+
+    private publish(change: Partial<GateRecord>): void {
+        this.record = { ...this.record, ...change, sequence: this.record.sequence + 1 };
+        this.view.take([this.record], []);
+        this.tellControl({ kind: MessageKind.FleetNews, records: [this.record], loads: [this.gate.load] });
+    }
+
+    private noteLoad(): void {
+        this.view.takeLoad(this.gate.load);
+        this.loadTimer ??= setTimeout(() => {
+            this.loadTimer = undefined;
+            this.sendLoad();
+        }, LOAD_MS);
+    }
+
+    private sendLoad(): void {
+        const { load } = this.gate;
+        this.view.takeLoad(load);
+        this.tellControl({ kind: MessageKind.FleetNews, records: [], loads: [load] });
+        if (load.grade === Grade.Ejected) {
+            this.noteLoad();
+        }
+    }
+
+    private tellControl(message: Message): void {
+        this.links?.linkedVms.forEach((vm) => this.links?.sendTo(vm, message));
+    }
+
+    private keepSubscriptions(): void {
+        const { links } = this;
+        if (links === undefined) {
+            return;
+        }
+        const linked = [...links.linkedVms];
+        const lively = linked.filter((vm) => nowMs() - links.lastHeardMs(vm) < QUIET_MS);
+        [...this.subscribed].filter((vm) => !lively.includes(vm)).forEach((vm) => {
+            this.subscribed.delete(vm);
+            links.sendTo(vm, { kind: MessageKind.Subscribe, wants: false, wantsLoads: false });
+        });
+        this.takeLoadsFromFirst(links);
+        while (this.subscribed.size < Math.min(SUBSCRIPTIONS, lively.length)) {
+            const next = this.nextSubscription(lively);
+            if (next === undefined) {
+                return;
+            }
+            this.subscribed.add(next);
+            this.loadsFrom ??= next;
+            links.sendTo(next, { kind: MessageKind.Subscribe, wants: true, wantsLoads: this.subscribed.size === 1 });
+            this.events.record(EventNumber.ControlRegained, { peer: next, subscribed: this.subscribed.size });
+        }
+    }
+
+    /** When the control VM that sent the loads is gone, the next one is asked for them. */
+    private takeLoadsFromFirst(links: MeshLinks): void {
+        const [first] = this.subscribed;
+        if (first !== this.loadsFrom) {
+            this.loadsFrom = first;
+            if (first !== undefined) {
+                links.sendTo(first, { kind: MessageKind.Subscribe, wants: true, wantsLoads: true });
+            }
+        }
+    }
+
+    private nextSubscription(lively: readonly string[]): string | undefined {
+        const free = lively.filter((vm) => !this.subscribed.has(vm));
+        return free[Math.floor(Math.random() * free.length)];
+    }
+}
--- /dev/null
+++ b/src/serving/ServingGate/index.ts
@@ -0,0 +1,309 @@
+import { BackendExchange } from "../../backend/BackendExchange.js";
+import { BackendPool } from "../../backend/BackendPool/index.js";
+import { BackendResult } from "../../backend/BackendResult.js";
+import { BackendResultKind } from "../../backend/BackendResultKind.js";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
+import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
+import { Grade } from "../../decisions/fleet/Grade.js";
+import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
+import { ServingQueue } from "../../decisions/serving/ServingQueue/index.js";
+import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
+import { ObservedOutcome } from "../../decisions/suspicion/ObservedOutcome.js";
+import { OutcomeTest } from "../../decisions/suspicion/OutcomeTest/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { assertNever } from "../../model/assertNever/index.js";
+import { RefusalCause } from "../../model/RefusalCause.js";
+import { RequestKind } from "../../model/RequestKind.js";
+import { GateReply } from "../../tunnel/GateReply.js";
+import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
+import { WorkHandle } from "../../tunnel/WorkHandle.js";
+import { WorkOffer } from "../../tunnel/WorkOffer.js";
+import { WorkPort } from "../../tunnel/WorkPort.js";
+import { ServingGateSetup } from "../ServingGateSetup.js";
+
+/** Time between two looks at the work, in ms; nothing is looked at while there is none. */
+const TICK_MS = 50;
+/** Time between two looks at idle connections, in ms. */
+const TIDY_MS = 2_000;
+/** Statuses from which on an answer is a failure of the endpoint. */
+const FAILED_STATUS = 500;
+/** Status of an endpoint that is not the one that was meant. */
+const STATUS_MISDIRECTED = 421;
+/** A request that runs for this multiple of the mean service time counts as hung. */
+const HANG_FACTOR = 4;
+/** Shortest time after which a request counts as hung, in ms. */
+const MIN_HANG_MS = 1_500;
+/** Time kept back from the deadline that an endpoint is given, for the way back, in ms. */
+const RETURN_MS = 10;
+
+interface Running {
+    readonly offer: WorkOffer;
+    readonly deadlineAtMs: number;
+    readonly onReply: (reply: GateReply) => void;
+    startedAtMs: number;
+    exchange: BackendExchange | undefined;
+    isHung: boolean;
+}
+
+/** The gate beside one endpoint: all work for it passes here, and what has not been handed to it has not run. */
+export class ServingGate implements WorkPort {
+    private readonly queue = ServingQueue.create(1);
+    private readonly work = new Map<string, Running>();
+    private readonly pool: BackendPool;
+    private tickTimer: NodeJS.Timeout | undefined;
+    private readonly tidyTimer: NodeJS.Timeout;
+    private test = OutcomeTest.create();
+    private endpoint: EndpointReport | undefined;
+    private lastGrade = Grade.Trusted;
+    private isStopping = false;
+
+    private constructor(private readonly setup: ServingGateSetup) {
+        this.pool = BackendPool.create(setup.backendAddress, setup.dialect);
+        this.tidyTimer = setInterval(() => this.pool.tidy(), TIDY_MS);
+    }
+
+    /** Creates the gate of an endpoint that is not known yet. */
+    static create(setup: ServingGateSetup): ServingGate {
+        return new ServingGate(setup);
+    }
+
+    /** Current load. */
+    get load(): GateLoadReport {
+        const atMs = nowMs();
+        const grade = this.test.grade(atMs);
+        return {
+            vm: this.setup.vm,
+            running: this.queue.runningCount,
+            queued: this.queue.waitingCount,
+            slots: this.queue.slots,
+            serviceMs: Math.round(this.queue.serviceMs),
+            grade,
+            wantsTrial: grade === Grade.Ejected && this.queue.wantsTrial(atMs),
+        };
+    }
+
+    /** Requests that run or wait. */
+    get workCount(): number {
+        return this.work.size;
+    }
+
+    /** Connections opened to the endpoint since the start. */
+    get openedConnections(): number {
+        return this.pool.openedCount;
+    }
+
+    /** Takes what the endpoint says of itself; work is refused from the moment at which it is not ready. */
+    setEndpoint(endpoint: EndpointReport): void {
+        const isNewRun = this.endpoint?.id !== endpoint.id || this.endpoint.bornAtMs !== endpoint.bornAtMs;
+        if (isNewRun) {
+            this.test = OutcomeTest.create();
+            this.pool.tidy();
+        }
+        this.endpoint = endpoint;
+        this.queue.setSlots(endpoint.slots);
+        if (endpoint.phase !== EndpointPhase.Ready || isNewRun) {
+            this.queue.withdrawAll().forEach(({ key }) => this.refuse(key, RefusalCause.NotServing, 0, false));
+        }
+        this.startNext();
+    }
+
+    /** Refuses new work from now on; what runs goes on. */
+    stop(): void {
+        this.isStopping = true;
+        this.queue.withdrawAll().forEach(({ key }) => this.refuse(key, RefusalCause.Stopping, 0, false));
+    }
+
+    /** Stops the timers and breaks off what runs. */
+    close(): void {
+        clearTimeout(this.tickTimer);
+        this.tickTimer = undefined;
+        clearInterval(this.tidyTimer);
+        this.pool.close();
+    }
+
+    offer(offer: WorkOffer, onReply: (reply: GateReply) => void): WorkHandle {
+        const atMs = nowMs();
+        const cause = this.findRefusal(offer);
+        if (cause !== undefined) {
+            onReply(this.refusal(cause, 0, false));
+            return { cancel: () => undefined };
+        }
+        const deadlineAtMs = atMs + offer.remainingMs;
+        const admission = this.queue.arrive(servingRequest(offer, atMs), this.test.grade(atMs), atMs);
+        switch (admission.kind) {
+            case AdmissionKind.Refuse:
+                onReply(this.refusal(admission.cause, admission.retryAfterMs, false));
+                return { cancel: () => undefined };
+            case AdmissionKind.Queue:
+                this.work.set(offer.key, { offer, deadlineAtMs, onReply, startedAtMs: 0, exchange: undefined, isHung: false });
+                onReply({ kind: GateReplyKind.Queued });
+                this.startNext();
+                break;
+            case AdmissionKind.Start:
+                this.work.set(offer.key, { offer, deadlineAtMs, onReply, startedAtMs: 0, exchange: undefined, isHung: false });
+                this.start(offer.key);
+                break;
+            default:
+                assertNever(admission);
+        }
+        this.armTick();
+        this.setup.onLoad();
+        return { cancel: () => this.cancel(offer.key) };
+    }
+
+    private findRefusal(offer: WorkOffer): RefusalCause | undefined {
+        if (this.isStopping) {
+            return RefusalCause.Stopping;
+        }
+        if (this.endpoint?.phase !== EndpointPhase.Ready) {
+            return RefusalCause.NotServing;
+        }
+        const isOther = this.endpoint.service !== offer.service || (offer.endpointId !== "" && offer.endpointId !== this.endpoint.id);
+        return isOther ? RefusalCause.OtherEndpoint : undefined;
+    }
+
+    private start(key: string): void {
+        const running = this.work.get(key);
+        if (running === undefined) {
+            this.queue.finish(key, nowMs(), false);
+            return;
+        }
+        const { offer } = running;
+        const endpointId = this.endpoint?.id ?? "";
+        running.startedAtMs = nowMs();
+        const remainingMs = Math.max(1, Math.round(running.deadlineAtMs - running.startedAtMs - RETURN_MS));
+        running.exchange = this.pool.send({
+            method: offer.method,
+            path: offer.path,
+            headers: this.setup.dialect.requestHeaders({ ...offer, endpointId }, remainingMs),
+            body: offer.body,
+            hasBody: offer.hasBody,
+            requestId: offer.requestId,
+        }, offer.requestKind === RequestKind.Once);
+        running.onReply({ kind: GateReplyKind.Started });
+        void running.exchange.result.then((result) => this.finish(key, running, result));
+    }
+
+    private finish(key: string, running: Running, result: BackendResult): void {
+        if (this.work.get(key) !== running) {
+            return;
+        }
+        this.work.delete(key);
+        const atMs = nowMs();
+        this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered);
+        const reply = this.judge(running, result, atMs);
+        this.startNext();
+        running.onReply(reply);
+        this.noteGrade(atMs);
+        this.setup.onLoad();
+    }
+
+    private judge({ offer }: Running, result: BackendResult, atMs: number): GateReply {
+        switch (result.kind) {
+            case BackendResultKind.NotConnected:
+                this.test.observe(ObservedOutcome.Failure, atMs);
+                return this.refusal(RefusalCause.Unreachable, 0, false);
+            case BackendResultKind.Broken:
+                this.test.observe(ObservedOutcome.Failure, atMs);
+                this.setup.events.record(EventNumber.BackendBroken, {
+                    requestId: offer.requestId,
+                    problem: result.problem,
+                    reused: result.wasReused,
+                });
+                return { kind: GateReplyKind.Broken, problem: result.problem, lostEndpoint: !result.hadAnswerBytes };
+            case BackendResultKind.Answered: {
+                const { status, headers } = result.answer;
+                if (this.setup.dialect.saysNotRun(status, headers)) {
+                    const cause = status === STATUS_MISDIRECTED ? RefusalCause.OtherEndpoint : RefusalCause.Shed;
+                    this.test.observe(ObservedOutcome.Failure, atMs);
+                    return this.refusal(cause, 0, true);
+                }
+                this.test.observe(status >= FAILED_STATUS ? ObservedOutcome.Failure : ObservedOutcome.Success, atMs);
+                return { kind: GateReplyKind.Answered, answer: result.answer, load: this.load };
+            }
+        }
+    }
+
+    private cancel(key: string): void {
+        const running = this.work.get(key);
+        if (running === undefined) {
+            return;
+        }
+        this.work.delete(key);
+        if (this.queue.withdraw(key)) {
+            return;
+        }
+        running.exchange?.cancel();
+        this.queue.finish(key, nowMs(), false);
+        this.startNext();
+        this.setup.onLoad();
+    }
+
+    private refuse(key: string, cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): void {
+        const waiting = this.work.get(key);
+        this.work.delete(key);
+        waiting?.onReply(this.refusal(cause, retryAfterMs, reachedEndpoint));
+    }
+
+    private refusal(cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): GateReply {
+        return { kind: GateReplyKind.Refused, cause, retryAfterMs, reachedEndpoint, load: this.load };
+    }
+
+    private tick(): void {
+        const atMs = nowMs();
+        this.queue.takeOverdue(atMs).forEach(({ key }) => this.refuse(key, RefusalCause.Busy, Math.round(this.queue.serviceMs), false));
+        const hungAfterMs = Math.max(MIN_HANG_MS, HANG_FACTOR * this.queue.serviceMs);
+        this.work.forEach((running) => {
+            if (!running.isHung && running.startedAtMs > 0 && atMs - running.startedAtMs > hungAfterMs) {
+                running.isHung = true;
+                this.test.observe(ObservedOutcome.Failure, atMs);
+                this.noteGrade(atMs);
+            }
+        });
+        this.startNext();
+    }
+
+    private armTick(): void {
+        this.tickTimer ??= setTimeout(() => {
+            this.tickTimer = undefined;
+            this.tick();
+            if (this.work.size > 0) {
+                this.armTick();
+            }
+        }, TICK_MS);
+    }
+
+    private startNext(): void {
+        if (this.endpoint?.phase === EndpointPhase.Ready && !this.isStopping) {
+            this.queue.startNext(nowMs()).forEach(({ key }) => this.start(key));
+        }
+    }
+
+    private noteGrade(atMs: number): void {
+        const grade = this.test.grade(atMs);
+        if (grade !== this.lastGrade) {
+            this.setup.events.record(EventNumber.EndpointGraded, {
+                endpoint: this.endpoint?.id,
+                service: this.endpoint?.service,
+                from: Grade[this.lastGrade],
+                to: Grade[grade],
+            });
+            this.lastGrade = grade;
+        }
+    }
+}
+
+function servingRequest(offer: WorkOffer, atMs: number): ServingRequest {
+    return {
+        key: offer.key,
+        requestKind: offer.requestKind,
+        priority: offer.priority,
+        deadlineAtMs: atMs + offer.remainingMs,
+        targetAtMs: atMs + offer.targetRemainingMs,
+        maxQueueMs: offer.maxQueueMs,
+        isTrial: offer.isTrial,
+        isLastResort: offer.isLastResort,
+    };
+}
--- /dev/null
+++ b/src/tunnel/Frame.ts
@@ -0,0 +1,13 @@
+import { FrameKind } from "./FrameKind.js";
+import { GateReply } from "./GateReply.js";
+import { WorkOffer } from "./WorkOffer.js";
+
+/** A frame on a tunnel between an entry and a gate. */
+export type Frame =
+    | { readonly kind: FrameKind.Welcome; readonly gateRun: string }
+    | { readonly kind: FrameKind.Offer; readonly offer: WorkOffer }
+    | { readonly kind: FrameKind.Resume; readonly key: string; readonly gateRun: string }
+    | { readonly kind: FrameKind.Cancel; readonly key: string }
+    | { readonly kind: FrameKind.Reply; readonly key: string; readonly reply: GateReply }
+    | { readonly kind: FrameKind.Ping }
+    | { readonly kind: FrameKind.Pong };
--- /dev/null
+++ b/src/tunnel/isFinalReply/index.ts
@@ -0,0 +1,14 @@
+import { GateReply } from "../GateReply.js";
+import { GateReplyKind } from "../GateReplyKind.js";
+
+/**
+ * Tells whether a gate has finished with an offer.
+ *
+ * @param reply - What the gate said.
+ * @returns True if nothing more follows.
+ * @example
+ * isFinalReply({ kind: GateReplyKind.Queued }); // false
+ */
+export function isFinalReply(reply: GateReply): boolean {
+    return reply.kind !== GateReplyKind.Queued && reply.kind !== GateReplyKind.Started;
+}
