Tell a reset from an end, and take slots by a word of the entry

(2) A request that had run was sent again on a new connection by the pool. (4) Endpoints that joined got nothing: gates without a measured speed were taken for slow.

Change: as above; offers over tunnels run only after the entry has claimed the granted slot, so that an offer on a mute path is taken elsewhere; unsafe work is refused by doubted endpoints; loads go to one control VM.

--- a/src/backend/BackendConnection/index.ts
+++ b/src/backend/BackendConnection/index.ts
@@ -14,6 +14,7 @@
 const DEFAULT_IDLE_MS = 4_000;
 /** Time before the stated idle limit at which a connection is no longer used, in ms. */
 const IDLE_MARGIN_MS = 1_000;
+const EMPTY = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
 /**
@@ -26,6 +27,7 @@
     private settle: ((result: BackendResult) => void) | undefined;
     private idleLimitMs = DEFAULT_IDLE_MS;
     private requestCount = 0;
+    private sentAtMs = 0;
     private isOpen = false;
     private isSpent = false;
     private answeredAtMs = nowMs();
@@ -50,7 +52,7 @@
      */
     static create(host: string, port: number, timeoutMs: number, dialect: AnswerDialect): Promise<BackendConnection> {
         return new Promise((resolve, reject) => {
-            const socket = connect({ host, port });
+            const socket = connect({ host, port, allowHalfOpen: true });
             const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs);
             const refuse = (error: Error): void => {
                 clearTimeout(timer);
@@ -92,6 +94,7 @@
     exchange(call: BackendCall): Promise<BackendResult> {
         this.call = call;
         this.requestCount += 1;
+        this.sentAtMs = nowMs();
         this.parser.expect(call.method);
         return new Promise((resolve) => {
             this.settle = resolve;
@@ -121,15 +124,30 @@
         }
     }
 
+    /**
+     * The kernel reports an orderly end also where a reset came right behind the last bytes. An empty write tells the
+     * two apart: it fails on a connection that was reset, and sends nothing on one that has ended.
+     */
     private receiveEnd(): void {
+        this.isOpen = false;
+        this.socket.write(EMPTY, (error) => {
+            if (error instanceof Error) {
+                this.fail(error.message);
+            }
+            else {
+                this.endAnswer();
+            }
+            this.socket.destroy();
+        });
+    }
+
+    private endAnswer(): void {
         try {
             this.parser.end();
         }
         catch (thrown) {
             this.fail(toError(thrown).message);
         }
-        this.isOpen = false;
-        this.socket.destroy();
     }
 
     private take(answer: ParsedAnswer): void {
@@ -164,6 +182,7 @@
             problem,
             wasReused: this.requestCount > 1,
             hadAnswerBytes: this.parser.bytesSinceExpected > 0,
+            afterMs: nowMs() - this.sentAtMs,
         });
     }
 
--- a/src/backend/BackendPool/index.ts
+++ b/src/backend/BackendPool/index.ts
@@ -11,6 +11,8 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Work that must not be repeated is sent only on connections that have answered within this time, in ms. */
 const PROVEN_MS = 2_000;
+/** A kept connection that breaks within this time of a request, in ms, had been forgotten before: nothing has run. */
+const STALE_MS = 20;
 const ANY_IDLE_MS = Number.POSITIVE_INFINITY;
 
 /** The connections to one backend server. */
@@ -50,8 +52,7 @@
             if (reused !== undefined) {
                 exchange.connection = reused;
                 const result = await this.exchangeOn(reused, call);
-                const isStale = result.kind === BackendResultKind.Broken && result.wasReused && !result.hadAnswerBytes;
-                if (!isStale || needsProof || exchange.isCancelled) {
+                if (!isStale(result) || needsProof || exchange.isCancelled) {
                     return result;
                 }
             }
@@ -113,3 +114,7 @@
                 best === undefined || connection.lastUsedAtMs > best.lastUsedAtMs ? connection : best, undefined);
     }
 }
+
+function isStale(result: BackendResult): boolean {
+    return result.kind === BackendResultKind.Broken && result.wasReused && !result.hadAnswerBytes && result.afterMs < STALE_MS;
+}
--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -112,6 +112,33 @@
     });
 });
 
+test("an answer without a length that is reset right behind its last bytes is broken, although the end is seen first", async (t) => {
+    await withServer(t, (socket) => {
+        socket.write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf of it");
+        socket.resetAndDestroy();
+    }, async (pool) => {
+        for (let attempt = 0; attempt < 30; attempt += 1) {
+            t.is((await pool.send(call("1"), true).result).kind, BackendResultKind.Broken);
+        }
+    });
+});
+
+test("a request that had run for a while when its connection broke is not sent again", async (t) => {
+    let arrivals = 0;
+    await withServer(t, (socket, number, connection) => {
+        if (connection === 1 && number === 1) {
+            socket.write(answer("1"));
+            return;
+        }
+        arrivals += 1;
+        setTimeout(() => socket.resetAndDestroy(), 60);
+    }, async (pool) => {
+        await pool.send(call("1"), false).result;
+        t.is((await pool.send(call("2"), false).result).kind, BackendResultKind.Broken);
+        t.is(arrivals, 1);
+    });
+});
+
 test("bytes that are no answer, and a malformed chunk size, break the exchange", async (t) => {
     const garbage = ["SSH-2.0 hello\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n\r\n"];
     await withServer(t, (socket, _number, connection) => socket.write(garbage[connection - 1] ?? ""), async (pool) => {
--- a/src/backend/BackendResult.ts
+++ b/src/backend/BackendResult.ts
@@ -5,4 +5,12 @@
 export type BackendResult =
     | { readonly kind: BackendResultKind.Answered; readonly answer: BackendAnswer }
     | { readonly kind: BackendResultKind.NotConnected; readonly problem: string }
-    | { readonly kind: BackendResultKind.Broken; readonly problem: string; readonly wasReused: boolean; readonly hadAnswerBytes: boolean };
+    | {
+        readonly kind: BackendResultKind.Broken;
+        readonly problem: string;
+        /** True if the connection had carried other requests before. */
+        readonly wasReused: boolean;
+        readonly hadAnswerBytes: boolean;
+        /** Time from the request to the break. */
+        readonly afterMs: number;
+    };
--- a/src/decisions/course/RequestCourse/index.ts
+++ b/src/decisions/course/RequestCourse/index.ts
@@ -32,7 +32,7 @@
 
 interface Attempt {
     readonly vm: string;
-    phase: GateReplyKind.Queued | GateReplyKind.Started | undefined;
+    hasStarted: boolean;
 }
 
 /**
@@ -76,6 +76,11 @@
         return this.isDone;
     }
 
+    /** Offers made so far. */
+    get offerCount(): number {
+        return this.offers;
+    }
+
     /** Endpoints that the request has reached. */
     get arrivalCount(): number {
         return this.arrivals;
@@ -107,7 +112,7 @@
         }
         switch (reply.kind) {
             case GateReplyKind.Queued:
-                attempt.phase = reply.kind;
+            case GateReplyKind.Granted:
                 return [];
             case GateReplyKind.Started:
                 return this.start(number, attempt, nowMs);
@@ -127,7 +132,7 @@
 
     private start(number: number, attempt: Attempt, nowMs: number): readonly CourseEffect[] {
         this.countArrival(attempt);
-        attempt.phase = GateReplyKind.Started;
+        attempt.hasStarted = true;
         const hedgeAtMs = nowMs + Math.max(MIN_HEDGE_MS, HEDGE_FACTOR * this.ports.serviceMs);
         return this.isRepeatable && hedgeAtMs < this.plan.deadlineAtMs
             ? [{ kind: CourseEffectKind.ArmHedge, attempt: number, atMs: hedgeAtMs }]
@@ -135,7 +140,7 @@
     }
 
     private countArrival(attempt: Attempt): void {
-        if (attempt.phase !== GateReplyKind.Started) {
+        if (!attempt.hasStarted) {
             this.arrivals += 1;
             this.runs += 1;
             this.tried.add(attempt.vm);
@@ -144,7 +149,7 @@
 
     /** Takes back that a started attempt reached its endpoint. */
     private discountArrival(attempt: Attempt): void {
-        if (attempt.phase === GateReplyKind.Started) {
+        if (attempt.hasStarted) {
             this.arrivals -= 1;
             this.runs -= 1;
         }
@@ -191,7 +196,7 @@
             return [];
         }
         const [best] = this.untried();
-        if (best === undefined || isUntrusted(best) || !this.ports.withdrawRepeat()) {
+        if (best === undefined || !this.isTrusted(best) || !this.ports.withdrawRepeat()) {
             return [];
         }
         return [this.offer(best, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
@@ -206,8 +211,8 @@
         if (trial !== undefined && this.ports.drawTrial()) {
             return [this.offer(trial, { maxQueueMs: 0, isTrial: true, isLastResort: false })];
         }
-        const trusted = candidates.filter((candidate) => !isUntrusted(candidate));
-        const fresh = trusted.find(({ record }) => !this.refused.has(record.vm));
+        const trusted = candidates.filter((candidate) => this.isTrusted(candidate));
+        const fresh = trusted.find((candidate) => !this.refused.has(candidate.record.vm) && seemsFree(candidate));
         if (fresh !== undefined && this.offers < FREE_SLOT_OFFERS) {
             return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
         }
@@ -227,7 +232,7 @@
         assertInvariant(this.isRepeatable || !this.mayHaveRun, "work that must not be repeated is offered once it has not run", candidate.record.vm);
         this.offers += 1;
         const attempt = this.offers;
-        this.open.set(attempt, { vm: candidate.record.vm, phase: undefined });
+        this.open.set(attempt, { vm: candidate.record.vm, hasStarted: false });
         return { kind: CourseEffectKind.Offer, attempt, vm: candidate.record.vm, terms };
     }
 
@@ -266,6 +271,11 @@
         return [...last, ...cancels];
     }
 
+    private isTrusted(candidate: PlacementCandidate): boolean {
+        const grade = candidate.load?.grade ?? Grade.Trusted;
+        return this.isRepeatable ? grade !== Grade.Ejected : grade === Grade.Trusted;
+    }
+
     private get mayHaveRun(): boolean {
         return this.runs > 0;
     }
@@ -275,10 +285,10 @@
     }
 }
 
-function isUntrusted(candidate: PlacementCandidate): boolean {
-    return candidate.load?.grade === Grade.Ejected;
+function seemsFree({ load, offeredSince }: PlacementCandidate): boolean {
+    return load === undefined || load.running + load.queued + offeredSince < load.slots;
 }
 
 function wantsTrial(candidate: PlacementCandidate): boolean {
-    return isUntrusted(candidate) && candidate.load?.wantsTrial === true;
+    return candidate.load?.grade === Grade.Ejected && candidate.load.wantsTrial;
 }
--- a/src/decisions/fleet/GateLoadReport.ts
+++ b/src/decisions/fleet/GateLoadReport.ts
@@ -6,8 +6,8 @@
     readonly running: number;
     readonly queued: number;
     readonly slots: number;
-    /** Mean time that a request occupies a slot. */
-    readonly serviceMs: number;
+    /** Mean time that a request occupies a slot, or undefined before the first answer. */
+    readonly serviceMs: number | undefined;
     readonly grade: Grade;
     /** True if the gate of an ejected endpoint wants a repeatable request to try it. */
     readonly wantsTrial: boolean;
--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -2,13 +2,13 @@
 import { Grade } from "../../fleet/Grade.js";
 import { PlacementCandidate } from "../PlacementCandidate.js";
 
-/** Service time assumed for a gate that has not reported, in ms. */
+/** Service time assumed if no gate has reported, in ms. */
 const UNKNOWN_SERVICE_MS = 300;
 /** Factor on the service time of an endpoint that has just started. */
-const COLD_FACTOR = 2;
+const COLD_FACTOR = 1.3;
 /** Waits that differ by less are equal, in ms: load reports are this old. */
 const EQUAL_WAIT_MS = 40;
-/** Wait that a doubted endpoint is charged for work that must not be repeated, in ms. */
+/** Wait that a doubted endpoint is charged for work that must not be repeated, in ms; other work shows what it is worth. */
 const DOUBT_WAIT_MS = 400;
 /** Wait that an ejected endpoint is charged, in ms; above any real wait. */
 const EJECTED_WAIT_MS = 100_000;
@@ -42,9 +42,10 @@
     failureDomain: string,
     random: () => number,
 ): readonly PlacementCandidate[] {
+    const usualServiceMs = meanServiceMs(candidates);
     const scored = candidates.map((candidate): Scored => ({
         candidate,
-        score: Math.round(score(candidate, requestKind) / EQUAL_WAIT_MS),
+        score: Math.round(score(candidate, requestKind, usualServiceMs) / EQUAL_WAIT_MS),
         tie: random() + (candidate.record.failureDomain === failureDomain ? 0 : 1),
     }));
     return scored
@@ -52,10 +53,16 @@
         .map(({ candidate }) => candidate);
 }
 
-function score(candidate: PlacementCandidate, requestKind: RequestKind): number {
+/** A gate that has not reported is taken for one as fast as the others, so that new endpoints get their share. */
+function meanServiceMs(candidates: readonly PlacementCandidate[]): number {
+    const known = candidates.flatMap(({ load }) => load?.serviceMs ?? []);
+    return known.length === 0 ? UNKNOWN_SERVICE_MS : known.reduce((sum, serviceMs) => sum + serviceMs, 0) / known.length;
+}
+
+function score(candidate: PlacementCandidate, requestKind: RequestKind, usualServiceMs: number): number {
     const { load, record, offeredSince } = candidate;
     const slots = Math.max(1, load?.slots ?? record.endpoint?.slots ?? 1);
-    const serviceMs = (load?.serviceMs ?? UNKNOWN_SERVICE_MS) * (candidate.isCold ? COLD_FACTOR : 1);
+    const serviceMs = (load?.serviceMs ?? usualServiceMs) * (candidate.isCold ? COLD_FACTOR : 1);
     const busy = (load === undefined ? 0 : load.running + load.queued) + offeredSince;
     const waitMs = busy < slots ? 0 : (busy - slots + 1) * serviceMs / slots;
     const spreadMs = EQUAL_WAIT_MS * 2 * busy / slots;
@@ -68,7 +75,7 @@
         case Grade.Trusted:
             return 0;
         case Grade.Doubted:
-            return requestKind === RequestKind.Once ? DOUBT_WAIT_MS : 0;
+            return requestKind === RequestKind.Once ? DOUBT_WAIT_MS : -EQUAL_WAIT_MS;
         case Grade.Ejected:
             return EJECTED_WAIT_MS;
     }
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -32,6 +32,7 @@
     private readonly running = new Map<string, number>();
     private waiting: Waiting[] = [];
     private meanServiceMs = INITIAL_SERVICE_MS;
+    private hasMeasured = false;
     private lastTrialAtMs = Number.NEGATIVE_INFINITY;
     private slotCount: number;
 
@@ -63,7 +64,12 @@
         return this.waiting.length;
     }
 
-    /** Mean time that a request occupies a slot. */
+    /** Mean time that a request occupies a slot, or undefined before the first answer. */
+    get measuredServiceMs(): number | undefined {
+        return this.hasMeasured ? this.meanServiceMs : undefined;
+    }
+
+    /** Mean time that a request occupies a slot, assumed before the first answer. */
     get serviceMs(): number {
         return this.meanServiceMs;
     }
@@ -119,6 +125,7 @@
         if (startedAtMs !== undefined) {
             this.running.delete(key);
             if (isMeasured) {
+                this.hasMeasured = true;
                 this.meanServiceMs += SERVICE_WEIGHT * (nowMs - startedAtMs - this.meanServiceMs);
             }
         }
@@ -163,9 +170,8 @@
     }
 
     private findRefusal(request: ServingRequest, grade: Grade, nowMs: number): RefusalCause | undefined {
-        if (grade === Grade.Ejected && !request.isLastResort) {
-            const isTrialDue = request.isTrial && request.requestKind !== RequestKind.Once && this.wantsTrial(nowMs);
-            return isTrialDue ? undefined : RefusalCause.Ejected;
+        if (!request.isLastResort && this.isUntrustedFor(request, grade, nowMs)) {
+            return RefusalCause.Untrusted;
         }
         const waitMs = this.expectedWaitMs(request.priority);
         if (nowMs + waitMs >= request.deadlineAtMs) {
@@ -174,6 +180,13 @@
         return waitMs > request.maxQueueMs ? RefusalCause.Busy : undefined;
     }
 
+    private isUntrustedFor(request: ServingRequest, grade: Grade, nowMs: number): boolean {
+        if (request.requestKind === RequestKind.Once) {
+            return grade !== Grade.Trusted;
+        }
+        return grade === Grade.Ejected && !(request.isTrial && this.wantsTrial(nowMs));
+    }
+
     private isOverdue({ request, arrivedAtMs }: Waiting, nowMs: number): boolean {
         return nowMs >= request.deadlineAtMs || nowMs - arrivedAtMs > request.maxQueueMs;
     }
--- a/src/decisions/suspicion/OutcomeTest/index.ts
+++ b/src/decisions/suspicion/OutcomeTest/index.ts
@@ -5,11 +5,11 @@
 const FAILURE_WEIGHT = 3.4;
 /** Log-likelihood ratio of a success: ln(0.4 / 0.98). */
 const SUCCESS_WEIGHT = -0.9;
-/** Score from which an endpoint is doubted: one failure. */
-const DOUBT_SCORE = 3;
+/** Score from which an endpoint is doubted: one failure, until three successes have followed it. */
+const DOUBT_SCORE = 1;
 /** Score from which an endpoint is ejected: two failures with no more than two successes between them. */
 const EJECT_SCORE = 5;
-/** Bounds the score, and with it the successes that lead back: three from the bound to doubt, four more to trust. */
+/** Bounds the score, and with it the successes that lead back: one trial from the bound to doubt, four successes more to trust. */
 const MAX_SCORE = 6;
 /** A success in a trial counts twice, as trials are few. */
 const TRIAL_FACTOR = 2;
--- a/src/entrance/CallerDesk/index.ts
+++ b/src/entrance/CallerDesk/index.ts
@@ -209,12 +209,14 @@
             hasBody: request.hasBody,
             remainingMs: run.deadlineAtMs - atMs,
             targetRemainingMs: run.targetAtMs - atMs,
+            needsGo: false,
             ...terms,
         }, (reply) => {
             if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
                 this.view.takeLoad(reply.load);
             }
-            if (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken) {
+            const isBusy = reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Busy;
+            if (!isBusy && (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken)) {
                 this.events.record(EventNumber.AttemptRetried, {
                     requestId: request.requestId,
                     peer: vm,
@@ -244,6 +246,7 @@
             service: run.service,
             status: answer.status,
             peer: run.vms.get(attempt),
+            offers: run.course.offerCount,
             arrivals: run.course.arrivalCount,
             tookMs: Math.round(nowMs() - exchange.request.arrivedAtMs),
         });
@@ -258,6 +261,7 @@
             failure,
             problem,
             peers: [...run.vms.values()],
+            offers: run.course.offerCount,
             arrivals: run.course.arrivalCount,
             tookMs: Math.round(nowMs() - exchange.request.arrivedAtMs),
         });
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -25,6 +25,8 @@
     private readonly coldUntilMs = new Map<string, number>();
     private readonly tunnels = new Map<string, TunnelClient>();
 
+    /** Connections to gates that take no new work, until what is under way has ended. */
+    private readonly retired = new Set<TunnelClient>();
     private timer: NodeJS.Timeout | undefined;
 
     private constructor(private readonly setup: FleetViewSetup, private readonly events: EventLog) {}
@@ -92,13 +94,18 @@
     close(): void {
         clearTimeout(this.timer);
         this.tunnels.forEach((tunnel) => tunnel.close());
+        this.retired.forEach((tunnel) => tunnel.close());
         this.tunnels.clear();
     }
 
     private armTick(): void {
         this.timer ??= setTimeout(() => {
             this.timer = undefined;
-            const tunnels = [...this.tunnels.values()];
+            [...this.retired].filter((tunnel) => !tunnel.isWaiting).forEach((tunnel) => {
+                tunnel.close();
+                this.retired.delete(tunnel);
+            });
+            const tunnels = [...this.tunnels.values(), ...this.retired];
             tunnels.forEach((tunnel) => tunnel.tick());
             if (tunnels.some((tunnel) => tunnel.isWaiting)) {
                 this.armTick();
@@ -111,9 +118,11 @@
         if (endpoint !== undefined) {
             this.coldUntilMs.set(vm, nowMs() + endpoint.coldRemainingMs);
         }
-        if (!isOpen) {
-            this.tunnels.get(vm)?.close();
+        const tunnel = this.tunnels.get(vm);
+        if (!isOpen && tunnel !== undefined) {
             this.tunnels.delete(vm);
+            this.retired.add(tunnel);
+            this.armTick();
         }
     }
 
--- a/src/mesh/HubRole/index.ts
+++ b/src/mesh/HubRole/index.ts
@@ -4,6 +4,7 @@
 import { FleetTable } from "../../decisions/fleet/FleetTable/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
+import { Grade } from "../../decisions/fleet/Grade.js";
 import { ItemOutcome } from "../../decisions/items/ItemOutcome.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { chooseVoterAction } from "../../decisions/quorum/chooseVoterAction/index.js";
@@ -44,7 +45,11 @@
     private readonly subscribers = new Map<string, boolean>();
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly startedAtMs = nowMs();
+    /** Loads that proxies have reported here, and loads that other control VMs have passed on, since the last report. */
     private newLoads = new Map<string, GateLoadReport>();
+    private passedLoads = new Map<string, GateLoadReport>();
+    /** Latest grade of each VM's endpoint: a change is passed on at once. */
+    private readonly grades = new Map<string, Grade>();
     private loadsTimer: NodeJS.Timeout | undefined;
     private items: ItemController | undefined;
     private links: MeshLinks | undefined;
@@ -238,10 +243,7 @@
 
     private takeNews(link: LinkPort, records: readonly GateRecord[], loads: readonly GateLoadReport[]): void {
         const news = this.table.merge(records);
-        loads.forEach((load) => this.newLoads.set(load.vm, load));
-        if (loads.length > 0) {
-            this.loadsTimer ??= setTimeout(() => this.sendLoads(), LOADS_MS);
-        }
+        this.takeLoads(loads, link.peer.roles.includes(Role.Proxy));
         if (news.length > 0) {
             const message: Message = { kind: MessageKind.FleetNews, records: news, loads: [] };
             this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
@@ -251,12 +253,31 @@
         }
     }
 
+    private takeLoads(loads: readonly GateLoadReport[], isFromProxy: boolean): void {
+        const target = isFromProxy ? this.newLoads : this.passedLoads;
+        loads.forEach((load) => target.set(load.vm, load));
+        const isUrgent = loads.some(({ vm, grade }) => (this.grades.get(vm) ?? Grade.Trusted) !== grade);
+        loads.forEach(({ vm, grade }) => this.grades.set(vm, grade));
+        if (isUrgent) {
+            this.sendLoads();
+        }
+        else if (loads.length > 0) {
+            this.loadsTimer ??= setTimeout(() => this.sendLoads(), LOADS_MS);
+        }
+    }
+
+    /** Reports the loads to the proxies that take them from here, and the proxies' own reports to the other control VMs. */
     private sendLoads(): void {
+        clearTimeout(this.loadsTimer);
         this.loadsTimer = undefined;
-        const loads = [...this.newLoads.values()];
+        const own = [...this.newLoads.values()];
+        const all = [...own, ...this.passedLoads.values()];
         this.newLoads = new Map();
-        const message: Message = { kind: MessageKind.FleetNews, records: [], loads };
-        this.subscribers.forEach((wantsLoads, vm) => wantsLoads && this.links?.sendTo(vm, message));
+        this.passedLoads = new Map();
+        this.subscribers.forEach((wantsLoads, vm) => wantsLoads && this.links?.sendTo(vm, { kind: MessageKind.FleetNews, records: [], loads: all }));
+        if (own.length > 0) {
+            this.livePeers().forEach(({ vm }) => this.links?.sendTo(vm, { kind: MessageKind.FleetNews, records: [], loads: own }));
+        }
     }
 
     private subscribe(link: LinkPort, wants: boolean, wantsLoads: boolean): void {
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -30,7 +30,7 @@
 const QUIET_MS = 2_200;
 const SUBSCRIBE_MS = 1_000;
 /** Time between two reports of the own load, in ms. */
-const LOAD_MS = 150;
+const LOAD_MS = 200;
 /** Time after the request to stop until which new connections are taken, in ms; callers have turned away by then. */
 const LISTEN_ON_MS = 2_500;
 /** Time before the end of the grace at which the process ends in any case, in ms. */
@@ -93,7 +93,7 @@
             backendAddress: proxy?.backendAddress ?? "",
             dialect,
             events,
-            onLoad: () => owner.role?.noteLoad(),
+            onLoad: (isUrgent) => owner.role?.noteLoad(isUrgent),
         });
         const view = FleetView.create({ vm: vm.name, failureDomain: vm.failureDomain, ownGate: gate, token }, events);
         const desk = CallerDesk.create({
@@ -260,8 +260,12 @@
         this.tellControl({ kind: MessageKind.FleetNews, records: [this.record], loads: [this.gate.load] });
     }
 
-    private noteLoad(): void {
+    private noteLoad(isUrgent: boolean): void {
         this.view.takeLoad(this.gate.load);
+        if (isUrgent) {
+            this.sendLoad();
+            return;
+        }
         this.loadTimer ??= setTimeout(() => {
             this.loadTimer = undefined;
             this.sendLoad();
@@ -271,9 +275,11 @@
     private sendLoad(): void {
         const { load } = this.gate;
         this.view.takeLoad(load);
-        this.tellControl({ kind: MessageKind.FleetNews, records: [], loads: [load] });
+        if (this.loadsFrom !== undefined) {
+            this.links?.sendTo(this.loadsFrom, { kind: MessageKind.FleetNews, records: [], loads: [load] });
+        }
         if (load.grade === Grade.Ejected) {
-            this.noteLoad();
+            this.noteLoad(false);
         }
     }
 
--- a/src/model/RefusalCause.ts
+++ b/src/model/RefusalCause.ts
@@ -2,8 +2,8 @@
 export enum RefusalCause {
     /** All slots are taken and the wait would be too long. */
     Busy = "busy",
-    /** The endpoint is ejected. */
-    Ejected = "ejected",
+    /** The endpoint is ejected, or is doubted and the work must not be repeated. */
+    Untrusted = "untrusted",
     /** The endpoint drains, has left, or is not known yet. */
     NotServing = "not-serving",
     /** The endpoint is not the one that was meant. */
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -35,13 +35,19 @@
 const HANG_FACTOR = 4;
 /** Shortest time after which a request counts as hung, in ms. */
 const MIN_HANG_MS = 1_500;
+/** Time for which a granted slot is held for the entry's word, in ms: several round trips. */
+const GO_MS = 300;
 /** Time kept back from the deadline that an endpoint is given, for the way back, in ms. */
 const RETURN_MS = 10;
 
+/** Handle of an offer that was refused at once. */
+const ENDED: WorkHandle = { cancel: () => undefined, go: () => undefined };
+
 interface Running {
     readonly offer: WorkOffer;
     readonly deadlineAtMs: number;
     readonly onReply: (reply: GateReply) => void;
+    grantedAtMs: number;
     startedAtMs: number;
     exchange: BackendExchange | undefined;
     isHung: boolean;
@@ -78,7 +84,7 @@
             running: this.queue.runningCount,
             queued: this.queue.waitingCount,
             slots: this.queue.slots,
-            serviceMs: Math.round(this.queue.serviceMs),
+            serviceMs: this.queue.measuredServiceMs === undefined ? undefined : Math.round(this.queue.measuredServiceMs),
             grade,
             wantsTrial: grade === Grade.Ejected && this.queue.wantsTrial(atMs),
         };
@@ -128,29 +134,29 @@
         const cause = this.findRefusal(offer);
         if (cause !== undefined) {
             onReply(this.refusal(cause, 0, false));
-            return { cancel: () => undefined };
+            return ENDED;
         }
         const deadlineAtMs = atMs + offer.remainingMs;
         const admission = this.queue.arrive(servingRequest(offer, atMs), this.test.grade(atMs), atMs);
         switch (admission.kind) {
             case AdmissionKind.Refuse:
                 onReply(this.refusal(admission.cause, admission.retryAfterMs, false));
-                return { cancel: () => undefined };
+                return ENDED;
             case AdmissionKind.Queue:
-                this.work.set(offer.key, { offer, deadlineAtMs, onReply, startedAtMs: 0, exchange: undefined, isHung: false });
+                this.work.set(offer.key, { offer, deadlineAtMs, onReply, grantedAtMs: 0, startedAtMs: 0, exchange: undefined, isHung: false });
                 onReply({ kind: GateReplyKind.Queued });
                 this.startNext();
                 break;
             case AdmissionKind.Start:
-                this.work.set(offer.key, { offer, deadlineAtMs, onReply, startedAtMs: 0, exchange: undefined, isHung: false });
-                this.start(offer.key);
+                this.work.set(offer.key, { offer, deadlineAtMs, onReply, grantedAtMs: 0, startedAtMs: 0, exchange: undefined, isHung: false });
+                this.grant(offer.key);
                 break;
             default:
                 assertNever(admission);
         }
         this.armTick();
-        this.setup.onLoad();
-        return { cancel: () => this.cancel(offer.key) };
+        this.setup.onLoad(false);
+        return { cancel: () => this.cancel(offer.key), go: () => this.go(offer.key) };
     }
 
     private findRefusal(offer: WorkOffer): RefusalCause | undefined {
@@ -164,12 +170,30 @@
         return isOther ? RefusalCause.OtherEndpoint : undefined;
     }
 
-    private start(key: string): void {
+    /** Gives an offer a slot: work of this process starts at once, other work when its entry says so. */
+    private grant(key: string): void {
         const running = this.work.get(key);
         if (running === undefined) {
             this.queue.finish(key, nowMs(), false);
             return;
         }
+        running.grantedAtMs = nowMs();
+        if (running.offer.needsGo) {
+            running.onReply({ kind: GateReplyKind.Granted });
+        }
+        else {
+            this.start(key, running);
+        }
+    }
+
+    private go(key: string): void {
+        const running = this.work.get(key);
+        if (running !== undefined && running.grantedAtMs > 0 && running.startedAtMs === 0) {
+            this.start(key, running);
+        }
+    }
+
+    private start(key: string, running: Running): void {
         const { offer } = running;
         const endpointId = this.endpoint?.id ?? "";
         running.startedAtMs = nowMs();
@@ -197,7 +221,7 @@
         this.startNext();
         running.onReply(reply);
         this.noteGrade(atMs);
-        this.setup.onLoad();
+        this.setup.onLoad(false);
     }
 
     private judge({ offer }: Running, result: BackendResult, atMs: number): GateReply {
@@ -238,7 +262,7 @@
         running.exchange?.cancel();
         this.queue.finish(key, nowMs(), false);
         this.startNext();
-        this.setup.onLoad();
+        this.setup.onLoad(false);
     }
 
     private refuse(key: string, cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): void {
@@ -262,9 +286,20 @@
                 this.noteGrade(atMs);
             }
         });
+        this.dropUnclaimed(atMs);
         this.startNext();
     }
 
+    /** Takes slots back that were granted to entries which did not claim them. */
+    private dropUnclaimed(atMs: number): void {
+        const isUnclaimed = ({ grantedAtMs, startedAtMs }: Running): boolean =>
+            grantedAtMs > 0 && startedAtMs === 0 && atMs - grantedAtMs > GO_MS;
+        [...this.work].filter(([, running]) => isUnclaimed(running)).forEach(([key]) => {
+            this.queue.finish(key, atMs, false);
+            this.refuse(key, RefusalCause.Voided, 0, false);
+        });
+    }
+
     private armTick(): void {
         this.tickTimer ??= setTimeout(() => {
             this.tickTimer = undefined;
@@ -277,7 +312,7 @@
 
     private startNext(): void {
         if (this.endpoint?.phase === EndpointPhase.Ready && !this.isStopping) {
-            this.queue.startNext(nowMs()).forEach(({ key }) => this.start(key));
+            this.queue.startNext(nowMs()).forEach(({ key }) => this.grant(key));
         }
     }
 
@@ -291,6 +326,7 @@
                 to: Grade[grade],
             });
             this.lastGrade = grade;
+            this.setup.onLoad(true);
         }
     }
 }
--- a/src/serving/ServingGateSetup.ts
+++ b/src/serving/ServingGateSetup.ts
@@ -8,6 +8,6 @@
     readonly backendAddress: string;
     readonly dialect: EndpointDialect;
     readonly events: EventLog;
-    /** Told that the load has changed. */
-    readonly onLoad: () => void;
+    /** Told that the load has changed; urgent if the trust in the endpoint has. */
+    readonly onLoad: (isUrgent: boolean) => void;
 }
--- a/src/tunnel/Frame.ts
+++ b/src/tunnel/Frame.ts
@@ -7,6 +7,7 @@
     | { readonly kind: FrameKind.Welcome; readonly gateRun: string }
     | { readonly kind: FrameKind.Offer; readonly offer: WorkOffer }
     | { readonly kind: FrameKind.Resume; readonly key: string; readonly gateRun: string }
+    | { readonly kind: FrameKind.Go; readonly key: string }
     | { readonly kind: FrameKind.Cancel; readonly key: string }
     | { readonly kind: FrameKind.Reply; readonly key: string; readonly reply: GateReply }
     | { readonly kind: FrameKind.Ping }
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -5,6 +5,8 @@
     Offer = "o",
     /** Asks on a new connection for an offer that was made on one that broke. */
     Resume = "u",
+    /** Tells a gate to hand an offer with a slot to the endpoint. */
+    Go = "g",
     Cancel = "c",
     Reply = "r",
     Ping = "p",
--- a/src/tunnel/GateReply.ts
+++ b/src/tunnel/GateReply.ts
@@ -14,6 +14,7 @@
         readonly load: GateLoadReport | undefined;
     }
     | { readonly kind: GateReplyKind.Queued }
+    | { readonly kind: GateReplyKind.Granted }
     | { readonly kind: GateReplyKind.Started }
     | { readonly kind: GateReplyKind.Answered; readonly answer: BackendAnswer; readonly load: GateLoadReport | undefined }
     | {
--- a/src/tunnel/GateReplyKind.ts
+++ b/src/tunnel/GateReplyKind.ts
@@ -4,6 +4,8 @@
     Refused = "refused",
     /** It waits for a slot. */
     Queued = "queued",
+    /** It has a slot, and is handed to the endpoint once the entry says so. */
+    Granted = "granted",
     /** It was handed to the endpoint. */
     Started = "started",
     /** The endpoint answered. */
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -15,18 +15,28 @@
 /** Time to wait for a new connection, in ms: several round trips between failure domains, and a busy gate. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Time within which a gate says something of an offer, in ms; it decides at once. */
-const FIRST_REPLY_MS = 400;
+const FIRST_REPLY_MS = 150;
 /** Time without any frame, with work under way, after which a connection counts as mute, in ms. */
-const SILENCE_MS = 1_600;
+const SILENCE_MS = 1_000;
 /** Time between two pings while work is under way, in ms. */
-const PING_MS = 500;
+const PING_MS = 400;
 /** Time between two attempts to reach a gate that cannot be reached, in ms. */
 const RETRY_MS = 700;
 
+const UNREACHABLE: GateReply = {
+    kind: GateReplyKind.Refused,
+    cause: RefusalCause.Unreachable,
+    retryAfterMs: 0,
+    reachedEndpoint: false,
+    load: undefined,
+};
+
 interface Outstanding {
     readonly offer: WorkOffer;
     readonly onReply: (reply: GateReply) => void;
     readonly deadlineAtMs: number;
+    /** True once the gate may hand it to the endpoint. */
+    hasGone: boolean;
     /** Run of the gate that it was sent to, or undefined if it has not been sent. */
     gateRun: string | undefined;
     sentAtMs: number;
@@ -46,7 +56,9 @@
     private connectAtMs = Number.NEGATIVE_INFINITY;
     private heardAtMs = 0;
     private pingAtMs = 0;
+    private waitingSinceMs = 0;
     private isBroken = false;
+    private isDoubted = false;
     private isClosed = false;
 
     private constructor(
@@ -66,14 +78,14 @@
         return new TunnelClient(address, token, onPath);
     }
 
-    /** False while the gate cannot be reached. */
+    /** False while the gate cannot be reached, or has not answered an offer in time and not been heard since. */
     get isReachable(): boolean {
-        return !this.isBroken;
+        return !this.isBroken && !this.isDoubted;
     }
 
     /** True while something is waited for, so that `tick` has to be called. */
     get isWaiting(): boolean {
-        return this.outstanding.size > 0 || this.isBroken;
+        return this.outstanding.size > 0 || this.isBroken || this.isDoubted;
     }
 
     offer(offer: WorkOffer, onReply: (reply: GateReply) => void): WorkHandle {
@@ -81,11 +93,15 @@
             offer,
             onReply,
             deadlineAtMs: nowMs() + offer.remainingMs,
+            hasGone: false,
             gateRun: undefined,
             sentAtMs: 0,
             hasReply: false,
             needsResume: false,
         };
+        if (!this.isWaiting) {
+            this.waitingSinceMs = nowMs();
+        }
         this.outstanding.set(offer.key, outstanding);
         if (this.gateRun === undefined) {
             this.connect();
@@ -93,7 +109,7 @@
         else {
             this.transmit(outstanding);
         }
-        return { cancel: () => this.cancel(offer.key) };
+        return { cancel: () => this.cancel(offer.key), go: () => undefined };
     }
 
     /** Lets time pass; to be called several times a second. */
@@ -106,13 +122,12 @@
             }
             return;
         }
-        if (this.gateRun === undefined || this.outstanding.size === 0) {
+        if (this.gateRun === undefined || !this.isWaiting) {
+            this.waitingSinceMs = atMs;
             return;
         }
-        const isUnanswered = [...this.outstanding.values()].some(({ hasReply, sentAtMs }) => !hasReply && atMs - sentAtMs > FIRST_REPLY_MS);
-        const oldestSentAtMs = Math.min(...[...this.outstanding.values()].map(({ sentAtMs }) => sentAtMs));
-        const isMute = atMs - Math.max(this.heardAtMs, oldestSentAtMs) > SILENCE_MS;
-        if (isUnanswered || isMute) {
+        this.abandonUnanswered(atMs);
+        if (atMs - Math.max(this.heardAtMs, this.waitingSinceMs) > SILENCE_MS) {
             this.socket.close();
             return;
         }
@@ -154,6 +169,7 @@
             return;
         }
         this.heardAtMs = nowMs();
+        this.isDoubted = false;
         if (frame.kind === FrameKind.Welcome) {
             this.welcome(frame.gateRun);
         }
@@ -186,6 +202,12 @@
             return;
         }
         outstanding.hasReply = true;
+        if (reply.kind === GateReplyKind.Granted) {
+            outstanding.hasGone = true;
+            this.socket?.send({ kind: FrameKind.Go, key });
+            outstanding.onReply({ kind: GateReplyKind.Started });
+            return;
+        }
         if (isFinalReply(reply)) {
             this.outstanding.delete(key);
         }
@@ -211,15 +233,23 @@
     /** Settles what was under way on a connection that is gone; what must not be repeated waits for the next one. */
     private lose(problem: string): void {
         [...this.outstanding].forEach(([key, outstanding]) => {
-            const wasSent = outstanding.gateRun !== undefined;
-            if (wasSent && outstanding.offer.requestKind === RequestKind.Once && !this.isClosed) {
+            if (outstanding.hasGone && outstanding.offer.requestKind === RequestKind.Once && !this.isClosed) {
                 outstanding.needsResume = true;
                 return;
             }
             this.outstanding.delete(key);
-            outstanding.onReply(wasSent
-                ? { kind: GateReplyKind.Broken, problem, lostEndpoint: false }
-                : { kind: GateReplyKind.Refused, cause: RefusalCause.Unreachable, retryAfterMs: 0, reachedEndpoint: false, load: undefined });
+            outstanding.onReply(outstanding.hasGone ? { kind: GateReplyKind.Broken, problem, lostEndpoint: false } : UNREACHABLE);
+        });
+    }
+
+    /** Offers that the gate has not granted are taken elsewhere when it says nothing: they cannot have run. */
+    private abandonUnanswered(atMs: number): void {
+        const unanswered = [...this.outstanding].filter(([, { hasReply, hasGone, sentAtMs }]) =>
+            !hasReply && !hasGone && atMs - sentAtMs > FIRST_REPLY_MS);
+        unanswered.forEach(([key, { onReply }]) => {
+            this.isDoubted = true;
+            this.cancel(key);
+            onReply(UNREACHABLE);
         });
     }
 
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -85,6 +85,9 @@
             case FrameKind.Resume:
                 this.resume(socket, frame.key, frame.gateRun);
                 return;
+            case FrameKind.Go:
+                this.work.get(frame.key)?.handle?.go();
+                return;
             case FrameKind.Cancel:
                 this.cancel(frame.key);
                 return;
@@ -106,7 +109,7 @@
         }
         const work: Work = { offer, handle: undefined, socket, hasStarted: false, final: undefined, endedAtMs: 0 };
         this.work.set(offer.key, work);
-        work.handle = this.setup.gate.offer(offer, (reply) => this.reply(offer.key, work, reply));
+        work.handle = this.setup.gate.offer({ ...offer, needsGo: true }, (reply) => this.reply(offer.key, work, reply));
     }
 
     private reply(key: string, work: Work, reply: GateReply): void {
@@ -118,7 +121,9 @@
                 this.work.delete(key);
             }
         }
-        work.socket?.send({ kind: FrameKind.Reply, key, reply });
+        if (reply.kind !== GateReplyKind.Started) {
+            work.socket?.send({ kind: FrameKind.Reply, key, reply });
+        }
     }
 
     private resume(socket: TunnelSocket, key: string, gateRun: string): void {
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -30,6 +30,8 @@
     readonly maxQueueMs: number;
     /** True if it may be spent on an ejected endpoint. */
     readonly isTrial: boolean;
+    /** True if the gate has to ask before it hands the request to the endpoint, as the entry may not hear of it. */
+    readonly needsGo: boolean;
     /** True if it takes an ejected endpoint when there is no other. */
     readonly isLastResort: boolean;
 }
--- a/src/tunnel/isFinalReply/index.ts
+++ b/src/tunnel/isFinalReply/index.ts
@@ -10,5 +10,5 @@
  * isFinalReply({ kind: GateReplyKind.Queued }); // false
  */
 export function isFinalReply(reply: GateReply): boolean {
-    return reply.kind !== GateReplyKind.Queued && reply.kind !== GateReplyKind.Started;
+    return reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered || reply.kind === GateReplyKind.Broken;
 }
