Let work in only where its target can be met, earliest target first

Change: a gate lets a request in if its expected wait leaves time for its target, keeps it until its deadline, and takes the earliest target of the highest rank first; unsafe work that finds no trusted endpoint turns to a doubted one with a free slot before it is refused.

--- a/src/decisions/course/OfferTerms.ts
+++ b/src/decisions/course/OfferTerms.ts
@@ -1,6 +1,6 @@
 /** Terms on which a gate is offered a request. */
 export interface OfferTerms {
-    /** Longest time to wait for a slot; 0 if it wants a free slot or none. */
+    /** Longest expected wait for a slot with which it is let in; 0 if it wants a free slot or none. */
     readonly maxQueueMs: number;
     /** True if it may be spent on an ejected endpoint. */
     readonly isTrial: boolean;
--- a/src/decisions/course/RequestCourse/index.ts
+++ b/src/decisions/course/RequestCourse/index.ts
@@ -21,6 +21,8 @@
 const MAX_OFFERS = 8;
 /** Gates asked for a place in their queue. */
 const MAX_QUEUE_OFFERS = 2;
+/** Expected wait that is borne although the target is missed, in ms: about the time until the next slot is free. */
+const LATE_QUEUE_MS = 150;
 /** Time without an answer after which a repeatable request is hedged, as a multiple of the mean service time. */
 const HEDGE_FACTOR = 3;
 /** Shortest time before a hedge, in ms; calls of running work push an answer out by about this. */
@@ -216,16 +218,34 @@
         if (fresh !== undefined && this.offers < FREE_SLOT_OFFERS) {
             return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
         }
-        return this.queueSomewhere(trusted[0] ?? candidates[0], trusted.length === 0, nowMs);
+        return this.queueSomewhere(trusted, candidates, nowMs);
     }
 
-    private queueSomewhere(best: PlacementCandidate | undefined, isLastResort: boolean, nowMs: number): readonly CourseEffect[] {
-        const maxQueueMs = this.plan.deadlineAtMs - nowMs - this.ports.serviceMs;
-        if (best === undefined || this.offers >= MAX_OFFERS || this.queueOffers >= MAX_QUEUE_OFFERS || maxQueueMs <= 0) {
-            return this.conclude(this.giveUp());
+    /**
+     * Asks for a place in a queue where the target can still be met; a place from which it cannot would only make others
+     * late. When there is none, work that must not be repeated turns to the doubted endpoints with free slots.
+     */
+    private queueSomewhere(
+        trusted: readonly PlacementCandidate[],
+        all: readonly PlacementCandidate[],
+        nowMs: number,
+    ): readonly CourseEffect[] {
+        const best = trusted[0] ?? all[0];
+        const maxQueueMs = Math.max(LATE_QUEUE_MS, this.plan.targetAtMs - nowMs - this.ports.serviceMs);
+        if (best !== undefined && this.offers < MAX_OFFERS && this.queueOffers < MAX_QUEUE_OFFERS) {
+            this.queueOffers += 1;
+            return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort: trusted.length === 0 })];
+        }
+        const doubted = all.find((candidate) => this.isLastChance(candidate));
+        if (doubted !== undefined && this.offers < MAX_OFFERS) {
+            return [this.offer(doubted, { maxQueueMs: 0, isTrial: false, isLastResort: true })];
         }
-        this.queueOffers += 1;
-        return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort })];
+        return this.conclude(this.giveUp());
+    }
+
+    private isLastChance(candidate: PlacementCandidate): boolean {
+        const isDoubted = candidate.load?.grade === Grade.Doubted;
+        return !this.isRepeatable && isDoubted && !this.refused.has(candidate.record.vm) && seemsFree(candidate);
     }
 
     private offer(candidate: PlacementCandidate, terms: OfferTerms): CourseEffect {
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -15,22 +15,18 @@
 /** Shortest time after which a refused caller is told to return, in ms; less than the time to go round once. */
 const MIN_RETRY_AFTER_MS = 50;
 
-interface Waiting {
-    readonly request: ServingRequest;
-    readonly arrivedAtMs: number;
-}
-
 /**
  * Decides which requests an endpoint runs, which wait and which are refused. No more than the endpoint's slots are
  * handed out, so that what waits has certainly not run. Among waiting requests the higher rank goes first; within a
- * rank those that can still meet their target go before those that cannot, each in order of arrival.
+ * rank those that can still meet their target go before those that cannot, the earliest target first: calls that running
+ * work waits for have short targets, and go before new work. A request that has been let in stays until its deadline.
  *
  * Answers for many independent entries that place by load reports up to half a second old, and for surges above the
  * endpoint's capacity.
  */
 export class ServingQueue {
     private readonly running = new Map<string, number>();
-    private waiting: Waiting[] = [];
+    private waiting: ServingRequest[] = [];
     private meanServiceMs = INITIAL_SERVICE_MS;
     private hasMeasured = false;
     private lastTrialAtMs = Number.NEGATIVE_INFINITY;
@@ -84,12 +80,12 @@
         return nowMs - this.lastTrialAtMs >= TRIAL_INTERVAL_MS && this.running.size < this.slotCount;
     }
 
-    /** Time that a request of a rank would wait for a slot. */
-    expectedWaitMs(priority: number): number {
+    /** Time that a request would wait for a slot. */
+    expectedWaitMs(request: Pick<ServingRequest, "priority" | "targetAtMs">): number {
         if (this.running.size + this.waiting.length < this.slotCount) {
             return 0;
         }
-        const before = this.waiting.filter(({ request }) => request.priority <= priority).length;
+        const before = this.waiting.filter((waiting) => isBefore(waiting, request)).length;
         return (before + 1) * this.meanServiceMs / this.slotCount;
     }
 
@@ -100,7 +96,7 @@
     arrive(request: ServingRequest, grade: Grade, nowMs: number): Admission {
         const refusal = this.findRefusal(request, grade, nowMs);
         if (refusal !== undefined) {
-            return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request.priority) };
+            return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request) };
         }
         if (grade === Grade.Ejected) {
             this.lastTrialAtMs = nowMs;
@@ -109,7 +105,7 @@
             this.start(request, nowMs);
             return { kind: AdmissionKind.Start };
         }
-        this.waiting.push({ request, arrivedAtMs: nowMs });
+        this.waiting.push(request);
         return { kind: AdmissionKind.Queue };
     }
 
@@ -134,22 +130,22 @@
     /** Takes a request out of the queue; true if it was waiting. */
     withdraw(key: string): boolean {
         const before = this.waiting.length;
-        this.waiting = this.waiting.filter(({ request }) => request.key !== key);
+        this.waiting = this.waiting.filter((request) => request.key !== key);
         return this.waiting.length < before;
     }
 
     /** Takes all requests out of the queue, as when the endpoint drains. */
     withdrawAll(): readonly ServingRequest[] {
-        const withdrawn = this.waiting.map(({ request }) => request);
+        const withdrawn = this.waiting;
         this.waiting = [];
         return withdrawn;
     }
 
-    /** Takes out the waiting requests that have waited too long or cannot meet their deadline any more. */
+    /** Takes out the waiting requests that cannot meet their deadline any more. */
     takeOverdue(nowMs: number): readonly ServingRequest[] {
         const overdue = this.waiting.filter((waiting) => this.isOverdue(waiting, nowMs));
         this.waiting = this.waiting.filter((waiting) => !overdue.includes(waiting));
-        return overdue.map(({ request }) => request);
+        return overdue;
     }
 
     /** Starts the waiting requests for which there are slots. */
@@ -158,8 +154,8 @@
         while (this.running.size < this.slotCount && this.waiting.length > 0) {
             const next = this.waiting.reduce((best, candidate) => this.goesBefore(candidate, best, nowMs) ? candidate : best);
             this.waiting = this.waiting.filter((waiting) => waiting !== next);
-            this.start(next.request, nowMs);
-            started.push(next.request);
+            this.start(next, nowMs);
+            started.push(next);
         }
         return started;
     }
@@ -173,7 +169,7 @@
         if (!request.isLastResort && this.isUntrustedFor(request, grade, nowMs)) {
             return RefusalCause.Untrusted;
         }
-        const waitMs = this.expectedWaitMs(request.priority);
+        const waitMs = this.expectedWaitMs(request);
         if (nowMs + waitMs >= request.deadlineAtMs) {
             return RefusalCause.Deadline;
         }
@@ -187,20 +183,25 @@
         return grade === Grade.Ejected && !(request.isTrial && this.wantsTrial(nowMs));
     }
 
-    private isOverdue({ request, arrivedAtMs }: Waiting, nowMs: number): boolean {
-        return nowMs >= request.deadlineAtMs || nowMs - arrivedAtMs > request.maxQueueMs;
+    /** A request is given up when not even half of the usual work could be done by its deadline. */
+    private isOverdue(request: ServingRequest, nowMs: number): boolean {
+        return nowMs + this.meanServiceMs / 2 >= request.deadlineAtMs;
     }
 
-    private goesBefore(left: Waiting, right: Waiting, nowMs: number): boolean {
-        if (left.request.priority !== right.request.priority) {
-            return left.request.priority < right.request.priority;
+    private goesBefore(left: ServingRequest, right: ServingRequest, nowMs: number): boolean {
+        if (left.priority !== right.priority) {
+            return left.priority < right.priority;
         }
-        const isLeftTimely = nowMs + this.meanServiceMs <= left.request.targetAtMs;
-        const isRightTimely = nowMs + this.meanServiceMs <= right.request.targetAtMs;
-        return isLeftTimely === isRightTimely ? left.arrivedAtMs < right.arrivedAtMs : isLeftTimely;
+        const isLeftTimely = nowMs + this.meanServiceMs <= left.targetAtMs;
+        const isRightTimely = nowMs + this.meanServiceMs <= right.targetAtMs;
+        return isLeftTimely === isRightTimely ? left.targetAtMs < right.targetAtMs : isLeftTimely;
     }
 
-    private retryAfterMs(priority: number): number {
-        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(priority)));
+    private retryAfterMs(request: ServingRequest): number {
+        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request)));
     }
 }
+
+function isBefore(left: Pick<ServingRequest, "priority" | "targetAtMs">, right: Pick<ServingRequest, "priority" | "targetAtMs">): boolean {
+    return left.priority < right.priority || (left.priority === right.priority && left.targetAtMs <= right.targetAtMs);
+}
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -57,12 +57,22 @@
 test("waiting requests whose time is over are taken out and never start", (t) => {
     const queue = ServingQueue.create(1);
     queue.arrive(request("a"), Grade.Trusted, 0);
-    queue.arrive(request("b", { deadlineAtMs: 400 }), Grade.Trusted, 0);
-    t.deepEqual(keys(queue.takeOverdue(401)), ["b"]);
-    queue.finish("a", 402, true);
+    queue.arrive(request("b", { deadlineAtMs: 1_000 }), Grade.Trusted, 0);
+    t.deepEqual(keys(queue.takeOverdue(500)), []);
+    t.deepEqual(keys(queue.takeOverdue(900)), ["b"]);
+    queue.finish("a", 902, true);
     t.deepEqual(queue.startNext(402), []);
 });
 
+test("a call with a short target goes before new work of its rank that came earlier", (t) => {
+    const queue = ServingQueue.create(1);
+    queue.arrive(request("running"), Grade.Trusted, 0);
+    queue.arrive(request("new", { targetAtMs: 1_500 }), Grade.Trusted, 0);
+    queue.arrive(request("call", { targetAtMs: 450 }), Grade.Trusted, 50);
+    queue.finish("running", 100, true);
+    t.deepEqual(keys(queue.startNext(100)), ["call"]);
+});
+
 test("a request that was withdrawn does not start", (t) => {
     const queue = ServingQueue.create(1);
     queue.arrive(request("a"), Grade.Trusted, 0);
--- a/src/decisions/serving/ServingRequest.ts
+++ b/src/decisions/serving/ServingRequest.ts
@@ -11,7 +11,7 @@
     readonly deadlineAtMs: number;
     /** Time on the gate's clock until which the answer is worth its full value. */
     readonly targetAtMs: number;
-    /** Longest time that it may wait for a slot; 0 if it wants a free slot or none. */
+    /** Longest expected wait for a slot with which it may be let in; 0 if it wants a free slot or none. */
     readonly maxQueueMs: number;
     /** True if it may be spent on an ejected endpoint. */
     readonly isTrial: boolean;
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -26,7 +26,7 @@
     readonly remainingMs: number;
     /** Time left within which the answer is worth its full value; may be negative. */
     readonly targetRemainingMs: number;
-    /** Longest time to wait for a slot; 0 if it wants a free slot or none. */
+    /** Longest expected wait for a slot with which it is let in; 0 if it wants a free slot or none. */
     readonly maxQueueMs: number;
     /** True if it may be spent on an ejected endpoint. */
     readonly isTrial: boolean;
