--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -12,6 +12,10 @@
 const DOUBT_WAIT_MS = 400;
 /** Wait that an ejected endpoint is charged, in ms; above any real wait. */
 const EJECTED_WAIT_MS = 100_000;
+/** Wait that a gate of another failure domain is charged, in ms: about what the way there and back takes. */
+const OTHER_DOMAIN_WAIT_MS = 20;
+/** The same for large answers, in ms: bandwidth between failure domains is dear, and a free slot nearby is worth a wait. */
+const OTHER_DOMAIN_DOWNLOAD_WAIT_MS = 300;
 /** Wait that a gate is charged that cannot be reached, in ms. */
 const UNREACHABLE_WAIT_MS = 1_000_000;
 
@@ -23,8 +27,7 @@
 
 /**
  * Orders gates by where a request is likely to be answered first: the expected wait for a slot and the time of the work,
- * with trust in the endpoint counted in. Gates of the same score are ordered by chance, with those in the entry's own
- * failure domain first.
+ * with trust in the endpoint and the distance counted in. Gates of the same score are ordered by chance.
  *
  * Answers for many entries that place at the same time by reports up to half a second old.
  *
@@ -43,11 +46,15 @@
     random: () => number,
 ): readonly PlacementCandidate[] {
     const usualServiceMs = meanServiceMs(candidates);
-    const scored = candidates.map((candidate): Scored => ({
-        candidate,
-        score: Math.round(score(candidate, requestKind, usualServiceMs) / EQUAL_WAIT_MS),
-        tie: random() + (candidate.record.failureDomain === failureDomain ? 0 : 1),
-    }));
+    const awayMs = requestKind === RequestKind.Download ? OTHER_DOMAIN_DOWNLOAD_WAIT_MS : OTHER_DOMAIN_WAIT_MS;
+    const scored = candidates.map((candidate): Scored => {
+        const distanceMs = candidate.record.failureDomain === failureDomain ? 0 : awayMs;
+        return {
+            candidate,
+            score: Math.round((score(candidate, requestKind, usualServiceMs) + distanceMs) / EQUAL_WAIT_MS),
+            tie: random(),
+        };
+    });
     return scored
         .sort((left, right) => left.score - right.score || left.tie - right.tie)
         .map(({ candidate }) => candidate);
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -70,3 +70,9 @@
 test("among equals the entry's own failure domain comes first", (t) => {
     t.is(first([candidate("a-1", {}), candidate("z-1", {}), candidate("b-1", {})]), "z-1");
 });
+
+test("a large answer is fetched from the own failure domain while there is a free slot, and from others before it waits long", (t) => {
+    const near = candidate("z-1", { running: 4 });
+    t.is(first([candidate("a-1", {}), near], RequestKind.Download), "z-1");
+    t.is(first([candidate("a-1", {}), candidate("z-1", { running: 5, queued: 20 })], RequestKind.Download), "a-1");
+});
--- a/src/decisions/quarantine/QuarantineLedger/index.ts
+++ b/src/decisions/quarantine/QuarantineLedger/index.ts
@@ -1,4 +1,4 @@
-const STRIKES_TO_QUARANTINE = 2;
+const DEFAULT_STRIKES = 2;
 const STRIKE_VALID_MS = 600_000;
 const QUARANTINE_MS = 600_000;
 const MAX_FINGERPRINTS = 4_096;
@@ -18,11 +18,15 @@
 export class QuarantineLedger {
     private readonly requests = new Map<string, StruckRequest>();
 
-    private constructor() {}
+    private constructor(private readonly strikesToQuarantine: number) {}
 
-    /** Creates a ledger without strikes. */
-    static create(): QuarantineLedger {
-        return new QuarantineLedger();
+    /**
+     * Creates a ledger without strikes.
+     *
+     * @param strikesToQuarantine - Losses after which a request is quarantined.
+     */
+    static create(strikesToQuarantine = DEFAULT_STRIKES): QuarantineLedger {
+        return new QuarantineLedger(strikesToQuarantine);
     }
 
     /** Number of requests remembered. */
@@ -48,7 +52,7 @@
         this.requests.set(fingerprint, known);
         this.forgetOldest();
         const valid = [...known.strikes.values()].filter((atMs) => nowMs - atMs < STRIKE_VALID_MS);
-        if (valid.length >= STRIKES_TO_QUARANTINE) {
+        if (valid.length >= this.strikesToQuarantine) {
             known.quarantinedUntilMs = nowMs + QUARANTINE_MS;
         }
         return true;
--- a/src/decisions/requests/FleetRetryBudget/index.ts
+++ b/src/decisions/requests/FleetRetryBudget/index.ts
@@ -3,7 +3,7 @@
 /** Parts into which the window is divided for counting. */
 const BUCKETS = 20;
 /** Part of the allowance that is used, so that repeats which other services' calls add stay within it. */
-const USED_SHARE = 0.6;
+const USED_SHARE = 0.75;
 
 interface Bucket {
     index: number;
--- a/src/entrance/CallerDesk/index.ts
+++ b/src/entrance/CallerDesk/index.ts
@@ -25,6 +25,8 @@
 const SHORT_RETRY_AFTER_MS = 300;
 /** Part of the repeatable requests that try an ejected endpoint which wants a trial. */
 const TRIAL_SHARE = 0.3;
+/** Endpoints that a request may crash before it is refused; two can be a coincidence where many requests share a path. */
+const STRIKES_TO_QUARANTINE = 3;
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_REFUSED = 503;
@@ -48,7 +50,7 @@
 /** Serves the requests of callers: finds their route, has their course decided, and carries it out. */
 export class CallerDesk {
     private readonly budget: FleetRetryBudget;
-    private readonly quarantine = QuarantineLedger.create();
+    private readonly quarantine = QuarantineLedger.create(STRIKES_TO_QUARANTINE);
     private table: RouteTable | undefined;
     private offers = 0;
     private open = 0;
@@ -79,6 +81,16 @@
         this.table = table;
     }
 
+    /** Takes note of an endpoint that was lost while it ran a request, here or at another entry. */
+    takeStrike(fingerprint: string, loss: string): void {
+        this.quarantine.strike(fingerprint, loss, nowMs());
+    }
+
+    /** Takes note that a request was answered at another entry. */
+    takeAcquittal(fingerprint: string): void {
+        this.quarantine.acquit(fingerprint, nowMs());
+    }
+
     /** Refuses all requests from now on, as the process is about to end. */
     refuseAll(): void {
         this.refusesAll = true;
@@ -224,8 +236,8 @@
                     cause: reply.kind === GateReplyKind.Refused ? reply.cause : reply.problem,
                 });
             }
-            if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint && this.quarantine.strike(run.fingerprint, `${vm}/${Math.round(nowMs())}`, nowMs())) {
-                this.events.record(EventNumber.RequestStruck, { requestId: request.requestId, peer: vm, fingerprint: run.fingerprint });
+            if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
+                this.strike(run, vm);
             }
             this.step(run, { kind: CourseEventKind.Reply, attempt, reply });
         });
@@ -234,13 +246,22 @@
         }
     }
 
+    private strike(run: Run, vm: string): void {
+        const loss = `${vm}/${Math.round(nowMs())}`;
+        this.events.record(EventNumber.RequestStruck, { requestId: run.exchange.request.requestId, peer: vm, fingerprint: run.fingerprint });
+        this.takeStrike(run.fingerprint, loss);
+        this.setup.onStrike(run.fingerprint, loss);
+    }
+
     private deliver(run: Run, { answer, attempt }: Extract<CourseEffect, { kind: CourseEffectKind.Deliver }>): void {
         const { exchange } = run;
         if (!this.setup.dialect.isGenuine(answer.status, answer.headers)) {
             this.fail(run, CourseFailure.OutcomeUnknown, "the answer is not an endpoint's own");
             return;
         }
-        this.quarantine.acquit(run.fingerprint, nowMs());
+        if (this.quarantine.acquit(run.fingerprint, nowMs())) {
+            this.setup.onAcquittal(run.fingerprint);
+        }
         this.events.record(EventNumber.RequestAnswered, {
             requestId: exchange.request.requestId,
             service: run.service,
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -13,8 +13,8 @@
 import { WsLinkOptions } from "../WsLinkOptions.js";
 
 const MAX_BUFFERED_BYTES = 64 * 1_024 * 1_024;
-const packr = new Packr({ useRecords: false });
-const unpackr = new Unpackr({ useRecords: false });
+const packr = new Packr({ useRecords: true });
+const unpackr = new Unpackr({ useRecords: true });
 
 interface PendingCall {
     readonly resolve: (message: Message | undefined) => void;
--- a/src/mesh/HubRole/index.ts
+++ b/src/mesh/HubRole/index.ts
@@ -205,6 +205,10 @@
             case MessageKind.FleetNews:
                 this.takeNews(link, message.records, message.loads);
                 return;
+            case MessageKind.Strike:
+            case MessageKind.Acquittal:
+                this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
+                return;
             case MessageKind.Subscribe:
                 this.subscribe(link, message.wants, message.wantsLoads);
                 return;
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -20,6 +20,7 @@
 export class MeshLinks {
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly heardAtMs = new Map<string, number>();
+    private readonly failureDomains = new Map<string, string>();
     private readonly dialling = new Set<string>();
 
     private constructor(
@@ -113,7 +114,13 @@
         await this.links.close();
     }
 
+    /** Failure domain of a VM that has been linked. */
+    failureDomainOf(vm: string): string | undefined {
+        return this.failureDomains.get(vm);
+    }
+
     private opened(link: LinkPort): void {
+        this.failureDomains.set(link.peer.vm, link.peer.failureDomain);
         this.heardAtMs.set(link.peer.vm, nowMs());
         link.send(this.peersMessage());
     }
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -36,6 +36,8 @@
 /** Time before the end of the grace at which the process ends in any case, in ms. */
 const END_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
+/** Time for which connections stay open behind the last answers, so that these arrive, in ms. */
+const SETTLE_MS = 150;
 const RUN_BYTES = 6;
 
 /** A proxy beside an endpoint: entry for the callers on its VM, and gate of the endpoint. */
@@ -100,6 +102,8 @@
             entryRun: `${vm.name}-${randomBytes(RUN_BYTES).toString("hex")}`,
             retryTerms: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
             dialect,
+            onStrike: (fingerprint, loss) => owner.role?.tellControl({ kind: MessageKind.Strike, fingerprint, loss }),
+            onAcquittal: (fingerprint) => owner.role?.tellControl({ kind: MessageKind.Acquittal, fingerprint }),
             callerService: () => owner.role?.callerService ?? "",
         }, view, events);
         const role = new SidecarRole(settings, events, gate, view, desk, owner);
@@ -152,6 +156,7 @@
         while (nowMs() < endAtMs && (this.desk.openCount > 0 || this.gate.workCount > 0)) {
             await delay(STOP_POLL_MS);
         }
+        await delay(SETTLE_MS);
         this.events.record(EventNumber.DaemonStopped, { callers: this.desk.openCount, work: this.gate.workCount });
         await this.close();
     }
@@ -201,6 +206,12 @@
                 message.records.filter((record) => record.vm === this.record.vm).forEach((record) => this.meetFormerRun(record));
                 this.hasFleet = true;
                 return;
+            case MessageKind.Strike:
+                this.desk.takeStrike(message.fingerprint, message.loss);
+                return;
+            case MessageKind.Acquittal:
+                this.desk.takeAcquittal(message.fingerprint);
+                return;
             case MessageKind.ItemNews:
                 this.takeItems(message.items, message.isComplete);
                 return;
@@ -324,6 +335,8 @@
 
     private nextSubscription(lively: readonly string[]): string | undefined {
         const free = lively.filter((vm) => !this.subscribed.has(vm));
-        return free[Math.floor(Math.random() * free.length)];
+        const near = free.filter((vm) => this.links?.failureDomainOf(vm) === this.settings.vm.failureDomain);
+        const choice = near.length > 0 && this.subscribed.size === 0 ? near : free;
+        return choice[Math.floor(Math.random() * choice.length)];
     }
 }
--- /dev/null
+++ b/src/mesh/parseMeshSettings/test.ts
@@ -0,0 +1,55 @@
+import test from "ava";
+import { parseMeshSettings } from "./index.js";
+
+const SETTINGS = `
+[vm]
+name = "vm-1"
+failureDomain = "d-1"
+ip = "10.0.0.1"
+isFirstStart = true
+[links]
+firstPort = 7600
+fleetKey = "a key of the whole fleet"
+seeds = ["10.0.0.2:8620"]
+[proxy]
+callerAddress = "10.0.0.1:8629"
+readyAddress = "10.0.0.1:8625"
+announceAddress = "10.0.0.1:8620"
+backendAddress = "10.0.0.1:8628"
+service = "s"
+[terms]
+toleratedLosses = 2
+grace = "6s"
+retryRatio = 0.2
+retryWindow = "10s"
+retrySlack = 64
+`;
+
+test("lengths of time are read with their unit", (t) => {
+    const { terms } = parseMeshSettings(SETTINGS, "settings.toml");
+    t.is(terms.grace, 6_000);
+    t.is(terms.retryWindow, 10_000);
+});
+
+test("fields that are not known are ignored", (t) => {
+    t.notThrows(() => parseMeshSettings(`${SETTINGS}\nunknown = 1\n[later]\nx = 2\n`, "settings.toml"));
+});
+
+const WRONG: readonly (readonly [string, string, string, RegExp])[] = [
+    ["a field that is missing", "ip = \"10.0.0.1\"\n", "", /vm\.ip: found nothing/],
+    ["a length of time without a unit", "grace = \"6s\"", "grace = \"6\"", /terms\.grace: found "6"/],
+    ["an address without a port", "\"10.0.0.1:8629\"", "\"10.0.0.1\"", /proxy\.callerAddress/],
+    ["a port out of range", "firstPort = 7600", "firstPort = 760000", /links\.firstPort/],
+    ["text that is no TOML", "[vm]", "[vm", /settings\.toml: cannot be parsed/],
+];
+
+for (const [title, from, to, message] of WRONG) {
+    test(`${title} is named in the error`, (t) => {
+        t.throws(() => parseMeshSettings(SETTINGS.replace(from, to), "settings.toml"), { any: true, message });
+    });
+}
+
+test("a process needs a role", (t) => {
+    const text = SETTINGS.replace(/\[proxy\][^[]*/, "");
+    t.throws(() => parseMeshSettings(text, "settings.toml"), { any: true, message: /proxy and control/ });
+});
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -12,6 +12,7 @@
 import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
 import { ObservedOutcome } from "../../decisions/suspicion/ObservedOutcome.js";
 import { OutcomeTest } from "../../decisions/suspicion/OutcomeTest/index.js";
+import { isListening } from "../../http/isListening/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
@@ -219,11 +220,22 @@
         this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered);
         const reply = this.judge(running, result, atMs);
         this.startNext();
-        running.onReply(reply);
+        if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
+            void this.confirmLoss(running, reply);
+        }
+        else {
+            running.onReply(reply);
+        }
         this.noteGrade(atMs);
         this.setup.onLoad(false);
     }
 
+    /** An endpoint that broke a connection off has crashed only if it takes no other connection either. */
+    private async confirmLoss(running: Running, reply: Extract<GateReply, { kind: GateReplyKind.Broken }>): Promise<void> {
+        const isAlive = await isListening(this.setup.backendAddress);
+        running.onReply({ ...reply, lostEndpoint: !isAlive });
+    }
+
     private judge({ offer }: Running, result: BackendResult, atMs: number): GateReply {
         switch (result.kind) {
             case BackendResultKind.NotConnected:
