Keep a floor under ejection, and let load reports age

Endpoints were ejected because the calls that they had made failed elsewhere, and entries kept reports of gates that had recovered while idle.

Change: a failure is no evidence while calls that began on the VM have failed, unless it came at once; no more than three of ten endpoints are ejected for repeatable work; gates report at least once a second and reports age; a new subscriber gets all loads; a stopping proxy ends 0.9 s before the grace does (six were killed at its end).

--- a/src/decisions/course/RequestCourse/index.ts
+++ b/src/decisions/course/RequestCourse/index.ts
@@ -5,6 +5,7 @@
 import { GateReply } from "../../../tunnel/GateReply.js";
 import { GateReplyKind } from "../../../tunnel/GateReplyKind.js";
 import { Grade } from "../../fleet/Grade.js";
+import { keptByFloor } from "../../placement/keptByFloor/index.js";
 import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
 import { CourseEffect } from "../CourseEffect.js";
 import { CourseEffectKind } from "../CourseEffectKind.js";
@@ -32,6 +33,8 @@
 /** Shortest time after which a refused caller is told to return, in ms. */
 const MIN_RETRY_AFTER_MS = 100;
 
+const NONE: ReadonlySet<string> = new Set();
+
 interface Attempt {
     readonly vm: string;
     hasStarted: boolean;
@@ -213,10 +216,12 @@
         if (trial !== undefined && this.ports.drawTrial()) {
             return [this.offer(trial, { maxQueueMs: 0, isTrial: true, isLastResort: false })];
         }
-        const trusted = candidates.filter((candidate) => this.isTrusted(candidate));
+        const kept = this.isRepeatable ? keptByFloor(this.ports.rank(this.refused)) : NONE;
+        const isKept = ({ record }: PlacementCandidate): boolean => kept.has(record.vm);
+        const trusted = candidates.filter((candidate) => this.isTrusted(candidate) || isKept(candidate));
         const fresh = trusted.find((candidate) => !this.refused.has(candidate.record.vm) && seemsFree(candidate));
         if (fresh !== undefined && this.offers < FREE_SLOT_OFFERS) {
-            return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
+            return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: isKept(fresh) })];
         }
         return this.queueSomewhere(trusted, candidates, nowMs);
     }
@@ -234,7 +239,8 @@
         const maxQueueMs = Math.max(LATE_QUEUE_MS, this.plan.targetAtMs - nowMs - this.ports.serviceMs);
         if (best !== undefined && this.offers < MAX_OFFERS && this.queueOffers < MAX_QUEUE_OFFERS) {
             this.queueOffers += 1;
-            return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort: trusted.length === 0 })];
+            const isLastResort = trusted.length === 0 || !this.isTrusted(best);
+            return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort })];
         }
         const doubted = all.find((candidate) => this.isLastChance(candidate));
         if (doubted !== undefined && this.offers < MAX_OFFERS) {
--- a/src/decisions/course/RequestCourse/test.ts
+++ b/src/decisions/course/RequestCourse/test.ts
@@ -27,7 +27,7 @@
     };
     return {
         record: { vm, failureDomain: "d", gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
-        load: { vm, running: 0, queued: 0, slots: 5, serviceMs: SERVICE_MS, grade, wantsTrial },
+        load: { vm, running: 0, queued: 0, slots: 5, serviceMs: SERVICE_MS, grade, suspicion: 0, wantsTrial },
         offeredSince: 0,
         isReachable: true,
         isCold: false,
--- a/src/decisions/fleet/GateLoadReport.ts
+++ b/src/decisions/fleet/GateLoadReport.ts
@@ -9,6 +9,8 @@
     /** Mean time that a request occupies a slot, or undefined before the first answer. */
     readonly serviceMs: number | undefined;
     readonly grade: Grade;
+    /** Evidence against the endpoint, by which ejected endpoints are ordered; 0 if there is none. */
+    readonly suspicion: number;
     /** True if the gate of an ejected endpoint wants a repeatable request to try it. */
     readonly wantsTrial: boolean;
 }
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -17,7 +17,7 @@
         slots: 5,
         coldRemainingMs: 0,
     };
-    const usual = { vm, running: 0, queued: 0, slots: 5, serviceMs: 100, grade: Grade.Trusted, wantsTrial: false };
+    const usual = { vm, running: 0, queued: 0, slots: 5, serviceMs: 100, grade: Grade.Trusted, suspicion: 0, wantsTrial: false };
     return {
         record: { vm, failureDomain: vm.slice(0, 1), gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
         load: load === undefined ? undefined : { ...usual, ...load },
--- a/src/decisions/suspicion/OutcomeTest/index.ts
+++ b/src/decisions/suspicion/OutcomeTest/index.ts
@@ -51,7 +51,8 @@
         return score >= DOUBT_SCORE ? Grade.Doubted : Grade.Trusted;
     }
 
-    private scoreAt(nowMs: number): number {
+    /** Evidence against the endpoint at a time; 0 if there is none. */
+    scoreAt(nowMs: number): number {
         return this.score * 0.5 ** ((nowMs - this.changedAtMs) / HALF_LIFE_MS);
     }
 }
--- a/src/entrance/CallerDesk/index.ts
+++ b/src/entrance/CallerDesk/index.ts
@@ -15,6 +15,7 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
+import { RequestKind } from "../../model/RequestKind.js";
 import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
 import { WorkHandle } from "../../tunnel/WorkHandle.js";
 import { CallerDeskSetup } from "../CallerDeskSetup.js";
@@ -27,6 +28,8 @@
 const TRIAL_SHARE = 0.3;
 /** Endpoints that a request may crash before it is refused; two can be a coincidence where many requests share a path. */
 const STRIKES_TO_QUARANTINE = 3;
+/** Statuses from which on an answer is a failure. */
+const FAILED_STATUS = 500;
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_REFUSED = 503;
@@ -54,6 +57,7 @@
     private table: RouteTable | undefined;
     private offers = 0;
     private open = 0;
+    private failedAtMs = Number.NEGATIVE_INFINITY;
     private refusesAll = false;
 
     private constructor(private readonly setup: CallerDeskSetup, private readonly view: FleetView, private readonly events: EventLog) {
@@ -76,6 +80,11 @@
         return this.open;
     }
 
+    /** Time at which a repeatable request last failed here, in ms. */
+    get lastFailedAtMs(): number {
+        return this.failedAtMs;
+    }
+
     /** Puts a configuration in force. */
     setTable(table: RouteTable): void {
         this.table = table;
@@ -185,12 +194,15 @@
                 this.arm(run, effect.atMs, { kind: CourseEventKind.Hedge, attempt: effect.attempt });
                 return;
             case CourseEffectKind.Deliver:
+                this.noteFailure(run, effect.answer.status >= FAILED_STATUS);
                 this.deliver(run, effect);
                 return;
             case CourseEffectKind.Refuse:
+                this.noteFailure(run, true);
                 this.refuse(run.exchange, effect.cause, effect.retryAfterMs);
                 return;
             case CourseEffectKind.Fail:
+                this.noteFailure(run, true);
                 this.fail(run, effect.failure, effect.problem);
                 return;
             default:
@@ -198,6 +210,12 @@
         }
     }
 
+    private noteFailure(run: Run, hasFailed: boolean): void {
+        if (hasFailed && run.route.requestKind === RequestKind.Repeatable) {
+            this.failedAtMs = nowMs();
+        }
+    }
+
     private offer(run: Run, effect: Extract<CourseEffect, { kind: CourseEffectKind.Offer }>): void {
         const { attempt, vm, terms } = effect;
         const { request } = run.exchange;
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -14,13 +14,15 @@
 
 /** Time between two looks at the connections to gates, in ms; nothing is looked at while none is waited for. */
 const TICK_MS = 100;
+/** Age up to which a load report is used, in ms; gates report at least once a second. */
+const LOAD_VALID_MS = 3_000;
 /** Service time assumed before any gate has reported, in ms. */
 const UNKNOWN_SERVICE_MS = 300;
 
 /** What an entry knows of the gates of the fleet, and its connections to them. */
 export class FleetView {
     private readonly table = FleetTable.create();
-    private readonly loads = new Map<string, GateLoadReport>();
+    private readonly loads = new Map<string, { readonly load: GateLoadReport; readonly atMs: number }>();
     private readonly offeredSince = new Map<string, number>();
     private readonly coldUntilMs = new Map<string, number>();
     private readonly tunnels = new Map<string, TunnelClient>();
@@ -59,7 +61,7 @@
 
     /** Takes the load that a gate has reported. */
     takeLoad(load: GateLoadReport): void {
-        this.loads.set(load.vm, load);
+        this.loads.set(load.vm, { load, atMs: nowMs() });
         this.offeredSince.delete(load.vm);
     }
 
@@ -71,7 +73,7 @@
 
     /** Mean time that a request occupies a slot of a service, over its gates. */
     serviceMs(service: string): number {
-        const times = this.serving(service).flatMap(({ vm }) => this.loads.get(vm)?.serviceMs ?? []);
+        const times = this.serving(service).flatMap(({ vm }) => this.loads.get(vm)?.load.serviceMs ?? []);
         return times.length === 0 ? UNKNOWN_SERVICE_MS : times.reduce((sum, time) => sum + time, 0) / times.length;
     }
 
@@ -135,7 +137,7 @@
         const { vm } = record;
         return {
             record,
-            load: this.loads.get(vm),
+            load: this.freshLoad(vm),
             offeredSince: this.offeredSince.get(vm) ?? 0,
             isReachable: this.tunnels.get(vm)?.isReachable ?? true,
             isCold: nowMs() < (this.coldUntilMs.get(vm) ?? 0),
@@ -143,6 +145,11 @@
         };
     }
 
+    private freshLoad(vm: string): GateLoadReport | undefined {
+        const known = this.loads.get(vm);
+        return known !== undefined && nowMs() - known.atMs < LOAD_VALID_MS ? known.load : undefined;
+    }
+
     private tunnel(record: GateRecord): TunnelClient {
         const { vm, gateAddress } = record;
         const known = this.tunnels.get(vm);
--- a/src/mesh/HubRole/index.ts
+++ b/src/mesh/HubRole/index.ts
@@ -47,6 +47,7 @@
     private readonly startedAtMs = nowMs();
     /** Loads that proxies have reported here, and loads that other control VMs have passed on, since the last report. */
     private newLoads = new Map<string, GateLoadReport>();
+    private readonly latestLoads = new Map<string, GateLoadReport>();
     private passedLoads = new Map<string, GateLoadReport>();
     /** Latest grade of each VM's endpoint: a change is passed on at once. */
     private readonly grades = new Map<string, Grade>();
@@ -120,13 +121,14 @@
         return reply.items;
     }
 
-    /** Stops the process's part in the fleet. */
-    async close(): Promise<void> {
+    /** Ends the process's part in the fleet; the other control VMs choose another leader if need be. */
+    stop(): Promise<void> {
         this.isClosed = true;
         this.timers.forEach((timer) => clearInterval(timer));
         clearTimeout(this.loadsTimer);
         this.items?.close();
-        await this.links?.close();
+        this.links?.close();
+        return Promise.resolve();
     }
 
     private async open(): Promise<void> {
@@ -259,7 +261,10 @@
 
     private takeLoads(loads: readonly GateLoadReport[], isFromProxy: boolean): void {
         const target = isFromProxy ? this.newLoads : this.passedLoads;
-        loads.forEach((load) => target.set(load.vm, load));
+        loads.forEach((load) => {
+            target.set(load.vm, load);
+            this.latestLoads.set(load.vm, load);
+        });
         const isUrgent = loads.some(({ vm, grade }) => (this.grades.get(vm) ?? Grade.Trusted) !== grade);
         loads.forEach(({ vm, grade }) => this.grades.set(vm, grade));
         if (isUrgent) {
@@ -290,7 +295,7 @@
             return;
         }
         this.subscribers.set(link.peer.vm, wantsLoads);
-        link.send({ kind: MessageKind.FleetNews, records: this.table.all, loads: [] });
+        link.send({ kind: MessageKind.FleetNews, records: this.table.all, loads: [...this.latestLoads.values()] });
         if (this.hasBeenCurrent) {
             link.send(this.allItems());
         }
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -109,9 +109,9 @@
     }
 
     /** Closes all links. */
-    async close(): Promise<void> {
+    close(): void {
         this.timers.forEach((timer) => clearInterval(timer));
-        await this.links.close();
+        void this.links.close();
     }
 
     /** Failure domain of a VM that has been linked. */
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -31,10 +31,12 @@
 const SUBSCRIBE_MS = 1_000;
 /** Time between two reports of the own load, in ms. */
 const LOAD_MS = 200;
+/** Longest time between two reports of the own load, in ms; entries trust no report that is three times as old. */
+const REFRESH_MS = 1_000;
 /** Time after the request to stop until which new connections are taken, in ms; callers have turned away by then. */
 const LISTEN_ON_MS = 2_500;
 /** Time before the end of the grace at which the process ends in any case, in ms. */
-const END_MARGIN_MS = 400;
+const END_MARGIN_MS = 900;
 const STOP_POLL_MS = 50;
 /** Time for which connections stay open behind the last answers, so that these arrive, in ms. */
 const SETTLE_MS = 150;
@@ -95,6 +97,7 @@
             backendAddress: proxy?.backendAddress ?? "",
             dialect,
             events,
+            hasFailedCallSince: (sinceMs) => (owner.role?.desk.lastFailedAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoad: (isUrgent) => owner.role?.noteLoad(isUrgent),
         });
         const view = FleetView.create({ vm: vm.name, failureDomain: vm.failureDomain, ownGate: gate, token }, events);
@@ -158,7 +161,7 @@
         }
         await delay(SETTLE_MS);
         this.events.record(EventNumber.DaemonStopped, { callers: this.desk.openCount, work: this.gate.workCount });
-        await this.close();
+        this.close();
     }
 
     private async start(token: string, dialect: MeshDialect): Promise<void> {
@@ -174,17 +177,18 @@
         }, () => undefined, this.events);
         this.timers.push(
             setInterval(() => this.keepSubscriptions(), SUBSCRIBE_MS),
+            setInterval(() => this.sendLoad(), REFRESH_MS),
         );
     }
 
-    private async close(): Promise<void> {
+    private close(): void {
         this.timers.forEach((timer) => clearInterval(timer));
         clearTimeout(this.loadTimer);
         this.callers?.close();
         this.tunnels?.close();
         this.view.close();
         this.gate.close();
-        await this.links?.close();
+        this.links?.close();
     }
 
     private linkOpened(link: LinkPort): void {
@@ -289,7 +293,7 @@
         if (this.loadsFrom !== undefined) {
             this.links?.sendTo(this.loadsFrom, { kind: MessageKind.FleetNews, records: [], loads: [load] });
         }
-        if (load.grade === Grade.Ejected) {
+        if (load.grade !== Grade.Trusted) {
             this.noteLoad(false);
         }
     }
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -36,6 +36,8 @@
 const HANG_FACTOR = 4;
 /** Shortest time after which a request counts as hung, in ms. */
 const MIN_HANG_MS = 1_500;
+/** Part of the mean service time before which a failure is the endpoint's own: its calls have not ended by then. */
+const EARLY_SHARE = 0.2;
 /** Time for which a granted slot is held for the entry's word, in ms: several round trips. */
 const GO_MS = 300;
 /** Time kept back from the deadline that an endpoint is given, for the way back, in ms. */
@@ -87,6 +89,7 @@
             slots: this.queue.slots,
             serviceMs: this.queue.measuredServiceMs === undefined ? undefined : Math.round(this.queue.measuredServiceMs),
             grade,
+            suspicion: Math.round(this.test.scoreAt(atMs) * 10) / 10,
             wantsTrial: grade === Grade.Ejected && this.queue.wantsTrial(atMs),
         };
     }
@@ -236,7 +239,7 @@
         running.onReply({ ...reply, lostEndpoint: !isAlive });
     }
 
-    private judge({ offer }: Running, result: BackendResult, atMs: number): GateReply {
+    private judge({ offer, startedAtMs }: Running, result: BackendResult, atMs: number): GateReply {
         switch (result.kind) {
             case BackendResultKind.NotConnected:
                 this.test.observe(ObservedOutcome.Failure, atMs);
@@ -256,12 +259,22 @@
                     this.test.observe(ObservedOutcome.Failure, atMs);
                     return this.refusal(cause, 0, true);
                 }
-                this.test.observe(status >= FAILED_STATUS ? ObservedOutcome.Failure : ObservedOutcome.Success, atMs);
+                this.observeStatus(status, startedAtMs, atMs);
                 return { kind: GateReplyKind.Answered, answer: result.answer, load: this.load };
             }
         }
     }
 
+    /** A failure is no evidence against the endpoint if calls that began on this VM have failed while it ran. */
+    private observeStatus(status: number, startedAtMs: number, atMs: number): void {
+        if (status < FAILED_STATUS) {
+            this.test.observe(ObservedOutcome.Success, atMs);
+        }
+        else if (atMs - startedAtMs < EARLY_SHARE * this.queue.serviceMs || !this.setup.hasFailedCallSince(startedAtMs)) {
+            this.test.observe(ObservedOutcome.Failure, atMs);
+        }
+    }
+
     private cancel(key: string): void {
         const running = this.work.get(key);
         if (running === undefined) {
--- a/src/serving/ServingGateSetup.ts
+++ b/src/serving/ServingGateSetup.ts
@@ -8,6 +8,8 @@
     readonly backendAddress: string;
     readonly dialect: EndpointDialect;
     readonly events: EventLog;
+    /** Tells whether a repeatable request that began on this VM, as calls of the endpoint do, has failed since a time. */
+    readonly hasFailedCallSince: (sinceMs: number) => boolean;
     /** Told that the load has changed; urgent if the trust in the endpoint has. */
     readonly onLoad: (isUrgent: boolean) => void;
 }
