Leave half of the retry budget to the calls of repeated work

With three quarters of the allowance in use, 222 arrivals came where 218 were allowed.

Change: half of the allowance is used. A test of two services, one calling the other, gives 234 of 217 before and passes after.

--- a/src/decisions/requests/FleetRetryBudget/index.ts
+++ b/src/decisions/requests/FleetRetryBudget/index.ts
@@ -2,8 +2,8 @@
 
 /** Parts into which the window is divided for counting. */
 const BUCKETS = 20;
-/** Part of the allowance that is used, so that repeats which other services' calls add stay within it. */
-const USED_SHARE = 0.75;
+/** Part of the allowance that is used: the calls of repeated work are repeats at the services called, and need the rest. */
+const USED_SHARE = 0.5;
 
 interface Bucket {
     index: number;
--- a/src/decisions/requests/FleetRetryBudget/test.ts
+++ b/src/decisions/requests/FleetRetryBudget/test.ts
@@ -29,6 +29,28 @@
     t.true(repeats.length > 0);
 });
 
+test("repeats of one service whose calls are repeats at another keep that one within its budget too", (t) => {
+    const nodes = 30;
+    const callsForRepeat = 1.4;
+    const budgets = Array.from({ length: nodes }, () => FleetRetryBudget.create(TERMS));
+    const counts = { requests: 0, repeats: 0 };
+    for (let atMs = 0; atMs < TERMS.windowMs; atMs += 10) {
+        budgets.forEach((budget, index) => {
+            if ((atMs / 10 + index) % 115 === 0) {
+                budget.countRequest("caller", atMs);
+            }
+            if ((atMs / 10 + index) % 38 === 0) {
+                budget.countRequest("called", atMs);
+                counts.requests += 1;
+            }
+            counts.repeats += budget.withdraw("caller", nodes, atMs) ? callsForRepeat : 0;
+            counts.repeats += budget.withdraw("called", nodes, atMs) ? 1 : 0;
+        });
+    }
+    const allowed = TERMS.ratio * counts.requests + TERMS.slack;
+    t.true(counts.repeats <= allowed, `${Math.round(counts.repeats)} of ${Math.round(allowed)}`);
+});
+
 test("services have budgets of their own", (t) => {
     const budget = FleetRetryBudget.create({ ...TERMS, slack: 0 });
     for (let request = 0; request < 50; request += 1) {
