--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { install } from "@sinonjs/fake-timers";
 import test, { type ExecutionContext } from "ava";
 import { HeaderList } from "../../model/HeaderList.js";
 import { AnswerDialect } from "../AnswerDialect.js";
@@ -158,7 +159,10 @@
     });
 });
 
-test("a repeatable request is sent again on a new connection if a kept one was reset before any answer", async (t) => {
+test.serial("a repeatable request is sent again on a new connection if a kept one was reset before any answer", async (t) => {
+    // The clock stands still, so that on a busy machine the reset does not seem to come late.
+    const clock = install({ toFake: ["performance"] });
+    t.teardown(() => clock.uninstall());
     await withServer(t, (socket, number, connection) => {
         if (connection === 1 && number === 2) {
             socket.resetAndDestroy();
--- a/src/controllers/ItemController/index.ts
+++ b/src/controllers/ItemController/index.ts
@@ -5,6 +5,7 @@
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { EntryKind } from "../../decisions/quorum/EntryKind.js";
 import { QuorumMessage } from "../../decisions/quorum/QuorumMessage.js";
+import { QuorumSnapshot } from "../../decisions/quorum/QuorumSnapshot.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { FleetError } from "../../model/FleetError.js";
@@ -24,6 +25,7 @@
  */
 export class ItemController {
     private book = ItemBook.create();
+    private appliedIndex = 0;
     /** Changes that wait here for their outcome. */
     private readonly outcomes = new Map<string, ItemOutcome | undefined>();
     /** Agreement with the other control VMs. */
@@ -31,12 +33,13 @@
 
     private constructor(store: QuorumStore, private readonly setup: ItemControllerSetup, private readonly events: EventLog) {
         this.book.merge(store.state.snapshot.items);
+        this.appliedIndex = store.state.snapshot.lastIndex;
         this.quorum = QuorumController.create(store, {
             send: (to, message) => setup.send(to, message),
             learners: () => setup.learners(),
             apply: () => undefined,
-            applyItems: (proposal, changes) => this.applyItems(proposal, changes),
-            restore: (snapshot) => this.restore(snapshot.items),
+            applyItems: (proposal, changes, position) => this.applyItems(proposal, changes, position),
+            restore: (snapshot) => this.restore(snapshot),
             snapshot: () => ({ position: NO_POSITION, parts: [], items: this.book.all, retained: [] }),
         }, events);
     }
@@ -58,6 +61,11 @@
         return new ItemController(store, setup, events);
     }
 
+    /** Position in the log of the latest change that this VM has applied. */
+    get position(): number {
+        return this.appliedIndex;
+    }
+
     /** Items as far as this VM has applied them. */
     get items(): readonly VersionedItem[] {
         return this.book.all;
@@ -107,7 +115,8 @@
         this.quorum.close();
     }
 
-    private applyItems(proposal: string, changes: readonly VersionedItem[]): void {
+    private applyItems(proposal: string, changes: readonly VersionedItem[], position: number): void {
+        this.appliedIndex = position;
         const outcome = this.book.decide(changes);
         const keys = changes.map(({ key, version }) => `${key}@${version}`).slice(0, MAX_LOGGED_KEYS);
         if (this.outcomes.has(proposal)) {
@@ -122,8 +131,9 @@
         this.setup.onItems(news);
     }
 
-    private restore(items: readonly VersionedItem[]): void {
+    private restore({ items, lastIndex }: QuorumSnapshot): void {
         this.book = ItemBook.create();
+        this.appliedIndex = lastIndex;
         this.setup.onItems(this.book.merge(items));
     }
 
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -204,7 +204,7 @@
             this.ports.apply(entry.change);
         }
         if (entry.kind === EntryKind.Items) {
-            this.ports.applyItems(entry.proposal, entry.changes);
+            this.ports.applyItems(entry.proposal, entry.changes, entry.index);
         }
         const waiter = this.waiters.get(entry.index);
         if (waiter !== undefined) {
--- a/src/controllers/QuorumPorts.ts
+++ b/src/controllers/QuorumPorts.ts
@@ -9,8 +9,8 @@
     send(to: string, message: QuorumMessage): void;
     /** Applies a committed change. */
     apply(change: AcceptedChange): void;
-    /** Applies a committed change of items. */
-    applyItems(proposal: string, changes: readonly VersionedItem[]): void;
+    /** Applies a committed change of items, which has a position in the log. */
+    applyItems(proposal: string, changes: readonly VersionedItem[], position: number): void;
     /** Applies the snapshot of another control VM. */
     restore(snapshot: QuorumSnapshot): void;
     /** Current state, without its position in the log. */
--- a/src/decisions/course/CourseEvent.ts
+++ b/src/decisions/course/CourseEvent.ts
@@ -7,4 +7,5 @@
     | { readonly kind: CourseEventKind.Reply; readonly attempt: number; readonly reply: GateReply }
     | { readonly kind: CourseEventKind.Hedge; readonly attempt: number }
     | { readonly kind: CourseEventKind.Deadline }
+    | { readonly kind: CourseEventKind.Stop }
     | { readonly kind: CourseEventKind.CallerGone };
--- a/src/decisions/course/CourseEventKind.ts
+++ b/src/decisions/course/CourseEventKind.ts
@@ -5,5 +5,7 @@
     /** The time of a hedge has come. */
     Hedge = "hedge",
     Deadline = "deadline",
+    /** The process ends: the caller is answered now. */
+    Stop = "stop",
     CallerGone = "caller-gone",
 }
--- a/src/decisions/course/CoursePorts.ts
+++ b/src/decisions/course/CoursePorts.ts
@@ -4,9 +4,7 @@
 export interface CoursePorts {
     /** Gates of the request's service, the best one first. */
     rank(refused: ReadonlySet<string>): readonly PlacementCandidate[];
-    /** Takes a repeat out of the retry budget; false if it does not allow one. */
-    withdrawRepeat(): boolean;
-    /** True if this request should try an ejected endpoint that wants a trial. */
+    /** True if this request should try an endpoint that wants a trial. */
     drawTrial(): boolean;
     /** Mean time of the work at the service's endpoints. */
     readonly serviceMs: number;
--- a/src/decisions/course/OfferTerms.ts
+++ b/src/decisions/course/OfferTerms.ts
@@ -6,4 +6,6 @@
     readonly isTrial: boolean;
     /** True if it takes an ejected endpoint when there is no other. */
     readonly isLastResort: boolean;
+    /** True if the request has reached an endpoint before. */
+    readonly isRepeat: boolean;
 }
--- a/src/decisions/course/RequestCourse/index.ts
+++ b/src/decisions/course/RequestCourse/index.ts
@@ -4,9 +4,11 @@
 import { RequestKind } from "../../../model/RequestKind.js";
 import { GateReply } from "../../../tunnel/GateReply.js";
 import { GateReplyKind } from "../../../tunnel/GateReplyKind.js";
+import { GateLoadReport } from "../../fleet/GateLoadReport.js";
 import { Grade } from "../../fleet/Grade.js";
-import { keptByFloor } from "../../placement/keptByFloor/index.js";
 import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
+import { isBarredBy } from "../../serving/isBarredBy/index.js";
+import { TrialWish } from "../../suspicion/TrialWish.js";
 import { CourseEffect } from "../CourseEffect.js";
 import { CourseEffectKind } from "../CourseEffectKind.js";
 import { CourseEvent } from "../CourseEvent.js";
@@ -19,22 +21,22 @@
 /** Gates asked for a free slot before a place in a queue is taken. */
 const FREE_SLOT_OFFERS = 3;
 /** Offers of one request in all; a refusal costs a round trip and reaches no endpoint. */
-const MAX_OFFERS = 8;
+const MAX_OFFERS = 12;
 /** Gates asked for a place in their queue. */
-const MAX_QUEUE_OFFERS = 2;
+const MAX_QUEUE_OFFERS = 4;
 /** Expected wait that is borne although the target is missed, in ms: about the time until the next slot is free. */
 const LATE_QUEUE_MS = 150;
 /** Time without an answer after which a repeatable request is hedged, as a multiple of the mean service time. */
 const HEDGE_FACTOR = 3;
 /** Shortest time before a hedge, in ms; calls of running work push an answer out by about this. */
 const MIN_HEDGE_MS = 600;
+/** Endpoints that may turn a request away in addition to the attempts of its route. */
+const MAX_SHED_ARRIVALS = 3;
 /** Statuses from which on an answer is a failure of the endpoint. */
 const FAILED_STATUS = 500;
 /** Shortest time after which a refused caller is told to return, in ms. */
 const MIN_RETRY_AFTER_MS = 100;
 
-const NONE: ReadonlySet<string> = new Set();
-
 interface Attempt {
     readonly vm: string;
     hasStarted: boolean;
@@ -57,6 +59,7 @@
     private arrivals = 0;
     /** Attempts that have run or may have. */
     private runs = 0;
+    private freeSlotOffers = 0;
     private queueOffers = 0;
     private isDone = false;
     private retryAfterMs = Number.POSITIVE_INFINITY;
@@ -107,6 +110,10 @@
                 return this.conclude(this.expire());
             case CourseEventKind.CallerGone:
                 return this.conclude();
+            case CourseEventKind.Stop:
+                this.lastCause = RefusalCause.Stopping;
+                this.lastProblem = "the process stops";
+                return this.conclude(this.giveUp());
         }
     }
 
@@ -189,7 +196,7 @@
         }
         const mayRepeat = this.isRepeatable || !this.mayHaveRun;
         const isInTime = nowMs + this.ports.serviceMs / 2 < this.plan.deadlineAtMs;
-        if (mayRepeat && isInTime && this.arrivals < this.plan.maxAttempts && this.hasOtherGate() && this.ports.withdrawRepeat()) {
+        if (mayRepeat && isInTime && this.mayReachAnother && this.hasOtherGate()) {
             return this.place(nowMs);
         }
         return this.conclude(this.giveUp());
@@ -197,38 +204,37 @@
 
     private hedge(number: number, nowMs: number): readonly CourseEffect[] {
         const isWorthwhile = nowMs + this.ports.serviceMs < this.plan.deadlineAtMs;
-        if (!this.isRepeatable || !this.open.has(number) || this.open.size > 1 || !isWorthwhile || this.arrivals >= this.plan.maxAttempts) {
-            return [];
-        }
-        const [best] = this.untried();
-        if (best === undefined || !this.isTrusted(best) || !this.ports.withdrawRepeat()) {
+        if (!this.isRepeatable || !this.open.has(number) || this.open.size > 1 || !isWorthwhile || !this.mayReachAnother) {
             return [];
         }
-        return [this.offer(best, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
+        const best = this.untried().find(({ load }) => gradeOf(load) === Grade.Trusted);
+        return best === undefined ? [] : [this.offer(best, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
     }
 
     private place(nowMs: number): readonly CourseEffect[] {
-        if (nowMs >= this.plan.deadlineAtMs) {
+        if (nowMs + this.ports.serviceMs / 2 >= this.plan.deadlineAtMs) {
             return this.conclude(this.giveUp());
         }
         const candidates = this.untried();
-        const trial = this.offers === 0 && this.isRepeatable ? candidates.find(wantsTrial) : undefined;
+        const trial = this.offers === 0 ? candidates.find((candidate) => this.suitsTrial(candidate)) : undefined;
         if (trial !== undefined && this.ports.drawTrial()) {
             return [this.offer(trial, { maxQueueMs: 0, isTrial: true, isLastResort: false })];
         }
-        const kept = this.isRepeatable ? keptByFloor(this.ports.rank(this.refused)) : NONE;
-        const isKept = ({ record }: PlacementCandidate): boolean => kept.has(record.vm);
-        const trusted = candidates.filter((candidate) => this.isTrusted(candidate) || isKept(candidate));
-        const fresh = trusted.find((candidate) => !this.refused.has(candidate.record.vm) && seemsFree(candidate));
-        if (fresh !== undefined && this.offers < FREE_SLOT_OFFERS) {
-            return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: isKept(fresh) })];
+        const trusted = candidates.filter(({ load }) => !isBarredBy(gradeOf(load), this.plan));
+        const free = trusted.filter((candidate) => !this.refused.has(candidate.record.vm) && seemsFree(candidate));
+        const fresh = free.find(({ load }) => gradeOf(load) === Grade.Trusted) ?? free[0];
+        if (fresh !== undefined && this.freeSlotOffers < FREE_SLOT_OFFERS) {
+            this.freeSlotOffers += 1;
+            return [this.offer(fresh, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
         }
         return this.queueSomewhere(trusted, candidates, nowMs);
     }
 
     /**
      * Asks for a place in a queue where the target can still be met; a place from which it cannot would only make others
-     * late. When there is none, work that must not be repeated turns to the doubted endpoints with free slots.
+     * late. When there is none, the request turns to the endpoints with free slots that are not trusted: work that must
+     * not be repeated to the doubted ones, other work also to the ejected ones. So no capacity is held back that may be
+     * sound, however many endpoints are ejected.
      */
     private queueSomewhere(
         trusted: readonly PlacementCandidate[],
@@ -239,23 +245,27 @@
         const maxQueueMs = Math.max(LATE_QUEUE_MS, this.plan.targetAtMs - nowMs - this.ports.serviceMs);
         if (best !== undefined && this.offers < MAX_OFFERS && this.queueOffers < MAX_QUEUE_OFFERS) {
             this.queueOffers += 1;
-            const isLastResort = trusted.length === 0 || !this.isTrusted(best);
-            return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort })];
+            return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort: trusted.length === 0 })];
         }
-        const doubted = all.find((candidate) => this.isLastChance(candidate));
-        if (doubted !== undefined && this.offers < MAX_OFFERS) {
-            return [this.offer(doubted, { maxQueueMs: 0, isTrial: false, isLastResort: true })];
+        const isLastChance = ({ load }: PlacementCandidate): boolean => this.isRepeatable || gradeOf(load) !== Grade.Ejected;
+        const last = all.find((candidate) => isLastChance(candidate) && !this.refused.has(candidate.record.vm) && seemsFree(candidate));
+        if (last !== undefined && this.offers < MAX_OFFERS) {
+            return [this.offer(last, { maxQueueMs: 0, isTrial: false, isLastResort: true })];
         }
         return this.conclude(this.giveUp());
     }
 
-    private isLastChance(candidate: PlacementCandidate): boolean {
-        const isDoubted = candidate.load?.grade === Grade.Doubted;
-        return !this.isRepeatable && isDoubted && !this.refused.has(candidate.record.vm) && seemsFree(candidate);
+    /** A trial may fail, so that a request which may be repeated has to have an attempt left. */
+    private suitsTrial({ load, offeredSince }: PlacementCandidate): boolean {
+        if (load === undefined || offeredSince > 0 || load.trialWish === TrialWish.None) {
+            return false;
+        }
+        return load.trialWish === TrialWish.Any || (this.isRepeatable && this.plan.maxAttempts > 1);
     }
 
-    private offer(candidate: PlacementCandidate, terms: OfferTerms): CourseEffect {
+    private offer(candidate: PlacementCandidate, given: Omit<OfferTerms, "isRepeat">): CourseEffect {
         assertInvariant(this.isRepeatable || !this.mayHaveRun, "work that must not be repeated is offered once it has not run", candidate.record.vm);
+        const terms: OfferTerms = { ...given, isRepeat: this.arrivals > 0 };
         this.offers += 1;
         const attempt = this.offers;
         this.open.set(attempt, { vm: candidate.record.vm, hasStarted: false });
@@ -297,9 +307,9 @@
         return [...last, ...cancels];
     }
 
-    private isTrusted(candidate: PlacementCandidate): boolean {
-        const grade = candidate.load?.grade ?? Grade.Trusted;
-        return this.isRepeatable ? grade !== Grade.Ejected : grade === Grade.Trusted;
+    /** Endpoints that have turned the request away have not run it, but each of them costs a repeat. */
+    private get mayReachAnother(): boolean {
+        return this.runs < this.plan.maxAttempts && this.arrivals < this.plan.maxAttempts + MAX_SHED_ARRIVALS;
     }
 
     private get mayHaveRun(): boolean {
@@ -315,6 +325,7 @@
     return load === undefined || load.running + load.queued + offeredSince < load.slots;
 }
 
-function wantsTrial(candidate: PlacementCandidate): boolean {
-    return candidate.load?.grade === Grade.Ejected && candidate.load.wantsTrial;
+/** An endpoint of which nothing is known has failed nothing. */
+function gradeOf(load: GateLoadReport | undefined): Grade {
+    return load?.grade ?? Grade.Trusted;
 }
--- a/src/decisions/course/RequestCourse/test.ts
+++ b/src/decisions/course/RequestCourse/test.ts
@@ -5,6 +5,7 @@
 import { GateReplyKind } from "../../../tunnel/GateReplyKind.js";
 import { EndpointPhase } from "../../fleet/EndpointPhase.js";
 import { Grade } from "../../fleet/Grade.js";
+import { TrialWish } from "../../suspicion/TrialWish.js";
 import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
 import { CourseEffect } from "../CourseEffect.js";
 import { CourseEffectKind } from "../CourseEffectKind.js";
@@ -15,7 +16,7 @@
 
 const SERVICE_MS = 300;
 
-function candidate(vm: string, grade = Grade.Trusted, wantsTrial = false): PlacementCandidate {
+function candidate(vm: string, grade = Grade.Trusted, trialWish = TrialWish.None): PlacementCandidate {
     const endpoint = {
         id: `i-${vm}`,
         bornAtMs: 1,
@@ -27,7 +28,7 @@
     };
     return {
         record: { vm, failureDomain: "d", gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
-        load: { vm, running: 0, queued: 0, slots: 5, serviceMs: SERVICE_MS, grade, suspicion: 0, wantsTrial },
+        load: { vm, running: 0, queued: 0, slots: 5, serviceMs: SERVICE_MS, grade, suspicion: 0, trialWish, shedShare: 0, isIdle: false },
         offeredSince: 0,
         isReachable: true,
         isCold: false,
@@ -38,7 +39,6 @@
 function create(requestKind: RequestKind, overrides: Partial<CoursePorts> = {}, maxAttempts = 3): RequestCourse {
     return RequestCourse.create({ requestKind, maxAttempts, deadlineAtMs: 4_000, targetAtMs: 1_500 }, {
         rank: () => [candidate("a"), candidate("b"), candidate("c")],
-        withdrawRepeat: () => true,
         drawTrial: () => true,
         serviceMs: SERVICE_MS,
         ...overrides,
@@ -116,11 +116,28 @@
     t.is(course.arrivalCount, 2);
 });
 
-test("without retry budget the failed answer is delivered", (t) => {
-    const course = create(RequestKind.Repeatable, { withdrawRepeat: () => false });
+test("without retry budget at any gate the failed answer is delivered", (t) => {
+    const course = create(RequestKind.Repeatable);
     begin(course);
     reply(course, 1, STARTED);
-    t.is(reply(course, 1, answered(500))[0]?.kind, CourseEffectKind.Deliver);
+    let [effect] = reply(course, 1, answered(500));
+    const asked = new Set<string>();
+    for (let attempt = 2; effect?.kind === CourseEffectKind.Offer; attempt += 1) {
+        t.true(effect.terms.isRepeat);
+        asked.add(effect.vm);
+        [effect] = reply(course, attempt, refused(RefusalCause.RetryBudget));
+    }
+    t.is(effect?.kind, CourseEffectKind.Deliver);
+    t.deepEqual([...asked], ["b", "c"]);
+});
+
+test("a second attempt goes to a trusted endpoint although a doubted one is free", (t) => {
+    const rank = (): readonly PlacementCandidate[] =>
+        [candidate("a"), candidate("gray", Grade.Doubted, TrialWish.Repeatable), candidate("c")];
+    const course = create(RequestKind.Repeatable, { rank, drawTrial: () => false });
+    begin(course);
+    reply(course, 1, STARTED);
+    t.is(vmOf(reply(course, 1, answered(500))[0]), "c");
 });
 
 test("an answer that hangs is hedged, and the first answer wins", (t) => {
@@ -165,17 +182,54 @@
 });
 
 test("an ejected endpoint gets a repeatable request as its trial, and no work that must not be repeated", (t) => {
-    const rank = (): readonly PlacementCandidate[] => [candidate("a"), candidate("gray", Grade.Ejected, true)];
+    const rank = (): readonly PlacementCandidate[] => [candidate("a"), candidate("gray", Grade.Ejected, TrialWish.Repeatable)];
     t.is(vmOf(begin(create(RequestKind.Repeatable, { rank }))), "gray");
     t.is(vmOf(begin(create(RequestKind.Once, { rank }))), "a");
 });
 
+test("a request that has only one attempt is no trial", (t) => {
+    const rank = (): readonly PlacementCandidate[] => [candidate("a"), candidate("gray", Grade.Ejected, TrialWish.Repeatable)];
+    t.is(vmOf(begin(create(RequestKind.Repeatable, { rank }, 1))), "a");
+});
+
+test("an endpoint that nothing else has tried for a time gets work of any kind", (t) => {
+    const rank = (): readonly PlacementCandidate[] => [candidate("a"), candidate("gray", Grade.Ejected, TrialWish.Any)];
+    t.is(vmOf(begin(create(RequestKind.Once, { rank }))), "gray");
+});
+
 test("an ejected endpoint is the last resort when there is no other", (t) => {
     const course = create(RequestKind.Once, { rank: () => [candidate("gray", Grade.Ejected)] });
     const effect = begin(course);
     t.true(effect?.kind === CourseEffectKind.Offer && effect.terms.isLastResort);
 });
 
+test("an endpoint that sheds a request uses up none of the attempts of its route, and is not asked without end", (t) => {
+    const vms = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    const course = create(RequestKind.Once, { rank: () => vms.map((vm) => candidate(vm)) }, 2);
+    let effect = begin(course);
+    const asked: string[] = [];
+    for (let attempt = 1; effect?.kind === CourseEffectKind.Offer; attempt += 1) {
+        asked.push(effect.vm);
+        reply(course, attempt, STARTED);
+        [effect] = reply(course, attempt, refused(RefusalCause.Shed, true));
+    }
+    t.true(asked.length > 2 && asked.length <= 5, asked.join(" "));
+    t.true(effect?.kind === CourseEffectKind.Refuse && effect.cause === RefusalCause.Shed);
+});
+
+test("when the process stops, a request that waits is refused, and one that may have run is not said not to have", (t) => {
+    const waiting = create(RequestKind.Once);
+    begin(waiting);
+    reply(waiting, 1, { kind: GateReplyKind.Queued });
+    const [refusal, cancel] = waiting.step({ kind: CourseEventKind.Stop }, 50);
+    t.true(refusal?.kind === CourseEffectKind.Refuse && refusal.cause === RefusalCause.Stopping);
+    t.deepEqual(cancel, { kind: CourseEffectKind.Cancel, attempt: 1 });
+    const running = create(RequestKind.Once);
+    begin(running);
+    reply(running, 1, STARTED);
+    t.is(running.step({ kind: CourseEventKind.Stop }, 50)[0]?.kind, CourseEffectKind.Fail);
+});
+
 test("a caller that leaves has its attempts cancelled", (t) => {
     const course = create(RequestKind.Repeatable);
     begin(course);
--- a/src/decisions/fleet/GateLoadReport.ts
+++ b/src/decisions/fleet/GateLoadReport.ts
@@ -1,3 +1,4 @@
+import { TrialWish } from "../suspicion/TrialWish.js";
 import { Grade } from "./Grade.js";
 
 /** Load of a gate at a moment. */
@@ -11,6 +12,10 @@
     readonly grade: Grade;
     /** Evidence against the endpoint, by which ejected endpoints are ordered; 0 if there is none. */
     readonly suspicion: number;
-    /** True if the gate of an ejected endpoint wants a repeatable request to try it. */
-    readonly wantsTrial: boolean;
+    /** Work that an endpoint which is not trusted should be tried with. */
+    readonly trialWish: TrialWish;
+    /** Share of the latest requests that the endpoint has turned away unrun, from 0 to 1. */
+    readonly shedShare: number;
+    /** True if a trusted endpoint has had no work for a time. */
+    readonly isIdle: boolean;
 }
--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -8,8 +8,12 @@
 const COLD_FACTOR = 1.3;
 /** Waits that differ by less are equal, in ms: load reports are this old. */
 const EQUAL_WAIT_MS = 40;
-/** Wait that a doubted endpoint is charged for work that must not be repeated, in ms; other work shows what it is worth. */
+/** Wait that a doubted endpoint is charged, in ms; trials show what it is worth. */
 const DOUBT_WAIT_MS = 400;
+/** Wait that a trusted endpoint without work is credited with, in ms, so that slow ones are not left without any. */
+const IDLE_CREDIT_MS = 10_000;
+/** Wait that an endpoint is charged which turns all requests away, in ms; less in proportion. */
+const SHED_WAIT_MS = 400;
 /** Wait that an ejected endpoint is charged, in ms; above any real wait. */
 const EJECTED_WAIT_MS = 100_000;
 /** Wait that a gate of another failure domain is charged, in ms: about what the way there and back takes. */
@@ -51,7 +55,7 @@
         const distanceMs = candidate.record.failureDomain === failureDomain ? 0 : awayMs;
         return {
             candidate,
-            score: Math.round((score(candidate, requestKind, usualServiceMs) + distanceMs) / EQUAL_WAIT_MS),
+            score: Math.round((score(candidate, usualServiceMs) + distanceMs) / EQUAL_WAIT_MS),
             tie: random(),
         };
     });
@@ -66,23 +70,25 @@
     return known.length === 0 ? UNKNOWN_SERVICE_MS : known.reduce((sum, serviceMs) => sum + serviceMs, 0) / known.length;
 }
 
-function score(candidate: PlacementCandidate, requestKind: RequestKind, usualServiceMs: number): number {
+function score(candidate: PlacementCandidate, usualServiceMs: number): number {
     const { load, record, offeredSince } = candidate;
     const slots = Math.max(1, load?.slots ?? record.endpoint?.slots ?? 1);
     const serviceMs = (load?.serviceMs ?? usualServiceMs) * (candidate.isCold ? COLD_FACTOR : 1);
     const busy = (load === undefined ? 0 : load.running + load.queued) + offeredSince;
     const waitMs = busy < slots ? 0 : (busy - slots + 1) * serviceMs / slots;
     const spreadMs = EQUAL_WAIT_MS * 2 * busy / slots;
-    return waitMs + spreadMs + serviceMs / 2 + trustPenaltyMs(load?.grade ?? Grade.Trusted, requestKind)
-        + (candidate.isReachable ? 0 : UNREACHABLE_WAIT_MS);
+    return waitMs + spreadMs + serviceMs / 2 + trustPenaltyMs(load?.grade ?? Grade.Trusted)
+        + SHED_WAIT_MS * (load?.shedShare ?? 0)
+        + (candidate.isReachable ? 0 : UNREACHABLE_WAIT_MS)
+        - (load?.isIdle === true && offeredSince === 0 ? IDLE_CREDIT_MS : 0);
 }
 
-function trustPenaltyMs(grade: Grade, requestKind: RequestKind): number {
+function trustPenaltyMs(grade: Grade): number {
     switch (grade) {
         case Grade.Trusted:
             return 0;
         case Grade.Doubted:
-            return requestKind === RequestKind.Once ? DOUBT_WAIT_MS : -EQUAL_WAIT_MS;
+            return DOUBT_WAIT_MS;
         case Grade.Ejected:
             return EJECTED_WAIT_MS;
     }
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -4,6 +4,7 @@
 import { EndpointPhase } from "../../fleet/EndpointPhase.js";
 import { GateLoadReport } from "../../fleet/GateLoadReport.js";
 import { Grade } from "../../fleet/Grade.js";
+import { TrialWish } from "../../suspicion/TrialWish.js";
 import { PlacementCandidate } from "../PlacementCandidate.js";
 import { rankGates } from "./index.js";
 
@@ -17,7 +18,18 @@
         slots: 5,
         coldRemainingMs: 0,
     };
-    const usual = { vm, running: 0, queued: 0, slots: 5, serviceMs: 100, grade: Grade.Trusted, suspicion: 0, wantsTrial: false };
+    const usual = {
+        vm,
+        running: 0,
+        queued: 0,
+        slots: 5,
+        serviceMs: 100,
+        grade: Grade.Trusted,
+        suspicion: 0,
+        trialWish: TrialWish.None,
+        shedShare: 0,
+        isIdle: false,
+    };
     return {
         record: { vm, failureDomain: vm.slice(0, 1), gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
         load: load === undefined ? undefined : { ...usual, ...load },
@@ -42,10 +54,20 @@
     t.is(first([candidate("offered", {}, { offeredSince: 6 }), candidate("other", { running: 2 })]), "other");
 });
 
-test("work that must not be repeated avoids doubted endpoints, and other work shows what they are worth", (t) => {
+test("work of all kinds avoids doubted endpoints, which fail second attempts as they failed the first", (t) => {
     const candidates = [candidate("doubted", { grade: Grade.Doubted }), candidate("trusted", { running: 1 })];
     t.is(first(candidates), "trusted");
-    t.is(first(candidates, RequestKind.Repeatable), "doubted");
+    t.is(first(candidates, RequestKind.Repeatable), "trusted");
+});
+
+test("a slow endpoint that has had no work for a time gets some", (t) => {
+    t.is(first([candidate("fast", { running: 3 }), candidate("slow", { serviceMs: 900, isIdle: true })]), "slow");
+    t.is(first([candidate("fast", {}), candidate("slow", { serviceMs: 900, isIdle: true }, { offeredSince: 1 })]), "fast");
+});
+
+test("of endpoints that are alike, those that turn more away come later, and where all do none is left out", (t) => {
+    t.is(first([candidate("sheds", { shedShare: 0.6 }), candidate("takes", { running: 2 })]), "takes");
+    t.is(rankGates([candidate("a", { shedShare: 0.5 }), candidate("b", { shedShare: 0.5 })], RequestKind.Once, "z", createRandom(3)).length, 2);
 });
 
 test("an ejected endpoint comes last but for one that cannot be reached", (t) => {
--- a/src/decisions/requests/FleetRetryBudget/index.ts
+++ b/src/decisions/requests/FleetRetryBudget/index.ts
@@ -2,69 +2,76 @@
 
 /** Parts into which the window is divided for counting. */
 const BUCKETS = 20;
-/** Part of the allowance that is used: the calls of repeated work are repeats at the services called, and need the rest. */
-const USED_SHARE = 0.5;
+/** Part of the allowance that is used: what a gate has counted is lost when it restarts, and the number of gates changes. */
+const USED_SHARE = 0.7;
 
 interface Bucket {
-    index: number;
+    readonly index: number;
     requests: number;
     repeats: number;
 }
 
 /**
- * This node's part of a budget that all nodes share: in any window, the repeats for a service are at most a ratio of its
- * requests plus a slack. The ratio is taken of the node's own requests; the slack is divided by the nodes.
+ * One gate's part of a service's retry budget: in any window, the repeats that reach the service are at most a ratio of
+ * its requests plus a slack. The ratio is taken of the requests that this gate was given; the slack is divided by the
+ * gates of the service. Calls made by repeated work count as repeats where they arrive, as far as that is likely.
+ *
+ * Answers for a service whose endpoints fail up to half of their work, with far more entries than gates: an entry sees
+ * too few requests to have a budget of its own.
  */
 export class FleetRetryBudget {
-    private readonly buckets = new Map<string, Bucket[]>();
+    private buckets: Bucket[] = [];
 
     private constructor(private readonly terms: RetryBudgetTerms) {}
 
     /**
      * Creates a budget from which nothing has been used.
      *
-     * @param terms - Window, ratio and slack for the whole fleet.
+     * @param terms - Window, ratio and slack for the whole service.
      */
     static create(terms: RetryBudgetTerms): FleetRetryBudget {
         return new FleetRetryBudget(terms);
     }
 
-    /** Counts a request for a service. */
-    countRequest(service: string, nowMs: number): void {
-        this.bucket(service, nowMs).requests += 1;
+    /**
+     * Counts a request that reaches the endpoint for the first time.
+     *
+     * @param callOfRepeatShare - Likelihood that it is a call made by repeated work, from 0 to 1.
+     * @param nowMs - Current time.
+     */
+    countRequest(callOfRepeatShare: number, nowMs: number): void {
+        const bucket = this.bucket(nowMs);
+        bucket.requests += 1;
+        bucket.repeats += callOfRepeatShare;
     }
 
     /**
-     * Takes a repeat out of the budget.
+     * Tells whether the budget has room for a repeat.
      *
-     * @param service - Service that the repeat goes to.
-     * @param nodes - Nodes that share the budget.
+     * @param gates - Gates that share the budget.
      * @param nowMs - Current time.
-     * @returns False if the budget does not allow it.
      */
-    withdraw(service: string, nodes: number, nowMs: number): boolean {
-        const bucket = this.bucket(service, nowMs);
-        const counted = this.buckets.get(service) ?? [];
-        const requests = counted.reduce((sum, { requests: count }) => sum + count, 0);
-        const repeats = counted.reduce((sum, { repeats: count }) => sum + count, 0);
-        const allowed = USED_SHARE * (this.terms.ratio * requests + this.terms.slack / Math.max(1, nodes));
-        if (repeats + 1 > allowed) {
-            return false;
-        }
-        bucket.repeats += 1;
-        return true;
+    allowsRepeat(gates: number, nowMs: number): boolean {
+        this.bucket(nowMs);
+        const requests = this.buckets.reduce((sum, { requests: count }) => sum + count, 0);
+        const repeats = this.buckets.reduce((sum, { repeats: count }) => sum + count, 0);
+        return repeats + 1 <= USED_SHARE * (this.terms.ratio * requests + this.terms.slack / Math.max(1, gates));
+    }
+
+    /** Takes a repeat out of the budget. */
+    countRepeat(nowMs: number): void {
+        this.bucket(nowMs).repeats += 1;
     }
 
-    private bucket(service: string, nowMs: number): Bucket {
+    private bucket(nowMs: number): Bucket {
         const index = Math.floor(nowMs / (this.terms.windowMs / BUCKETS));
-        const recent = (this.buckets.get(service) ?? []).filter((bucket) => bucket.index > index - BUCKETS);
-        const last = recent.at(-1);
+        this.buckets = this.buckets.filter((bucket) => bucket.index > index - BUCKETS);
+        const last = this.buckets.at(-1);
         if (last?.index === index) {
-            this.buckets.set(service, recent);
             return last;
         }
         const created = { index, requests: 0, repeats: 0 };
-        this.buckets.set(service, [...recent, created]);
+        this.buckets.push(created);
         return created;
     }
 }
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -2,19 +2,25 @@
 import { RefusalCause } from "../../../model/RefusalCause.js";
 import { RequestKind } from "../../../model/RequestKind.js";
 import { Grade } from "../../fleet/Grade.js";
+import { TrialPace } from "../../suspicion/TrialPace/index.js";
+import { TrialWish } from "../../suspicion/TrialWish.js";
 import { Admission } from "../Admission.js";
 import { AdmissionKind } from "../AdmissionKind.js";
+import { isBarredBy } from "../isBarredBy/index.js";
 import { ServingRequest } from "../ServingRequest.js";
 
 /** Service time assumed before the first answer, in ms; about the work of a short request. */
 const INITIAL_SERVICE_MS = 300;
 /** Weight of the latest service time in the mean. */
 const SERVICE_WEIGHT = 0.1;
-/** Time between two trials of an ejected endpoint, in ms. */
-const TRIAL_INTERVAL_MS = 600;
 /** Shortest time after which a refused caller is told to return, in ms; less than the time to go round once. */
 const MIN_RETRY_AFTER_MS = 50;
 
+interface RunningRequest {
+    readonly startedAtMs: number;
+    readonly priority: number;
+}
+
 /**
  * Decides which requests an endpoint runs, which wait and which are refused. No more than the endpoint's slots are
  * handed out, so that what waits has certainly not run. Among waiting requests the higher rank goes first; within a
@@ -25,14 +31,13 @@
  * endpoint's capacity.
  */
 export class ServingQueue {
-    private readonly running = new Map<string, number>();
+    private readonly running = new Map<string, RunningRequest>();
     private waiting: ServingRequest[] = [];
     private meanServiceMs = INITIAL_SERVICE_MS;
     private hasMeasured = false;
-    private lastTrialAtMs = Number.NEGATIVE_INFINITY;
     private slotCount: number;
 
-    private constructor(slots: number) {
+    private constructor(slots: number, private pace: TrialPace) {
         this.slotCount = slots;
     }
 
@@ -42,7 +47,7 @@
      * @param slots - Requests that the endpoint runs at the same time.
      */
     static create(slots: number): ServingQueue {
-        return new ServingQueue(slots);
+        return new ServingQueue(slots, TrialPace.create());
     }
 
     /** Requests that the endpoint runs at the same time. */
@@ -75,18 +80,32 @@
         this.slotCount = slots;
     }
 
-    /** Tells whether an ejected endpoint should be tried again. */
-    wantsTrial(nowMs: number): boolean {
-        return nowMs - this.lastTrialAtMs >= TRIAL_INTERVAL_MS && this.running.size < this.slotCount;
+    /** Starts the pace of another run of the endpoint. */
+    setPace(pace: TrialPace): void {
+        this.pace = pace;
+    }
+
+    /** True if the endpoint has had no work for a time. */
+    hasIdledFor(durationMs: number, nowMs: number): boolean {
+        return this.running.size === 0 && this.pace.hasIdledFor(durationMs, nowMs);
+    }
+
+    /** Tells which work an endpoint that is not trusted should be tried with. */
+    trialWish(grade: Grade, nowMs: number): TrialWish {
+        return this.running.size < this.slotCount ? this.pace.wish(grade, this.running.size, nowMs) : TrialWish.None;
     }
 
-    /** Time that a request would wait for a slot. */
+    /**
+     * Time that a request would wait for a slot. Slots on which requests of a higher rank run now are likely to go to others
+     * of that rank, so that the request does not wait for these.
+     */
     expectedWaitMs(request: Pick<ServingRequest, "priority" | "targetAtMs">): number {
         if (this.running.size + this.waiting.length < this.slotCount) {
             return 0;
         }
-        const before = this.waiting.filter((waiting) => isBefore(waiting, request)).length;
-        return (before + 1) * this.meanServiceMs / this.slotCount;
+        const before = this.waiting.filter((waiting) => waiting !== request && isBefore(waiting, request)).length;
+        const higher = [...this.running.values()].filter(({ priority }) => priority < request.priority).length;
+        return (before + 1) * this.meanServiceMs / Math.max(1, this.slotCount - higher);
     }
 
     /**
@@ -98,9 +117,7 @@
         if (refusal !== undefined) {
             return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request) };
         }
-        if (grade === Grade.Ejected) {
-            this.lastTrialAtMs = nowMs;
-        }
+        this.pace.noteWork(grade, nowMs);
         if (this.running.size < this.slotCount && this.waiting.length === 0) {
             this.start(request, nowMs);
             return { kind: AdmissionKind.Start };
@@ -117,7 +134,7 @@
      * @param isMeasured - False if the request was broken off, so that its time says nothing of the endpoint's speed.
      */
     finish(key: string, nowMs: number, isMeasured: boolean): void {
-        const startedAtMs = this.running.get(key);
+        const startedAtMs = this.running.get(key)?.startedAtMs;
         if (startedAtMs !== undefined) {
             this.running.delete(key);
             if (isMeasured) {
@@ -141,7 +158,15 @@
         return withdrawn;
     }
 
-    /** Takes out the waiting requests that cannot meet their deadline any more. */
+    /** Takes out the waiting requests that the endpoint is not trusted with any more, but for the last resort. */
+    withdrawBarred(grade: Grade): readonly ServingRequest[] {
+        const isWithdrawn = (request: ServingRequest): boolean => !request.isLastResort && isBarredBy(grade, request);
+        const withdrawn = this.waiting.filter(isWithdrawn);
+        this.waiting = this.waiting.filter((request) => !isWithdrawn(request));
+        return withdrawn;
+    }
+
+    /** Takes out the waiting requests that are not expected to meet their deadline any more, as others have overtaken them. */
     takeOverdue(nowMs: number): readonly ServingRequest[] {
         const overdue = this.waiting.filter((waiting) => this.isOverdue(waiting, nowMs));
         this.waiting = this.waiting.filter((waiting) => !overdue.includes(waiting));
@@ -162,11 +187,11 @@
 
     private start(request: ServingRequest, nowMs: number): void {
         assertInvariant(!this.running.has(request.key), "a request occupies one slot", request.key);
-        this.running.set(request.key, nowMs);
+        this.running.set(request.key, { startedAtMs: nowMs, priority: request.priority });
     }
 
     private findRefusal(request: ServingRequest, grade: Grade, nowMs: number): RefusalCause | undefined {
-        if (!request.isLastResort && this.isUntrustedFor(request, grade, nowMs)) {
+        if (this.isUntrustedFor(request, grade, nowMs)) {
             return RefusalCause.Untrusted;
         }
         const waitMs = this.expectedWaitMs(request);
@@ -177,15 +202,16 @@
     }
 
     private isUntrustedFor(request: ServingRequest, grade: Grade, nowMs: number): boolean {
-        if (request.requestKind === RequestKind.Once) {
-            return grade !== Grade.Trusted;
+        if (request.isLastResort || !isBarredBy(grade, request)) {
+            return false;
         }
-        return grade === Grade.Ejected && !(request.isTrial && this.wantsTrial(nowMs));
+        const wish = request.isTrial ? this.trialWish(grade, nowMs) : TrialWish.None;
+        return wish === TrialWish.None || (wish === TrialWish.Repeatable && request.requestKind === RequestKind.Once);
     }
 
-    /** A request is given up when not even half of the usual work could be done by its deadline. */
+    /** A request is given up when half of the usual work is not expected to be done by its deadline. */
     private isOverdue(request: ServingRequest, nowMs: number): boolean {
-        return nowMs + this.meanServiceMs / 2 >= request.deadlineAtMs;
+        return nowMs + this.expectedWaitMs(request) + this.meanServiceMs / 2 >= request.deadlineAtMs;
     }
 
     private goesBefore(left: ServingRequest, right: ServingRequest, nowMs: number): boolean {
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -64,6 +64,30 @@
     t.deepEqual(queue.startNext(402), []);
 });
 
+test("a request that others of a higher rank keep overtaking is refused early, not at its deadline", (t) => {
+    const queue = ServingQueue.create(2);
+    const ends = new Map<string, number>();
+    let refusedAtMs: number | undefined;
+    for (let atMs = 0; atMs < 4_000 && refusedAtMs === undefined; atMs += 10) {
+        [...ends].filter(([, endMs]) => endMs <= atMs).forEach(([key]) => {
+            ends.delete(key);
+            queue.finish(key, atMs, true);
+        });
+        if (atMs % 120 === 0) {
+            const urgent = request(`urgent ${atMs}`, { priority: 0, maxQueueMs: 600 });
+            if (queue.arrive(urgent, Grade.Trusted, atMs).kind === AdmissionKind.Start) {
+                ends.set(urgent.key, atMs + 300);
+            }
+        }
+        if (atMs === 300) {
+            queue.arrive(request("other", { deadlineAtMs: 3_300, targetAtMs: 1_800 }), Grade.Trusted, atMs);
+        }
+        refusedAtMs = queue.takeOverdue(atMs).some(({ key }) => key === "other") ? atMs : undefined;
+        queue.startNext(atMs).forEach(({ key }) => ends.set(key, atMs + 300));
+    }
+    t.true(refusedAtMs !== undefined && refusedAtMs < 2_500, `${refusedAtMs}`);
+});
+
 test("a call with a short target goes before new work of its rank that came earlier", (t) => {
     const queue = ServingQueue.create(1);
     queue.arrive(request("running"), Grade.Trusted, 0);
@@ -85,6 +109,7 @@
 test("an ejected endpoint takes one trial at a time, of work that may be repeated, and the last resort", (t) => {
     const queue = ServingQueue.create(5);
     const trial = { isTrial: true, requestKind: RequestKind.Repeatable };
+    queue.arrive(request("before"), Grade.Trusted, 0);
     t.is(queue.arrive(request("a"), Grade.Ejected, 0).kind, AdmissionKind.Refuse);
     t.is(queue.arrive(request("b", { isTrial: true }), Grade.Ejected, 0).kind, AdmissionKind.Refuse);
     t.is(queue.arrive(request("c", trial), Grade.Ejected, 0).kind, AdmissionKind.Start);
@@ -92,6 +117,18 @@
     t.is(queue.arrive(request("e", { isLastResort: true }), Grade.Ejected, 100).kind, AdmissionKind.Start);
 });
 
+test("what waits for an endpoint that is not trusted any more is taken out, but for the last resort", (t) => {
+    const queue = ServingQueue.create(1);
+    queue.arrive(request("a"), Grade.Trusted, 0);
+    queue.arrive(request("b"), Grade.Trusted, 0);
+    queue.arrive(request("c", { isLastResort: true }), Grade.Trusted, 0);
+    queue.arrive(request("d", { requestKind: RequestKind.Repeatable }), Grade.Trusted, 0);
+    t.deepEqual(keys(queue.withdrawBarred(Grade.Doubted)), ["b"]);
+    t.deepEqual(keys(queue.withdrawBarred(Grade.Ejected)), ["d"]);
+    queue.finish("a", 10, false);
+    t.deepEqual(keys(queue.startNext(10)), ["c"]);
+});
+
 test("in a surge of twice the capacity, callers of the higher rank are served and the others refused early", (t) => {
     const queue = ServingQueue.create(5);
     const ends = new Map<string, number>();
--- a/src/decisions/suspicion/OutcomeTest/index.ts
+++ b/src/decisions/suspicion/OutcomeTest/index.ts
@@ -3,16 +3,14 @@
 
 /** Log-likelihood ratio of a failure: ln(0.6 / 0.02), a gray endpoint against a sound one. */
 const FAILURE_WEIGHT = 3.4;
-/** Log-likelihood ratio of a success: ln(0.4 / 0.98). */
-const SUCCESS_WEIGHT = -0.9;
-/** Score from which an endpoint is doubted: one failure, until three successes have followed it. */
+/** Log-likelihood ratio of a success: ln(0.2 / 0.98). */
+const SUCCESS_WEIGHT = -1.6;
+/** Score from which an endpoint is doubted: one failure, until two successes have followed it. */
 const DOUBT_SCORE = 1;
-/** Score from which an endpoint is ejected: two failures with no more than two successes between them. */
+/** Score from which an endpoint is ejected: two failures with no more than one success between them. */
 const EJECT_SCORE = 5;
-/** Bounds the score, and with it the successes that lead back: one trial from the bound to doubt, four successes more to trust. */
+/** Bounds the score, and with it the successes that lead back: one from the bound to doubt, three more to trust. */
 const MAX_SCORE = 6;
-/** A success in a trial counts twice, as trials are few. */
-const TRIAL_FACTOR = 2;
 /** Time after which a score is halved if nothing was observed, so that an idle endpoint is tried again. */
 const HALF_LIFE_MS = 6_000;
 
@@ -36,8 +34,7 @@
     /** Takes the outcome of a request. */
     observe(outcome: ObservedOutcome, nowMs: number): void {
         const score = this.scoreAt(nowMs);
-        const isTrial = score >= EJECT_SCORE;
-        const weight = outcome === ObservedOutcome.Failure ? FAILURE_WEIGHT : SUCCESS_WEIGHT * (isTrial ? TRIAL_FACTOR : 1);
+        const weight = outcome === ObservedOutcome.Failure ? FAILURE_WEIGHT : SUCCESS_WEIGHT;
         this.score = Math.min(MAX_SCORE, Math.max(0, score + weight));
         this.changedAtMs = nowMs;
     }
--- a/src/entrance/CallerDesk/index.ts
+++ b/src/entrance/CallerDesk/index.ts
@@ -10,7 +10,6 @@
 import { RouteItem } from "../../decisions/items/RouteItem.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { QuarantineLedger } from "../../decisions/quarantine/QuarantineLedger/index.js";
-import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
@@ -24,7 +23,7 @@
 
 /** Time after which a caller is told to return when there is no configuration or the process stops, in ms. */
 const SHORT_RETRY_AFTER_MS = 300;
-/** Part of the repeatable requests that try an ejected endpoint which wants a trial. */
+/** Part of the requests that try an endpoint which wants a trial: one entry of many is enough. */
 const TRIAL_SHARE = 0.3;
 /** Endpoints that a request may crash before it is refused; two can be a coincidence where many requests share a path. */
 const STRIKES_TO_QUARANTINE = 3;
@@ -43,6 +42,7 @@
     readonly service: string;
     readonly course: RequestCourse;
     readonly fingerprint: string;
+    readonly callOfRepeatShare: number;
     readonly deadlineAtMs: number;
     readonly targetAtMs: number;
     readonly handles: Map<number, WorkHandle>;
@@ -52,17 +52,15 @@
 
 /** Serves the requests of callers: finds their route, has their course decided, and carries it out. */
 export class CallerDesk {
-    private readonly budget: FleetRetryBudget;
     private readonly quarantine = QuarantineLedger.create(STRIKES_TO_QUARANTINE);
     private table: RouteTable | undefined;
     private offers = 0;
-    private open = 0;
+    private readonly runs = new Set<Run>();
+    private endAtMs = Number.POSITIVE_INFINITY;
     private failedAtMs = Number.NEGATIVE_INFINITY;
     private refusesAll = false;
 
-    private constructor(private readonly setup: CallerDeskSetup, private readonly view: FleetView, private readonly events: EventLog) {
-        this.budget = FleetRetryBudget.create(setup.retryTerms);
-    }
+    private constructor(private readonly setup: CallerDeskSetup, private readonly view: FleetView, private readonly events: EventLog) {}
 
     /**
      * Creates a desk that has no configuration yet.
@@ -77,7 +75,7 @@
 
     /** Requests on their way. */
     get openCount(): number {
-        return this.open;
+        return this.runs.size;
     }
 
     /** Time at which a repeatable request last failed here, in ms. */
@@ -100,6 +98,20 @@
         this.quarantine.acquit(fingerprint, nowMs());
     }
 
+    /**
+     * Has new requests wait no longer than they can be served before the process ends.
+     *
+     * @param endAtMs - Time at which the process ends.
+     */
+    startStopping(endAtMs: number): void {
+        this.endAtMs = endAtMs;
+    }
+
+    /** Answers all callers now: with a refusal if their request has not run. */
+    concludeAll(): void {
+        [...this.runs].forEach((run) => this.step(run, { kind: CourseEventKind.Stop }));
+    }
+
     /** Refuses all requests from now on, as the process is about to end. */
     refuseAll(): void {
         this.refusesAll = true;
@@ -137,13 +149,11 @@
     private begin(exchange: CallerExchange, route: RouteItem, service: string, fingerprint: string): void {
         const { arrivedAtMs, patienceMs } = exchange.request;
         const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
-        const targetAtMs = arrivedAtMs + route.targetLatencyMs;
-        this.budget.countRequest(service, nowMs());
+        const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.endAtMs - this.view.serviceMs(service));
         const course = RequestCourse.create(
             { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
                 rank: (refused) => this.view.rank(service, route.requestKind, refused),
-                withdrawRepeat: () => this.budget.withdraw(service, this.view.openCount, nowMs()),
                 drawTrial: () => Math.random() < TRIAL_SHARE,
                 serviceMs: this.view.serviceMs(service),
             },
@@ -154,13 +164,14 @@
             service,
             course,
             fingerprint,
+            callOfRepeatShare: this.setup.callOfRepeatShare(),
             deadlineAtMs,
             targetAtMs,
             handles: new Map(),
             vms: new Map(),
             timers: new Set(),
         };
-        this.open += 1;
+        this.runs.add(run);
         exchange.onGone(() => this.step(run, { kind: CourseEventKind.CallerGone }));
         this.arm(run, deadlineAtMs, { kind: CourseEventKind.Deadline });
         this.step(run, { kind: CourseEventKind.Begin });
@@ -177,7 +188,7 @@
 
     private noteFinish(run: Run): void {
         if (run.course.isFinished) {
-            this.open -= 1;
+            this.runs.delete(run);
             run.timers.forEach((timer) => clearTimeout(timer));
         }
     }
@@ -240,6 +251,7 @@
             remainingMs: run.deadlineAtMs - atMs,
             targetRemainingMs: run.targetAtMs - atMs,
             needsGo: false,
+            callOfRepeatShare: run.callOfRepeatShare,
             ...terms,
         }, (reply) => {
             if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -43,9 +43,9 @@
         return new FleetView(setup, events);
     }
 
-    /** Number of proxies that are open. */
-    get openCount(): number {
-        return this.table.all.filter(({ isOpen }) => isOpen).length;
+    /** Number of gates that serve a service. */
+    countGates(service: string): number {
+        return this.serving(service).length;
     }
 
     /** Looks up the record of a VM. */
--- a/src/gate/GateController/index.ts
+++ b/src/gate/GateController/index.ts
@@ -17,7 +17,7 @@
 import { HeaderName } from "../../http/HeaderName.js";
 import { isBodiless } from "../../http/isBodiless/index.js";
 import { isConnectFailure } from "../../http/isConnectFailure/index.js";
-import { isListening } from "../../http/isListening/index.js";
+import { isServerLost } from "../../http/isServerLost/index.js";
 import { PooledAnswer } from "../../http/PooledAnswer.js";
 import { relayBody } from "../../http/relayBody/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -223,7 +223,7 @@
 
     /** If the backend server is lost, the request gets a strike: it may have crashed it. */
     private async findLoss(pending: PendingAttempt): Promise<RefusalReason | undefined> {
-        if (pending.isCancelled || await isListening(this.setup.backendAddress)) {
+        if (pending.isCancelled || !await isServerLost(this.setup.backendAddress)) {
             return undefined;
         }
         this.setup.quarantine.strike(pending.received.fingerprint, this.setup.gate);
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -69,8 +69,16 @@
     /** The sender wants, or no longer wants, the news of the fleet and of the items from this control VM. */
     | { readonly kind: MessageKind.Subscribe; readonly wants: boolean; readonly wantsLoads: boolean }
     | { readonly kind: MessageKind.FleetNews; readonly records: readonly GateRecord[]; readonly loads: readonly GateLoadReport[] }
-    /** `isComplete` if these are all items, so that what is not among them does not exist. */
-    | { readonly kind: MessageKind.ItemNews; readonly items: readonly VersionedItem[]; readonly isComplete: boolean }
+    /**
+     * `isComplete` if these are all items, so that what is not among them does not exist; `position` in the log up to which
+     * the sender has now sent all changes.
+     */
+    | {
+        readonly kind: MessageKind.ItemNews;
+        readonly items: readonly VersionedItem[];
+        readonly isComplete: boolean;
+        readonly position: number;
+    }
     | { readonly kind: MessageKind.ProposeItems; readonly changes: readonly VersionedItem[] }
     /** `outcome` is undefined if it is not known; `problem` says why. */
     | { readonly kind: MessageKind.ItemsDecided; readonly outcome: ItemOutcome | undefined; readonly problem: string }
--- a/src/mesh/HubRole/index.ts
+++ b/src/mesh/HubRole/index.ts
@@ -75,7 +75,7 @@
             onMessage: (link, message) => hub.receive(link, message),
             onCall: (_link, message) => hub.answer(message),
             onClose: (link) => void hub.subscribers.delete(link.peer.vm),
-        }, () => hub.ownPeer, events);
+        }, () => hub.ownPeer, () => hub.items?.position ?? 0, events);
         hub.timers.push(
             setInterval(() => void hub.keepVoters(), KEEP_VOTERS_MS),
         );
@@ -305,12 +305,14 @@
         if (items.length === 0) {
             return;
         }
-        const message: Message = { kind: MessageKind.ItemNews, items: items.map(withoutDocument), isComplete: false };
+        const position = this.items?.position ?? 0;
+        const message: Message = { kind: MessageKind.ItemNews, items: items.map(withoutDocument), isComplete: false, position };
         this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
     }
 
     private allItems(): Message {
-        return { kind: MessageKind.ItemNews, items: (this.items?.items ?? []).map(withoutDocument), isComplete: true };
+        const items = (this.items?.items ?? []).map(withoutDocument);
+        return { kind: MessageKind.ItemNews, items, isComplete: true, position: this.items?.position ?? 0 };
     }
 
     private noteCurrent(): void {
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -14,12 +14,12 @@
 
 const DIAL_MS = 500;
 const TELL_PEERS_MS = 2_000;
-const NO_POSITION = { term: 0, version: 0, manifestVersion: 0 };
 
 /** Links of a process to the control VMs: dials all that it knows of, and passes on what it has heard of others. */
 export class MeshLinks {
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly heardAtMs = new Map<string, number>();
+    private readonly positions = new Map<string, number>();
     private readonly failureDomains = new Map<string, string>();
     private readonly dialling = new Set<string>();
 
@@ -39,6 +39,7 @@
      * @param role - Its role.
      * @param handler - What to do with messages.
      * @param ownPeer - What this process says of itself if it is a control VM.
+     * @param position - Position in the log up to which this process has applied changes of the configuration.
      * @param events - Log.
      * @throws FleetError if the port cannot be listened on.
      */
@@ -47,6 +48,7 @@
         role: Role,
         handler: LinkHandler,
         ownPeer: () => ControlPeer | undefined,
+        position: () => number,
         events: EventLog,
     ): Promise<MeshLinks> {
         const { vm, links: { firstPort, fleetKey } } = settings;
@@ -73,7 +75,7 @@
                     handler.onClose(link);
                 },
             },
-            () => NO_POSITION,
+            () => ({ term: 0, version: position(), manifestVersion: 0 }),
             (error: FleetError) => events.record(EventNumber.LinkRefused, { error: error.message }),
         );
         started.mesh = new MeshLinks(links, known, ownPeer);
@@ -98,6 +100,11 @@
         return this.heardAtMs.get(vm) ?? Number.NEGATIVE_INFINITY;
     }
 
+    /** Position in the log that a linked VM has stated. */
+    positionOf(vm: string): number {
+        return this.positions.get(vm) ?? 0;
+    }
+
     /** Sends a message to a linked VM; false if there is no link. */
     sendTo(vm: string, message: Message): boolean {
         return this.links.sendTo(vm, message);
@@ -127,6 +134,9 @@
 
     private receive(link: LinkPort, message: Message, handler: LinkHandler): void {
         this.heardAtMs.set(link.peer.vm, nowMs());
+        if (message.kind === MessageKind.Heartbeat) {
+            this.positions.set(link.peer.vm, message.position.version);
+        }
         if (message.kind === MessageKind.ControlPeers) {
             if (message.self !== undefined) {
                 this.known.hearSelf(message.self);
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -5,6 +5,7 @@
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { NewsSources } from "../../decisions/fleet/NewsSources/index.js";
 import { ItemBook } from "../../decisions/items/ItemBook/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
@@ -24,15 +25,14 @@
 import { MeshLinks } from "../MeshLinks/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
-/** Control VMs whose news a proxy takes; the second one covers for the first when it is cut off. */
-const SUBSCRIPTIONS = 2;
 /** Time without a word after which another control VM is subscribed to, in ms: two heartbeats and a round trip. */
 const QUIET_MS = 2_200;
-const SUBSCRIBE_MS = 1_000;
+/** Time between two reviews of the control VMs that news are taken from, in ms. */
+const SUBSCRIBE_MS = 200;
 /** Time between two reports of the own load, in ms. */
 const LOAD_MS = 200;
-/** Longest time between two reports of the own load, in ms; entries trust no report that is three times as old. */
-const REFRESH_MS = 1_000;
+/** Longest time between two reports of the own load, in ms; entries use no report of 3 s or more. */
+const REFRESH_MS = 800;
 /** Time after the request to stop until which new connections are taken, in ms; callers have turned away by then. */
 const LISTEN_ON_MS = 2_500;
 /** Time before the end of the grace at which the process ends in any case, in ms. */
@@ -47,7 +47,7 @@
     private readonly gateRun = randomBytes(RUN_BYTES).toString("hex");
     private readonly life = EndpointLife.create();
     private readonly book = ItemBook.create();
-    private readonly subscribed = new Set<string>();
+    private readonly sources: NewsSources;
     private readonly timers: NodeJS.Timeout[] = [];
     private record: GateRecord;
     private hasItems = false;
@@ -69,6 +69,7 @@
     ) {
         const { vm, links } = settings;
         this.owner.role = this;
+        this.sources = NewsSources.create(vm.failureDomain, Math.random);
         this.record = {
             vm: vm.name,
             failureDomain: vm.failureDomain,
@@ -97,14 +98,16 @@
             backendAddress: proxy?.backendAddress ?? "",
             dialect,
             events,
+            retryTerms: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
+            countGates: () => owner.role?.countGates() ?? 1,
             hasFailedCallSince: (sinceMs) => (owner.role?.desk.lastFailedAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoad: (isUrgent) => owner.role?.noteLoad(isUrgent),
         });
         const view = FleetView.create({ vm: vm.name, failureDomain: vm.failureDomain, ownGate: gate, token }, events);
         const desk = CallerDesk.create({
             entryRun: `${vm.name}-${randomBytes(RUN_BYTES).toString("hex")}`,
-            retryTerms: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
             dialect,
+            callOfRepeatShare: () => gate.repeatShare,
             onStrike: (fingerprint, loss) => owner.role?.tellControl({ kind: MessageKind.Strike, fingerprint, loss }),
             onAcquittal: (fingerprint) => owner.role?.tellControl({ kind: MessageKind.Acquittal, fingerprint }),
             callerService: () => owner.role?.callerService ?? "",
@@ -124,6 +127,10 @@
         return this.life.report?.service ?? this.settings.proxy?.service ?? "";
     }
 
+    private countGates(): number {
+        return this.view.countGates(this.callerService);
+    }
+
     /** Takes new settings. */
     reload(settings: MeshSettings): void {
         this.settings = settings;
@@ -152,6 +159,7 @@
         this.isOpen = false;
         this.gate.stop();
         this.publish({ isOpen: false });
+        this.desk.startStopping(endAtMs);
         this.callers?.startStopping();
         await delay(LISTEN_ON_MS);
         this.desk.refuseAll();
@@ -159,8 +167,9 @@
         while (nowMs() < endAtMs && (this.desk.openCount > 0 || this.gate.workCount > 0)) {
             await delay(STOP_POLL_MS);
         }
-        await delay(SETTLE_MS);
         this.events.record(EventNumber.DaemonStopped, { callers: this.desk.openCount, work: this.gate.workCount });
+        this.desk.concludeAll();
+        await delay(SETTLE_MS);
         this.close();
     }
 
@@ -174,7 +183,7 @@
             onMessage: (_link, message) => this.receive(message),
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.linkClosed(link),
-        }, () => undefined, this.events);
+        }, () => undefined, () => 0, this.events);
         this.timers.push(
             setInterval(() => this.keepSubscriptions(), SUBSCRIBE_MS),
             setInterval(() => this.sendLoad(), REFRESH_MS),
@@ -197,8 +206,8 @@
     }
 
     private linkClosed(link: LinkPort): void {
-        if (this.subscribed.delete(link.peer.vm)) {
-            this.events.record(EventNumber.ControlLost, { peer: link.peer.vm, left: this.subscribed.size });
+        if (this.sources.lose(link.peer.vm)) {
+            this.events.record(EventNumber.ControlLost, { peer: link.peer.vm, left: this.sources.count });
         }
         this.keepSubscriptions();
     }
@@ -217,6 +226,7 @@
                 this.desk.takeAcquittal(message.fingerprint);
                 return;
             case MessageKind.ItemNews:
+                this.sources.reach(message.position);
                 this.takeItems(message.items, message.isComplete);
                 return;
             default:
@@ -307,40 +317,19 @@
         if (links === undefined) {
             return;
         }
-        const linked = [...links.linkedVms];
-        const lively = linked.filter((vm) => nowMs() - links.lastHeardMs(vm) < QUIET_MS);
-        [...this.subscribed].filter((vm) => !lively.includes(vm)).forEach((vm) => {
-            this.subscribed.delete(vm);
-            links.sendTo(vm, { kind: MessageKind.Subscribe, wants: false, wantsLoads: false });
+        const lively = [...links.linkedVms].filter((vm) => nowMs() - links.lastHeardMs(vm) < QUIET_MS);
+        const hubs = lively.map((vm) => ({ vm, failureDomain: links.failureDomainOf(vm) ?? "", position: links.positionOf(vm) }));
+        const { start, stop, loadsFrom } = this.sources.review(hubs, nowMs());
+        stop.forEach((vm) => links.sendTo(vm, { kind: MessageKind.Subscribe, wants: false, wantsLoads: false }));
+        start.forEach((vm) => {
+            links.sendTo(vm, { kind: MessageKind.Subscribe, wants: true, wantsLoads: vm === loadsFrom });
+            this.events.record(EventNumber.ControlRegained, { peer: vm, subscribed: this.sources.count });
         });
-        this.takeLoadsFromFirst(links);
-        while (this.subscribed.size < Math.min(SUBSCRIPTIONS, lively.length)) {
-            const next = this.nextSubscription(lively);
-            if (next === undefined) {
-                return;
+        if (loadsFrom !== this.loadsFrom) {
+            this.loadsFrom = loadsFrom;
+            if (loadsFrom !== undefined && !start.includes(loadsFrom)) {
+                links.sendTo(loadsFrom, { kind: MessageKind.Subscribe, wants: true, wantsLoads: true });
             }
-            this.subscribed.add(next);
-            this.loadsFrom ??= next;
-            links.sendTo(next, { kind: MessageKind.Subscribe, wants: true, wantsLoads: this.subscribed.size === 1 });
-            this.events.record(EventNumber.ControlRegained, { peer: next, subscribed: this.subscribed.size });
         }
     }
-
-    /** When the control VM that sent the loads is gone, the next one is asked for them. */
-    private takeLoadsFromFirst(links: MeshLinks): void {
-        const [first] = this.subscribed;
-        if (first !== this.loadsFrom) {
-            this.loadsFrom = first;
-            if (first !== undefined) {
-                links.sendTo(first, { kind: MessageKind.Subscribe, wants: true, wantsLoads: true });
-            }
-        }
-    }
-
-    private nextSubscription(lively: readonly string[]): string | undefined {
-        const free = lively.filter((vm) => !this.subscribed.has(vm));
-        const near = free.filter((vm) => this.links?.failureDomainOf(vm) === this.settings.vm.failureDomain);
-        const choice = near.length > 0 && this.subscribed.size === 0 ? near : free;
-        return choice[Math.floor(Math.random() * choice.length)];
-    }
 }
--- a/src/model/RefusalCause.ts
+++ b/src/model/RefusalCause.ts
@@ -20,6 +20,8 @@
     NoConfiguration = "no-configuration",
     /** No endpoint of the service is known. */
     NoEndpoint = "no-endpoint",
+    /** The service's retry budget is used up. */
+    RetryBudget = "retry-budget",
     /** The request has crashed backend servers. */
     Quarantined = "quarantined",
     /** The process stops. */
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -7,12 +7,15 @@
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
+import { isBarredBy } from "../../decisions/serving/isBarredBy/index.js";
 import { ServingQueue } from "../../decisions/serving/ServingQueue/index.js";
 import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
 import { ObservedOutcome } from "../../decisions/suspicion/ObservedOutcome.js";
 import { OutcomeTest } from "../../decisions/suspicion/OutcomeTest/index.js";
-import { isListening } from "../../http/isListening/index.js";
+import { TrialPace } from "../../decisions/suspicion/TrialPace/index.js";
+import { isServerLost } from "../../http/isServerLost/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
@@ -30,16 +33,22 @@
 const TIDY_MS = 2_000;
 /** Statuses from which on an answer is a failure of the endpoint. */
 const FAILED_STATUS = 500;
+/** Status of an endpoint that stopped at the deadline it was given. */
+const STATUS_DEADLINE = 504;
 /** Status of an endpoint that is not the one that was meant. */
 const STATUS_MISDIRECTED = 421;
 /** A request that runs for this multiple of the mean service time counts as hung. */
 const HANG_FACTOR = 4;
 /** Shortest time after which a request counts as hung, in ms. */
 const MIN_HANG_MS = 1_500;
-/** Part of the mean service time before which a failure is the endpoint's own: its calls have not ended by then. */
-const EARLY_SHARE = 0.2;
+/** Multiple of the mean service time that was ample: an endpoint that ran into the deadline of such a request is to blame. */
+const AMPLE_FACTOR = 2.5;
+/** Weight of the latest request in the share that the endpoint turns away. */
+const SHED_WEIGHT = 0.1;
 /** Time for which a granted slot is held for the entry's word, in ms: several round trips. */
 const GO_MS = 300;
+/** Time without work after which an endpoint asks for some, in ms: with the age of reports, within the 2 s of the floor. */
+const IDLE_MS = 500;
 /** Time kept back from the deadline that an endpoint is given, for the way back, in ms. */
 const RETURN_MS = 10;
 
@@ -64,12 +73,15 @@
     private tickTimer: NodeJS.Timeout | undefined;
     private readonly tidyTimer: NodeJS.Timeout;
     private test = OutcomeTest.create();
+    private budget: FleetRetryBudget;
+    private shedShare = 0;
     private endpoint: EndpointReport | undefined;
     private lastGrade = Grade.Trusted;
     private isStopping = false;
 
     private constructor(private readonly setup: ServingGateSetup) {
         this.pool = BackendPool.create(setup.backendAddress, setup.dialect);
+        this.budget = FleetRetryBudget.create(setup.retryTerms);
         this.tidyTimer = setInterval(() => this.pool.tidy(), TIDY_MS);
     }
 
@@ -90,10 +102,19 @@
             serviceMs: this.queue.measuredServiceMs === undefined ? undefined : Math.round(this.queue.measuredServiceMs),
             grade,
             suspicion: Math.round(this.test.scoreAt(atMs) * 10) / 10,
-            wantsTrial: grade === Grade.Ejected && this.queue.wantsTrial(atMs),
+            trialWish: this.queue.trialWish(grade, atMs),
+            shedShare: Math.round(this.shedShare * 10) / 10,
+            isIdle: grade === Grade.Trusted && this.queue.hasIdledFor(IDLE_MS, atMs),
         };
     }
 
+    /** Share of the running requests that are repeats or calls of repeats; calls that the endpoint makes now may be theirs. */
+    get repeatShare(): number {
+        const started = [...this.work.values()].filter(({ startedAtMs }) => startedAtMs > 0);
+        const repeats = started.reduce((sum, { offer }) => sum + (offer.isRepeat ? 1 : offer.callOfRepeatShare), 0);
+        return started.length === 0 ? 0 : repeats / started.length;
+    }
+
     /** Requests that run or wait. */
     get workCount(): number {
         return this.work.size;
@@ -107,8 +128,13 @@
     /** Takes what the endpoint says of itself; work is refused from the moment at which it is not ready. */
     setEndpoint(endpoint: EndpointReport): void {
         const isNewRun = this.endpoint?.id !== endpoint.id || this.endpoint.bornAtMs !== endpoint.bornAtMs;
+        if (this.endpoint !== undefined && this.endpoint.service !== endpoint.service) {
+            this.budget = FleetRetryBudget.create(this.setup.retryTerms);
+        }
         if (isNewRun) {
             this.test = OutcomeTest.create();
+            this.shedShare = 0;
+            this.queue.setPace(TrialPace.create());
             this.pool.tidy();
         }
         this.endpoint = endpoint;
@@ -141,7 +167,14 @@
             return ENDED;
         }
         const deadlineAtMs = atMs + offer.remainingMs;
+        if (offer.isRepeat && !this.budget.allowsRepeat(this.setup.countGates(), atMs)) {
+            onReply(this.refusal(RefusalCause.RetryBudget, 0, false));
+            return ENDED;
+        }
         const admission = this.queue.arrive(servingRequest(offer, atMs), this.test.grade(atMs), atMs);
+        if (offer.isRepeat && admission.kind !== AdmissionKind.Refuse) {
+            this.budget.countRepeat(atMs);
+        }
         switch (admission.kind) {
             case AdmissionKind.Refuse:
                 onReply(this.refusal(admission.cause, admission.retryAfterMs, false));
@@ -181,6 +214,10 @@
             this.queue.finish(key, nowMs(), false);
             return;
         }
+        if (this.isBarred(running)) {
+            this.giveBack(key);
+            return;
+        }
         running.grantedAtMs = nowMs();
         if (running.offer.needsGo) {
             running.onReply({ kind: GateReplyKind.Granted });
@@ -192,15 +229,34 @@
 
     private go(key: string): void {
         const running = this.work.get(key);
-        if (running !== undefined && running.grantedAtMs > 0 && running.startedAtMs === 0) {
-            this.start(key, running);
+        if (running === undefined || running.grantedAtMs === 0 || running.startedAtMs > 0) {
+            return;
         }
+        if (this.isBarred(running)) {
+            this.giveBack(key);
+            this.startNext();
+            return;
+        }
+        this.start(key, running);
+    }
+
+    /** True if the endpoint has lost its trust since the request was let in. */
+    private isBarred({ offer }: Running): boolean {
+        return !offer.isTrial && !offer.isLastResort && isBarredBy(this.test.grade(nowMs()), offer);
+    }
+
+    private giveBack(key: string): void {
+        this.queue.finish(key, nowMs(), false);
+        this.refuse(key, RefusalCause.Untrusted, 0, false);
     }
 
     private start(key: string, running: Running): void {
         const { offer } = running;
         const endpointId = this.endpoint?.id ?? "";
         running.startedAtMs = nowMs();
+        if (!offer.isRepeat) {
+            this.budget.countRequest(offer.callOfRepeatShare, running.startedAtMs);
+        }
         const remainingMs = Math.max(1, Math.round(running.deadlineAtMs - running.startedAtMs - RETURN_MS));
         running.exchange = this.pool.send({
             method: offer.method,
@@ -220,8 +276,9 @@
         }
         this.work.delete(key);
         const atMs = nowMs();
-        this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered);
+        this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < FAILED_STATUS);
         const reply = this.judge(running, result, atMs);
+        this.noteGrade(atMs);
         this.startNext();
         if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
             void this.confirmLoss(running, reply);
@@ -229,14 +286,12 @@
         else {
             running.onReply(reply);
         }
-        this.noteGrade(atMs);
         this.setup.onLoad(false);
     }
 
     /** An endpoint that broke a connection off has crashed only if it takes no other connection either. */
     private async confirmLoss(running: Running, reply: Extract<GateReply, { kind: GateReplyKind.Broken }>): Promise<void> {
-        const isAlive = await isListening(this.setup.backendAddress);
-        running.onReply({ ...reply, lostEndpoint: !isAlive });
+        running.onReply({ ...reply, lostEndpoint: await isServerLost(this.setup.backendAddress) });
     }
 
     private judge({ offer, startedAtMs }: Running, result: BackendResult, atMs: number): GateReply {
@@ -255,10 +310,11 @@
             case BackendResultKind.Answered: {
                 const { status, headers } = result.answer;
                 if (this.setup.dialect.saysNotRun(status, headers)) {
-                    const cause = status === STATUS_MISDIRECTED ? RefusalCause.OtherEndpoint : RefusalCause.Shed;
-                    this.test.observe(ObservedOutcome.Failure, atMs);
-                    return this.refusal(cause, 0, true);
+                    const isOther = status === STATUS_MISDIRECTED;
+                    this.noteShed(!isOther);
+                    return this.refusal(isOther ? RefusalCause.OtherEndpoint : RefusalCause.Shed, 0, true);
                 }
+                this.noteShed(false);
                 this.observeStatus(status, startedAtMs, atMs);
                 return { kind: GateReplyKind.Answered, answer: result.answer, load: this.load };
             }
@@ -270,11 +326,18 @@
         if (status < FAILED_STATUS) {
             this.test.observe(ObservedOutcome.Success, atMs);
         }
-        else if (atMs - startedAtMs < EARLY_SHARE * this.queue.serviceMs || !this.setup.hasFailedCallSince(startedAtMs)) {
+        else if (status === STATUS_DEADLINE && atMs - startedAtMs < AMPLE_FACTOR * this.queue.serviceMs) {
+            return;
+        }
+        else if (!this.setup.hasFailedCallSince(startedAtMs)) {
             this.test.observe(ObservedOutcome.Failure, atMs);
         }
     }
 
+    private noteShed(isShed: boolean): void {
+        this.shedShare += SHED_WEIGHT * ((isShed ? 1 : 0) - this.shedShare);
+    }
+
     private cancel(key: string): void {
         const running = this.work.get(key);
         if (running === undefined) {
@@ -353,6 +416,9 @@
             this.lastGrade = grade;
             this.setup.onLoad(true);
         }
+        if (grade !== Grade.Trusted) {
+            this.queue.withdrawBarred(grade).forEach(({ key }) => this.refuse(key, RefusalCause.Untrusted, 0, false));
+        }
     }
 }
 
--- a/src/serving/ServingGateSetup.ts
+++ b/src/serving/ServingGateSetup.ts
@@ -1,3 +1,4 @@
+import { RetryBudgetTerms } from "../decisions/requests/RetryBudgetTerms.js";
 import { EventLog } from "../logs/EventLog/index.js";
 import { EndpointDialect } from "./EndpointDialect.js";
 
@@ -8,6 +9,10 @@
     readonly backendAddress: string;
     readonly dialect: EndpointDialect;
     readonly events: EventLog;
+    /** Retry budget of the service. */
+    readonly retryTerms: RetryBudgetTerms;
+    /** Number of gates that share the budget. */
+    readonly countGates: () => number;
     /** Tells whether a repeatable request that began on this VM, as calls of the endpoint do, has failed since a time. */
     readonly hasFailedCallSince: (sinceMs: number) => boolean;
     /** Told that the load has changed; urgent if the trust in the endpoint has. */
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -34,4 +34,8 @@
     readonly needsGo: boolean;
     /** True if it takes an ejected endpoint when there is no other. */
     readonly isLastResort: boolean;
+    /** True if the request has reached an endpoint before. */
+    readonly isRepeat: boolean;
+    /** Likelihood that it is a call made by a repeated request, from 0 to 1. */
+    readonly callOfRepeatShare: number;
 }
