--- a/src/decisions/course/RequestCourse/index.ts
+++ b/src/decisions/course/RequestCourse/index.ts
@@ -221,6 +221,11 @@
             return [this.offer(trial, { maxQueueMs: 0, isTrial: true, isLastResort: false })];
         }
         const trusted = candidates.filter(({ load }) => !isBarredBy(gradeOf(load), this.plan));
+        const [best] = trusted;
+        if (this.plan.requestKind === RequestKind.Download && this.queueOffers === 0 && best !== undefined && !seemsFree(best)) {
+            this.queueOffers += 1;
+            return [this.offer(best, { maxQueueMs: this.timelyQueueMs(nowMs), isTrial: false, isLastResort: false })];
+        }
         const free = trusted.filter((candidate) => !this.refused.has(candidate.record.vm) && seemsFree(candidate));
         const fresh = free.find(({ load }) => gradeOf(load) === Grade.Trusted) ?? free[0];
         if (fresh !== undefined && this.freeSlotOffers < FREE_SLOT_OFFERS) {
@@ -242,7 +247,7 @@
         nowMs: number,
     ): readonly CourseEffect[] {
         const best = trusted[0] ?? all[0];
-        const maxQueueMs = Math.max(LATE_QUEUE_MS, this.plan.targetAtMs - nowMs - this.ports.serviceMs);
+        const maxQueueMs = Math.max(LATE_QUEUE_MS, this.timelyQueueMs(nowMs));
         if (best !== undefined && this.offers < MAX_OFFERS && this.queueOffers < MAX_QUEUE_OFFERS) {
             this.queueOffers += 1;
             return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort: trusted.length === 0 })];
@@ -255,6 +260,11 @@
         return this.conclude(this.giveUp());
     }
 
+    /** Wait with which the target is still met. */
+    private timelyQueueMs(nowMs: number): number {
+        return Math.max(0, this.plan.targetAtMs - nowMs - this.ports.serviceMs);
+    }
+
     /** A trial may fail, so that a request which may be repeated has to have an attempt left. */
     private suitsTrial({ load, offeredSince }: PlacementCandidate): boolean {
         if (load === undefined || offeredSince > 0 || load.trialWish === TrialWish.None) {
--- a/src/decisions/course/RequestCourse/test.ts
+++ b/src/decisions/course/RequestCourse/test.ts
@@ -181,6 +181,15 @@
     t.true((asked[3] ?? 0) > 1_000);
 });
 
+test("a large answer waits for the best gate although another one has a free slot", (t) => {
+    const full = candidate("near");
+    const busy = { ...full, load: full.load === undefined ? undefined : { ...full.load, running: 5 } };
+    const rank = (): readonly PlacementCandidate[] => [busy, candidate("far")];
+    const effect = begin(create(RequestKind.Download, { rank }));
+    t.true(effect?.kind === CourseEffectKind.Offer && effect.vm === "near" && effect.terms.maxQueueMs > 0);
+    t.is(vmOf(begin(create(RequestKind.Repeatable, { rank }))), "far");
+});
+
 test("an ejected endpoint gets a repeatable request as its trial, and no work that must not be repeated", (t) => {
     const rank = (): readonly PlacementCandidate[] => [candidate("a"), candidate("gray", Grade.Ejected, TrialWish.Repeatable)];
     t.is(vmOf(begin(create(RequestKind.Repeatable, { rank }))), "gray");
--- a/src/decisions/fleet/NewsSources/index.ts
+++ b/src/decisions/fleet/NewsSources/index.ts
@@ -63,16 +63,35 @@
             this.sources.push(next);
             start.push(next);
         }
-        const ahead = this.findAhead(hubs, nowMs);
-        if (ahead === undefined || start.includes(ahead.vm)) {
-            return { start, stop: silent, loadsFrom: this.sources[0] };
+        const wanted = this.findAhead(hubs, nowMs) ?? this.findNearer(hubs);
+        if (wanted === undefined || start.includes(wanted.vm)) {
+            return { start, stop: silent, loadsFrom: this.nearest(hubs) };
         }
-        const replaced = this.replaceBy(ahead, hubs);
-        return { start: [...start, ahead.vm], stop: [...silent, ...replaced], loadsFrom: this.sources[0] };
+        const replaced = this.replaceBy(wanted, hubs);
+        const isReplaced = (vm: string): boolean => replaced.includes(vm);
+        return {
+            start: [...start.filter((vm) => !isReplaced(vm)), wanted.vm],
+            stop: [...silent, ...replaced.filter((vm) => !start.includes(vm))],
+            loadsFrom: this.nearest(hubs),
+        };
+    }
+
+    private isNear({ failureDomain }: NewsHub): boolean {
+        return failureDomain === this.failureDomain;
+    }
+
+    /** A control VM of the own failure domain, if no source is in it and it is not behind. */
+    private findNearer(hubs: readonly NewsHub[]): NewsHub | undefined {
+        const hasNear = hubs.some((hub) => this.isNear(hub) && this.sources.includes(hub.vm));
+        return hasNear ? undefined : hubs.find((hub) => this.isNear(hub) && hub.position >= this.position);
+    }
+
+    private nearest(hubs: readonly NewsHub[]): string | undefined {
+        return hubs.find((hub) => this.isNear(hub) && this.sources.includes(hub.vm))?.vm ?? this.sources[0];
     }
 
     private draw(free: readonly NewsHub[]): string {
-        const near = free.filter(({ failureDomain }) => failureDomain === this.failureDomain);
+        const near = free.filter((hub) => this.isNear(hub));
         const choice = near.length > 0 && this.sources.length === 0 ? near : free;
         return choice[Math.floor(this.random() * choice.length)]?.vm ?? "";
     }
--- a/src/decisions/fleet/NewsSources/test.ts
+++ b/src/decisions/fleet/NewsSources/test.ts
@@ -52,6 +52,14 @@
     t.deepEqual(sources.review([hub("a-1", 6), hub("b-1")], 1_000), { start: [], stop: [], loadsFrom: "b-1" });
 });
 
+test("a control VM of the own failure domain that is linked later takes the place of a far one, unless it is behind", (t) => {
+    const sources = create();
+    t.deepEqual(sources.review([hub("a-1"), hub("c-1")], 0), { start: ["a-1", "c-1"], stop: [], loadsFrom: "a-1" });
+    t.deepEqual(sources.review([hub("a-1"), hub("c-1"), hub("b-1", 4)], 10).start, []);
+    const choice = sources.review([hub("a-1"), hub("c-1"), hub("b-1")], 20);
+    t.deepEqual(choice, { start: ["b-1"], stop: ["a-1"], loadsFrom: "b-1" });
+});
+
 test("a lost link takes the source out, and another is drawn", (t) => {
     const sources = create();
     sources.review([hub("a-1"), hub("b-1"), hub("c-1")], 0);
--- /dev/null
+++ b/src/decisions/fleet/isLoadNews/test.ts
@@ -0,0 +1,41 @@
+import test from "ava";
+import { TrialWish } from "../../suspicion/TrialWish.js";
+import { GateLoadReport } from "../GateLoadReport.js";
+import { Grade } from "../Grade.js";
+import { isLoadNews } from "./index.js";
+
+const LOAD: GateLoadReport = {
+    vm: "vm-1",
+    running: 2,
+    queued: 0,
+    slots: 5,
+    serviceMs: 100,
+    grade: Grade.Trusted,
+    suspicion: 0,
+    trialWish: TrialWish.None,
+    shedShare: 0,
+    isIdle: false,
+};
+
+test("the first load is news, and the same one again is not", (t) => {
+    t.true(isLoadNews(undefined, LOAD));
+    t.false(isLoadNews(LOAD, LOAD));
+});
+
+test("one request more or less is no news, unless it fills the endpoint or frees a slot", (t) => {
+    t.false(isLoadNews(LOAD, { ...LOAD, running: 3 }));
+    t.true(isLoadNews(LOAD, { ...LOAD, running: 4 }));
+    t.true(isLoadNews({ ...LOAD, running: 4 }, { ...LOAD, running: 5 }));
+    t.true(isLoadNews({ ...LOAD, running: 5 }, { ...LOAD, running: 4 }));
+});
+
+test("each change of trust is news", (t) => {
+    const changes: Partial<GateLoadReport>[] = [
+        { grade: Grade.Doubted },
+        { trialWish: TrialWish.Any },
+        { isIdle: true },
+        { shedShare: 0.3 },
+        { slots: 4 },
+    ];
+    t.true(changes.every((change) => isLoadNews(LOAD, { ...LOAD, ...change })));
+});
--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -19,7 +19,7 @@
 /** Wait that a gate of another failure domain is charged, in ms: about what the way there and back takes. */
 const OTHER_DOMAIN_WAIT_MS = 20;
 /** The same for large answers, in ms: bandwidth between failure domains is dear, and a free slot nearby is worth a wait. */
-const OTHER_DOMAIN_DOWNLOAD_WAIT_MS = 300;
+const OTHER_DOMAIN_DOWNLOAD_WAIT_MS = 600;
 /** Wait that a gate is charged that cannot be reached, in ms. */
 const UNREACHABLE_WAIT_MS = 1_000_000;
 
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -48,6 +48,7 @@
     ItemsInForce = 332,
     ItemsUndecided = 333,
     CallFailed = 105,
+    LinesDropped = 106,
     StorageReopened = 316,
     EndpointReported = 403,
     ReportRefused = 404,
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -14,6 +14,8 @@
 
 const DIAL_MS = 500;
 const TELL_PEERS_MS = 2_000;
+/** Times at which nothing new is told of the control VMs, before it is told again all the same. */
+const MAX_UNTOLD = 5;
 
 /** Links of a process to the control VMs: dials all that it knows of, and passes on what it has heard of others. */
 export class MeshLinks {
@@ -22,6 +24,8 @@
     private readonly positions = new Map<string, number>();
     private readonly failureDomains = new Map<string, string>();
     private readonly dialling = new Set<string>();
+    private toldPeers = "";
+    private untold = 0;
 
     private constructor(
         private readonly links: LinkController,
@@ -157,6 +161,12 @@
 
     private tellPeers(): void {
         const message = this.peersMessage();
+        const text = JSON.stringify(message);
+        this.untold = text === this.toldPeers && this.untold < MAX_UNTOLD ? this.untold + 1 : 0;
+        if (this.untold > 0) {
+            return;
+        }
+        this.toldPeers = text;
         this.linkedVms.forEach((vm) => this.links.sendTo(vm, message));
     }
 
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -3,8 +3,10 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointLife } from "../../decisions/fleet/EndpointLife/index.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { isLoadNews } from "../../decisions/fleet/isLoadNews/index.js";
 import { NewsSources } from "../../decisions/fleet/NewsSources/index.js";
 import { ItemBook } from "../../decisions/items/ItemBook/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
@@ -54,6 +56,7 @@
     private hasFleet = false;
     private isOpen = true;
     private loadsFrom: string | undefined;
+    private reportedLoad: GateLoadReport | undefined;
     private loadTimer: NodeJS.Timeout | undefined;
     private links: MeshLinks | undefined;
     private tunnels: TunnelServer | undefined;
@@ -293,17 +296,28 @@
         }
         this.loadTimer ??= setTimeout(() => {
             this.loadTimer = undefined;
-            this.sendLoad();
+            if (isLoadNews(this.reportedLoad, this.gate.load)) {
+                this.sendLoad();
+            }
+            else {
+                this.watchWish();
+            }
         }, LOAD_MS);
     }
 
     private sendLoad(): void {
         const { load } = this.gate;
         this.view.takeLoad(load);
+        this.reportedLoad = load;
         if (this.loadsFrom !== undefined) {
             this.links?.sendTo(this.loadsFrom, { kind: MessageKind.FleetNews, records: [], loads: [load] });
         }
-        if (load.grade !== Grade.Trusted) {
+        this.watchWish();
+    }
+
+    /** An endpoint that is not trusted wants its next trial after a time, whether or not anything happens at the gate. */
+    private watchWish(): void {
+        if (this.gate.load.grade !== Grade.Trusted) {
             this.noteLoad(false);
         }
     }
