Elect a leader soon after all have restarted, and serve metrics

The first election waited as long as one after a leader that fell silent. On-call engineers had logs but no metrics.

Change: until a leader has been heard, elections are tried after 200 to 400 ms (pre-votes disturb no leader); control VMs look every 40 ms whether they are current, and addresses are dialled every 250 ms. EventMetrics counts events, requests and refusals, with histograms and gauges, served on the address of the settings by serveText (prom-client). The reports of load have a module of their own (LoadReporter), out of SidecarRole.

--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -18,6 +18,8 @@
 
 const HEARTBEAT_MS = 100;
 const ELECTION_MS = 1_000;
+/** The same until a leader has been heard since the start, in ms: when all have restarted, nobody leads, and pre-votes disturb no leader. */
+const FIRST_ELECTION_MS = 200;
 const MAX_ENTRIES_PER_APPEND = 64;
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
@@ -462,7 +464,8 @@
     }
 
     private resetElection(nowMs: number): void {
-        this.electionAtMs = nowMs + ELECTION_MS + this.random() * ELECTION_MS;
+        const timeoutMs = this.heardLeaderAtMs === Number.NEGATIVE_INFINITY ? FIRST_ELECTION_MS : ELECTION_MS;
+        this.electionAtMs = nowMs + timeoutMs + this.random() * timeoutMs;
     }
 
     private isVoter(identity: string): boolean {
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -122,6 +122,24 @@
     t.is(reply !== undefined && "granted" in reply && reply.granted, false);
 });
 
+test("voters that have all restarted elect a leader within half a second, and those that have heard one wait for it longer", (t) => {
+    const askedAtMs = (machine: QuorumMachine, fromMs: number): number => {
+        for (let atMs = fromMs; atMs < fromMs + 5_000; atMs += 10) {
+            const { messages } = machine.step({ kind: QuorumEventKind.Tick }, atMs);
+            if (messages.some(({ message }) => message.kind === QuorumMessageKind.PreVote)) {
+                return atMs - fromMs;
+            }
+        }
+        return Number.POSITIVE_INFINITY;
+    };
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    t.true(askedAtMs(machine, 0) <= 500);
+    t.true(askedAtMs(machine, 500) <= 500, "asks again soon if the others were not there yet");
+    const append: QuorumMessage = { kind: QuorumMessageKind.Append, term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 };
+    machine.step({ kind: QuorumEventKind.Message, from: "c", message: append }, 1_000);
+    t.true(askedAtMs(machine, 1_000) >= 1_000);
+});
+
 test("a single voter founds a log once, and never from a log that it has", (t) => {
     const empty = QuorumMachine.create("a", {
         hardState: { term: 0, votedFor: undefined },
--- /dev/null
+++ b/src/http/serveText/index.ts
@@ -0,0 +1,52 @@
+import { once } from "node:events";
+import { createServer, type Server } from "node:http";
+import { FleetError } from "../../model/FleetError.js";
+import { Step } from "../../model/Step.js";
+import { toError } from "../../model/toError/index.js";
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_FAILED = 500;
+
+/** A text that is served. */
+interface ServedText {
+    readonly path: string;
+    readonly contentType: string;
+    readonly render: () => Promise<string>;
+}
+
+/**
+ * Serves one text over HTTP.
+ *
+ * @param address - `host:port`.
+ * @param text - Path, media type and content.
+ * @param onError - Told of errors while the text is made.
+ * @returns The server, listening.
+ * @throws FleetError if the address cannot be listened on.
+ * @example
+ * await serveText("127.0.0.1:9464", { path: "/metrics", contentType: "text/plain", render }, report);
+ */
+export async function serveText(address: string, text: ServedText, onError: (error: Error) => void): Promise<Server> {
+    const server = createServer((request, response) => {
+        if (request.url !== text.path) {
+            response.writeHead(STATUS_NOT_FOUND).end();
+            return;
+        }
+        text.render().then((body) => {
+            response.writeHead(STATUS_OK, { "content-type": text.contentType }).end(body);
+        }).catch((thrown: unknown) => {
+            onError(toError(thrown));
+            response.writeHead(STATUS_FAILED).end();
+        });
+    });
+    const [host, port] = address.split(":");
+    server.listen(Number(port), host);
+    try {
+        await once(server, "listening");
+    }
+    catch (thrown) {
+        const cause = toError(thrown);
+        throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
+    }
+    return server;
+}
--- /dev/null
+++ b/src/http/serveText/test.ts
@@ -0,0 +1,27 @@
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { FleetError } from "../../model/FleetError.js";
+import { serveText } from "./index.js";
+
+test("the text is served at its path and nowhere else, and a failure is reported", async (t) => {
+    const errors: string[] = [];
+    let isBroken = false;
+    const render = (): Promise<string> => isBroken ? Promise.reject(new Error("broken")) : Promise.resolve("up 1\n");
+    const server = await serveText("127.0.0.1:0", { path: "/metrics", contentType: "text/plain", render }, (error) => errors.push(error.message));
+    t.teardown(() => server.close());
+    const base = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    t.is(await (await fetch(`${base}/metrics`)).text(), "up 1\n");
+    t.is((await fetch(`${base}/other`)).status, 404);
+    isBroken = true;
+    t.is((await fetch(`${base}/metrics`)).status, 500);
+    t.deepEqual(errors, ["broken"]);
+});
+
+test("an address in use is an error that names it", async (t) => {
+    const text = { path: "/", contentType: "text/plain", render: () => Promise.resolve("") };
+    const server = await serveText("127.0.0.1:0", text, () => undefined);
+    t.teardown(() => server.close());
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const error = await t.throwsAsync(serveText(address, text, () => undefined), { any: true });
+    t.true(error instanceof FleetError && error.message.includes(address));
+});
--- a/src/logs/EventLog/index.ts
+++ b/src/logs/EventLog/index.ts
@@ -14,6 +14,7 @@
         private readonly vm: string,
         private readonly consola: ConsolaInstance | undefined,
         private readonly write: ((line: string) => void) | undefined,
+        private readonly observe: ((event: EventNumber, fields: LogFields) => void) | undefined,
     ) {}
 
     /**
@@ -24,11 +25,11 @@
      */
     static create(vm: string, format: LogFormat | undefined): EventLog {
         if (format === undefined) {
-            return new EventLog(vm, undefined, undefined);
+            return new EventLog(vm, undefined, undefined, undefined);
         }
         const reporters = [{ log: (entry: LogObject) => void process.stdout.write(`${String(entry.args[0])}\n`) }];
         const options = { level: LogLevels.info };
-        return new EventLog(vm, createConsola(format === LogFormat.Json ? { ...options, reporters } : options), undefined);
+        return new EventLog(vm, createConsola(format === LogFormat.Json ? { ...options, reporters } : options), undefined, undefined);
     }
 
     /**
@@ -36,9 +37,10 @@
      *
      * @param vm - VM name, part of every event.
      * @param write - Takes each line.
+     * @param observe - Counts each event.
      */
-    static createWith(vm: string, write: (line: string) => void): EventLog {
-        return new EventLog(vm, undefined, write);
+    static createWith(vm: string, write: (line: string) => void, observe: (event: EventNumber, fields: LogFields) => void): EventLog {
+        return new EventLog(vm, undefined, write, observe);
     }
 
     /** Records an event; unless the log writes every event, those of single requests are kept in memory only. */
@@ -49,6 +51,7 @@
             this.ring.shift();
         }
         this.write?.(JSON.stringify(line));
+        this.observe?.(event, fields);
         if ((event as number) < FIRST_REQUEST_EVENT) {
             this.consola?.info(JSON.stringify(line));
         }
--- a/src/mesh/HubRole/index.ts
+++ b/src/mesh/HubRole/index.ts
@@ -15,6 +15,7 @@
 import { MessageKind } from "../../links/MessageKind.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { GaugeSource } from "../../metrics/GaugeSource.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Role } from "../../model/Role.js";
 import { Step } from "../../model/Step.js";
@@ -27,6 +28,8 @@
 const LEADER_TIMEOUT_MS = 900;
 /** Time between two looks at the voters, in ms. */
 const KEEP_VOTERS_MS = 150;
+/** Time between two looks at whether the items are as of now after a start, in ms; proxies wait for them. */
+const NOTE_CURRENT_MS = 40;
 /** Time without a word after which a voter counts as lost, in ms; above the time of a restart. */
 const VOTER_LOST_MS = 2_500;
 /** Time without a word after which a control VM does not count as live, in ms. */
@@ -78,10 +81,23 @@
         }, () => hub.ownPeer, () => hub.items?.position ?? 0, events);
         hub.timers.push(
             setInterval(() => void hub.keepVoters(), KEEP_VOTERS_MS),
+            setInterval(() => hub.noteCurrent(), NOTE_CURRENT_MS),
         );
         return hub;
     }
 
+    /** What this process believes, in figures. */
+    get gauges(): readonly GaugeSource[] {
+        return [
+            { name: "links", help: "VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
+            { name: "subscribers", help: "Proxies that take their news here", read: () => this.subscribers.size },
+            { name: "items", help: "Configuration items applied", read: () => this.items?.items.length ?? 0 },
+            { name: "position", help: "Position in the log of the latest change applied", read: () => this.items?.position ?? 0 },
+            { name: "voters", help: "Control VMs that vote", read: () => this.items?.quorum.voters.length ?? 0 },
+            { name: "leads", help: "1 if this VM leads", read: () => Number(this.items?.quorum.isReady ?? false) },
+        ];
+    }
+
     /** Takes new settings. */
     reload(settings: MeshSettings): void {
         this.links?.setSeeds(settings);
@@ -325,7 +341,6 @@
     }
 
     private async keepVoters(): Promise<void> {
-        this.noteCurrent();
         if (this.items?.quorum.hasFailed === true) {
             await this.reopen();
             return;
--- /dev/null
+++ b/src/mesh/LoadReporter/index.ts
@@ -0,0 +1,65 @@
+import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
+import { Grade } from "../../decisions/fleet/Grade.js";
+import { isLoadNews } from "../../decisions/fleet/isLoadNews/index.js";
+
+/** Time between two reports of the own load, in ms. */
+const REPORT_MS = 200;
+/** Longest time between two reports of the own load, in ms; entries use no report of 3 s or more. */
+const REFRESH_MS = 800;
+
+/** Reports the load of a gate when it has changed enough to be of use, and from time to time. */
+export class LoadReporter {
+    private readonly refreshTimer: NodeJS.Timeout;
+    private reportTimer: NodeJS.Timeout | undefined;
+    private reported: GateLoadReport | undefined;
+
+    private constructor(private readonly readLoad: () => GateLoadReport, private readonly send: (load: GateLoadReport) => void) {
+        this.refreshTimer = setInterval(() => this.report(), REFRESH_MS);
+    }
+
+    /**
+     * Creates a reporter that reports from now on.
+     *
+     * @param readLoad - Reads the load of the gate.
+     * @param send - Sends a report.
+     */
+    static create(readLoad: () => GateLoadReport, send: (load: GateLoadReport) => void): LoadReporter {
+        return new LoadReporter(readLoad, send);
+    }
+
+    /** Takes note that the load has changed; a change of trust is reported at once. */
+    note(isUrgent: boolean): void {
+        if (isUrgent) {
+            this.report();
+            return;
+        }
+        this.reportTimer ??= setTimeout(() => {
+            this.reportTimer = undefined;
+            if (isLoadNews(this.reported, this.readLoad())) {
+                this.report();
+            }
+            else {
+                this.watchWish();
+            }
+        }, REPORT_MS);
+    }
+
+    /** Stops the reports. */
+    close(): void {
+        clearInterval(this.refreshTimer);
+        clearTimeout(this.reportTimer);
+    }
+
+    private report(): void {
+        this.reported = this.readLoad();
+        this.send(this.reported);
+        this.watchWish();
+    }
+
+    /** An endpoint that is not trusted wants its next trial after a time, whether or not anything happens at the gate. */
+    private watchWish(): void {
+        if (this.readLoad().grade !== Grade.Trusted) {
+            this.note(false);
+        }
+    }
+}
--- /dev/null
+++ b/src/mesh/LoadReporter/test.ts
@@ -0,0 +1,63 @@
+import { install } from "@sinonjs/fake-timers";
+import test from "ava";
+import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
+import { Grade } from "../../decisions/fleet/Grade.js";
+import { TrialWish } from "../../decisions/suspicion/TrialWish.js";
+import { LoadReporter } from "./index.js";
+
+const LOAD: GateLoadReport = {
+    vm: "vm-1",
+    running: 0,
+    queued: 0,
+    slots: 5,
+    serviceMs: 100,
+    grade: Grade.Trusted,
+    suspicion: 0,
+    trialWish: TrialWish.None,
+    shedShare: 0,
+    isIdle: false,
+};
+
+test.serial("small changes are left to the next refresh, larger ones are reported soon, and changes of trust at once", (t) => {
+    const clock = install();
+    let load = LOAD;
+    const sent: GateLoadReport[] = [];
+    const reporter = LoadReporter.create(() => load, (report) => sent.push(report));
+    t.teardown(() => {
+        reporter.close();
+        clock.uninstall();
+    });
+    reporter.note(false);
+    clock.tick(200);
+    t.is(sent.length, 1);
+    load = { ...LOAD, running: 1 };
+    reporter.note(false);
+    clock.tick(300);
+    t.is(sent.length, 1);
+    load = { ...LOAD, running: 5 };
+    reporter.note(false);
+    clock.tick(200);
+    t.is(sent.at(-1)?.running, 5);
+    load = { ...load, grade: Grade.Doubted };
+    reporter.note(true);
+    t.is(sent.at(-1)?.grade, Grade.Doubted);
+});
+
+test.serial("the next trial of an endpoint that is not trusted is reported when it is due, although nothing has happened", (t) => {
+    const clock = install();
+    let load = { ...LOAD, grade: Grade.Ejected };
+    const sent: GateLoadReport[] = [];
+    const reporter = LoadReporter.create(() => load, (report) => sent.push(report));
+    t.teardown(() => {
+        reporter.close();
+        clock.uninstall();
+    });
+    reporter.note(true);
+    load = { ...load, trialWish: TrialWish.Repeatable };
+    clock.tick(250);
+    t.is(sent.at(-1)?.trialWish, TrialWish.Repeatable);
+    const count = sent.length;
+    reporter.close();
+    clock.tick(5_000);
+    t.is(sent.length, count);
+});
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -12,7 +12,7 @@
 import { ControlAddresses } from "../ControlAddresses/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
-const DIAL_MS = 500;
+const DIAL_MS = 250;
 const TELL_PEERS_MS = 2_000;
 /** Times at which nothing new is told of the control VMs, before it is told again all the same. */
 const MAX_UNTOLD = 5;
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -5,8 +5,6 @@
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
-import { Grade } from "../../decisions/fleet/Grade.js";
-import { isLoadNews } from "../../decisions/fleet/isLoadNews/index.js";
 import { NewsSources } from "../../decisions/fleet/NewsSources/index.js";
 import { ItemBook } from "../../decisions/items/ItemBook/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
@@ -23,7 +21,9 @@
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
 import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
+import { GaugeSource } from "../../metrics/GaugeSource.js";
 import { MeshDialect } from "../MeshDialect.js";
+import { LoadReporter } from "../LoadReporter/index.js";
 import { MeshLinks } from "../MeshLinks/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
@@ -31,10 +31,6 @@
 const QUIET_MS = 2_200;
 /** Time between two reviews of the control VMs that news are taken from, in ms. */
 const SUBSCRIBE_MS = 200;
-/** Time between two reports of the own load, in ms. */
-const LOAD_MS = 200;
-/** Longest time between two reports of the own load, in ms; entries use no report of 3 s or more. */
-const REFRESH_MS = 800;
 /** Time after the request to stop until which new connections are taken, in ms; callers have turned away by then. */
 const LISTEN_ON_MS = 2_500;
 /** Time before the end of the grace at which the process ends in any case, in ms. */
@@ -50,14 +46,13 @@
     private readonly life = EndpointLife.create();
     private readonly book = ItemBook.create();
     private readonly sources: NewsSources;
+    private readonly loads: LoadReporter;
     private readonly timers: NodeJS.Timeout[] = [];
     private record: GateRecord;
     private hasItems = false;
     private hasFleet = false;
     private isOpen = true;
     private loadsFrom: string | undefined;
-    private reportedLoad: GateLoadReport | undefined;
-    private loadTimer: NodeJS.Timeout | undefined;
     private links: MeshLinks | undefined;
     private tunnels: TunnelServer | undefined;
     private callers: CallerServer | undefined;
@@ -73,6 +68,7 @@
         const { vm, links } = settings;
         this.owner.role = this;
         this.sources = NewsSources.create(vm.failureDomain, Math.random);
+        this.loads = LoadReporter.create(() => gate.load, (load) => this.sendLoad(load));
         this.record = {
             vm: vm.name,
             failureDomain: vm.failureDomain,
@@ -125,6 +121,21 @@
         return this.isOpen && this.hasItems && this.hasFleet;
     }
 
+    /** What this process believes, in figures. */
+    get gauges(): readonly GaugeSource[] {
+        return [
+            { name: "callers", help: "Requests of callers that have no answer yet", read: () => this.desk.openCount },
+            { name: "running", help: "Requests that the endpoint runs", read: () => this.gate.load.running },
+            { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
+            { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
+            { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
+            { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.sources.count },
+            { name: "items", help: "Configuration items in force", read: () => this.book.size },
+            { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
+        ];
+    }
+
     /** Service that runs on this VM. */
     get callerService(): string {
         return this.life.report?.service ?? this.settings.proxy?.service ?? "";
@@ -187,15 +198,12 @@
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.linkClosed(link),
         }, () => undefined, () => 0, this.events);
-        this.timers.push(
-            setInterval(() => this.keepSubscriptions(), SUBSCRIBE_MS),
-            setInterval(() => this.sendLoad(), REFRESH_MS),
-        );
+        this.timers.push(setInterval(() => this.keepSubscriptions(), SUBSCRIBE_MS));
     }
 
     private close(): void {
         this.timers.forEach((timer) => clearInterval(timer));
-        clearTimeout(this.loadTimer);
+        this.loads.close();
         this.callers?.close();
         this.tunnels?.close();
         this.view.close();
@@ -290,36 +298,14 @@
 
     private noteLoad(isUrgent: boolean): void {
         this.view.takeLoad(this.gate.load);
-        if (isUrgent) {
-            this.sendLoad();
-            return;
-        }
-        this.loadTimer ??= setTimeout(() => {
-            this.loadTimer = undefined;
-            if (isLoadNews(this.reportedLoad, this.gate.load)) {
-                this.sendLoad();
-            }
-            else {
-                this.watchWish();
-            }
-        }, LOAD_MS);
+        this.loads.note(isUrgent);
     }
 
-    private sendLoad(): void {
-        const { load } = this.gate;
+    private sendLoad(load: GateLoadReport): void {
         this.view.takeLoad(load);
-        this.reportedLoad = load;
         if (this.loadsFrom !== undefined) {
             this.links?.sendTo(this.loadsFrom, { kind: MessageKind.FleetNews, records: [], loads: [load] });
         }
-        this.watchWish();
-    }
-
-    /** An endpoint that is not trusted wants its next trial after a time, whether or not anything happens at the gate. */
-    private watchWish(): void {
-        if (this.gate.load.grade !== Grade.Trusted) {
-            this.noteLoad(false);
-        }
     }
 
     private tellControl(message: Message): void {
--- a/src/mesh/meshSettingsSchema.ts
+++ b/src/mesh/meshSettingsSchema.ts
@@ -40,6 +40,8 @@
         address,
         dataFolder: z.string().min(1),
     }).optional(),
+    /** Where the metrics are served; absent if nowhere. */
+    metrics: z.object({ address }).optional(),
     terms: z.object({
         /** Control VMs that may be lost at the same time. */
         toleratedLosses: z.number().int().min(0),
--- /dev/null
+++ b/src/metrics/EventMetrics/index.ts
@@ -0,0 +1,96 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { LogFields } from "../../logs/LogFields.js";
+import { GaugeSource } from "../GaugeSource.js";
+
+/** Services that get series of their own; what else there is is counted together. */
+const MAX_SERVICES = 64;
+const OTHER_SERVICES = "other";
+const FAILED_STATUS = 500;
+const MS_PER_SECOND = 1_000;
+/** Upper bounds of the buckets of latency, in s: about two for each doubling up to the longest deadlines. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 1.6, 2.4, 3.2, 4.8, 6.4, 12.8];
+
+/** Counts what the log's events say, in the text format of Prometheus. The number of series is bounded. */
+export class EventMetrics {
+    private readonly registry = new Registry();
+    private readonly services = new Set<string>();
+    private readonly events: Counter<"event">;
+    private readonly requests: Counter<"service" | "outcome">;
+    private readonly refusals: Counter<"cause">;
+    private readonly latency: Histogram<"service" | "outcome">;
+
+    private constructor() {
+        const registers = [this.registry];
+        this.events = new Counter({ name: "gypsumpulley_events_total", help: "Events by name", labelNames: ["event"], registers });
+        this.requests = new Counter({
+            name: "gypsumpulley_requests_total",
+            help: "Requests of callers on this VM by service and outcome",
+            labelNames: ["service", "outcome"],
+            registers,
+        });
+        this.refusals = new Counter({ name: "gypsumpulley_refusals_total", help: "Refused requests by cause", labelNames: ["cause"], registers });
+        this.latency = new Histogram({
+            name: "gypsumpulley_request_seconds",
+            help: "Time from a request's arrival to its answer",
+            labelNames: ["service", "outcome"],
+            buckets: LATENCY_BUCKETS_S,
+            registers,
+        });
+    }
+
+    /** Creates metrics that have counted nothing. */
+    static create(): EventMetrics {
+        return new EventMetrics();
+    }
+
+    /** Media type of the text. */
+    get contentType(): string {
+        return this.registry.contentType;
+    }
+
+    /** Counts an event. */
+    observe(event: EventNumber, fields: LogFields): void {
+        this.events.inc({ event: EventNumber[event] });
+        switch (event) {
+            case EventNumber.RequestAnswered:
+                this.countRequest(fields, Number(fields.status) < FAILED_STATUS ? "answered" : "failed-by-endpoint");
+                return;
+            case EventNumber.RequestFailed:
+                this.countRequest(fields, String(fields.failure));
+                return;
+            case EventNumber.RequestRefused:
+                this.refusals.inc({ cause: String(fields.cause) });
+                return;
+            default:
+        }
+    }
+
+    /** Adds a value that is read whenever the metrics are. */
+    addGauge({ name, help, read }: GaugeSource): void {
+        const gauge: Gauge = new Gauge({
+            name: `gypsumpulley_${name}`,
+            help,
+            registers: [this.registry],
+            collect: (): void => gauge.set(read()),
+        });
+    }
+
+    /** Writes all metrics as text. */
+    render(): Promise<string> {
+        return this.registry.metrics();
+    }
+
+    private countRequest(fields: LogFields, outcome: string): void {
+        const labels = { service: this.boundedService(String(fields.service)), outcome };
+        this.requests.inc(labels);
+        this.latency.observe(labels, Number(fields.tookMs) / MS_PER_SECOND);
+    }
+
+    private boundedService(service: string): string {
+        if (this.services.size < MAX_SERVICES) {
+            this.services.add(service);
+        }
+        return this.services.has(service) ? service : OTHER_SERVICES;
+    }
+}
--- /dev/null
+++ b/src/metrics/EventMetrics/test.ts
@@ -0,0 +1,43 @@
+import test from "ava";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { EventMetrics } from "./index.js";
+
+test("answers are counted by service and outcome, with their time", async (t) => {
+    const metrics = EventMetrics.create();
+    metrics.observe(EventNumber.RequestAnswered, { service: "a", status: 200, tookMs: 120 });
+    metrics.observe(EventNumber.RequestAnswered, { service: "a", status: 500, tookMs: 1 });
+    metrics.observe(EventNumber.RequestFailed, { service: "a", failure: "timed-out", tookMs: 3_000 });
+    const text = await metrics.render();
+    t.true(text.includes("gypsumpulley_requests_total{service=\"a\",outcome=\"answered\"} 1"));
+    t.true(text.includes("gypsumpulley_requests_total{service=\"a\",outcome=\"failed-by-endpoint\"} 1"));
+    t.true(text.includes("gypsumpulley_requests_total{service=\"a\",outcome=\"timed-out\"} 1"));
+    t.true(text.includes("gypsumpulley_request_seconds_bucket{le=\"0.1\",service=\"a\",outcome=\"answered\"} 0"));
+    t.true(text.includes("gypsumpulley_request_seconds_bucket{le=\"0.15\",service=\"a\",outcome=\"answered\"} 1"));
+});
+
+test("refusals are counted by cause, and all events by name", async (t) => {
+    const metrics = EventMetrics.create();
+    metrics.observe(EventNumber.RequestRefused, { cause: "busy" });
+    metrics.observe(EventNumber.PathLost, { peer: "vm-1" });
+    const text = await metrics.render();
+    t.true(text.includes("gypsumpulley_refusals_total{cause=\"busy\"} 1"));
+    t.true(text.includes("gypsumpulley_events_total{event=\"PathLost\"} 1"));
+});
+
+test("a gauge is read when the metrics are", async (t) => {
+    const metrics = EventMetrics.create();
+    let links = 1;
+    metrics.addGauge({ name: "links", help: "Open links", read: () => links });
+    links = 3;
+    t.true((await metrics.render()).includes("gypsumpulley_links 3"));
+});
+
+test("the number of series is bounded, whatever the names of services", async (t) => {
+    const metrics = EventMetrics.create();
+    for (let service = 0; service < 1_000; service += 1) {
+        metrics.observe(EventNumber.RequestAnswered, { service: `s-${service}`, status: 200, tookMs: 1 });
+    }
+    const lines = (await metrics.render()).split("\n").filter((line) => line.startsWith("gypsumpulley_requests_total"));
+    t.is(lines.length, 65);
+    t.true(lines.some((line) => line === "gypsumpulley_requests_total{service=\"other\",outcome=\"answered\"} 936"));
+});
