Bound what servers and callers send, tie "not run" to its request, and take uploads

Cause: (1) a backend server that never stops sending filled the memory of its gate: AnswerParser kept heads, interim answers, trailers and bodies without a bound. (2) A refusal without a request id was taken on a connection in use again, also where it was a late copy for the request before: unsafe work was placed a second time while it ran. (3) One route of the kind upload had each call of the operator refused, so that nothing was served on further/. Change: bounds by bytes for each answer and for all unfinished answers of a process; an answer without an id counts only on a connection that has carried no other request; upload is read as work that must not be repeated; bodies of callers have a bound for all together, a bound on the time without a byte, and close their connection if they are not read to the end. A refused configuration is explained by field.

--- a/src/backend/BackendConnection/index.ts
+++ b/src/backend/BackendConnection/index.ts
@@ -1,8 +1,10 @@
 import { connect, Socket } from "node:net";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { toError } from "../../model/toError/index.js";
 import { AnswerDialect } from "../AnswerDialect.js";
+import { AnswerLimits } from "../AnswerLimits.js";
 import { AnswerParser } from "../AnswerParser/index.js";
 import { BackendCall } from "../BackendCall.js";
 import { BackendResult } from "../BackendResult.js";
@@ -14,6 +16,8 @@
 const DEFAULT_IDLE_MS = 4_000;
 /** Time before the stated idle limit at which a connection is no longer used, in ms. */
 const IDLE_MARGIN_MS = 1_000;
+/** Bounds on what is read for one request; above the largest answers of the services served. */
+const ANSWER_LIMITS: AnswerLimits = { maxBodyBytes: 16 * 1_024 * 1_024, maxHeadBytes: 64 * 1_024 };
 const EMPTY = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
@@ -32,8 +36,8 @@
     private isSpent = false;
     private answeredAtMs = nowMs();
 
-    private constructor(private readonly socket: Socket, private readonly dialect: AnswerDialect) {
-        this.parser = AnswerParser.create((answer) => this.take(answer));
+    private constructor(private readonly socket: Socket, private readonly dialect: AnswerDialect, budget: ByteBudget) {
+        this.parser = AnswerParser.create((answer) => this.take(answer), ANSWER_LIMITS, budget);
         socket.setNoDelay(true);
         socket.on("data", (chunk: Buffer) => this.receive(chunk));
         socket.on("end", () => this.receiveEnd());
@@ -48,9 +52,16 @@
      * @param port - Its port.
      * @param timeoutMs - Time to wait for the connection.
      * @param dialect - How answers tell what they belong to.
+     * @param budget - Bytes of unfinished answers that all connections may hold together.
      * @throws Error if the connection cannot be opened in time.
      */
-    static create(host: string, port: number, timeoutMs: number, dialect: AnswerDialect): Promise<BackendConnection> {
+    static create(
+        host: string,
+        port: number,
+        timeoutMs: number,
+        dialect: AnswerDialect,
+        budget: ByteBudget,
+    ): Promise<BackendConnection> {
         return new Promise((resolve, reject) => {
             const socket = connect({ host, port, allowHalfOpen: true });
             const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)), timeoutMs);
@@ -62,7 +73,7 @@
             socket.once("connect", () => {
                 clearTimeout(timer);
                 socket.off("error", refuse);
-                const connection = new BackendConnection(socket, dialect);
+                const connection = new BackendConnection(socket, dialect, budget);
                 connection.isOpen = true;
                 resolve(connection);
             });
@@ -157,7 +168,7 @@
             this.isSpent = true;
             return;
         }
-        if (id === undefined && call.requestId !== "" && !this.dialect.saysNotRun(answer.status, answer.headers)) {
+        if (id === undefined && !this.mayLackId(call, answer)) {
             this.isSpent = true;
             this.fail("an answer without the id of its request");
             this.socket.destroy();
@@ -175,8 +186,17 @@
         }
     }
 
+    /**
+     * On a connection in use again, an answer without an id may be a late copy of one to an earlier request: also its
+     * word that nothing has run says nothing of this request then.
+     */
+    private mayLackId(call: BackendCall, answer: ParsedAnswer): boolean {
+        return this.requestCount === 1 && (call.requestId === "" || this.dialect.saysNotRun(answer.status, answer.headers));
+    }
+
     private fail(problem: string): void {
         this.isOpen = false;
+        this.parser.drop();
         this.finish({
             kind: BackendResultKind.Broken,
             problem,
--- a/src/backend/BackendPool/index.ts
+++ b/src/backend/BackendPool/index.ts
@@ -1,4 +1,5 @@
 import { nowMs } from "../../clock/nowMs/index.js";
+import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { toError } from "../../model/toError/index.js";
 import { AnswerDialect } from "../AnswerDialect.js";
 import { BackendCall } from "../BackendCall.js";
@@ -13,12 +14,15 @@
 const PROVEN_MS = 2_000;
 /** A kept connection that breaks within this time of a request, in ms, had been forgotten before: nothing has run. */
 const STALE_MS = 20;
+/** Bytes of unfinished answers that are held at the same time; a third of the memory of a small VM is left to it. */
+const MAX_HELD_BYTES = 48 * 1_024 * 1_024;
 const ANY_IDLE_MS = Number.POSITIVE_INFINITY;
 
 /** The connections to one backend server. */
 export class BackendPool {
     private connections: BackendConnection[] = [];
     private opened = 0;
+    private readonly budget = ByteBudget.create(MAX_HELD_BYTES);
 
     private constructor(private readonly host: string, private readonly port: number, private readonly dialect: AnswerDialect) {}
 
@@ -48,7 +52,7 @@
     send(call: BackendCall, needsProof: boolean): BackendExchange {
         const exchange = { connection: undefined as BackendConnection | undefined, isCancelled: false };
         const run = async (): Promise<BackendResult> => {
-            const reused = this.findIdle(needsProof ? PROVEN_MS : ANY_IDLE_MS);
+            const reused = call.requestId === "" ? undefined : this.findIdle(needsProof ? PROVEN_MS : ANY_IDLE_MS);
             if (reused !== undefined) {
                 exchange.connection = reused;
                 const result = await this.exchangeOn(reused, call);
@@ -87,7 +91,7 @@
     ): Promise<BackendResult> {
         try {
             this.opened += 1;
-            exchange.connection = await BackendConnection.create(this.host, this.port, CONNECT_TIMEOUT_MS, this.dialect);
+            exchange.connection = await BackendConnection.create(this.host, this.port, CONNECT_TIMEOUT_MS, this.dialect, this.budget);
         }
         catch (thrown) {
             return { kind: BackendResultKind.NotConnected, problem: toError(thrown).message };
--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -213,3 +213,77 @@
         t.true(closed);
     });
 });
+
+test("a refusal without an id on a connection in use again is nobody's, as it may be a late copy", async (t) => {
+    await withServer(t, (socket, number, connection) => {
+        if (connection === 1 && number === 2) {
+            socket.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            setTimeout(() => socket.write(answer("2", "it ran")), 20);
+            return;
+        }
+        socket.write(answer("1"));
+    }, async (pool) => {
+        await pool.send(call("1"), false).result;
+        t.is((await pool.send(call("2", "POST"), true).result).kind, BackendResultKind.Broken);
+    });
+});
+
+test("a request without an id gets a connection of its own, so that no late answer is taken for its own", async (t) => {
+    await withServer(t, (socket) => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), async (pool) => {
+        t.is(bodyOf(await pool.send(call(""), false).result), "ok");
+        t.is(bodyOf(await pool.send(call(""), false).result), "ok");
+        t.is(pool.openedCount, 2);
+    });
+});
+
+const ENDLESS = {
+    "a body without a length": ["HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x".repeat(65_536)],
+    "chunks": ["HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", `8000\r\n${"x".repeat(32_768)}\r\n`],
+    "a stated length above the limit": ["HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999999\r\n\r\n", "x".repeat(65_536)],
+    "one line of a head": ["HTTP/1.1 200 OK\r\nId: 1\r\nX-Long: ", "x".repeat(65_536)],
+    "lines of a head": ["HTTP/1.1 200 OK\r\nId: 1\r\n", "X-More: and more\r\n".repeat(1_000)],
+    "interim answers": ["", "HTTP/1.1 102 Processing\r\n\r\n".repeat(1_000)],
+    "a chunk extension": ["HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=", "x".repeat(65_536)],
+    "trailers": ["HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: and more\r\n".repeat(1_000)],
+    "answers to other requests": ["", answer("0", "x".repeat(1_000)).repeat(20)],
+} as const;
+
+Object.entries(ENDLESS).forEach(([name, [head, more]]) => {
+    test(`a backend server that never stops sending ${name} is cut off before it fills the memory`, async (t) => {
+        let sentBytes = 0;
+        let isClosed = false;
+        await withServer(t, (socket) => {
+            const pour = (): void => {
+                while (!isClosed && sentBytes < 128 * 1_024 * 1_024) {
+                    sentBytes += more.length;
+                    if (!socket.write(more)) {
+                        socket.once("drain", pour);
+                        return;
+                    }
+                }
+            };
+            socket.once("close", () => {
+                isClosed = true;
+            });
+            socket.write(head);
+            pour();
+        }, async (pool) => {
+            const result = await pool.send(call("1"), true).result;
+            t.is(result.kind, BackendResultKind.Broken);
+            t.true(sentBytes < 40 * 1_024 * 1_024, `${sentBytes} bytes were sent`);
+        });
+    });
+});
+
+test("many large answers at once share one budget, and what exceeds it is broken", async (t) => {
+    const large = `HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: ${15 * 1_024 * 1_024}\r\n\r\n`;
+    await withServer(t, (socket) => {
+        socket.write(large);
+        socket.write("x".repeat(14 * 1_024 * 1_024));
+    }, async (pool) => {
+        const exchanges = Array.from({ length: 5 }, () => pool.send(call("1"), true));
+        const first = await Promise.race(exchanges.map(({ result }) => result));
+        t.is(first.kind, BackendResultKind.Broken);
+        exchanges.forEach((exchange) => exchange.cancel());
+    });
+});
--- /dev/null
+++ b/src/entrance/BodyLimits.ts
@@ -0,0 +1,6 @@
+/** Bounds on the body of a caller's request. */
+export interface BodyLimits {
+    readonly maxBytes: number;
+    /** Longest time without any byte. */
+    readonly stallMs: number;
+}
--- a/src/entrance/CallerServer/index.ts
+++ b/src/entrance/CallerServer/index.ts
@@ -3,16 +3,21 @@
 import type { Socket } from "node:net";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
+import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
+import { assertNever } from "../../model/assertNever/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { BodyLimits } from "../BodyLimits.js";
+import { BodyResultKind } from "../BodyResultKind.js";
 import { CallerAnswer } from "../CallerAnswer.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
+import { readBody } from "../readBody/index.js";
 
 /** Limits before the configuration sets any. */
 const DEFAULT_BODY_BYTES = 64 * 1_024 * 1_024;
@@ -20,14 +25,22 @@
 const DEFAULT_HEADER_MS = 3_000;
 /** Largest header section that the server takes in at all; the configured limit is checked below it. */
 const MAX_HEADER_BYTES = 128 * 1_024;
+/** Bytes of bodies that are held at the same time; each is copied once on its way, in a process of a few hundred megabytes. */
+const MAX_HELD_BODY_BYTES = 32 * 1_024 * 1_024;
+/** Time after which a caller is told to return for whose body there was no room, in ms; about the time of a request. */
+const NO_ROOM_RETRY_AFTER_MS = 1_000;
+const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
+const STATUS_UNAVAILABLE = 503;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
 interface Pending {
     readonly response: ServerResponse;
     isAnswered: boolean;
+    /** Bytes of its body that are held. */
+    bodyBytes: number;
     gone: (() => void) | undefined;
 }
 
@@ -38,6 +51,7 @@
 export class CallerServer {
     private readonly pending = new Map<Socket, Set<Pending>>();
     private limits: LimitsItem | undefined;
+    private readonly bodies = ByteBudget.create(MAX_HELD_BODY_BYTES);
     private isStopping = false;
 
     private constructor(
@@ -110,6 +124,7 @@
             this.pending.delete(socket);
             left?.forEach((pending) => {
                 pending.isAnswered = true;
+                this.releaseBody(pending);
                 pending.gone?.();
             });
         });
@@ -118,7 +133,7 @@
     private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { socket } = request;
         const arrivedAtMs = nowMs();
-        const pending: Pending = { response, isAnswered: false, gone: undefined };
+        const pending: Pending = { response, isAnswered: false, bodyBytes: 0, gone: undefined };
         this.pending.get(socket)?.add(pending);
         const headers = pairHeaders(request.rawHeaders);
         const terms = this.dialect.readTerms(headers);
@@ -127,14 +142,15 @@
             answer({ status: STATUS_HEADERS_TOO_LARGE, headers: this.dialect.ownAnswerHeaders(terms.requestId, undefined), body: Buffer.alloc(0) });
             return;
         }
-        const body = await this.readBody(request);
-        if (body === undefined) {
-            if (!request.destroyed) {
-                answer({ status: STATUS_BODY_TOO_LARGE, headers: this.dialect.ownAnswerHeaders(terms.requestId, undefined), body: Buffer.alloc(0) });
-            }
+        const result = await readBody(request, this.bodyLimits, this.bodies);
+        if (result.kind !== BodyResultKind.Whole) {
+            this.answerWithoutBody(result.kind, terms.requestId, answer);
             return;
         }
+        const { body } = result;
+        pending.bodyBytes = body.length;
         if (pending.isAnswered) {
+            this.releaseBody(pending);
             return;
         }
         const hasBody = request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
@@ -161,28 +177,35 @@
         return bytes > (this.limits?.maxHeaderBytes ?? MAX_HEADER_BYTES);
     }
 
-    /** Reads a body; undefined if it is too large or breaks off. */
-    private async readBody(request: IncomingMessage): Promise<Buffer | undefined> {
-        const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_BODY_BYTES;
-        if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-            return undefined;
-        }
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        try {
-            for await (const chunk of request as AsyncIterable<Buffer>) {
-                bytes += chunk.length;
-                if (bytes > maxBytes) {
-                    return undefined;
-                }
-                chunks.push(chunk);
-            }
-        }
-        catch {
-            // The caller left while it sent the body: its connection's close event settles the request.
-            return undefined;
+    private get bodyLimits(): BodyLimits {
+        return { maxBytes: this.limits?.maxBodyBytes ?? DEFAULT_BODY_BYTES, stallMs: this.limits?.idleTimeoutMs ?? DEFAULT_IDLE_MS };
+    }
+
+    /** Answers a request whose body was not read to its end, so that it has not run. */
+    private answerWithoutBody(kind: Exclude<BodyResultKind, BodyResultKind.Whole>, requestId: string, answer: (given: CallerAnswer) => void): void {
+        const refuse = (status: number, retryAfterMs: number | undefined): void =>
+            answer({ status, headers: this.dialect.ownAnswerHeaders(requestId, retryAfterMs), body: Buffer.alloc(0) });
+        switch (kind) {
+            case BodyResultKind.TooLarge:
+                refuse(STATUS_BODY_TOO_LARGE, undefined);
+                return;
+            case BodyResultKind.NoRoom:
+                refuse(STATUS_UNAVAILABLE, NO_ROOM_RETRY_AFTER_MS);
+                return;
+            case BodyResultKind.Stalled:
+                refuse(STATUS_REQUEST_TIMEOUT, undefined);
+                return;
+            case BodyResultKind.BrokenOff:
+                // The close event of the caller's connection settles the request.
+                return;
+            default:
+                assertNever(kind);
         }
-        return Buffer.concat(chunks);
+    }
+
+    private releaseBody(pending: Pending): void {
+        this.bodies.give(pending.bodyBytes);
+        pending.bodyBytes = 0;
     }
 
     private answer(socket: Socket, pending: Pending, request: IncomingMessage, answer: CallerAnswer): void {
@@ -190,6 +213,7 @@
             return;
         }
         pending.isAnswered = true;
+        this.releaseBody(pending);
         const { response } = pending;
         const waiting = this.pending.get(socket);
         const closes = this.isStopping && (waiting?.size ?? 0) <= 1;
@@ -197,7 +221,8 @@
         response.once("finish", done);
         response.once("close", done);
         response.sendDate = false;
-        response.shouldKeepAlive &&= !closes;
+        // What is left of a body that was not read to its end may never end.
+        response.shouldKeepAlive &&= !closes && request.complete;
         response.writeHead(answer.status, framedHeaders(request.method ?? "GET", answer).flat());
         response.end(answer.body);
     }
--- a/src/entrance/CallerServer/test.ts
+++ b/src/entrance/CallerServer/test.ts
@@ -155,3 +155,57 @@
         t.regex(collected.text, /X: y/);
     });
 });
+
+test("a body that never ends is refused at the limit, and its connection closed", async (t) => {
+    await play(t, async (server, exchanges, open) => {
+        server.setLimits({ kind: ItemKind.Limits, name: "limits", maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 });
+        const socket = await open();
+        const collected = collect(socket);
+        socket.write("POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (let sent = 0; sent < 1_000 && !socket.destroyed; sent += 1) {
+            socket.write(`8000\r\n${"x".repeat(32_768)}\r\n`);
+            await delay(1);
+        }
+        t.true(socket.destroyed);
+        t.regex(collected.text, /^HTTP\/1.1 413/);
+        t.is(exchanges.length, 0);
+    });
+});
+
+test("a body of which nothing comes for the idle time is given up, with the word that it has not run", async (t) => {
+    await play(t, async (server, exchanges, open) => {
+        server.setLimits({ kind: ItemKind.Limits, name: "limits", maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 100 });
+        const socket = await open();
+        const collected = collect(socket);
+        socket.write("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\nhalf");
+        await until(() => collected.text.includes("\r\n\r\n"));
+        t.regex(collected.text, /^HTTP\/1.1 408/);
+        t.is(exchanges.length, 0);
+    });
+});
+
+test("bodies beyond the memory for all of them are refused at once, and there is room again when the others are answered", async (t) => {
+    const megabytes = 12;
+    const post = `POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${megabytes * 1_024 * 1_024}\r\n\r\n`;
+    const body = Buffer.alloc(megabytes * 1_024 * 1_024);
+    await play(t, async (_server, exchanges, open) => {
+        for (let number = 1; number <= 2; number += 1) {
+            const socket = await open();
+            socket.write(post);
+            socket.write(body);
+            await until(() => exchanges.length === number);
+        }
+        const third = await open();
+        const collected = collect(third);
+        third.write(post);
+        third.write(body);
+        await until(() => collected.text.includes("\r\n\r\n"));
+        t.regex(collected.text, /^HTTP\/1.1 503/);
+        exchanges.forEach((exchange) => exchange.answer(answer("ok")));
+        const fourth = await open();
+        fourth.write(post);
+        fourth.write(body);
+        await until(() => exchanges.length === 3);
+        t.is(exchanges.length, 3);
+    });
+});
