Pace the news of the fleet, use a few gates of a large service, and dial missing seeds

Cause: at 235 proxies the messages grew with the square of the fleet: each control VM sent all loads (about 100 bytes a gate) to all its subscribers every 0.2 s and at each change of a grade, each record of a gate went out alone to all, each request opened a tunnel to yet another gate, and each running request was pinged every 0.4 s. Change: records and grades go out at a pace that the size of the fleet sets, loads packed into 12 bytes a gate within 4 KB/s; gates are indexed by service in an order of the entry's own (rendezvous hashing, own failure domain first), of which services with more than 24 gates are used in subsets that grow when they have no room; a tunnel is tested only once an answer is overdue. HubRole's news moved into NewsSpreader. Tests: NewsSpreader, PacedTask, newsPace, packed loads, GateIndex (up to 2,200 gates), chooseSubset, TunnelClient. Seeds without a live member are dialled again now (test in MembershipController, red before). BackendPool's "an exchange that is given up closes its connection" waited 50 ms for the close while the new tests filled the same process; it waits for the close itself now, at most 3 s, and the new tests run one after the other.

--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -209,7 +209,9 @@
         await new Promise((resolve) => setTimeout(resolve, 50));
         exchange.cancel();
         t.is((await exchange.result).kind, BackendResultKind.Broken);
-        await new Promise((resolve) => setTimeout(resolve, 50));
+        for (let waitedMs = 0; !closed && waitedMs < 3_000; waitedMs += 10) {
+            await new Promise((resolve) => setTimeout(resolve, 10));
+        }
         t.true(closed);
     });
 });
@@ -249,7 +251,7 @@
 } as const;
 
 Object.entries(ENDLESS).forEach(([name, [head, more]]) => {
-    test(`a backend server that never stops sending ${name} is cut off before it fills the memory`, async (t) => {
+    test.serial(`a backend server that never stops sending ${name} is cut off before it fills the memory`, async (t) => {
         let sentBytes = 0;
         let isClosed = false;
         await withServer(t, (socket) => {
@@ -275,7 +277,7 @@
     });
 });
 
-test("many large answers at once share one budget, and what exceeds it is broken", async (t) => {
+test.serial("many large answers at once share one budget, and what exceeds it is broken", async (t) => {
     const large = `HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: ${15 * 1_024 * 1_024}\r\n\r\n`;
     await withServer(t, (socket) => {
         socket.write(large);
--- a/src/controllers/MembershipController/index.ts
+++ b/src/controllers/MembershipController/index.ts
@@ -229,10 +229,8 @@
 
     private connectMore(): void {
         const linked = this.network.linkedVms;
-        if (linked.size === 0) {
-            this.seeds
-                .filter((seed) => seed !== this.self.linkAddress)
-                .forEach((seed) => void this.network.connect(seed));
+        if (linked.size === 0 || this.ticks % TICKS_BETWEEN_RECONNECTS === 0) {
+            this.unknownSeeds().forEach((seed) => void this.network.connect(seed));
         }
         for (const member of chooseLinkPeers(this.self, linked, this.directory.live(), this.random)) {
             void this.network.connect(member.linkAddress).then((isOpen) => {
@@ -243,6 +241,12 @@
         }
     }
 
+    /** Seeds behind which no live member is known: these may belong to another part of the fleet that started apart. */
+    private unknownSeeds(): readonly string[] {
+        const known = new Set([this.self, ...this.directory.live()].map(({ linkAddress }) => linkAddress));
+        return this.seeds.filter((seed) => !known.has(seed));
+    }
+
     /** Tries a lost member again, since it may be cut off from all who know it: both sides of a cut hold each other lost. */
     private tryLost(): void {
         const lost = this.directory.all().filter((member) => member.state !== MemberState.Left && this.directory.isLost(member.vm));
--- a/src/controllers/MembershipController/test.ts
+++ b/src/controllers/MembershipController/test.ts
@@ -124,3 +124,14 @@
     t.deepEqual(network.unlinks, ["peer-0"]);
     membership.close();
 });
+
+test.serial("a seed that was not up when others were is tried again, so that two halves of a fleet find each other", async (t) => {
+    const network = new FakeNetwork();
+    const membership = MembershipController.create(member("self"), ["b:1", "late:1"], network, EventLog.create("self", undefined), () => 0);
+    membership.receive(linkTo(member("b")), { kind: MessageKind.Members, records: [member("b")] });
+    network.linkedVms.add("b");
+    await clock.tickAsync(10_000);
+    t.true(network.connects.filter((address) => address === "late:1").length >= 2);
+    t.false(network.connects.includes("b:1"));
+    membership.close();
+});
--- a/src/decisions/fleet/FleetTable/index.ts
+++ b/src/decisions/fleet/FleetTable/index.ts
@@ -1,8 +1,10 @@
+import { gateNumber } from "../gateNumber/index.js";
 import { GateRecord } from "../GateRecord.js";
 
 /** The newest record of each proxy's gate. */
 export class FleetTable {
     private readonly records = new Map<string, GateRecord>();
+    private readonly vms = new Map<number, string>();
 
     private constructor() {}
 
@@ -26,6 +28,11 @@
         return this.records.get(vm);
     }
 
+    /** Looks up the VM behind the number of a gate. */
+    vmOf(gate: number): string | undefined {
+        return this.vms.get(gate);
+    }
+
     /**
      * Takes over the records that are newer than those held.
      *
@@ -33,7 +40,10 @@
      */
     merge(records: readonly GateRecord[]): readonly GateRecord[] {
         const news = records.filter((record) => this.isNews(record));
-        news.forEach((record) => this.records.set(record.vm, record));
+        news.forEach((record) => {
+            this.records.set(record.vm, record);
+            this.vms.set(gateNumber(record.vm), record.vm);
+        });
         return news;
     }
 
--- /dev/null
+++ b/src/decisions/placement/chooseSubset/test.ts
@@ -0,0 +1,19 @@
+import test from "ava";
+import { chooseSubset } from "./index.js";
+
+const gates = (count: number): readonly number[] => Array.from({ length: count }, (_unused, index) => index);
+
+test("a small service is used whole", (t) => {
+    t.is(chooseSubset(gates(24), () => false).length, 24);
+});
+
+test("of a large service a few gates are used, however large it is", (t) => {
+    t.is(chooseSubset(gates(80), () => true).length, 12);
+    t.is(chooseSubset(gates(2_200), () => true).length, 12);
+});
+
+test("the subset grows when its gates have no room, until some have", (t) => {
+    t.is(chooseSubset(gates(132), (gate) => gate >= 12).length, 24);
+    t.is(chooseSubset(gates(132), (gate) => gate >= 30).length, 48);
+    t.is(chooseSubset(gates(132), () => false).length, 132);
+});
--- a/src/entrance/CallerDesk/index.ts
+++ b/src/entrance/CallerDesk/index.ts
@@ -250,6 +250,7 @@
             hasBody: request.hasBody,
             remainingMs: run.deadlineAtMs - atMs,
             targetRemainingMs: run.targetAtMs - atMs,
+            usualMs: Math.round(this.view.serviceMs(run.service)),
             needsGo: false,
             callOfRepeatShare: run.callOfRepeatShare,
             ...terms,
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -1,8 +1,11 @@
 import { nowMs } from "../../clock/nowMs/index.js";
-import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { FleetTable } from "../../decisions/fleet/FleetTable/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
+import { Grade } from "../../decisions/fleet/Grade.js";
+import { unpackLoads } from "../../decisions/fleet/unpackLoads/index.js";
+import { chooseSubset } from "../../decisions/placement/chooseSubset/index.js";
+import { GateIndex } from "../../decisions/placement/GateIndex/index.js";
 import { PlacementCandidate } from "../../decisions/placement/PlacementCandidate.js";
 import { rankGates } from "../../decisions/placement/rankGates/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
@@ -18,10 +21,13 @@
 const LOAD_VALID_MS = 3_000;
 /** Service time assumed before any gate has reported, in ms. */
 const UNKNOWN_SERVICE_MS = 300;
+/** Gates of a service whose service times are averaged. */
+const SAMPLED_GATES = 24;
 
 /** What an entry knows of the gates of the fleet, and its connections to them. */
 export class FleetView {
     private readonly table = FleetTable.create();
+    private readonly index: GateIndex;
     private readonly loads = new Map<string, { readonly load: GateLoadReport; readonly atMs: number }>();
     private readonly offeredSince = new Map<string, number>();
     private readonly coldUntilMs = new Map<string, number>();
@@ -31,7 +37,9 @@
     private readonly retired = new Set<TunnelClient>();
     private timer: NodeJS.Timeout | undefined;
 
-    private constructor(private readonly setup: FleetViewSetup, private readonly events: EventLog) {}
+    private constructor(private readonly setup: FleetViewSetup, private readonly events: EventLog) {
+        this.index = GateIndex.create(setup.vm, setup.failureDomain);
+    }
 
     /**
      * Creates a view in which only the gate of the own process can be reached.
@@ -45,7 +53,12 @@
 
     /** Number of gates that serve a service. */
     countGates(service: string): number {
-        return this.serving(service).length;
+        return this.index.count(service);
+    }
+
+    /** Number of gates known. */
+    get gateCount(): number {
+        return this.table.size;
     }
 
     /** Looks up the record of a VM. */
@@ -54,9 +67,13 @@
     }
 
     /** Takes news of other proxies' gates. */
-    take(records: readonly GateRecord[], loads: readonly GateLoadReport[]): void {
-        this.table.merge(records).forEach((record) => this.index(record));
-        loads.forEach((load) => this.takeLoad(load));
+    take(records: readonly GateRecord[]): void {
+        this.table.merge(records).forEach((record) => this.note(record));
+    }
+
+    /** Takes packed loads of gates. */
+    takeLoads(packed: Uint8Array): void {
+        unpackLoads(packed, (gate) => this.table.vmOf(gate)).forEach((load) => this.takeLoad(load));
     }
 
     /** Takes the load that a gate has reported. */
@@ -67,13 +84,14 @@
 
     /** Orders the gates of a service by where a request is likely to be answered first. */
     rank(service: string, requestKind: RequestKind, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
-        const candidates = this.serving(service).map((record) => this.candidate(record, refused));
+        const gates = chooseSubset(this.index.serving(service), (record) => this.hasRoom(record, refused));
+        const candidates = gates.map((record) => this.candidate(record, refused));
         return rankGates(candidates, requestKind, this.setup.failureDomain, Math.random);
     }
 
     /** Mean time that a request occupies a slot of a service, over its gates. */
     serviceMs(service: string): number {
-        const times = this.serving(service).flatMap(({ vm }) => this.loads.get(vm)?.load.serviceMs ?? []);
+        const times = this.index.serving(service).slice(0, SAMPLED_GATES).flatMap(({ vm }) => this.loads.get(vm)?.load.serviceMs ?? []);
         return times.length === 0 ? UNKNOWN_SERVICE_MS : times.reduce((sum, time) => sum + time, 0) / times.length;
     }
 
@@ -115,8 +133,9 @@
         }, TICK_MS);
     }
 
-    private index(record: GateRecord): void {
+    private note(record: GateRecord): void {
         const { endpoint, vm, isOpen } = record;
+        this.index.put(record);
         if (endpoint !== undefined) {
             this.coldUntilMs.set(vm, nowMs() + endpoint.coldRemainingMs);
         }
@@ -128,9 +147,13 @@
         }
     }
 
-    private serving(service: string): readonly GateRecord[] {
-        return this.table.all.filter(({ isOpen, endpoint }) =>
-            isOpen && endpoint?.service === service && endpoint.phase === EndpointPhase.Ready);
+    private hasRoom({ vm }: GateRecord, refused: ReadonlySet<string>): boolean {
+        if (refused.has(vm) || this.tunnels.get(vm)?.isReachable === false) {
+            return false;
+        }
+        const load = this.freshLoad(vm);
+        return load === undefined
+            || (load.grade === Grade.Trusted && load.running + load.queued + (this.offeredSince.get(vm) ?? 0) < load.slots);
     }
 
     private candidate(record: GateRecord, refused: ReadonlySet<string>): PlacementCandidate {
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -5,7 +5,6 @@
 import { ApplyDecision } from "../decisions/configuration/ApplyDecision.js";
 import { ApplyRequest } from "../decisions/configuration/ApplyRequest.js";
 import { ManifestPart } from "../decisions/configuration/ManifestPart.js";
-import { GateLoadReport } from "../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../decisions/fleet/GateRecord.js";
 import { ItemOutcome } from "../decisions/items/ItemOutcome.js";
 import { VersionedItem } from "../decisions/items/VersionedItem.js";
@@ -68,7 +67,8 @@
     | { readonly kind: MessageKind.ControlPeers; readonly self: ControlPeer | undefined; readonly peers: readonly ControlPeer[] }
     /** The sender wants, or no longer wants, the news of the fleet and of the items from this control VM. */
     | { readonly kind: MessageKind.Subscribe; readonly wants: boolean; readonly wantsLoads: boolean }
-    | { readonly kind: MessageKind.FleetNews; readonly records: readonly GateRecord[]; readonly loads: readonly GateLoadReport[] }
+    /** `loads` as `packLoads` packs them. */
+    | { readonly kind: MessageKind.FleetNews; readonly records: readonly GateRecord[]; readonly loads: Uint8Array }
     /**
      * `isComplete` if these are all items, so that what is not among them does not exist; `position` in the log up to which
      * the sender has now sent all changes.
--- a/src/mesh/HubRole/index.ts
+++ b/src/mesh/HubRole/index.ts
@@ -1,10 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { ItemController } from "../../controllers/ItemController/index.js";
-import { FleetTable } from "../../decisions/fleet/FleetTable/index.js";
-import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
-import { GateRecord } from "../../decisions/fleet/GateRecord.js";
-import { Grade } from "../../decisions/fleet/Grade.js";
 import { ItemOutcome } from "../../decisions/items/ItemOutcome.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { chooseVoterAction } from "../../decisions/quorum/chooseVoterAction/index.js";
@@ -23,6 +19,7 @@
 import { FolderDisk } from "../../storage/FolderDisk/index.js";
 import { MeshLinks } from "../MeshLinks/index.js";
 import { MeshSettings } from "../MeshSettings.js";
+import { NewsSpreader } from "../NewsSpreader/index.js";
 
 /** Time to wait for the leader's word on a change or a read, in ms; callers turn to another VM after a second. */
 const LEADER_TIMEOUT_MS = 900;
@@ -36,25 +33,18 @@
 const LIVE_MS = 1_500;
 /** Longest time that the founder of a fleet waits for the others, in ms. */
 const FOUNDING_MS = 3_000;
-/** Time between two reports of the fleet's load to the proxies, in ms. */
-const LOADS_MS = 200;
 /** Time after a failure of the disk at which the data folder is opened again, in ms. */
 const REOPEN_MS = 700;
 
 /** A control VM: keeps the configuration items with the other control VMs, and passes the proxies' news on to all. */
 export class HubRole {
-    private readonly table = FleetTable.create();
-    /** Proxies that take the news, and whether they want the loads too. */
-    private readonly subscribers = new Map<string, boolean>();
+    private readonly news = NewsSpreader.create({
+        send: (vm, message) => void this.links?.sendTo(vm, message),
+        peers: () => this.livePeers().map(({ vm }) => vm),
+    });
+
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly startedAtMs = nowMs();
-    /** Loads that proxies have reported here, and loads that other control VMs have passed on, since the last report. */
-    private newLoads = new Map<string, GateLoadReport>();
-    private readonly latestLoads = new Map<string, GateLoadReport>();
-    private passedLoads = new Map<string, GateLoadReport>();
-    /** Latest grade of each VM's endpoint: a change is passed on at once. */
-    private readonly grades = new Map<string, Grade>();
-    private loadsTimer: NodeJS.Timeout | undefined;
     private items: ItemController | undefined;
     private links: MeshLinks | undefined;
     private hasBeenCurrent = false;
@@ -77,7 +67,7 @@
             onOpen: () => undefined,
             onMessage: (link, message) => hub.receive(link, message),
             onCall: (_link, message) => hub.answer(message),
-            onClose: (link) => void hub.subscribers.delete(link.peer.vm),
+            onClose: (link) => hub.news.unsubscribe(link.peer.vm),
         }, () => hub.ownPeer, () => hub.items?.position ?? 0, events);
         hub.timers.push(
             setInterval(() => void hub.keepVoters(), KEEP_VOTERS_MS),
@@ -90,7 +80,7 @@
     get gauges(): readonly GaugeSource[] {
         return [
             { name: "links", help: "VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
-            { name: "subscribers", help: "Proxies that take their news here", read: () => this.subscribers.size },
+            { name: "subscribers", help: "Proxies that take their news here", read: () => this.news.subscriberCount },
             { name: "items", help: "Configuration items applied", read: () => this.items?.items.length ?? 0 },
             { name: "position", help: "Position in the log of the latest change applied", read: () => this.items?.position ?? 0 },
             { name: "voters", help: "Control VMs that vote", read: () => this.items?.quorum.voters.length ?? 0 },
@@ -141,7 +131,7 @@
     stop(): Promise<void> {
         this.isClosed = true;
         this.timers.forEach((timer) => clearInterval(timer));
-        clearTimeout(this.loadsTimer);
+        this.news.close();
         this.items?.close();
         this.links?.close();
         return Promise.resolve();
@@ -221,11 +211,11 @@
                 this.items?.receive(message.from, message.message);
                 return;
             case MessageKind.FleetNews:
-                this.takeNews(link, message.records, message.loads);
+                this.news.take(message.records, message.loads, link.peer.roles.includes(Role.Proxy));
                 return;
             case MessageKind.Strike:
             case MessageKind.Acquittal:
-                this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
+                this.news.tellSubscribers(message);
                 return;
             case MessageKind.Subscribe:
                 this.subscribe(link, message.wants, message.wantsLoads);
@@ -263,55 +253,12 @@
         }
     }
 
-    private takeNews(link: LinkPort, records: readonly GateRecord[], loads: readonly GateLoadReport[]): void {
-        const news = this.table.merge(records);
-        this.takeLoads(loads, link.peer.roles.includes(Role.Proxy));
-        if (news.length > 0) {
-            const message: Message = { kind: MessageKind.FleetNews, records: news, loads: [] };
-            this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
-            if (link.peer.roles.includes(Role.Proxy)) {
-                this.livePeers().forEach(({ vm }) => this.links?.sendTo(vm, message));
-            }
-        }
-    }
-
-    private takeLoads(loads: readonly GateLoadReport[], isFromProxy: boolean): void {
-        const target = isFromProxy ? this.newLoads : this.passedLoads;
-        loads.forEach((load) => {
-            target.set(load.vm, load);
-            this.latestLoads.set(load.vm, load);
-        });
-        const isUrgent = loads.some(({ vm, grade }) => (this.grades.get(vm) ?? Grade.Trusted) !== grade);
-        loads.forEach(({ vm, grade }) => this.grades.set(vm, grade));
-        if (isUrgent) {
-            this.sendLoads();
-        }
-        else if (loads.length > 0) {
-            this.loadsTimer ??= setTimeout(() => this.sendLoads(), LOADS_MS);
-        }
-    }
-
-    /** Reports the loads to the proxies that take them from here, and the proxies' own reports to the other control VMs. */
-    private sendLoads(): void {
-        clearTimeout(this.loadsTimer);
-        this.loadsTimer = undefined;
-        const own = [...this.newLoads.values()];
-        const all = [...own, ...this.passedLoads.values()];
-        this.newLoads = new Map();
-        this.passedLoads = new Map();
-        this.subscribers.forEach((wantsLoads, vm) => wantsLoads && this.links?.sendTo(vm, { kind: MessageKind.FleetNews, records: [], loads: all }));
-        if (own.length > 0) {
-            this.livePeers().forEach(({ vm }) => this.links?.sendTo(vm, { kind: MessageKind.FleetNews, records: [], loads: own }));
-        }
-    }
-
     private subscribe(link: LinkPort, wants: boolean, wantsLoads: boolean): void {
         if (!wants) {
-            this.subscribers.delete(link.peer.vm);
+            this.news.unsubscribe(link.peer.vm);
             return;
         }
-        this.subscribers.set(link.peer.vm, wantsLoads);
-        link.send({ kind: MessageKind.FleetNews, records: this.table.all, loads: [...this.latestLoads.values()] });
+        this.news.subscribe(link.peer.vm, wantsLoads);
         if (this.hasBeenCurrent) {
             link.send(this.allItems());
         }
@@ -322,8 +269,7 @@
             return;
         }
         const position = this.items?.position ?? 0;
-        const message: Message = { kind: MessageKind.ItemNews, items: items.map(withoutDocument), isComplete: false, position };
-        this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
+        this.news.tellSubscribers({ kind: MessageKind.ItemNews, items: items.map(withoutDocument), isComplete: false, position });
     }
 
     private allItems(): Message {
@@ -335,8 +281,7 @@
         const { items } = this;
         if (!this.hasBeenCurrent && items?.quorum.isCurrent === true && items.items.length > 0) {
             this.hasBeenCurrent = true;
-            const message = this.allItems();
-            this.subscribers.forEach((_wantsLoads, vm) => this.links?.sendTo(vm, message));
+            this.news.tellSubscribers(this.allItems());
         }
     }
 
--- a/src/mesh/LoadReporter/index.ts
+++ b/src/mesh/LoadReporter/index.ts
@@ -1,9 +1,8 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { isLoadNews } from "../../decisions/fleet/isLoadNews/index.js";
+import { newsPace } from "../../decisions/fleet/newsPace/index.js";
 
-/** Time between two reports of the own load, in ms. */
-const REPORT_MS = 200;
 /** Longest time between two reports of the own load, in ms; entries use no report of 3 s or more. */
 const REFRESH_MS = 800;
 
@@ -13,7 +12,11 @@
     private reportTimer: NodeJS.Timeout | undefined;
     private reported: GateLoadReport | undefined;
 
-    private constructor(private readonly readLoad: () => GateLoadReport, private readonly send: (load: GateLoadReport) => void) {
+    private constructor(
+        private readonly readLoad: () => GateLoadReport,
+        private readonly send: (load: GateLoadReport) => void,
+        private readonly countGates: () => number,
+    ) {
         this.refreshTimer = setInterval(() => this.report(), REFRESH_MS);
     }
 
@@ -22,9 +25,10 @@
      *
      * @param readLoad - Reads the load of the gate.
      * @param send - Sends a report.
+     * @param countGates - Number of gates known in the fleet, with which the pace falls.
      */
-    static create(readLoad: () => GateLoadReport, send: (load: GateLoadReport) => void): LoadReporter {
-        return new LoadReporter(readLoad, send);
+    static create(readLoad: () => GateLoadReport, send: (load: GateLoadReport) => void, countGates: () => number): LoadReporter {
+        return new LoadReporter(readLoad, send, countGates);
     }
 
     /** Takes note that the load has changed; a change of trust is reported at once. */
@@ -41,7 +45,7 @@
             else {
                 this.watchWish();
             }
-        }, REPORT_MS);
+        }, newsPace(this.countGates()).loadsMs);
     }
 
     /** Stops the reports. */
--- a/src/mesh/LoadReporter/test.ts
+++ b/src/mesh/LoadReporter/test.ts
@@ -22,7 +22,7 @@
     const clock = install();
     let load = LOAD;
     const sent: GateLoadReport[] = [];
-    const reporter = LoadReporter.create(() => load, (report) => sent.push(report));
+    const reporter = LoadReporter.create(() => load, (report) => sent.push(report), () => 33);
     t.teardown(() => {
         reporter.close();
         clock.uninstall();
@@ -47,7 +47,7 @@
     const clock = install();
     let load = { ...LOAD, grade: Grade.Ejected };
     const sent: GateLoadReport[] = [];
-    const reporter = LoadReporter.create(() => load, (report) => sent.push(report));
+    const reporter = LoadReporter.create(() => load, (report) => sent.push(report), () => 33);
     t.teardown(() => {
         reporter.close();
         clock.uninstall();
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -5,6 +5,7 @@
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
+import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { NewsSources } from "../../decisions/fleet/NewsSources/index.js";
 import { ItemBook } from "../../decisions/items/ItemBook/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
@@ -68,7 +69,7 @@
         const { vm, links } = settings;
         this.owner.role = this;
         this.sources = NewsSources.create(vm.failureDomain, Math.random);
-        this.loads = LoadReporter.create(() => gate.load, (load) => this.sendLoad(load));
+        this.loads = LoadReporter.create(() => gate.load, (load) => this.sendLoad(load), () => view.gateCount);
         this.record = {
             vm: vm.name,
             failureDomain: vm.failureDomain,
@@ -189,7 +190,7 @@
 
     private async start(token: string, dialect: MeshDialect): Promise<void> {
         const { vm, links, proxy } = this.settings;
-        this.view.take([this.record], []);
+        this.view.take([this.record]);
         this.tunnels = await TunnelServer.create({ host: vm.ip, port: links.firstPort + 1, token, gateRun: this.gateRun, gate: this.gate });
         this.callers = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.desk.serve(exchange));
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
@@ -212,7 +213,7 @@
     }
 
     private linkOpened(link: LinkPort): void {
-        link.send({ kind: MessageKind.FleetNews, records: [this.record], loads: [this.gate.load] });
+        link.send({ kind: MessageKind.FleetNews, records: [this.record], loads: packLoads([this.gate.load]) });
         this.keepSubscriptions();
     }
 
@@ -226,7 +227,8 @@
     private receive(message: Message): void {
         switch (message.kind) {
             case MessageKind.FleetNews:
-                this.view.take(message.records.filter((record) => record.vm !== this.record.vm), message.loads);
+                this.view.take(message.records.filter((record) => record.vm !== this.record.vm));
+                this.view.takeLoads(message.loads);
                 message.records.filter((record) => record.vm === this.record.vm).forEach((record) => this.meetFormerRun(record));
                 this.hasFleet = true;
                 return;
@@ -292,8 +294,8 @@
 
     private publish(change: Partial<GateRecord>): void {
         this.record = { ...this.record, ...change, sequence: this.record.sequence + 1 };
-        this.view.take([this.record], []);
-        this.tellControl({ kind: MessageKind.FleetNews, records: [this.record], loads: [this.gate.load] });
+        this.view.take([this.record]);
+        this.tellControl({ kind: MessageKind.FleetNews, records: [this.record], loads: packLoads([this.gate.load]) });
     }
 
     private noteLoad(isUrgent: boolean): void {
@@ -304,7 +306,7 @@
     private sendLoad(load: GateLoadReport): void {
         this.view.takeLoad(load);
         if (this.loadsFrom !== undefined) {
-            this.links?.sendTo(this.loadsFrom, { kind: MessageKind.FleetNews, records: [], loads: [load] });
+            this.links?.sendTo(this.loadsFrom, { kind: MessageKind.FleetNews, records: [], loads: packLoads([load]) });
         }
     }
 
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -47,6 +47,7 @@
     hasBody: false,
     remainingMs: 3_000,
     targetRemainingMs: 1_500,
+    usualMs: 300,
     maxQueueMs: 1_000,
     needsGo: false,
     isTrial: false,
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -16,10 +16,10 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Time within which a gate says something of an offer, in ms; it decides at once. */
 const FIRST_REPLY_MS = 150;
-/** Time without any frame, with work under way, after which a connection counts as mute, in ms. */
-const SILENCE_MS = 1_000;
-/** Time between two pings while work is under way, in ms. */
+/** Time without any frame after which a connection is tested, in ms, if an answer is overdue or an offer went unanswered. */
 const PING_MS = 400;
+/** Time after a ping without any frame after which a connection counts as mute, in ms. */
+const PONG_MS = 600;
 /** Time between two attempts to reach a gate that cannot be reached, in ms. */
 const RETRY_MS = 700;
 
@@ -56,7 +56,6 @@
     private connectAtMs = Number.NEGATIVE_INFINITY;
     private heardAtMs = 0;
     private pingAtMs = 0;
-    private waitingSinceMs = 0;
     private isBroken = false;
     private isDoubted = false;
     private isClosed = false;
@@ -99,9 +98,6 @@
             hasReply: false,
             needsResume: false,
         };
-        if (!this.isWaiting) {
-            this.waitingSinceMs = nowMs();
-        }
         this.outstanding.set(offer.key, outstanding);
         if (this.gateRun === undefined) {
             this.connect();
@@ -122,21 +118,29 @@
             }
             return;
         }
-        if (this.gateRun === undefined || !this.isWaiting) {
-            this.waitingSinceMs = atMs;
+        if (this.gateRun === undefined) {
             return;
         }
         this.abandonUnanswered(atMs);
-        if (atMs - Math.max(this.heardAtMs, this.waitingSinceMs) > SILENCE_MS) {
-            this.socket.close();
-            return;
+        this.test(this.socket, atMs);
+    }
+
+    /** Tests the connection when an answer is overdue, since most answers come in time and prove it themselves. */
+    private test(socket: TunnelSocket, atMs: number): void {
+        const isPinged = this.pingAtMs > this.heardAtMs;
+        if (isPinged && atMs - this.pingAtMs > PONG_MS) {
+            socket.close();
         }
-        if (atMs - this.pingAtMs >= PING_MS) {
+        else if (!isPinged && atMs - this.heardAtMs >= PING_MS && (this.isDoubted || this.hasOverdue(atMs))) {
             this.pingAtMs = atMs;
-            this.socket.send({ kind: FrameKind.Ping });
+            socket.send({ kind: FrameKind.Ping });
         }
     }
 
+    private hasOverdue(atMs: number): boolean {
+        return [...this.outstanding.values()].some(({ offer, sentAtMs }) => atMs - sentAtMs >= Math.max(PING_MS, offer.usualMs));
+    }
+
     /** Closes the connection; offers under way are reported. */
     close(): void {
         this.isClosed = true;
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -54,6 +54,11 @@
         return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
     }
 
+    /** Connections carried so far. */
+    get count(): number {
+        return this.pairs.length;
+    }
+
     mute(): void {
         this.pairs.flat().forEach((socket) => this.muted.add(socket));
     }
@@ -98,7 +103,7 @@
     const timer = setInterval(() => client.tick(), 20);
     const replies: GateReply[] = [];
     const offer = (key: string, requestKind: RequestKind): WorkHandle =>
-        client.offer({ key, requestKind, remainingMs: 4_000 } as WorkOffer, (reply) => replies.push(reply));
+        client.offer({ key, requestKind, remainingMs: 4_000, usualMs: 500 } as WorkOffer, (reply) => replies.push(reply));
     try {
         await run({ gate, carrier, client, replies, offer });
     }
@@ -201,3 +206,28 @@
         stranger.close();
     });
 });
+
+test("a connection is tested only once an answer is overdue", async (t) => {
+    const probe = createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const { port } = probe.address() as AddressInfo;
+    probe.close();
+    await once(probe, "close");
+    const gate = new FakeGate();
+    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate });
+    const carrier = await Carrier.create(port);
+    const client = TunnelClient.create(carrier.address, TOKEN, () => undefined);
+    const timer = setInterval(() => client.tick(), 20);
+    client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 20_000, usualMs: 60_000 } as WorkOffer, () => undefined);
+    await until(() => gate.started.length > 0);
+    carrier.mute();
+    await delay(1_500);
+    t.is(carrier.count, 1);
+    client.offer({ key: "2", requestKind: RequestKind.Once, remainingMs: 20_000, usualMs: 100 } as WorkOffer, () => undefined);
+    await until(() => carrier.count === 2);
+    t.is(carrier.count, 2);
+    clearInterval(timer);
+    client.close();
+    carrier.close();
+    server.close();
+});
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -26,6 +26,8 @@
     readonly remainingMs: number;
     /** Time left within which the answer is worth its full value; may be negative. */
     readonly targetRemainingMs: number;
+    /** Time that work of this service usually takes. */
+    readonly usualMs: number;
     /** Longest expected wait for a slot with which it is let in; 0 if it wants a free slot or none. */
     readonly maxQueueMs: number;
     /** True if it may be spent on an ejected endpoint. */
