Answer callers whose requests are still read during a stop, and survive unexpected errors

(2) Work of an entry that was lost, at an endpoint that never answers, held its slot for ever. (3) One error in a callback or a rejected promise ended the process.

--- a/src/entrance/CallerServer/index.ts
+++ b/src/entrance/CallerServer/index.ts
@@ -58,12 +58,18 @@
         private readonly server: Server,
         private readonly dialect: CallerDialect,
         private readonly onRequest: (exchange: CallerExchange) => void,
+        onError: (error: Error) => void,
     ) {
         server.requestTimeout = 0;
         server.headersTimeout = DEFAULT_HEADER_MS;
         server.keepAliveTimeout = DEFAULT_IDLE_MS;
         server.on("connection", (socket: Socket) => this.accept(socket));
-        server.on("request", (request: IncomingMessage, response: ServerResponse) => void this.take(request, response));
+        server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+            this.take(request, response).catch((thrown: unknown) => {
+                onError(toError(thrown));
+                request.destroy();
+            });
+        });
     }
 
     /**
@@ -72,9 +78,15 @@
      * @param address - `host:port`.
      * @param dialect - How callers say what they want.
      * @param onRequest - Told of each request.
+     * @param onError - Told of an unexpected error, which ends the connection of its request only.
      * @throws FleetError if the address cannot be listened on.
      */
-    static async create(address: string, dialect: CallerDialect, onRequest: (exchange: CallerExchange) => void): Promise<CallerServer> {
+    static async create(
+        address: string,
+        dialect: CallerDialect,
+        onRequest: (exchange: CallerExchange) => void,
+        onError: (error: Error) => void,
+    ): Promise<CallerServer> {
         const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1_000 });
         const [host, port] = address.split(":");
         server.listen(Number(port), host);
@@ -85,7 +97,7 @@
             const cause = toError(thrown);
             throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
         }
-        return new CallerServer(server, dialect, onRequest);
+        return new CallerServer(server, dialect, onRequest, onError);
     }
 
     /** Requests that have no answer yet. */
--- a/src/entrance/CallerServer/test.ts
+++ b/src/entrance/CallerServer/test.ts
@@ -25,7 +25,8 @@
     probe.close();
     await once(probe, "close");
     const exchanges: CallerExchange[] = [];
-    const server = await CallerServer.create(`127.0.0.1:${port}`, DIALECT, (exchange) => exchanges.push(exchange));
+    const errors: Error[] = [];
+    const server = await CallerServer.create(`127.0.0.1:${port}`, DIALECT, (exchange) => exchanges.push(exchange), (error) => errors.push(error));
     const sockets: Socket[] = [];
     try {
         await run(server, exchanges, async () => {
@@ -209,3 +210,30 @@
         t.is(exchanges.length, 3);
     });
 });
+
+test("an unexpected error ends the connection of its request only", async (t) => {
+    const probe = createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const { port } = probe.address() as AddressInfo;
+    probe.close();
+    await once(probe, "close");
+    const errors: Error[] = [];
+    const server = await CallerServer.create(`127.0.0.1:${port}`, DIALECT, (exchange) => {
+        if (exchange.request.path === "/bad") {
+            throw new Error("unexpected");
+        }
+        exchange.answer(answer("ok"));
+    }, (error) => errors.push(error));
+    t.teardown(() => server.close());
+    const bad = connect(port, "127.0.0.1");
+    bad.on("error", () => undefined);
+    bad.write(get("bad"));
+    await until(() => bad.destroyed);
+    t.is(errors.length, 1);
+    const good = connect(port, "127.0.0.1");
+    const collected = collect(good);
+    good.write(get("good"));
+    await until(() => collected.text.includes("ok"));
+    t.regex(collected.text, /200 OK/);
+    good.destroy();
+});
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -49,6 +49,7 @@
     ItemsUndecided = 333,
     CallFailed = 105,
     LinesDropped = 106,
+    UnexpectedError = 107,
     StorageReopened = 316,
     EndpointReported = 403,
     ReportRefused = 404,
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -179,7 +179,7 @@
         await delay(LISTEN_ON_MS);
         this.desk.refuseAll();
         this.callers?.stopListening();
-        while (nowMs() < endAtMs && (this.desk.openCount > 0 || this.gate.workCount > 0)) {
+        while (nowMs() < endAtMs && this.hasWork) {
             await delay(STOP_POLL_MS);
         }
         this.events.record(EventNumber.DaemonStopped, { callers: this.desk.openCount, work: this.gate.workCount });
@@ -188,11 +188,18 @@
         this.close();
     }
 
+    /** True while callers wait for answers, also for those to requests that are still being read, or the endpoint works. */
+    private get hasWork(): boolean {
+        return (this.callers?.openCount ?? 0) > 0 || this.desk.openCount > 0 || this.gate.workCount > 0;
+    }
+
     private async start(token: string, dialect: MeshDialect): Promise<void> {
         const { vm, links, proxy } = this.settings;
         this.view.take([this.record]);
         this.tunnels = await TunnelServer.create({ host: vm.ip, port: links.firstPort + 1, token, gateRun: this.gateRun, gate: this.gate });
-        this.callers = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.desk.serve(exchange));
+        this.callers = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.desk.serve(exchange), (error) => {
+            this.events.record(EventNumber.UnexpectedError, { problem: error.message, stack: error.stack, isLast: false });
+        });
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.linkOpened(link),
             onMessage: (_link, message) => this.receive(message),
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -51,6 +51,8 @@
 const IDLE_MS = 500;
 /** Time kept back from the deadline that an endpoint is given, for the way back, in ms. */
 const RETURN_MS = 10;
+/** Time after its deadline at which work is broken off whose entry has not done so, in ms. */
+const ABANDON_MS = 500;
 
 /** Handle of an offer that was refused at once. */
 const ENDED: WorkHandle = { cancel: () => undefined, go: () => undefined };
@@ -368,6 +370,9 @@
         this.queue.takeOverdue(atMs).forEach(({ key }) => this.refuse(key, RefusalCause.Busy, Math.round(this.queue.serviceMs), false));
         const hungAfterMs = Math.max(MIN_HANG_MS, HANG_FACTOR * this.queue.serviceMs);
         this.work.forEach((running) => {
+            if (running.startedAtMs > 0 && atMs > running.deadlineAtMs + ABANDON_MS) {
+                running.exchange?.cancel();
+            }
             if (!running.isHung && running.startedAtMs > 0 && atMs - running.startedAtMs > hungAfterMs) {
                 running.isHung = true;
                 this.test.observe(ObservedOutcome.Failure, atMs);
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -282,3 +282,13 @@
         t.is(gate.load.running, 0);
     });
 });
+
+test("a slot is free again some time after the deadline of work whose entry is lost and whose endpoint never answers", async (t) => {
+    await play(t, () => undefined, async ({ gate, offer }) => {
+        const { replies } = offer("1", { remainingMs: 200, requestKind: RequestKind.Once });
+        await until(() => gate.load.running === 0 && replies.length === 2);
+        t.is(gate.load.running, 0);
+        t.is(gate.workCount, 0);
+        t.is(replies.at(-1)?.kind, GateReplyKind.Broken);
+    });
+});
