Weigh outcomes by their start, place unrepeatable work where evidence is fresh, and wake up less

OutcomeTest took the successes of requests that had begun before the failure for proof: the work that a gray endpoint had under way cleared it again at once, and it took the next ones. (2) Work that must not be repeated was spread over all endpoints, so that each one that turned gray took its first request from it. Change: a success counts only from requests that began after the latest failure; work that must not be repeated goes to endpoints at work up to three fifths of their slots, and to idle ones after a second; timers fire at common moments, the gate's every 100 ms, and log lines are gathered for 100 ms. Test: a played service of 60 endpoints that turn gray by turns: 99 requests that must not be repeated failed by the rule before, 64 with the first change, 52 with both; none refused, no endpoint idle for more than 1.41 s. Changed check: "a slow endpoint that has had no work for a time gets some" asks both kinds now, since unrepeatable work waits for the starved mark. BackendPool's "an exchange that is given up" cancelled after 50 ms, on a loaded machine before its connection was open; it waits for the request's arrival.

--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -200,13 +200,18 @@
 
 test("an exchange that is given up closes its connection", async (t) => {
     let closed = false;
+    let arrived: () => void = () => undefined;
+    const arrival = new Promise<void>((resolve) => {
+        arrived = resolve;
+    });
     await withServer(t, (socket) => {
         socket.on("close", () => {
             closed = true;
         });
+        arrived();
     }, async (pool) => {
         const exchange = pool.send(call("1"), true);
-        await new Promise((resolve) => setTimeout(resolve, 50));
+        await arrival;
         exchange.cancel();
         t.is((await exchange.result).kind, BackendResultKind.Broken);
         for (let waitedMs = 0; !closed && waitedMs < 3_000; waitedMs += 10) {
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -4,6 +4,9 @@
 import { EndpointPhase } from "../../fleet/EndpointPhase.js";
 import { GateLoadReport } from "../../fleet/GateLoadReport.js";
 import { Grade } from "../../fleet/Grade.js";
+import { isBarredBy } from "../../serving/isBarredBy/index.js";
+import { ObservedOutcome } from "../../suspicion/ObservedOutcome.js";
+import { OutcomeTest } from "../../suspicion/OutcomeTest/index.js";
 import { TrialWish } from "../../suspicion/TrialWish.js";
 import { PlacementCandidate } from "../PlacementCandidate.js";
 import { rankGates } from "./index.js";
@@ -60,9 +63,14 @@
     t.is(first(candidates, RequestKind.Repeatable), "trusted");
 });
 
-test("a slow endpoint that has had no work for a time gets some", (t) => {
-    t.is(first([candidate("fast", { running: 3 }), candidate("slow", { serviceMs: 900, isIdle: true })]), "slow");
-    t.is(first([candidate("fast", {}), candidate("slow", { serviceMs: 900, isIdle: true }, { offeredSince: 1 })]), "fast");
+test("a slow endpoint that has had no work for a time gets some that may be repeated, and after a longer time any", (t) => {
+    const idle = { serviceMs: 900, isIdle: true };
+    t.is(first([candidate("fast", { running: 3 }), candidate("slow", idle)], RequestKind.Repeatable), "slow");
+    t.is(first([candidate("fast", {}), candidate("slow", idle, { offeredSince: 1 })], RequestKind.Repeatable), "fast");
+    t.is(first([candidate("fast", { running: 2 }), candidate("slow", idle)]), "fast");
+    const starved = { ...idle, trialWish: TrialWish.Any };
+    t.is(first([candidate("fast", { running: 3 }), candidate("slow", starved)]), "slow");
+    t.is(first([candidate("fast", {}), candidate("slow", starved, { offeredSince: 1 })]), "fast");
 });
 
 test("of endpoints that are alike, those that turn more away come later, and where all do none is left out", (t) => {
@@ -98,3 +106,117 @@
     t.is(first([candidate("a-1", {}), near], RequestKind.Download), "z-1");
     t.is(first([candidate("a-1", {}), candidate("z-1", { running: 5, queued: 20 })], RequestKind.Download), "a-1");
 });
+
+test("work that must not be repeated goes to endpoints at work, as long as they have slots to spare; other work spreads", (t) => {
+    const candidates = [candidate("idle", {}), candidate("busy", { running: 2 }), candidate("nearly-full", { running: 4 })];
+    t.is(first(candidates), "busy");
+    t.is(first(candidates, RequestKind.Repeatable), "idle");
+});
+
+interface ModelGate {
+    readonly vm: string;
+    readonly test: OutcomeTest;
+    grayUntilMs: number;
+    running: { readonly startedAtMs: number; readonly endsAtMs: number }[];
+    report: GateLoadReport;
+}
+
+interface ModelRules {
+    /** Kind by whose rule requests are ranked that must not be repeated. */
+    readonly rankedAs: RequestKind;
+    /** False if also the successes of requests that began before a failure count. */
+    readonly weighsStarts: boolean;
+}
+
+interface ModelResult {
+    readonly failed: number;
+    readonly refused: number;
+    readonly served: number;
+    readonly longestIdleS: number;
+}
+
+const MODEL_SLOTS = 8;
+const MODEL_SUBSET = 12;
+const STEP_MS = 10;
+
+/**
+ * Plays a service of 60 endpoints at two fifths of its slots for a minute: two of three requests must not be repeated and
+ * take 1 s, the others 0.25 s. At each endpoint, every 30 s on average, three seconds begin in which it fails 85% at once.
+ * Entries place by reports that are up to 0.4 s old.
+ */
+function playGrayService({ rankedAs, weighsStarts }: ModelRules): ModelResult {
+    const random = createRandom(7);
+    const gates = Array.from({ length: 60 }, (_unused, number): ModelGate => {
+        const vm = `${number}`;
+        const report = candidate(vm, { slots: MODEL_SLOTS, serviceMs: 800 }).load!;
+        return { vm, test: OutcomeTest.create(), grayUntilMs: 0, running: [], report };
+    });
+    const entries = gates.map(() => gates.map((gate) => ({ gate, order: random() }))
+        .sort((left, right) => left.order - right.order).slice(0, MODEL_SUBSET).map(({ gate }) => gate));
+    const lastWorkMs = new Map<string, number>();
+    const result = { failed: 0, refused: 0, served: 0, longestIdleS: 0 };
+    const place = (kind: RequestKind, nowMs: number): void => {
+        const known = entries[Math.floor(random() * entries.length)] ?? [];
+        const ranked = rankGates(
+            known.map((gate) => candidate(gate.vm, gate.report)),
+            kind === RequestKind.Once ? rankedAs : kind,
+            "z",
+            random,
+        ).map(({ record }) => gates[Number(record.vm)]!);
+        const gate = ranked.slice(0, 6).find(({ test: outcomes, running }) =>
+            running.length < MODEL_SLOTS && !isBarredBy(outcomes.grade(nowMs), { requestKind: kind }));
+        if (gate === undefined) {
+            result.refused += 1;
+            return;
+        }
+        lastWorkMs.set(gate.vm, nowMs);
+        const isFailed = nowMs < gate.grayUntilMs && random() < 0.85;
+        if (isFailed) {
+            gate.test.observe(ObservedOutcome.Failure, nowMs, nowMs);
+            result.failed += kind === RequestKind.Once ? 1 : 0;
+            return;
+        }
+        result.served += 1;
+        gate.running.push({ startedAtMs: nowMs, endsAtMs: nowMs + (kind === RequestKind.Once ? 1_000 : 250) });
+    };
+    for (let nowMs = 0; nowMs < 60_000; nowMs += STEP_MS) {
+        gates.forEach((gate) => {
+            gate.running.filter(({ endsAtMs }) => endsAtMs <= nowMs)
+                .forEach(({ startedAtMs }) => gate.test.observe(ObservedOutcome.Success, nowMs, weighsStarts ? startedAtMs : nowMs));
+            gate.running = gate.running.filter(({ endsAtMs }) => endsAtMs > nowMs);
+            if (nowMs >= gate.grayUntilMs && random() < STEP_MS / 30_000) {
+                gate.grayUntilMs = nowMs + 3_000;
+            }
+            const idleS = (nowMs - (lastWorkMs.get(gate.vm) ?? 0)) / 1_000;
+            if (gate.test.grade(nowMs) !== Grade.Trusted) {
+                lastWorkMs.set(gate.vm, nowMs);
+            }
+            else if (nowMs > 5_000) {
+                result.longestIdleS = Math.max(result.longestIdleS, idleS);
+            }
+            if (nowMs % 400 === Number(gate.vm) % 40 * STEP_MS) {
+                const trialWish = idleS > 1 ? TrialWish.Any : TrialWish.None;
+                gate.report = { ...gate.report, running: gate.running.length, grade: gate.test.grade(nowMs), isIdle: idleS > 0.5, trialWish };
+            }
+        });
+        for (let request = 0; request < 2; request += 1) {
+            if (random() < 0.8) {
+                place(RequestKind.Once, nowMs);
+            }
+        }
+        if (random() < 0.8) {
+            place(RequestKind.Repeatable, nowMs);
+        }
+    }
+    return result;
+}
+
+test("of a service whose endpoints turn gray by turns, fewer requests that must not be repeated fail than if they were spread", (t) => {
+    const spread = playGrayService({ rankedAs: RequestKind.Repeatable, weighsStarts: false });
+    const packed = playGrayService({ rankedAs: RequestKind.Once, weighsStarts: true });
+    t.log({ spread, packed, onlyStarts: playGrayService({ rankedAs: RequestKind.Repeatable, weighsStarts: true }) });
+    t.true(packed.failed < 0.8 * spread.failed);
+    t.true(packed.refused <= spread.refused);
+    t.true(packed.served >= spread.served);
+    t.true(packed.longestIdleS <= 2, "the floor: a sound endpoint gets work within 2 s");
+});
--- a/src/decisions/suspicion/OutcomeTest/index.ts
+++ b/src/decisions/suspicion/OutcomeTest/index.ts
@@ -23,6 +23,7 @@
 export class OutcomeTest {
     private score = 0;
     private changedAtMs = 0;
+    private failedAtMs = Number.NEGATIVE_INFINITY;
 
     private constructor() {}
 
@@ -31,8 +32,21 @@
         return new OutcomeTest();
     }
 
-    /** Takes the outcome of a request. */
-    observe(outcome: ObservedOutcome, nowMs: number): void {
+    /**
+     * Takes the outcome of a request. The success of one that began before the latest failure is no evidence: it was under
+     * way when the endpoint still worked, and an endpoint that begins to fail ends what it runs.
+     *
+     * @param outcome - The outcome.
+     * @param nowMs - Current time.
+     * @param startedAtMs - Time at which the request was handed to the endpoint.
+     */
+    observe(outcome: ObservedOutcome, nowMs: number, startedAtMs: number): void {
+        if (outcome === ObservedOutcome.Success && startedAtMs < this.failedAtMs) {
+            return;
+        }
+        if (outcome === ObservedOutcome.Failure) {
+            this.failedAtMs = nowMs;
+        }
         const score = this.scoreAt(nowMs);
         const weight = outcome === ObservedOutcome.Failure ? FAILURE_WEIGHT : SUCCESS_WEIGHT;
         this.score = Math.min(MAX_SCORE, Math.max(0, score + weight));
--- a/src/decisions/suspicion/TrialPace/index.ts
+++ b/src/decisions/suspicion/TrialPace/index.ts
@@ -5,6 +5,8 @@
 const EJECTED_INTERVAL_MS = 800;
 /** Requests that run at a doubted endpoint while it is tried with more. */
 const DOUBTED_RUNNING = 2;
+/** The same for an endpoint that is trusted, in ms: other work than that which may be repeated is kept from it until then. */
+const TRUSTED_STARVED_MS = 1_000;
 /** Time without work after which any work is a trial, in ms: within the 2 s in which a sound endpoint must get work. */
 const STARVED_MS = 1_300;
 
@@ -38,11 +40,11 @@
         return nowMs - this.workAtMs >= durationMs;
     }
 
-    /** Tells which work the endpoint should be tried with. */
+    /** Tells which work the endpoint should be tried with; a trusted one asks for any when it has been without for too long. */
     wish(grade: Grade, running: number, nowMs: number): TrialWish {
         switch (grade) {
             case Grade.Trusted:
-                return TrialWish.None;
+                return running === 0 && this.hasIdledFor(TRUSTED_STARVED_MS, nowMs) ? TrialWish.Any : TrialWish.None;
             case Grade.Doubted:
                 return this.starvedOr(running < DOUBTED_RUNNING, nowMs);
             case Grade.Ejected:
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -1,3 +1,4 @@
+import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { FleetTable } from "../../decisions/fleet/FleetTable/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
@@ -130,7 +131,7 @@
             if (tunnels.some((tunnel) => tunnel.isWaiting)) {
                 this.armTick();
             }
-        }, TICK_MS);
+        }, alignedDelayMs(nowMs(), TICK_MS));
     }
 
     private note(record: GateRecord): void {
--- a/src/logs/LineWriter/index.ts
+++ b/src/logs/LineWriter/index.ts
@@ -1,3 +1,6 @@
+import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
+import { nowMs } from "../../clock/nowMs/index.js";
+
 /** Bytes of lines that wait for their reader at most; a few seconds of a busy process. */
 const MAX_WAITING_BYTES = 1_024 * 1_024;
 
@@ -19,16 +22,23 @@
     private dropped = 0;
     private isWriting = false;
 
-    private constructor(private readonly write: Write, private readonly describeDropped: (count: number) => string) {}
+    private isGathering = false;
+
+    private constructor(
+        private readonly write: Write,
+        private readonly describeDropped: (count: number) => string,
+        private readonly gatherMs: number,
+    ) {}
 
     /**
      * Creates a writer.
      *
      * @param write - Writes bytes; called again only when it has called back.
      * @param describeDropped - Line that says how many lines were dropped.
+     * @param gatherMs - Time for which lines are gathered, as each write costs a wake-up; 0 writes at once.
      */
-    static create(write: Write, describeDropped: (count: number) => string): LineWriter {
-        return new LineWriter(write, describeDropped);
+    static create(write: Write, describeDropped: (count: number) => string, gatherMs = 0): LineWriter {
+        return new LineWriter(write, describeDropped, gatherMs);
     }
 
     /** Takes a line without its end. */
@@ -44,7 +54,16 @@
             this.push(this.describeDropped(count));
         }
         this.push(line);
-        this.flush();
+        if (this.gatherMs === 0) {
+            this.flush();
+        }
+        else if (!this.isGathering) {
+            this.isGathering = true;
+            setTimeout(() => {
+                this.isGathering = false;
+                this.flush();
+            }, alignedDelayMs(nowMs(), this.gatherMs));
+        }
     }
 
     private push(line: string): void {
--- a/src/logs/LineWriter/test.ts
+++ b/src/logs/LineWriter/test.ts
@@ -65,3 +65,16 @@
     writer.add("b");
     t.deepEqual(written, ["a\n", "b\n"]);
 });
+
+test.serial("lines that come closely after each other are written together when they are gathered", (t) => {
+    const clock = install();
+    t.teardown(() => clock.uninstall());
+    const written: string[] = [];
+    const writer = LineWriter.create((data) => written.push(data.toString()), String, 100);
+    writer.add("a");
+    clock.tick(50);
+    writer.add("b");
+    t.deepEqual(written, []);
+    clock.tick(60);
+    t.deepEqual(written, ["a\nb\n"]);
+});
--- a/src/mesh/LoadReporter/index.ts
+++ b/src/mesh/LoadReporter/index.ts
@@ -2,6 +2,7 @@
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { isLoadNews } from "../../decisions/fleet/isLoadNews/index.js";
 import { newsPace } from "../../decisions/fleet/newsPace/index.js";
+import { TrialWish } from "../../decisions/suspicion/TrialWish.js";
 
 /** Longest time between two reports of the own load, in ms; entries use no report of 3 s or more. */
 const REFRESH_MS = 800;
@@ -60,9 +61,10 @@
         this.watchWish();
     }
 
-    /** An endpoint that is not trusted wants its next trial after a time, whether or not anything happens at the gate. */
+    /** An endpoint that is not trusted, or idle, wants work after a time, whether or not anything happens at the gate. */
     private watchWish(): void {
-        if (this.readLoad().grade !== Grade.Trusted) {
+        const { grade, isIdle, trialWish } = this.readLoad();
+        if (grade !== Grade.Trusted || (isIdle && trialWish === TrialWish.None)) {
             this.note(false);
         }
     }
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -1,3 +1,4 @@
+import { everyAligned } from "../../clock/everyAligned/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { ControlPeer } from "../../links/ControlPeer.js";
 import { LinkController } from "../../links/LinkController/index.js";
@@ -12,14 +13,14 @@
 import { ControlAddresses } from "../ControlAddresses/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
-const DIAL_MS = 250;
+const DIAL_MS = 200;
 const TELL_PEERS_MS = 2_000;
 /** Times at which nothing new is told of the control VMs, before it is told again all the same. */
 const MAX_UNTOLD = 5;
 
 /** Links of a process to the control VMs: dials all that it knows of, and passes on what it has heard of others. */
 export class MeshLinks {
-    private readonly timers: NodeJS.Timeout[] = [];
+    private readonly stops: (() => void)[] = [];
     private readonly heardAtMs = new Map<string, number>();
     private readonly positions = new Map<string, number>();
     private readonly failureDomains = new Map<string, string>();
@@ -33,7 +34,7 @@
         readonly known: ControlAddresses,
         private readonly ownPeer: () => ControlPeer | undefined,
     ) {
-        this.timers.push(setInterval(() => this.dial(), DIAL_MS), setInterval(() => this.tellPeers(), TELL_PEERS_MS));
+        this.stops.push(everyAligned(DIAL_MS, () => this.dial()), everyAligned(TELL_PEERS_MS, () => this.tellPeers()));
     }
 
     /**
@@ -121,7 +122,7 @@
 
     /** Closes all links. */
     close(): void {
-        this.timers.forEach((timer) => clearInterval(timer));
+        this.stops.forEach((stop) => stop());
         void this.links.close();
     }
 
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { setTimeout as delay } from "node:timers/promises";
+import { everyAligned } from "../../clock/everyAligned/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointLife } from "../../decisions/fleet/EndpointLife/index.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
@@ -48,7 +49,7 @@
     private readonly book = ItemBook.create();
     private readonly sources: NewsSources;
     private readonly loads: LoadReporter;
-    private readonly timers: NodeJS.Timeout[] = [];
+    private readonly stops: (() => void)[] = [];
     private record: GateRecord;
     private hasItems = false;
     private hasFleet = false;
@@ -206,11 +207,11 @@
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.linkClosed(link),
         }, () => undefined, () => 0, this.events);
-        this.timers.push(setInterval(() => this.keepSubscriptions(), SUBSCRIBE_MS));
+        this.stops.push(everyAligned(SUBSCRIBE_MS, () => this.keepSubscriptions()));
     }
 
     private close(): void {
-        this.timers.forEach((timer) => clearInterval(timer));
+        this.stops.forEach((stop) => stop());
         this.loads.close();
         this.callers?.close();
         this.tunnels?.close();
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -2,6 +2,7 @@
 import { BackendPool } from "../../backend/BackendPool/index.js";
 import { BackendResult } from "../../backend/BackendResult.js";
 import { BackendResultKind } from "../../backend/BackendResultKind.js";
+import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
@@ -28,7 +29,7 @@
 import { ServingGateSetup } from "../ServingGateSetup.js";
 
 /** Time between two looks at the work, in ms; nothing is looked at while there is none. */
-const TICK_MS = 50;
+const TICK_MS = 100;
 /** Time between two looks at idle connections, in ms. */
 const TIDY_MS = 2_000;
 /** Statuses from which on an answer is a failure of the endpoint. */
@@ -299,10 +300,10 @@
     private judge({ offer, startedAtMs }: Running, result: BackendResult, atMs: number): GateReply {
         switch (result.kind) {
             case BackendResultKind.NotConnected:
-                this.test.observe(ObservedOutcome.Failure, atMs);
+                this.test.observe(ObservedOutcome.Failure, atMs, startedAtMs);
                 return this.refusal(RefusalCause.Unreachable, 0, false);
             case BackendResultKind.Broken:
-                this.test.observe(ObservedOutcome.Failure, atMs);
+                this.test.observe(ObservedOutcome.Failure, atMs, startedAtMs);
                 this.setup.events.record(EventNumber.BackendBroken, {
                     requestId: offer.requestId,
                     problem: result.problem,
@@ -326,13 +327,13 @@
     /** A failure is no evidence against the endpoint if calls that began on this VM have failed while it ran. */
     private observeStatus(status: number, startedAtMs: number, atMs: number): void {
         if (status < FAILED_STATUS) {
-            this.test.observe(ObservedOutcome.Success, atMs);
+            this.test.observe(ObservedOutcome.Success, atMs, startedAtMs);
         }
         else if (status === STATUS_DEADLINE && atMs - startedAtMs < AMPLE_FACTOR * this.queue.serviceMs) {
             return;
         }
         else if (!this.setup.hasFailedCallSince(startedAtMs)) {
-            this.test.observe(ObservedOutcome.Failure, atMs);
+            this.test.observe(ObservedOutcome.Failure, atMs, startedAtMs);
         }
     }
 
@@ -375,7 +376,7 @@
             }
             if (!running.isHung && running.startedAtMs > 0 && atMs - running.startedAtMs > hungAfterMs) {
                 running.isHung = true;
-                this.test.observe(ObservedOutcome.Failure, atMs);
+                this.test.observe(ObservedOutcome.Failure, atMs, running.startedAtMs);
                 this.noteGrade(atMs);
             }
         });
@@ -400,7 +401,7 @@
             if (this.work.size > 0) {
                 this.armTick();
             }
-        }, TICK_MS);
+        }, alignedDelayMs(nowMs(), TICK_MS));
     }
 
     private startNext(): void {
