Load less at a start, and try gates that cannot be reached less often

The bundle was 800 kB, of which zod's namespace object, consola and @opentelemetry were 289, 85 and 43 kB, and the program uses half of the first and nothing of the others. Change: zod is imported as a namespace, so that the bundler drops what is not used; two libraries are left out of the bundle (520 kB now); attempts to reach a gate double up to 4 s and begin anew when there are news of it; services with more than 18 gates are used in subsets. Test: TunnelClient, "tried less and less often".

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -8,6 +8,15 @@
     },
 };
 
+/** What libraries load without the platform's program having a use for it: each start would read and compile it. */
+const unused = {
+    name: "unused",
+    setup(builder) {
+        builder.onLoad({ filter: /node_modules[\\/]@opentelemetry[\\/]api[\\/]/ }, () => ({ contents: "module.exports = {};" }));
+        builder.onLoad({ filter: /node_modules[\\/]consola[\\/]/ }, () => ({ contents: "export const createConsola = undefined, LogLevels = {};" }));
+    },
+};
+
 const result = await build({
     entryPoints: ["platform/main.ts"],
     outfile: "target/gypsumpulley.cjs",
@@ -17,7 +26,7 @@
     format: "cjs",
     minifySyntax: true,
     minifyWhitespace: true,
-    plugins: [englishOnly],
+    plugins: [englishOnly, unused],
     logLevel: "warning",
     metafile: true,
 });
--- a/src/checks/describeIssues/index.ts
+++ b/src/checks/describeIssues/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * Renders the issues of a failed check, one line each: field path, what was found, what is allowed.
--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from "node:fs";
 import { basename } from "node:path";
 import { Command, Option } from "commander";
-import { z } from "zod";
+import * as z from "zod";
 import { ApplyDecision } from "../../decisions/configuration/ApplyDecision.js";
 import { ApplyDecisionKind } from "../../decisions/configuration/ApplyDecisionKind.js";
 import { manifestSchema } from "../../decisions/configuration/manifestSchema.js";
--- a/src/decisions/configuration/Manifest.ts
+++ b/src/decisions/configuration/Manifest.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { manifestSchema } from "./manifestSchema.js";
 
 /** A checked manifest with all defaults filled in. */
--- a/src/decisions/configuration/manifestSchema.ts
+++ b/src/decisions/configuration/manifestSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { DetectionWeighting } from "../../model/DetectionWeighting.js";
 import { IdempotencyKeyPolicy } from "../../model/IdempotencyKeyPolicy.js";
 import { ServiceClass } from "../../model/ServiceClass.js";
--- a/src/decisions/placement/chooseSubset/index.ts
+++ b/src/decisions/placement/chooseSubset/index.ts
@@ -1,5 +1,5 @@
 /** Services with no more gates are used whole: their load evens out best over all of them. */
-const WHOLE_GATES = 24;
+const WHOLE_GATES = 18;
 /** Gates of a larger service that an entry uses as long as they serve. */
 const SUBSET_GATES = 12;
 /** Gates with room that a subset has to have; with fewer, many entries would turn to the same gate. */
--- a/src/decisions/placement/chooseSubset/test.ts
+++ b/src/decisions/placement/chooseSubset/test.ts
@@ -4,7 +4,7 @@
 const gates = (count: number): readonly number[] => Array.from({ length: count }, (_unused, index) => index);
 
 test("a small service is used whole", (t) => {
-    t.is(chooseSubset(gates(24), () => false).length, 24);
+    t.is(chooseSubset(gates(18), () => false).length, 18);
 });
 
 test("of a large service a few gates are used, however large it is", (t) => {
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -141,6 +141,7 @@
             this.coldUntilMs.set(vm, nowMs() + endpoint.coldRemainingMs);
         }
         const tunnel = this.tunnels.get(vm);
+        tunnel?.retrySoon();
         if (!isOpen && tunnel !== undefined) {
             this.tunnels.delete(vm);
             this.retired.add(tunnel);
--- a/src/gate/Announcement.ts
+++ b/src/gate/Announcement.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { announcementSchema } from "./announcementSchema.js";
 
 /** A checked announcement of a backend server. */
--- a/src/gate/announcementSchema.ts
+++ b/src/gate/announcementSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { EndpointState } from "../model/EndpointState.js";
 
 const positive = z.number().int().positive();
--- a/src/mesh/meshSettingsSchema.ts
+++ b/src/mesh/meshSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { parseDuration } from "../settings/parseDuration/index.js";
 
 const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, "host:port");
--- a/src/operators/applyBodySchema.ts
+++ b/src/operators/applyBodySchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of the body of an apply request over the operators' interface. */
 export const applyBodySchema = z.strictObject({
--- a/src/settings/Settings.ts
+++ b/src/settings/Settings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { settingsSchema } from "./settingsSchema.js";
 
 /** Checked settings of a daemon, with defaults filled in. */
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { LogFormat } from "../logs/LogFormat.js";
 import { Role } from "../model/Role.js";
 
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -20,8 +20,10 @@
 const PING_MS = 400;
 /** Time after a ping without any frame after which a connection counts as mute, in ms. */
 const PONG_MS = 600;
-/** Time between two attempts to reach a gate that cannot be reached, in ms. */
+/** Time until a gate that cannot be reached is tried again, in ms; doubled with each attempt that fails. */
 const RETRY_MS = 700;
+/** Longest time until it is tried again, in ms. */
+const MAX_RETRY_MS = 4_000;
 
 const UNREACHABLE: GateReply = {
     kind: GateReplyKind.Refused,
@@ -54,6 +56,7 @@
     private socket: TunnelSocket | undefined;
     private gateRun: string | undefined;
     private connectAtMs = Number.NEGATIVE_INFINITY;
+    private failures = 0;
     private heardAtMs = 0;
     private pingAtMs = 0;
     private isBroken = false;
@@ -113,7 +116,7 @@
         const atMs = nowMs();
         this.dropOverdue(atMs);
         if (this.socket === undefined) {
-            if ((this.outstanding.size > 0 || this.isBroken) && atMs - this.connectAtMs >= RETRY_MS) {
+            if ((this.outstanding.size > 0 || this.isBroken) && atMs - this.connectAtMs >= this.retryMs) {
                 this.connect();
             }
             return;
@@ -141,6 +144,11 @@
         return [...this.outstanding.values()].some(({ offer, sentAtMs }) => atMs - sentAtMs >= Math.max(PING_MS, offer.usualMs));
     }
 
+    /** Has a gate of which there are news tried without further delay, if it could not be reached. */
+    retrySoon(): void {
+        this.failures = 0;
+    }
+
     /** Closes the connection; offers under way are reported. */
     close(): void {
         this.isClosed = true;
@@ -148,6 +156,10 @@
         this.lose("the tunnel was closed");
     }
 
+    private get retryMs(): number {
+        return Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** Math.max(0, this.failures - 1));
+    }
+
     private cancel(key: string): void {
         if (this.outstanding.delete(key)) {
             this.socket?.send({ kind: FrameKind.Cancel, key });
@@ -184,6 +196,7 @@
 
     private welcome(gateRun: string): void {
         this.gateRun = gateRun;
+        this.failures = 0;
         this.setBroken(false, "");
         this.outstanding.forEach((outstanding) => this.transmit(outstanding));
     }
@@ -226,6 +239,7 @@
         this.socket = undefined;
         this.gateRun = undefined;
         if (!wasOpen) {
+            this.failures += 1;
             this.setBroken(true, problem);
         }
         this.lose(problem);
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -231,3 +231,24 @@
     carrier.close();
     server.close();
 });
+
+test.serial("a gate that cannot be reached is tried less and less often, and again soon when there are news of it", async (t) => {
+    const server = createServer((socket) => socket.destroy()).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    let attempts = 0;
+    server.on("connection", () => {
+        attempts += 1;
+    });
+    const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, () => undefined);
+    const timer = setInterval(() => client.tick(), 20);
+    client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 1_000, usualMs: 100 } as WorkOffer, () => undefined);
+    await delay(4_000);
+    t.true(attempts >= 2 && attempts <= 4, `${attempts} attempts in 4 s`);
+    const before = attempts;
+    client.retrySoon();
+    await delay(1_000);
+    t.is(attempts, before + 1);
+    clearInterval(timer);
+    client.close();
+    server.close();
+});
