--- a/bench/LocalFleet/index.ts
+++ b/bench/LocalFleet/index.ts
@@ -201,7 +201,8 @@
         }
     }
 
-    private outputs(): string {
+    /** Latest output of all processes. */
+    outputs(): string {
         return [...this.controls.map((control) => control.process), ...this.nodes.flatMap((node) => [node.proxy, node.standIn])]
             .map((process) => process.output)
             .join("\n")
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -225,6 +225,9 @@
     t.is(lostBySend.reduce((sum, lost) => sum + lost, 0), 2, `lost by each send: ${lostBySend.join(", ")}`);
     for (const entry of fleet.nodes) {
         const again = await timeRequest({ ...crash, address: entry.callerAddress });
+        if (again.headers[HeaderName.Outcome] !== "not-run") {
+            t.log(`lost by each send: ${lostBySend.join(", ")}; answer of ${entry.name}`, again.headers, fleet.outputs());
+        }
         t.is(again.headers[HeaderName.Outcome], "not-run");
         t.is(again.headers[HeaderName.Reason], "quarantined");
     }
