--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -21,8 +21,10 @@
 const EJECTED_WAIT_MS = 100_000;
 /** Wait that a gate of another failure domain is charged, in ms: about what the way there and back takes. */
 const OTHER_DOMAIN_WAIT_MS = 20;
-/** The same for large answers, in ms: bandwidth between failure domains is dear, and a free slot nearby is worth a wait. */
-const OTHER_DOMAIN_DOWNLOAD_WAIT_MS = 600;
+/** The same for large answers and bodies, in ms: bandwidth between failure domains is dear, and a free slot nearby is worth a wait. */
+const OTHER_DOMAIN_LARGE_WAIT_MS = 600;
+/** Bytes from which the body of a request is large. */
+const LARGE_BODY_BYTES = 16 * 1_024;
 /** Wait that a gate is charged that cannot be reached, in ms. */
 const UNREACHABLE_WAIT_MS = 1_000_000;
 
@@ -46,19 +48,22 @@
  * @param candidates - Gates of the service.
  * @param requestKind - Whether the request may be repeated.
  * @param failureDomain - Failure domain of the entry.
+ * @param bodyBytes - Bytes of the request's body.
  * @param random - Source of numbers from 0 up to, but not including, 1.
  * @returns The candidates, the best one first.
  * @example
- * rankGates(candidates, RequestKind.Once, "muscat-a", Math.random)[0]?.record.vm;
+ * rankGates(candidates, RequestKind.Once, "muscat-a", 0, Math.random)[0]?.record.vm;
  */
 export function rankGates(
     candidates: readonly PlacementCandidate[],
     requestKind: RequestKind,
     failureDomain: string,
+    bodyBytes: number,
     random: () => number,
 ): readonly PlacementCandidate[] {
     const usualServiceMs = meanServiceMs(candidates);
-    const awayMs = requestKind === RequestKind.Download ? OTHER_DOMAIN_DOWNLOAD_WAIT_MS : OTHER_DOMAIN_WAIT_MS;
+    const isLarge = requestKind === RequestKind.Download || bodyBytes >= LARGE_BODY_BYTES;
+    const awayMs = isLarge ? OTHER_DOMAIN_LARGE_WAIT_MS : OTHER_DOMAIN_WAIT_MS;
     const scored = candidates.map((candidate): Scored => {
         const distanceMs = candidate.record.failureDomain === failureDomain ? 0 : awayMs;
         return {
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -45,7 +45,7 @@
 }
 
 function first(candidates: readonly PlacementCandidate[], requestKind = RequestKind.Once): string | undefined {
-    return rankGates(candidates, requestKind, "z", createRandom(3))[0]?.record.vm;
+    return rankGates(candidates, requestKind, "z", 0, createRandom(3))[0]?.record.vm;
 }
 
 test("a gate with free slots goes before a full one, and the shorter wait before the longer", (t) => {
@@ -75,7 +75,7 @@
 
 test("of endpoints that are alike, those that turn more away come later, and where all do none is left out", (t) => {
     t.is(first([candidate("sheds", { shedShare: 0.6 }), candidate("takes", { running: 2 })]), "takes");
-    t.is(rankGates([candidate("a", { shedShare: 0.5 }), candidate("b", { shedShare: 0.5 })], RequestKind.Once, "z", createRandom(3)).length, 2);
+    t.is(rankGates([candidate("a", { shedShare: 0.5 }), candidate("b", { shedShare: 0.5 })], RequestKind.Once, "z", 0, createRandom(3)).length, 2);
 });
 
 test("an ejected endpoint comes last but for one that cannot be reached", (t) => {
@@ -84,7 +84,7 @@
         candidate("ejected", { grade: Grade.Ejected }),
         candidate("full", { running: 5, queued: 40 }),
     ];
-    t.deepEqual(rankGates(candidates, RequestKind.Once, "z", createRandom(3)).map(({ record }) => record.vm), ["full", "ejected", "unreachable"]);
+    t.deepEqual(rankGates(candidates, RequestKind.Once, "z", 0, createRandom(3)).map(({ record }) => record.vm), ["full", "ejected", "unreachable"]);
 });
 
 test("an endpoint that has just joined gets its share although nothing is known of its speed", (t) => {
@@ -92,7 +92,7 @@
     let joined = 0;
     for (let draw = 0; draw < 300; draw += 1) {
         const fleet = [candidate("a", { running: 2 }), candidate("b", { running: 2 }), candidate("new", undefined, { isCold: true })];
-        joined += rankGates(fleet, RequestKind.Repeatable, "z", random)[0]?.record.vm === "new" ? 1 : 0;
+        joined += rankGates(fleet, RequestKind.Repeatable, "z", 0, random)[0]?.record.vm === "new" ? 1 : 0;
     }
     t.true(joined >= 100, `${joined} of 300`);
 });
@@ -101,6 +101,14 @@
     t.is(first([candidate("a-1", {}), candidate("z-1", {}), candidate("b-1", {})]), "z-1");
 });
 
+test("a large body goes to the own failure domain while there is a free slot, and a small one where there is more room", (t) => {
+    const candidates = [candidate("a-1", { running: 2 }), candidate("z-1", { running: 4 })];
+    const chosen = (bodyBytes: number): string | undefined =>
+        rankGates(candidates, RequestKind.Once, "z", bodyBytes, createRandom(3))[0]?.record.vm;
+    t.is(chosen(1_200), "a-1");
+    t.is(chosen(60_000), "z-1");
+});
+
 test("a large answer is fetched from the own failure domain while there is a free slot, and from others before it waits long", (t) => {
     const near = candidate("z-1", { running: 4 });
     t.is(first([candidate("a-1", {}), near], RequestKind.Download), "z-1");
@@ -161,6 +169,7 @@
             known.map((gate) => candidate(gate.vm, gate.report)),
             kind === RequestKind.Once ? rankedAs : kind,
             "z",
+            0,
             random,
         ).map(({ record }) => gates[Number(record.vm)]!);
         const gate = ranked.slice(0, 6).find(({ test: outcomes, running }) =>
--- a/src/entrance/CallerDesk/index.ts
+++ b/src/entrance/CallerDesk/index.ts
@@ -153,7 +153,7 @@
         const course = RequestCourse.create(
             { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
-                rank: (refused) => this.view.rank(service, route.requestKind, refused),
+                rank: (refused) => this.view.rank(service, route.requestKind, exchange.request.body.length, refused),
                 drawTrial: () => Math.random() < TRIAL_SHARE,
                 serviceMs: this.view.serviceMs(service),
             },
--- a/src/entrance/FleetView/index.ts
+++ b/src/entrance/FleetView/index.ts
@@ -84,10 +84,10 @@
     }
 
     /** Orders the gates of a service by where a request is likely to be answered first. */
-    rank(service: string, requestKind: RequestKind, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
+    rank(service: string, requestKind: RequestKind, bodyBytes: number, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
         const gates = chooseSubset(this.index.serving(service), (record) => this.hasRoom(record, refused));
         const candidates = gates.map((record) => this.candidate(record, refused));
-        return rankGates(candidates, requestKind, this.setup.failureDomain, Math.random);
+        return rankGates(candidates, requestKind, this.setup.failureDomain, bodyBytes, Math.random);
     }
 
     /** Mean time that a request occupies a slot of a service, over its gates. */
