--- a/src/decisions/fleet/isLoadNews/test.ts
+++ b/src/decisions/fleet/isLoadNews/test.ts
@@ -1,21 +1,11 @@
 import test from "ava";
+import { createLoadReport } from "../../../../test/fixtures/createLoadReport.js";
 import { TrialWish } from "../../suspicion/TrialWish.js";
 import { GateLoadReport } from "../GateLoadReport.js";
 import { Grade } from "../Grade.js";
 import { isLoadNews } from "./index.js";
 
-const LOAD: GateLoadReport = {
-    vm: "vm-1",
-    running: 2,
-    queued: 0,
-    slots: 5,
-    serviceMs: 100,
-    grade: Grade.Trusted,
-    suspicion: 0,
-    trialWish: TrialWish.None,
-    shedShare: 0,
-    isIdle: false,
-};
+const LOAD = createLoadReport("vm-1", { running: 2 });
 
 test("the first load is news, and the same one again is not", (t) => {
     t.true(isLoadNews(undefined, LOAD));
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { createRandom } from "../../../../bench/soak/createRandom/index.js";
+import { createLoadReport } from "../../../../test/fixtures/createLoadReport.js";
 import { RequestKind } from "../../../model/RequestKind.js";
 import { EndpointPhase } from "../../fleet/EndpointPhase.js";
 import { GateLoadReport } from "../../fleet/GateLoadReport.js";
@@ -21,21 +22,9 @@
         slots: 5,
         coldRemainingMs: 0,
     };
-    const usual = {
-        vm,
-        running: 0,
-        queued: 0,
-        slots: 5,
-        serviceMs: 100,
-        grade: Grade.Trusted,
-        suspicion: 0,
-        trialWish: TrialWish.None,
-        shedShare: 0,
-        isIdle: false,
-    };
     return {
         record: { vm, failureDomain: vm.slice(0, 1), gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
-        load: load === undefined ? undefined : { ...usual, ...load },
+        load: load === undefined ? undefined : createLoadReport(vm, load),
         offeredSince: 0,
         isReachable: true,
         isCold: false,
--- a/src/mesh/LoadReporter/test.ts
+++ b/src/mesh/LoadReporter/test.ts
@@ -1,22 +1,12 @@
 import { install } from "@sinonjs/fake-timers";
 import test from "ava";
+import { createLoadReport } from "../../../test/fixtures/createLoadReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { TrialWish } from "../../decisions/suspicion/TrialWish.js";
 import { LoadReporter } from "./index.js";
 
-const LOAD: GateLoadReport = {
-    vm: "vm-1",
-    running: 0,
-    queued: 0,
-    slots: 5,
-    serviceMs: 100,
-    grade: Grade.Trusted,
-    suspicion: 0,
-    trialWish: TrialWish.None,
-    shedShare: 0,
-    isIdle: false,
-};
+const LOAD = createLoadReport("vm-1");
 
 test.serial("small changes are left to the next refresh, larger ones are reported soon, and changes of trust at once", (t) => {
     const clock = install();
--- a/src/mesh/NewsSpreader/test.ts
+++ b/src/mesh/NewsSpreader/test.ts
@@ -1,12 +1,12 @@
 import { type Clock, install } from "@sinonjs/fake-timers";
 import test from "ava";
+import { createLoadReport } from "../../../test/fixtures/createLoadReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { gateNumber } from "../../decisions/fleet/gateNumber/index.js";
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { unpackLoads } from "../../decisions/fleet/unpackLoads/index.js";
-import { TrialWish } from "../../decisions/suspicion/TrialWish.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
 import { NewsSpreader } from "./index.js";
@@ -19,22 +19,6 @@
     return { vm, failureDomain: "a", gateAddress: "10.0.0.1:1", run: 1, sequence, isOpen: true, endpoint: undefined };
 }
 
-function load(vm: string, change: Partial<GateLoadReport> = {}): GateLoadReport {
-    return {
-        vm,
-        running: 0,
-        queued: 0,
-        slots: 5,
-        serviceMs: 100,
-        grade: Grade.Trusted,
-        suspicion: 0,
-        trialWish: TrialWish.None,
-        shedShare: 0,
-        isIdle: false,
-        ...change,
-    };
-}
-
 function play(run: (clock: Clock, spreader: NewsSpreader, sent: (vm: string) => FleetNews[]) => void): void {
     const clock = install();
     const all: { vm: string; message: Message }[] = [];
@@ -79,30 +63,30 @@
 test.serial("what another control VM has passed on goes to subscribers, and not back to control VMs", (t) => {
     play((clock, spreader, sent) => {
         spreader.subscribe("vm-0", true);
-        spreader.take([record("vm-1")], packLoads([load("vm-1")]), false);
+        spreader.take([record("vm-1")], packLoads([createLoadReport("vm-1")]), false);
         clock.tick(1_000);
         t.is(sent("vm-0").at(-1)?.records.length, 0);
-        t.deepEqual(loadsOf(sent("vm-0").at(-1), "vm-1"), [load("vm-1")]);
+        t.deepEqual(loadsOf(sent("vm-0").at(-1), "vm-1"), [createLoadReport("vm-1")]);
         t.is(sent("hub-2").length, 0);
     });
 });
 
 test.serial("a change of trust overtakes the loads, which keep their pace", (t) => {
     play((clock, spreader, sent) => {
-        spreader.take([record("vm-1"), record("vm-2")], packLoads([load("vm-1"), load("vm-2")]), true);
+        spreader.take([record("vm-1"), record("vm-2")], packLoads([createLoadReport("vm-1"), createLoadReport("vm-2")]), true);
         spreader.subscribe("vm-0", true);
         clock.tick(50);
-        spreader.take([], packLoads([load("vm-1", { grade: Grade.Ejected }), load("vm-2", { running: 5 })]), true);
-        t.deepEqual(loadsOf(sent("vm-0").at(-1), "vm-1", "vm-2"), [load("vm-1", { grade: Grade.Ejected })]);
+        spreader.take([], packLoads([createLoadReport("vm-1", { grade: Grade.Ejected }), createLoadReport("vm-2", { running: 5 })]), true);
+        t.deepEqual(loadsOf(sent("vm-0").at(-1), "vm-1", "vm-2"), [createLoadReport("vm-1", { grade: Grade.Ejected })]);
         clock.tick(200);
-        t.deepEqual(loadsOf(sent("vm-0").at(-1), "vm-1", "vm-2"), [load("vm-2", { running: 5 })]);
+        t.deepEqual(loadsOf(sent("vm-0").at(-1), "vm-1", "vm-2"), [createLoadReport("vm-2", { running: 5 })]);
     });
 });
 
 test.serial("a proxy that takes its loads elsewhere gets records only", (t) => {
     play((clock, spreader, sent) => {
         spreader.subscribe("vm-0", false);
-        spreader.take([record("vm-1")], packLoads([load("vm-1")]), true);
+        spreader.take([record("vm-1")], packLoads([createLoadReport("vm-1")]), true);
         clock.tick(1_000);
         t.true(sent("vm-0").slice(1).every(({ loads }) => loads.length === 0));
     });
