--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -218,6 +218,12 @@
     const carrier = await Carrier.create(port);
     const client = TunnelClient.create(carrier.address, TOKEN, () => undefined);
     const timer = setInterval(() => client.tick(), 20);
+    t.teardown(() => {
+        clearInterval(timer);
+        client.close();
+        carrier.close();
+        server.close();
+    });
     client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 20_000, usualMs: 60_000 } as WorkOffer, () => undefined);
     await until(() => gate.started.length > 0);
     carrier.mute();
@@ -226,10 +232,6 @@
     client.offer({ key: "2", requestKind: RequestKind.Once, remainingMs: 20_000, usualMs: 100 } as WorkOffer, () => undefined);
     await until(() => carrier.count === 2);
     t.is(carrier.count, 2);
-    clearInterval(timer);
-    client.close();
-    carrier.close();
-    server.close();
 });
 
 test.serial("a gate that cannot be reached is tried less and less often, and again soon when there are news of it", async (t) => {
@@ -241,6 +243,11 @@
     });
     const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, () => undefined);
     const timer = setInterval(() => client.tick(), 20);
+    t.teardown(() => {
+        clearInterval(timer);
+        client.close();
+        server.close();
+    });
     client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 1_000, usualMs: 100 } as WorkOffer, () => undefined);
     await delay(5_000);
     t.true(attempts >= 2 && attempts <= 4, `${attempts} attempts in 5 s`);
@@ -250,7 +257,4 @@
     await until(() => attempts > before);
     t.is(attempts, before + 1);
     t.true(performance.now() - askedAtMs < 2_000, "the next attempt of its own would have come 4 s after the last one");
-    clearInterval(timer);
-    client.close();
-    server.close();
 });
