Log endpoints that go without requests, and how old the loads of refused offers are

Also moves the making of backend pools and tunnels out of ServingGate and FleetView into SidecarRole, so that gates and entries can be run without a network. No logic is changed.

--- a/src/backend/BackendPool/index.ts
+++ b/src/backend/BackendPool/index.ts
@@ -3,6 +3,7 @@
 import { toError } from "../../model/toError/index.js";
 import { BackendConnection } from "../BackendConnection/index.js";
 import { BackendExchange } from "../BackendExchange.js";
+import { BackendPort } from "../BackendPort.js";
 import { BackendRequest } from "../BackendRequest.js";
 import { BackendResult } from "../BackendResult.js";
 import { BackendResultKind } from "../BackendResultKind.js";
@@ -25,7 +26,7 @@
  * Pool of connections to one backend server. A request that must not be repeated gets a connection that is new or has
  * received a response recently, and is sent once. Other requests are sent again if a reused connection was stale.
  */
-export class BackendPool {
+export class BackendPool implements BackendPort {
     private connections: BackendConnection[] = [];
     private openedConnections = 0;
     private readonly budget = ByteBudget.create(MAX_BUFFERED_BYTES);
--- /dev/null
+++ b/src/backend/BackendPort.ts
@@ -0,0 +1,19 @@
+import { BackendExchange } from "./BackendExchange.js";
+import { BackendRequest } from "./BackendRequest.js";
+
+/** Interface of a gate to its backend server. */
+export interface BackendPort {
+    /** Number of connections opened since the start. */
+    readonly openedCount: number;
+    /**
+     * Sends a request.
+     *
+     * @param request - The request.
+     * @param needsLiveConnection - True if the request must not be sent on a connection that may be dead.
+     */
+    send(request: BackendRequest, needsLiveConnection: boolean): BackendExchange;
+    /** Closes connections that cannot be used again. */
+    closeUnusable(): void;
+    /** Closes all connections. */
+    close(): void;
+}
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -12,8 +12,8 @@
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { RequestKind } from "../../model/RequestKind.js";
-import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
 import { GatePort } from "../../tunnel/GatePort.js";
+import { GateTunnel } from "../../tunnel/GateTunnel.js";
 import { FleetViewOptions } from "../FleetViewOptions.js";
 
 /** Interval at which tunnels are checked for timeouts while any is waiting, in ms. */
@@ -35,10 +35,10 @@
     private readonly loads = new Map<string, { readonly load: GateLoadReport; readonly atMs: number }>();
     private readonly offersSinceLoad = new Map<string, number>();
     private readonly coldUntilMs = new Map<string, number>();
-    private readonly tunnels = new Map<string, TunnelClient>();
+    private readonly tunnels = new Map<string, GateTunnel>();
 
     /** Tunnels to closed gates, kept until their outstanding offers have ended. */
-    private readonly retiredTunnels = new Set<TunnelClient>();
+    private readonly retiredTunnels = new Set<GateTunnel>();
     private tickTimer: NodeJS.Timeout | undefined;
 
     private constructor(private readonly options: FleetViewOptions, private readonly events: EventLog) {
@@ -108,6 +108,12 @@
         return record === undefined ? undefined : this.getOrCreateTunnel(record);
     }
 
+    /** Returns the age of the latest load report of a gate, in ms, or undefined if there is none. */
+    loadAgeMs(vm: string): number | undefined {
+        const latest = this.loads.get(vm);
+        return latest === undefined ? undefined : Math.round(nowMs() - latest.atMs);
+    }
+
     /** Counts an offer to a gate, so that its load is estimated correctly until its next report. */
     recordOffer(vm: string): void {
         this.offersSinceLoad.set(vm, (this.offersSinceLoad.get(vm) ?? 0) + 1);
@@ -178,13 +184,13 @@
         return latest !== undefined && nowMs() - latest.atMs < MAX_LOAD_AGE_MS ? latest.load : undefined;
     }
 
-    private getOrCreateTunnel(record: GateRecord): TunnelClient {
+    private getOrCreateTunnel(record: GateRecord): GateTunnel {
         const { vm, gateAddress } = record;
         const existing = this.tunnels.get(vm);
         if (existing !== undefined) {
             return existing;
         }
-        const created = TunnelClient.create(gateAddress, this.options.token, (isReachable, problem) => {
+        const created = this.options.openTunnel(gateAddress, (isReachable, problem) => {
             this.events.record(isReachable ? EventNumber.PathRegained : EventNumber.PathLost, { peer: vm, problem });
         });
         this.tunnels.set(vm, created);
--- a/src/callers/FleetViewOptions.ts
+++ b/src/callers/FleetViewOptions.ts
@@ -1,4 +1,5 @@
 import { GatePort } from "../tunnel/GatePort.js";
+import { GateTunnel } from "../tunnel/GateTunnel.js";
 
 /** Settings and dependencies of `FleetView`. */
 export interface FleetViewOptions {
@@ -6,6 +7,6 @@
     readonly failureDomain: string;
     /** Gate in the same process. */
     readonly localGate: GatePort;
-    /** Token that authenticates this process to gates as a member of the fleet. */
-    readonly token: string;
+    /** Creates a tunnel to the gate at an address; it connects when the first request is offered. */
+    readonly openTunnel: (gateAddress: string, onReachabilityChange: (isReachable: boolean, problem: string) => void) => GateTunnel;
 }
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -239,6 +239,7 @@
         const { request } = active.exchange;
         const gate = this.fleetView.gateOf(vm);
         const atMs = nowMs();
+        const loadAgeMs = this.fleetView.loadAgeMs(vm);
         this.offersMade += 1;
         this.fleetView.recordOffer(vm);
         active.vmsByAttempt.set(attempt, vm);
@@ -272,6 +273,8 @@
                     peer: vm,
                     outcome: reply.kind,
                     cause: reply.kind === GateReplyKind.Refused ? reply.cause : reply.problem,
+                    isProbe: terms.isTrial,
+                    loadAgeMs,
                 });
             }
             if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
--- a/src/decisions/outliers/ProbeScheduler/index.ts
+++ b/src/decisions/outliers/ProbeScheduler/index.ts
@@ -35,9 +35,14 @@
         }
     }
 
+    /** Time since the endpoint was given its latest request, in ms; infinite before the first one. */
+    sinceLastRequestMs(nowMs: number): number {
+        return nowMs - this.lastRequestAtMs;
+    }
+
     /** Checks whether the endpoint has had no new request for a duration. */
     hasBeenIdleFor(durationMs: number, nowMs: number): boolean {
-        return nowMs - this.lastRequestAtMs >= durationMs;
+        return this.sinceLastRequestMs(nowMs) >= durationMs;
     }
 
     /**
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -92,6 +92,11 @@
         return this.running.size === 0 && this.probeScheduler.hasBeenIdleFor(durationMs, nowMs);
     }
 
+    /** Time since a request was last admitted, in ms; infinite before the first one. */
+    sinceLastRequestMs(nowMs: number): number {
+        return this.probeScheduler.sinceLastRequestMs(nowMs);
+    }
+
     /** Requests that the endpoint currently accepts as probes; none if all slots are taken. */
     probeDemand(grade: Grade, nowMs: number): ProbeDemand {
         return this.running.size < this.slotCount ? this.probeScheduler.chooseDemand(grade, this.running.size, nowMs) : ProbeDemand.None;
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -54,6 +54,7 @@
     EndpointReported = 403,
     ReportRefused = 404,
     EndpointGraded = 420,
+    EndpointStarved = 421,
     BackendBroken = 530,
     RequestAnswered = 531,
     RequestFailed = 532,
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { setTimeout as delay } from "node:timers/promises";
+import { BackendPool } from "../../backend/BackendPool/index.js";
 import { setAlignedInterval } from "../../clock/setAlignedInterval/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointTracker } from "../../decisions/fleet/EndpointTracker/index.js";
@@ -22,6 +23,7 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
+import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
 import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
 import { GaugeSource } from "../../metrics/GaugeSource.js";
 import { LoadReporter } from "../LoadReporter/index.js";
@@ -94,9 +96,11 @@
         const { vm, links, terms, proxy } = settings;
         const roleReference: { role?: SidecarRole } = {};
         const token = deriveToken(links.fleetKey);
+        const backendAddress = proxy?.backendAddress ?? "";
         const gate = ServingGate.create({
             vm: vm.name,
-            backendAddress: proxy?.backendAddress ?? "",
+            backendAddress,
+            backend: BackendPool.create(backendAddress, dialect),
             dialect,
             events,
             retryBudgetLimits: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
@@ -104,7 +108,12 @@
             hasFailedCallSince: (sinceMs) => (roleReference.role?.dispatcher.lastFailureAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoadChange: (isUrgent) => roleReference.role?.handleLoadChange(isUrgent),
         });
-        const fleetView = FleetView.create({ vm: vm.name, failureDomain: vm.failureDomain, localGate: gate, token }, events);
+        const fleetView = FleetView.create({
+            vm: vm.name,
+            failureDomain: vm.failureDomain,
+            localGate: gate,
+            openTunnel: (gateAddress, onReachabilityChange) => TunnelClient.create(gateAddress, token, onReachabilityChange),
+        }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: `${vm.name}-${randomBytes(RUN_ID_BYTES).toString("hex")}`,
             dialect,
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -1,5 +1,4 @@
 import { BackendExchange } from "../../backend/BackendExchange.js";
-import { BackendPool } from "../../backend/BackendPool/index.js";
 import { BackendResult } from "../../backend/BackendResult.js";
 import { BackendResultKind } from "../../backend/BackendResultKind.js";
 import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
@@ -32,6 +31,8 @@
 const TICK_INTERVAL_MS = 100;
 /** Interval at which unusable connections are closed, in ms. */
 const CLEANUP_INTERVAL_MS = 2_000;
+/** Time within which a healthy endpoint must get a request, in ms. */
+const STARVATION_LIMIT_MS = 2_000;
 /** Lowest status code that counts as a failure of the endpoint. */
 const MIN_FAILED_STATUS = 500;
 /** Status of an endpoint that stopped at the deadline of the request. */
@@ -78,7 +79,6 @@
 export class ServingGate implements GatePort {
     private readonly queue = ServingQueue.create(1);
     private readonly acceptedOffers = new Map<string, AcceptedOffer>();
-    private readonly pool: BackendPool;
     private tickTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
@@ -89,9 +89,8 @@
     private isStopping = false;
 
     private constructor(private readonly options: ServingGateOptions) {
-        this.pool = BackendPool.create(options.backendAddress, options.dialect);
         this.retryBudget = FleetRetryBudget.create(options.retryBudgetLimits);
-        this.cleanupTimer = setInterval(() => this.pool.closeUnusable(), CLEANUP_INTERVAL_MS);
+        this.cleanupTimer = setInterval(() => this.options.backend.closeUnusable(), CLEANUP_INTERVAL_MS);
     }
 
     /** Creates a gate without an endpoint, which refuses all offers. */
@@ -131,7 +130,7 @@
 
     /** Number of connections opened to the endpoint since the start. */
     get openedConnections(): number {
-        return this.pool.openedCount;
+        return this.options.backend.openedCount;
     }
 
     /** Sets the latest report of the endpoint. Offers are refused while the endpoint is not ready. */
@@ -144,7 +143,7 @@
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
             this.queue.setProbeScheduler(ProbeScheduler.create());
-            this.pool.closeUnusable();
+            this.options.backend.closeUnusable();
         }
         this.endpoint = endpoint;
         this.queue.setSlots(endpoint.slots);
@@ -165,7 +164,7 @@
         clearTimeout(this.tickTimer);
         this.tickTimer = undefined;
         clearInterval(this.cleanupTimer);
-        this.pool.close();
+        this.options.backend.close();
     }
 
     offer(offer: WorkOffer, onReply: (reply: GateReply) => void): OfferHandle {
@@ -180,7 +179,12 @@
             onReply(this.createRefusal(RefusalCause.RetryBudget, 0, false));
             return FINISHED_HANDLE;
         }
-        const admission = this.queue.admit(toServingRequest(offer, atMs), this.outlierDetector.grade(atMs), atMs);
+        const grade = this.outlierDetector.grade(atMs);
+        const sinceLastRequestMs = this.queue.sinceLastRequestMs(atMs);
+        const admission = this.queue.admit(toServingRequest(offer, atMs), grade, atMs);
+        if (admission.kind !== AdmissionKind.Refuse) {
+            this.recordStarvation(sinceLastRequestMs, grade);
+        }
         if (offer.isRepeat && admission.kind !== AdmissionKind.Refuse) {
             this.retryBudget.countRepeat(atMs);
         }
@@ -221,6 +225,19 @@
         return { cancel: () => this.cancel(offer.key), confirm: () => this.confirm(offer.key) };
     }
 
+    /** Records that the endpoint had no requests for too long, although it was ready for all that time. */
+    private recordStarvation(sinceLastRequestMs: number, grade: Grade): void {
+        if (Number.isFinite(sinceLastRequestMs) && sinceLastRequestMs > STARVATION_LIMIT_MS) {
+            this.options.events.record(EventNumber.EndpointStarved, {
+                endpoint: this.endpoint?.id,
+                service: this.endpoint?.service,
+                forMs: Math.round(sinceLastRequestMs),
+                grade: Grade[grade],
+                running: this.queue.runningCount,
+            });
+        }
+    }
+
     private findRefusalCause(offer: WorkOffer): RefusalCause | undefined {
         if (this.isStopping) {
             return RefusalCause.Stopping;
@@ -283,7 +300,7 @@
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
         }
         const remainingMs = Math.max(1, Math.round(accepted.deadlineAtMs - accepted.startedAtMs - RETURN_MARGIN_MS));
-        accepted.exchange = this.pool.send({
+        accepted.exchange = this.options.backend.send({
             method: offer.method,
             path: offer.path,
             headers: this.options.dialect.requestHeaders({ ...offer, endpointId }, remainingMs),
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
+import { BackendPool } from "../../backend/BackendPool/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
@@ -75,9 +76,11 @@
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
+    const backendAddress = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     const gate = ServingGate.create({
         vm: "vm-1",
-        backendAddress: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        backendAddress,
+        backend: BackendPool.create(backendAddress, DIALECT),
         dialect: DIALECT,
         events: EventLog.create("vm-1", undefined),
         retryBudgetLimits: { windowMs: 10_000, ratio: 0.2, slack: 5 },
--- a/src/serving/ServingGateOptions.ts
+++ b/src/serving/ServingGateOptions.ts
@@ -1,3 +1,4 @@
+import { BackendPort } from "../backend/BackendPort.js";
 import { RetryBudgetLimits } from "../decisions/requests/RetryBudgetLimits.js";
 import { EventLog } from "../logs/EventLog/index.js";
 import { EndpointDialect } from "./EndpointDialect.js";
@@ -7,6 +8,7 @@
     readonly vm: string;
     /** `host:port` of the backend server. */
     readonly backendAddress: string;
+    readonly backend: BackendPort;
     readonly dialect: EndpointDialect;
     readonly events: EventLog;
     /** Retry budget of the service. */
--- /dev/null
+++ b/src/tunnel/GateTunnel.ts
@@ -0,0 +1,15 @@
+import { GatePort } from "./GatePort.js";
+
+/** Connection of an entry to a gate on another VM. */
+export interface GateTunnel extends GatePort {
+    /** False while the gate cannot be connected to or does not respond. */
+    readonly isReachable: boolean;
+    /** True while `tick` has to be called. */
+    readonly isWaiting: boolean;
+    /** Handles timeouts. Call it several times a second while `isWaiting`. */
+    tick(): void;
+    /** Resets the reconnect delay, for example after an update about the gate. */
+    resetBackoff(): void;
+    /** Closes the connection and settles all outstanding offers. */
+    close(): void;
+}
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -4,9 +4,9 @@
 import { RequestKind } from "../../model/RequestKind.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
-import { GatePort } from "../GatePort.js";
 import { GateReply } from "../GateReply.js";
 import { GateReplyKind } from "../GateReplyKind.js";
+import { GateTunnel } from "../GateTunnel.js";
 import { isFinalReply } from "../isFinalReply/index.js";
 import { OfferHandle } from "../OfferHandle.js";
 import { TunnelSocket } from "../TunnelSocket/index.js";
@@ -51,7 +51,7 @@
  * executed. If the connection fails or stops responding, confirmed offers that may be repeated are reported as broken. For
  * those that must not be repeated, it asks the gate on a new connection, which resumes the offer or refuses it as not executed.
  */
-export class TunnelClient implements GatePort {
+export class TunnelClient implements GateTunnel {
     private readonly outstanding = new Map<string, OutstandingOffer>();
     private socket: TunnelSocket | undefined;
     private gateRun: string | undefined;
