--- /dev/null
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -0,0 +1,261 @@
+import { nowMs } from "../../../src/clock/nowMs/index.js";
+import { CallerDialect } from "../../../src/callers/CallerDialect.js";
+import { FleetView } from "../../../src/callers/FleetView/index.js";
+import { RequestDispatcher } from "../../../src/callers/RequestDispatcher/index.js";
+import { EndpointPhase } from "../../../src/decisions/fleet/EndpointPhase.js";
+import { GateLoadReport } from "../../../src/decisions/fleet/GateLoadReport.js";
+import { GateRecord } from "../../../src/decisions/fleet/GateRecord.js";
+import { packLoads } from "../../../src/decisions/fleet/packLoads/index.js";
+import { ItemKind } from "../../../src/decisions/items/ItemKind.js";
+import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
+import { VersionedItem } from "../../../src/decisions/items/VersionedItem.js";
+import { MessageKind } from "../../../src/links/MessageKind.js";
+import { RequestKind } from "../../../src/model/RequestKind.js";
+import { EventLog } from "../../../src/logs/EventLog/index.js";
+import { FleetUpdateRelay } from "../../../src/mesh/FleetUpdateRelay/index.js";
+import { LoadReporter } from "../../../src/mesh/LoadReporter/index.js";
+import { EndpointDialect } from "../../../src/serving/EndpointDialect.js";
+import { ServingGate } from "../../../src/serving/ServingGate/index.js";
+import { GateTunnel } from "../../../src/tunnel/GateTunnel.js";
+import { createRandom } from "../../soak/createRandom/index.js";
+import { FleetModelOptions } from "../FleetModelOptions.js";
+import { ModelBackend } from "../ModelBackend/index.js";
+import { ModelService } from "../ModelService.js";
+
+const HOST = "model.example";
+const TARGET_LATENCY_MS = 4_000;
+const TIMEOUT_MS = 10_000;
+const MAX_ATTEMPTS = 2;
+const RETRY_BUDGET = { windowMs: 10_000, ratio: 0.2, slack: 400 };
+/** Status from which an answer counts as a failure. */
+const MIN_FAILED_STATUS = 500;
+const MS_PER_S = 1_000;
+
+const ENDPOINT_DIALECT: EndpointDialect = {
+    requestHeaders: () => [],
+    readRequestId: () => undefined,
+    isNotRun: () => false,
+    isSigned: () => true,
+};
+
+const CALLER_DIALECT: CallerDialect = {
+    readMetadata: () => ({ requestId: "", patienceMs: undefined }),
+    forwardedHeaders: (headers) => headers,
+    ownResponseHeaders: () => [],
+    isGenuine: () => true,
+};
+
+/** One VM: an entry and the gate of an endpoint. */
+interface ModelVm {
+    readonly name: string;
+    readonly service: ModelService;
+    readonly backend: ModelBackend;
+    readonly gate: ServingGate;
+    readonly fleetView: FleetView;
+    readonly dispatcher: RequestDispatcher;
+    readonly loadReporter: LoadReporter;
+    readonly control: FleetUpdateRelay;
+}
+
+/**
+ * Fleet in one process and without a network: the real entries, gates, load reports and control VMs' relays, with messages
+ * that arrive after a fixed time. Runs on a faked clock; see `advance`.
+ */
+export class FleetModel {
+    private readonly random: () => number;
+    private readonly vms = new Map<string, ModelVm>();
+    private readonly controls: FleetUpdateRelay[] = [];
+    private readonly nextArrivalAtMs = new Map<ModelService, number>();
+    private requestCount = 0;
+    private answeredCount = 0;
+    private failureCount = 0;
+
+    private constructor(private readonly options: FleetModelOptions) {
+        this.random = createRandom(options.seed);
+    }
+
+    /** Creates a fleet in which every gate is known to every entry. */
+    static create(options: FleetModelOptions): FleetModel {
+        const model = new FleetModel(options);
+        for (let number = 0; number < options.controlCount; number += 1) {
+            model.controls.push(model.createControl(number));
+        }
+        const records = options.services.flatMap((service) => model.createVms(service));
+        model.vms.forEach(({ fleetView }) => fleetView.mergeRecords(records));
+        model.controls.forEach((control) => control.handleUpdate(records, packLoads([]), true));
+        model.vms.forEach(({ name, control }) => control.subscribe(name, true));
+        return model;
+    }
+
+    /** Number of requests so far, and of those that have failed or were refused. */
+    get counts(): { readonly requests: number; readonly answered: number; readonly failures: number } {
+        return { requests: this.requestCount, answered: this.answeredCount, failures: this.failureCount };
+    }
+
+    /** Returns the backend servers of a service. */
+    backendsOf(service: string): readonly ModelBackend[] {
+        return [...this.vms.values()].filter((vm) => vm.service.name === service).map(({ backend }) => backend);
+    }
+
+    /** Sends the requests that arrive up to the current time. Call it after each step of the clock. */
+    advance(): void {
+        this.options.services.forEach((service) => {
+            let atMs = this.nextArrivalAtMs.get(service) ?? nowMs();
+            while (atMs <= nowMs()) {
+                this.sendRequest(service);
+                atMs += -Math.log(1 - this.random()) * MS_PER_S / service.requestsPerSecond;
+            }
+            this.nextArrivalAtMs.set(service, atMs);
+        });
+    }
+
+    /** Stops all timers of the fleet. */
+    close(): void {
+        this.controls.forEach((control) => control.close());
+        this.vms.forEach(({ gate, fleetView, loadReporter }) => {
+            loadReporter.close();
+            fleetView.close();
+            gate.close();
+        });
+    }
+
+    private createControl(number: number): FleetUpdateRelay {
+        const names = Array.from({ length: this.options.controlCount }, (_, index) => `control-${index}`);
+        const control: FleetUpdateRelay = FleetUpdateRelay.create({
+            send: (name, message) => {
+                if (message.kind === MessageKind.FleetUpdate) {
+                    this.deliver(() => {
+                        this.vms.get(name)?.fleetView.applyPackedLoads(message.loads);
+                        this.controls[names.indexOf(name)]?.handleUpdate(message.records, message.loads, false);
+                    });
+                }
+            },
+            peers: () => names.filter((_, index) => index !== number),
+        });
+        return control;
+    }
+
+    private createVms(service: ModelService): readonly GateRecord[] {
+        return Array.from({ length: service.endpointCount }, (_, index) => {
+            const name = `${service.name}-${index}`;
+            return this.createVm(name, service, index % this.options.failureDomainCount);
+        });
+    }
+
+    private createVm(name: string, service: ModelService, domain: number): GateRecord {
+        const failureDomain = `domain-${domain}`;
+        const endpoint = {
+            id: name,
+            bornAtMs: 1,
+            sequence: 1,
+            service: service.name,
+            phase: EndpointPhase.Ready,
+            slots: service.slots,
+            coldRemainingMs: 0,
+        };
+        const events = EventLog.create(name, undefined);
+        const backend = ModelBackend.create(service, this.random);
+        const gate = ServingGate.create({
+            vm: name,
+            backendAddress: "",
+            backend,
+            dialect: ENDPOINT_DIALECT,
+            events,
+            retryBudgetLimits: RETRY_BUDGET,
+            countGates: () => service.endpointCount,
+            hasFailedCallSince: () => false,
+            onLoadChange: (isUrgent) => {
+                fleetView.applyLoad(gate.load);
+                loadReporter.handleLoadChange(isUrgent);
+            },
+        });
+        const fleetView: FleetView = FleetView.create({
+            vm: name,
+            failureDomain,
+            localGate: gate,
+            openTunnel: (gateAddress) => this.openTunnel(gateAddress),
+        }, events);
+        const dispatcher = RequestDispatcher.create({
+            entryRun: name,
+            dialect: CALLER_DIALECT,
+            onStrike: () => undefined,
+            onStrikesCleared: () => undefined,
+            callOfRepeatShare: () => 0,
+            callerService: () => service.name,
+        }, fleetView, events);
+        dispatcher.setRouteTable(RouteTable.create(this.options.services.flatMap(createRoutes)));
+        const control = this.controls[domain % this.controls.length] ?? this.createControl(0);
+        const sendLoad = (load: GateLoadReport): void => {
+            fleetView.applyLoad(load);
+            this.deliver(() => control.handleUpdate([], packLoads([load]), true));
+        };
+        const loadReporter: LoadReporter = LoadReporter.create(() => gate.load, sendLoad, () => fleetView.gateCount);
+        gate.setEndpoint(endpoint);
+        this.vms.set(name, { name, service, backend, gate, fleetView, dispatcher, loadReporter, control });
+        return { vm: name, failureDomain, gateAddress: name, run: 1, sequence: 1, isOpen: true, endpoint };
+    }
+
+    private openTunnel(gateAddress: string): GateTunnel {
+        const gate = this.vms.get(gateAddress)?.gate;
+        return {
+            isReachable: true,
+            isWaiting: false,
+            tick: () => undefined,
+            resetBackoff: () => undefined,
+            close: () => undefined,
+            offer: (offer, onReply) => {
+                this.deliver(() => gate?.offer(offer, (reply) => this.deliver(() => onReply(reply))));
+                return { cancel: () => undefined, confirm: () => undefined };
+            },
+        };
+    }
+
+    private deliver(message: () => void): void {
+        setTimeout(message, this.options.oneWayDelayMs);
+    }
+
+    private sendRequest(service: ModelService): void {
+        const entries = [...this.vms.values()];
+        const entry = entries[Math.floor(this.random() * entries.length)];
+        const requestKind = this.random() < service.repeatableShare ? RequestKind.Repeatable : RequestKind.Once;
+        this.requestCount += 1;
+        entry?.dispatcher.dispatch({
+            request: {
+                method: "GET",
+                path: `/${service.name}/${requestKind}/${this.requestCount}`,
+                host: HOST,
+                headers: [],
+                body: Buffer.alloc(0),
+                hasBody: false,
+                requestId: `${this.requestCount}`,
+                patienceMs: undefined,
+                arrivedAtMs: nowMs(),
+            },
+            respond: ({ status }) => {
+                this.answeredCount += 1;
+                this.failureCount += status >= MIN_FAILED_STATUS ? 1 : 0;
+            },
+            onDisconnect: () => undefined,
+        });
+    }
+}
+
+function createRoutes({ name }: ModelService): readonly VersionedItem[] {
+    return [RequestKind.Repeatable, RequestKind.Once].map((requestKind) => ({
+        key: `route/${name}-${requestKind}`,
+        version: 1,
+        document: "",
+        content: {
+            kind: ItemKind.Route,
+            name: `${name}-${requestKind}`,
+            host: HOST,
+            pathPrefix: `/${name}/${requestKind}/`,
+            requestKind,
+            timeoutMs: TIMEOUT_MS,
+            targetLatencyMs: TARGET_LATENCY_MS,
+            priority: 1,
+            maxAttempts: MAX_ATTEMPTS,
+            services: [{ service: name, weight: 1 }],
+        },
+    }));
+}
