Let gates ask for requests for endpoints that had none, in place of load reports

Cause: no part promised that an endpoint gets work over all entries together. A gate said in its load report that a probe was due; the report takes up to 0.7 s at the gate and at each of two control VMs in a fleet of 240. An endpoint with a long request was not reported as idle at all.

Now the gate, which alone sees the requests of all entries, measures the time since the last one and invites connected entries by tunnel to send one: 4, then twice as many every 0.2 s, those that send repeatable requests first while only these are accepted. An entry serves the one that waited longest, and the gate withdraws the other invitations once it has a request. So the delay doesn't depend on the size of the fleet. Entries open the tunnels to their first 12 gates ahead of need. Idle is counted from the last request, also while it runs. Ejected endpoints are probed every 1.0 s instead of 0.8 s, any request counts as a probe after 1.4 s instead of 1.3 s.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -5,6 +5,7 @@
 import { EndpointPhase } from "../../../src/decisions/fleet/EndpointPhase.js";
 import { GateLoadReport } from "../../../src/decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../../src/decisions/fleet/GateRecord.js";
+import { ProbeInvitations } from "../../../src/decisions/outliers/ProbeInvitations/index.js";
 import { packLoads } from "../../../src/decisions/fleet/packLoads/index.js";
 import { ItemKind } from "../../../src/decisions/items/ItemKind.js";
 import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
@@ -17,6 +18,8 @@
 import { EndpointDialect } from "../../../src/serving/EndpointDialect.js";
 import { ServingGate } from "../../../src/serving/ServingGate/index.js";
 import { GateTunnel } from "../../../src/tunnel/GateTunnel.js";
+import { Invitation } from "../../../src/tunnel/Invitation.js";
+import { TunnelCallbacks } from "../../../src/tunnel/TunnelCallbacks.js";
 import { createRandom } from "../../soak/createRandom/index.js";
 import { FleetModelOptions } from "../FleetModelOptions.js";
 import { ModelBackend } from "../ModelBackend/index.js";
@@ -29,6 +32,8 @@
 const RETRY_BUDGET = { windowMs: 10_000, ratio: 0.2, slack: 400 };
 /** Status from which an answer counts as a failure. */
 const MIN_FAILED_STATUS = 500;
+/** Interval at which gates invite entries, in ms. */
+const INVITATION_INTERVAL_MS = 200;
 const MS_PER_S = 1_000;
 
 const ENDPOINT_DIALECT: EndpointDialect = {
@@ -55,6 +60,7 @@
     readonly dispatcher: RequestDispatcher;
     readonly loadReporter: LoadReporter;
     readonly control: FleetUpdateRelay;
+    readonly invitations: ProbeInvitations<TunnelCallbacks>;
 }
 
 /**
@@ -66,6 +72,7 @@
     private readonly vms = new Map<string, ModelVm>();
     private readonly controls: FleetUpdateRelay[] = [];
     private readonly nextArrivalAtMs = new Map<ModelService, number>();
+    private invitationTimer: NodeJS.Timeout | undefined;
     private requestCount = 0;
     private answeredCount = 0;
     private failureCount = 0;
@@ -84,6 +91,7 @@
         model.vms.forEach(({ fleetView }) => fleetView.mergeRecords(records));
         model.controls.forEach((control) => control.handleUpdate(records, packLoads([]), true));
         model.vms.forEach(({ name, control }) => control.subscribe(name, true));
+        model.invitationTimer = setInterval(() => model.vms.forEach((vm) => model.inviteEntries(vm)), INVITATION_INTERVAL_MS);
         return model;
     }
 
@@ -111,6 +119,7 @@
 
     /** Stops all timers of the fleet. */
     close(): void {
+        clearInterval(this.invitationTimer);
         this.controls.forEach((control) => control.close());
         this.vms.forEach(({ gate, fleetView, loadReporter }) => {
             loadReporter.close();
@@ -165,7 +174,7 @@
             countGates: () => service.endpointCount,
             hasFailedCallSince: () => false,
             onLoadChange: (isUrgent) => {
-                fleetView.applyLoad(gate.load);
+                this.handleLoadChange(vm);
                 loadReporter.handleLoadChange(isUrgent);
             },
         });
@@ -173,7 +182,7 @@
             vm: name,
             failureDomain,
             localGate: gate,
-            openTunnel: (gateAddress) => this.openTunnel(gateAddress),
+            openTunnel: (gateAddress, callbacks) => this.openTunnel(gateAddress, callbacks),
         }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: name,
@@ -190,26 +199,66 @@
             this.deliver(() => control.handleUpdate([], packLoads([load]), true));
         };
         const loadReporter: LoadReporter = LoadReporter.create(() => gate.load, sendLoad, () => fleetView.gateCount);
+        const vm: ModelVm = {
+            name,
+            service,
+            backend,
+            gate,
+            fleetView,
+            dispatcher,
+            loadReporter,
+            control,
+            invitations: ProbeInvitations.create(),
+        };
+        this.vms.set(name, vm);
         gate.setEndpoint(endpoint);
-        this.vms.set(name, { name, service, backend, gate, fleetView, dispatcher, loadReporter, control });
         return { vm: name, failureDomain, gateAddress: name, run: 1, sequence: 1, isOpen: true, endpoint };
     }
 
-    private openTunnel(gateAddress: string): GateTunnel {
-        const gate = this.vms.get(gateAddress)?.gate;
+    private openTunnel(gateAddress: string, callbacks: TunnelCallbacks): GateTunnel {
+        const vm = this.vms.get(gateAddress);
+        vm?.invitations.addEntry(callbacks);
         return {
             isReachable: true,
             isWaiting: false,
+            open: () => undefined,
             tick: () => undefined,
             resetBackoff: () => undefined,
             close: () => undefined,
             offer: (offer, onReply) => {
-                this.deliver(() => gate?.offer(offer, (reply) => this.deliver(() => onReply(reply))));
+                this.deliver(() => {
+                    vm?.invitations.recordRequest(callbacks, offer.requestKind, nowMs());
+                    vm?.gate.offer(offer, (reply) => this.deliver(() => onReply(reply)));
+                });
                 return { cancel: () => undefined, confirm: () => undefined };
             },
         };
     }
 
+    private inviteEntries({ gate, fleetView, invitations }: ModelVm): void {
+        const { invitation } = gate;
+        if (invitation !== undefined) {
+            fleetView.applyInvitation(invitation);
+            this.invite(invitation, invitations);
+        }
+    }
+
+    private invite(invitation: Invitation, invitations: ProbeInvitations<TunnelCallbacks>): void {
+        const entries = invitations.startRound(invitation.load.trialWish, nowMs());
+        entries.forEach((entry) => this.deliver(() => entry.onInvitation(invitation)));
+    }
+
+    private handleLoadChange({ gate, fleetView, invitations }: ModelVm): void {
+        const { load, invitation } = gate;
+        fleetView.applyInvitation(invitation ?? { load, waitedMs: undefined });
+        if (invitation === undefined) {
+            invitations.end().forEach((entry) => this.deliver(() => entry.onInvitation({ load, waitedMs: undefined })));
+        }
+        else if (!invitations.isOpen) {
+            this.invite(invitation, invitations);
+        }
+    }
+
     private deliver(message: () => void): void {
         setTimeout(message, this.options.oneWayDelayMs);
     }
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -14,12 +14,19 @@
 import { RequestKind } from "../../model/RequestKind.js";
 import { GatePort } from "../../tunnel/GatePort.js";
 import { GateTunnel } from "../../tunnel/GateTunnel.js";
+import { Invitation } from "../../tunnel/Invitation.js";
 import { FleetViewOptions } from "../FleetViewOptions.js";
 
 /** Interval at which tunnels are checked for timeouts while any is waiting, in ms. */
 const TICK_INTERVAL_MS = 100;
 /** Maximum age of a load report, in ms; gates report at least once a second. */
 const MAX_LOAD_AGE_MS = 3_000;
+/** Time for which a gate's invitation holds, in ms; then other entries have been invited. */
+const INVITATION_VALIDITY_MS = 220;
+/** Number of gates of a service to which tunnels are opened ahead of need. */
+const MAX_TUNNELS_AHEAD = 12;
+/** Number of tunnels that are opened ahead of need with each request. */
+const TUNNELS_OPENED_PER_REQUEST = 2;
 /** Service time that is assumed until a gate has reported one, in ms. */
 const DEFAULT_SERVICE_MS = 300;
 /** Maximum number of gates of a service whose service times are averaged. */
@@ -34,6 +41,8 @@
     private readonly index: GateIndex;
     private readonly loads = new Map<string, { readonly load: GateLoadReport; readonly atMs: number }>();
     private readonly offersSinceLoad = new Map<string, number>();
+    /** Invitations of gates: when they came, and for how long the endpoint had waited by then. */
+    private readonly invitations = new Map<string, { readonly atMs: number; readonly waitedMs: number }>();
     private readonly coldUntilMs = new Map<string, number>();
     private readonly tunnels = new Map<string, GateTunnel>();
 
@@ -86,10 +95,23 @@
         this.offersSinceLoad.delete(load.vm);
     }
 
+    /** Applies an invitation, by which the next suitable request is sent to that gate, or its withdrawal. */
+    applyInvitation({ load, waitedMs }: Invitation): void {
+        this.applyLoad(load);
+        if (waitedMs === undefined) {
+            this.invitations.delete(load.vm);
+        }
+        else {
+            this.invitations.set(load.vm, { atMs: nowMs(), waitedMs });
+        }
+    }
+
     /** Ranks the gates of a service by how soon a request is expected to be answered there. */
     rankCandidates(service: string, requestKind: RequestKind, bodyBytes: number, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
         const gates = chooseSubset(this.index.serving(service), (record) => this.hasFreeSlot(record, refused));
-        const candidates = gates.map((record) => this.createCandidate(record, refused));
+        this.openTunnels(gates);
+        const invited = this.invitedGates(service).filter((record) => !gates.includes(record));
+        const candidates = [...gates, ...invited].map((record) => this.createCandidate(record, refused));
         return rankGates(candidates, requestKind, this.options.failureDomain, bodyBytes, Math.random);
     }
 
@@ -117,6 +139,7 @@
     /** Counts an offer to a gate, so that its load is estimated correctly until its next report. */
     recordOffer(vm: string): void {
         this.offersSinceLoad.set(vm, (this.offersSinceLoad.get(vm) ?? 0) + 1);
+        this.invitations.delete(vm);
         this.scheduleTick();
     }
 
@@ -128,6 +151,13 @@
         this.tunnels.clear();
     }
 
+    /** Opens tunnels to gates that have none yet: a few at a time, as each costs a handshake. */
+    private openTunnels(gates: readonly GateRecord[]): void {
+        const isUnopened = ({ vm }: GateRecord): boolean => vm !== this.options.vm && !this.tunnels.has(vm);
+        const unopened = gates.slice(0, MAX_TUNNELS_AHEAD).filter(isUnopened);
+        unopened.slice(0, TUNNELS_OPENED_PER_REQUEST).forEach((record) => this.getOrCreateTunnel(record).open());
+    }
+
     private scheduleTick(): void {
         this.tickTimer ??= setTimeout(() => {
             this.tickTimer = undefined;
@@ -175,10 +205,24 @@
             offersSinceReport: this.offersSinceLoad.get(vm) ?? 0,
             isReachable: this.tunnels.get(vm)?.isReachable ?? true,
             isCold: nowMs() < (this.coldUntilMs.get(vm) ?? 0),
+            waitingMs: this.waitingMs(vm),
             hasRefused: refused.has(vm),
         };
     }
 
+    /** Time for which the endpoint of a gate has waited for a request, or undefined if the gate has not asked for one lately. */
+    private waitingMs(vm: string): number | undefined {
+        const invitation = this.invitations.get(vm);
+        const ageMs = invitation === undefined ? Number.POSITIVE_INFINITY : nowMs() - invitation.atMs;
+        return invitation !== undefined && ageMs < INVITATION_VALIDITY_MS ? invitation.waitedMs + ageMs : undefined;
+    }
+
+    /** Gates of a service that ask for a request; drops expired invitations. */
+    private invitedGates(service: string): readonly GateRecord[] {
+        [...this.invitations.keys()].filter((vm) => this.waitingMs(vm) === undefined).forEach((vm) => this.invitations.delete(vm));
+        return this.invitations.size === 0 ? [] : this.index.serving(service).filter(({ vm }) => this.invitations.has(vm));
+    }
+
     private currentLoad(vm: string): GateLoadReport | undefined {
         const latest = this.loads.get(vm);
         return latest !== undefined && nowMs() - latest.atMs < MAX_LOAD_AGE_MS ? latest.load : undefined;
@@ -190,8 +234,11 @@
         if (existing !== undefined) {
             return existing;
         }
-        const created = this.options.openTunnel(gateAddress, (isReachable, problem) => {
-            this.events.record(isReachable ? EventNumber.PathRegained : EventNumber.PathLost, { peer: vm, problem });
+        const created = this.options.openTunnel(gateAddress, {
+            onReachabilityChange: (isReachable, problem) => {
+                this.events.record(isReachable ? EventNumber.PathRegained : EventNumber.PathLost, { peer: vm, problem });
+            },
+            onInvitation: (invitation) => this.applyInvitation(invitation),
         });
         this.tunnels.set(vm, created);
         return created;
--- a/src/callers/FleetViewOptions.ts
+++ b/src/callers/FleetViewOptions.ts
@@ -1,5 +1,6 @@
 import { GatePort } from "../tunnel/GatePort.js";
 import { GateTunnel } from "../tunnel/GateTunnel.js";
+import { TunnelCallbacks } from "../tunnel/TunnelCallbacks.js";
 
 /** Settings and dependencies of `FleetView`. */
 export interface FleetViewOptions {
@@ -8,5 +9,5 @@
     /** Gate in the same process. */
     readonly localGate: GatePort;
     /** Creates a tunnel to the gate at an address; it connects when the first request is offered. */
-    readonly openTunnel: (gateAddress: string, onReachabilityChange: (isReachable: boolean, problem: string) => void) => GateTunnel;
+    readonly openTunnel: (gateAddress: string, callbacks: TunnelCallbacks) => GateTunnel;
 }
--- a/src/decisions/dispatch/DispatchMachine/index.ts
+++ b/src/decisions/dispatch/DispatchMachine/index.ts
@@ -226,8 +226,8 @@
             return this.conclude(this.chooseFinalEffect());
         }
         const candidates = this.untriedCandidates();
-        const probe = this.offers === 0 ? candidates.find((candidate) => this.canProbe(candidate)) : undefined;
-        if (probe !== undefined && this.ports.shouldProbe()) {
+        const probe = this.offers === 0 ? this.chooseProbe(candidates) : undefined;
+        if (probe !== undefined) {
             return [this.offer(probe, { maxQueueMs: 0, isTrial: true, isLastResort: false })];
         }
         const allowed = candidates.filter(({ load }) => !isBlockedByGrade(gradeOf(load), this.plan));
@@ -275,6 +275,19 @@
         return Math.max(0, this.plan.targetAtMs - nowMs - this.ports.serviceMs);
     }
 
+    /**
+     * Chooses the gate among those that ask this entry for a request whose endpoint has waited longest: by rank, the slower
+     * ones would always come last. Without being asked, only some of the entries may send a probe.
+     */
+    private chooseProbe(candidates: readonly PlacementCandidate[]): PlacementCandidate | undefined {
+        const accepting = candidates.filter((candidate) => this.canProbe(candidate));
+        const waiting = accepting.filter(({ waitingMs }) => waitingMs !== undefined);
+        if (waiting.length > 0) {
+            return waiting.reduce((longest, candidate) => (candidate.waitingMs ?? 0) > (longest.waitingMs ?? 0) ? candidate : longest);
+        }
+        return accepting.length > 0 && this.ports.shouldProbe() ? accepting[0] : undefined;
+    }
+
     /** A probe may fail, so a repeatable request needs a second attempt unless the endpoint accepts any request as a probe. */
     private canProbe({ load, offersSinceReport }: PlacementCandidate): boolean {
         if (load === undefined || offersSinceReport > 0 || load.trialWish === ProbeDemand.None) {
--- a/src/decisions/dispatch/DispatchMachine/test.ts
+++ b/src/decisions/dispatch/DispatchMachine/test.ts
@@ -32,6 +32,7 @@
         offersSinceReport: 0,
         isReachable: true,
         isCold: false,
+        waitingMs: undefined,
         hasRefused: false,
     };
 }
@@ -206,6 +207,16 @@
     t.is(vmOf(begin(create(RequestKind.Once, { rank }))), "gray");
 });
 
+test("of the gates that ask for a request, the one whose endpoint has waited longest gets it, although it ranks last", (t) => {
+    const waiting = (vm: string, waitingMs: number, trialWish = ProbeDemand.Any): PlacementCandidate =>
+        ({ ...candidate(vm, Grade.Ejected, trialWish), waitingMs });
+    const rank = (): readonly PlacementCandidate[] => [candidate("a"), waiting("b", 900), waiting("c", 1_900), waiting("d", 1_400)];
+    t.is(vmOf(begin(create(RequestKind.Once, { rank, shouldProbe: () => false }))), "c");
+    const onlyRepeatable = (): readonly PlacementCandidate[] => [candidate("a"), waiting("b", 900, ProbeDemand.Repeatable)];
+    t.is(vmOf(begin(create(RequestKind.Once, { rank: onlyRepeatable }))), "a");
+    t.is(vmOf(begin(create(RequestKind.Repeatable, { rank: onlyRepeatable, shouldProbe: () => false }))), "b");
+});
+
 test("an ejected endpoint is the last resort when there is no other endpoint", (t) => {
     const machine = create(RequestKind.Once, { rank: () => [candidate("gray", Grade.Ejected)] });
     const effect = begin(machine);
--- /dev/null
+++ b/src/decisions/outliers/ProbeInvitations/index.ts
@@ -0,0 +1,93 @@
+import { RequestKind } from "../../../model/RequestKind.js";
+import { ProbeDemand } from "../ProbeDemand.js";
+
+/** Number of entries that are invited first; each sends about one request a second to a service. */
+const FIRST_ROUND_ENTRIES = 4;
+/** Factor from one round to the next, so that a service with few requests invites all entries before its endpoints starve. */
+const ROUND_FACTOR = 2;
+/** Time for which an entry that has sent a repeatable request is expected to send more, in ms. */
+const REPEATABLE_MEMORY_MS = 10_000;
+
+/**
+ * Chooses the entries that a gate invites to send its endpoint a request. Few are invited first, as one request is enough,
+ * and more in each round in which none has come. While only repeatable requests are accepted, entries that have sent such
+ * requests are invited, if there are any.
+ *
+ * Designed for fleets of any size: the endpoint's gate alone sees the requests of all entries, and load reports take longer
+ * the larger the fleet is.
+ */
+export class ProbeInvitations<Entry> {
+    /** Connected entries, the one that was invited longest ago first, with the time of their latest repeatable request. */
+    private readonly entries = new Map<Entry, number>();
+    private invited: readonly Entry[] = [];
+    private roundSize = FIRST_ROUND_ENTRIES;
+
+    private constructor() {}
+
+    /** Creates a selection without any connected entries. */
+    static create<Entry>(): ProbeInvitations<Entry> {
+        return new ProbeInvitations<Entry>();
+    }
+
+    /** True while entries have an invitation. */
+    get isOpen(): boolean {
+        return this.invited.length > 0;
+    }
+
+    /** Adds an entry that has connected. */
+    addEntry(entry: Entry): void {
+        this.entries.set(entry, Number.NEGATIVE_INFINITY);
+    }
+
+    /** Removes an entry whose connection is closed. */
+    removeEntry(entry: Entry): void {
+        this.entries.delete(entry);
+    }
+
+    /** Records a request of an entry. */
+    recordRequest(entry: Entry, requestKind: RequestKind, nowMs: number): void {
+        if (requestKind !== RequestKind.Once && this.entries.has(entry)) {
+            this.entries.set(entry, nowMs);
+        }
+    }
+
+    /**
+     * Starts a round of invitations.
+     *
+     * @param demand - Requests that the endpoint accepts.
+     * @param nowMs - Current time.
+     * @returns The entries to invite.
+     */
+    startRound(demand: ProbeDemand, nowMs: number): readonly Entry[] {
+        const connected = [...this.entries.keys()];
+        const suitable = demand === ProbeDemand.Any ? [] : connected.filter((entry) => this.sendsRepeatable(entry, nowMs));
+        this.invited = (suitable.length > 0 ? suitable : connected).slice(0, this.roundSize);
+        this.invited.forEach((entry) => this.moveToEnd(entry));
+        this.roundSize *= ROUND_FACTOR;
+        return this.invited;
+    }
+
+    /**
+     * Ends the rounds, because the endpoint has had a request.
+     *
+     * @returns The entries whose invitation is still open.
+     */
+    end(): readonly Entry[] {
+        const { invited } = this;
+        this.invited = [];
+        this.roundSize = FIRST_ROUND_ENTRIES;
+        return invited;
+    }
+
+    private sendsRepeatable(entry: Entry, nowMs: number): boolean {
+        return nowMs - (this.entries.get(entry) ?? Number.NEGATIVE_INFINITY) < REPEATABLE_MEMORY_MS;
+    }
+
+    private moveToEnd(entry: Entry): void {
+        const latestAtMs = this.entries.get(entry);
+        if (latestAtMs !== undefined) {
+            this.entries.delete(entry);
+            this.entries.set(entry, latestAtMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/decisions/outliers/ProbeInvitations/test.ts
@@ -0,0 +1,43 @@
+import test from "ava";
+import { RequestKind } from "../../../model/RequestKind.js";
+import { ProbeDemand } from "../ProbeDemand.js";
+import { ProbeInvitations } from "./index.js";
+
+function create(entries: readonly number[]): ProbeInvitations<number> {
+    const invitations = ProbeInvitations.create<number>();
+    entries.forEach((entry) => invitations.addEntry(entry));
+    return invitations;
+}
+
+test("entries are invited in turn, twice as many in each round until the endpoint has had a request", (t) => {
+    const invitations = create(Array.from({ length: 12 }, (_, number) => number));
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 0), [0, 1, 2, 3]);
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 200), [4, 5, 6, 7, 8, 9, 10, 11]);
+    t.is(invitations.startRound(ProbeDemand.Any, 400).length, 12);
+    t.is(invitations.end().length, 12);
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 600), [0, 1, 2, 3]);
+});
+
+test("invitations are withdrawn once, from those who have them", (t) => {
+    const invitations = create([1, 2]);
+    invitations.startRound(ProbeDemand.Any, 0);
+    t.deepEqual(invitations.end(), [1, 2]);
+    t.deepEqual(invitations.end(), []);
+});
+
+test("entries that send repeatable requests are invited for these, and all entries while none does or any request is accepted", (t) => {
+    const invitations = create([1, 2, 3]);
+    t.deepEqual(invitations.startRound(ProbeDemand.Repeatable, 0), [1, 2, 3]);
+    invitations.recordRequest(1, RequestKind.Once, 100);
+    invitations.recordRequest(3, RequestKind.Repeatable, 100);
+    invitations.recordRequest(9, RequestKind.Repeatable, 100);
+    t.deepEqual(invitations.startRound(ProbeDemand.Repeatable, 200), [3]);
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 200), [1, 2, 3]);
+    t.deepEqual(invitations.startRound(ProbeDemand.Repeatable, 20_000), [1, 2, 3]);
+});
+
+test("an entry whose connection is closed is not invited", (t) => {
+    const invitations = create([1, 2]);
+    invitations.removeEntry(1);
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 0), [2]);
+});
--- a/src/decisions/outliers/ProbeScheduler/index.ts
+++ b/src/decisions/outliers/ProbeScheduler/index.ts
@@ -2,13 +2,13 @@
 import { ProbeDemand } from "../ProbeDemand.js";
 
 /** Interval between probes of an ejected endpoint, in ms: two fit into the 2 s within which a healthy endpoint must get a request. */
-const EJECTED_PROBE_INTERVAL_MS = 800;
+const EJECTED_PROBE_INTERVAL_MS = 1_000;
 /** Number of running requests below which a doubted endpoint accepts probes. */
 const MAX_RUNNING_DOUBTED = 2;
 /** Idle time after which a trusted endpoint accepts any request as a probe, in ms; until then only repeatable ones are steered to it. */
 const MAX_IDLE_TRUSTED_MS = 1_000;
 /** The same for an endpoint that is not trusted, in ms: within the 2 s in which a healthy endpoint must get a request. */
-const MAX_IDLE_MS = 1_300;
+const MAX_IDLE_MS = 1_400;
 
 /**
  * Decides when an endpoint accepts probes and of which kind. The rate is limited because an endpoint that fails immediately
@@ -56,7 +56,7 @@
     chooseDemand(grade: Grade, running: number, nowMs: number): ProbeDemand {
         switch (grade) {
             case Grade.Trusted:
-                return running === 0 && this.hasBeenIdleFor(MAX_IDLE_TRUSTED_MS, nowMs) ? ProbeDemand.Any : ProbeDemand.None;
+                return this.hasBeenIdleFor(MAX_IDLE_TRUSTED_MS, nowMs) ? ProbeDemand.Any : ProbeDemand.None;
             case Grade.Doubted:
                 return this.demandForUntrusted(running < MAX_RUNNING_DOUBTED, nowMs);
             case Grade.Ejected:
--- a/src/decisions/placement/PlacementCandidate.ts
+++ b/src/decisions/placement/PlacementCandidate.ts
@@ -12,6 +12,8 @@
     readonly isReachable: boolean;
     /** True while its endpoint is slow after a cold start. */
     readonly isCold: boolean;
+    /** Time for which its endpoint has had no request, while its gate asks this entry for one; otherwise undefined. */
+    readonly waitingMs: number | undefined;
     /** True if it has refused this request. */
     readonly hasRefused: boolean;
 }
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -28,6 +28,7 @@
         offersSinceReport: 0,
         isReachable: true,
         isCold: false,
+        waitingMs: undefined,
         hasRefused: false,
         ...overrides,
     };
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -87,9 +87,9 @@
         this.probeScheduler = probeScheduler;
     }
 
-    /** Checks whether no request runs and none has been admitted for a duration. */
+    /** Checks whether a slot is free and no request has been admitted for a duration, however long earlier ones run. */
     hasBeenIdleFor(durationMs: number, nowMs: number): boolean {
-        return this.running.size === 0 && this.probeScheduler.hasBeenIdleFor(durationMs, nowMs);
+        return this.running.size < this.slotCount && this.probeScheduler.hasBeenIdleFor(durationMs, nowMs);
     }
 
     /** Time since a request was last admitted, in ms; infinite before the first one. */
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -35,6 +35,8 @@
 const CONTROL_TIMEOUT_MS = 2_200;
 /** Interval of reviews of the subscriptions, in ms. */
 const SUBSCRIPTION_REVIEW_INTERVAL_MS = 200;
+/** Interval at which entries are invited while the endpoint is due for a request, in ms. */
+const INVITATION_INTERVAL_MS = 200;
 /** Time after the request to stop for which new connections are accepted, in ms; callers use other proxies by then. */
 const STOP_LISTENING_DELAY_MS = 2_500;
 /** Margin before the end of the grace period at which the process stops in any case, in ms. */
@@ -112,7 +114,7 @@
             vm: vm.name,
             failureDomain: vm.failureDomain,
             localGate: gate,
-            openTunnel: (gateAddress, onReachabilityChange) => TunnelClient.create(gateAddress, token, onReachabilityChange),
+            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks),
         }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: `${vm.name}-${randomBytes(RUN_ID_BYTES).toString("hex")}`,
@@ -216,7 +218,10 @@
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.handleLinkClose(link),
         }, () => undefined, () => 0, this.events);
-        this.timerStops.push(setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()));
+        this.timerStops.push(
+            setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()),
+            setAlignedInterval(INVITATION_INTERVAL_MS, () => this.inviteEntries()),
+        );
     }
 
     private close(): void {
@@ -319,7 +324,14 @@
     }
 
     private handleLoadChange(isUrgent: boolean): void {
-        this.fleetView.applyLoad(this.gate.load);
+        const { load, invitation } = this.gate;
+        this.fleetView.applyInvitation(invitation ?? { load, waitedMs: undefined });
+        if (invitation === undefined) {
+            this.tunnelServer?.withdrawInvitations(load);
+        }
+        else if (this.tunnelServer?.hasInvited === false) {
+            this.tunnelServer.invite(invitation);
+        }
         this.loadReporter.handleLoadChange(isUrgent);
     }
 
@@ -330,6 +342,15 @@
         }
     }
 
+    /** Asks entries for a request if the endpoint is due for one. */
+    private inviteEntries(): void {
+        const { invitation } = this.gate;
+        if (invitation !== undefined) {
+            this.fleetView.applyInvitation(invitation);
+            this.tunnelServer?.invite(invitation);
+        }
+    }
+
     private sendToControls(message: Message): void {
         this.links?.linkedVms.forEach((vm) => this.links?.sendTo(vm, message));
     }
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -14,6 +14,7 @@
 import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
 import { ObservedOutcome } from "../../decisions/outliers/ObservedOutcome.js";
 import { OutlierDetector } from "../../decisions/outliers/OutlierDetector/index.js";
+import { ProbeDemand } from "../../decisions/outliers/ProbeDemand.js";
 import { ProbeScheduler } from "../../decisions/outliers/ProbeScheduler/index.js";
 import { isServerDown } from "../../http/isServerDown/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -22,6 +23,7 @@
 import { RequestKind } from "../../model/RequestKind.js";
 import { GateReply } from "../../tunnel/GateReply.js";
 import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
+import { Invitation } from "../../tunnel/Invitation.js";
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GatePort } from "../../tunnel/GatePort.js";
@@ -116,6 +118,14 @@
         };
     }
 
+    /** Invitation to entries to send a request, or undefined if the endpoint has had one lately or accepts none. */
+    get invitation(): Invitation | undefined {
+        const { load } = this;
+        const waitedMs = this.queue.sinceLastRequestMs(nowMs());
+        const isServing = this.endpoint?.phase === EndpointPhase.Ready && !this.isStopping;
+        return isServing && waitedMs >= MIN_IDLE_MS && load.trialWish !== ProbeDemand.None ? { load, waitedMs } : undefined;
+    }
+
     /** Share of running requests that are retries, or calls made by retries. Estimates the same share for calls of the endpoint. */
     get repeatShare(): number {
         const started = [...this.acceptedOffers.values()].filter(({ startedAtMs }) => startedAtMs > 0);
--- a/src/tunnel/Frame.ts
+++ b/src/tunnel/Frame.ts
@@ -1,5 +1,6 @@
 import { FrameKind } from "./FrameKind.js";
 import { GateReply } from "./GateReply.js";
+import { Invitation } from "./Invitation.js";
 import { WorkOffer } from "./WorkOffer.js";
 
 /** Frame on a tunnel between an entry and a gate. */
@@ -10,5 +11,6 @@
     | { readonly kind: FrameKind.Confirm; readonly key: string }
     | { readonly kind: FrameKind.Cancel; readonly key: string }
     | { readonly kind: FrameKind.Reply; readonly key: string; readonly reply: GateReply }
+    | { readonly kind: FrameKind.Invitation; readonly invitation: Invitation }
     | { readonly kind: FrameKind.Ping }
     | { readonly kind: FrameKind.Pong };
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -9,6 +9,8 @@
     Confirm = "g",
     Cancel = "c",
     Reply = "r",
+    /** Asks the entry for a request for the endpoint. */
+    Invitation = "i",
     Ping = "p",
     Pong = "q",
 }
--- a/src/tunnel/GateTunnel.ts
+++ b/src/tunnel/GateTunnel.ts
@@ -6,6 +6,8 @@
     readonly isReachable: boolean;
     /** True while `tick` has to be called. */
     readonly isWaiting: boolean;
+    /** Connects if there is no connection, so that the gate can invite this entry before it has sent a request. */
+    open(): void;
     /** Handles timeouts. Call it several times a second while `isWaiting`. */
     tick(): void;
     /** Resets the reconnect delay, for example after an update about the gate. */
--- /dev/null
+++ b/src/tunnel/TunnelCallbacks.ts
@@ -0,0 +1,9 @@
+import { Invitation } from "./Invitation.js";
+
+/** Functions of an entry that a tunnel calls. */
+export interface TunnelCallbacks {
+    /** Called when the gate becomes unreachable, with the problem, or reachable again. */
+    onReachabilityChange(isReachable: boolean, problem: string): void;
+    /** Called when the gate asks for a request for its endpoint. */
+    onInvitation(invitation: Invitation): void;
+}
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -9,6 +9,7 @@
 import { GateTunnel } from "../GateTunnel.js";
 import { isFinalReply } from "../isFinalReply/index.js";
 import { OfferHandle } from "../OfferHandle.js";
+import { TunnelCallbacks } from "../TunnelCallbacks.js";
 import { TunnelSocket } from "../TunnelSocket/index.js";
 import { WorkOffer } from "../WorkOffer.js";
 
@@ -66,7 +67,7 @@
     private constructor(
         private readonly address: string,
         private readonly token: string,
-        private readonly onReachabilityChange: (isReachable: boolean, problem: string) => void,
+        private readonly callbacks: TunnelCallbacks,
     ) {}
 
     /**
@@ -74,10 +75,10 @@
      *
      * @param address - `host:port` of the gate.
      * @param token - Token that authenticates this process as a member of the fleet.
-     * @param onReachabilityChange - Called when the gate becomes unreachable or reachable again.
+     * @param callbacks - Functions that it calls.
      */
-    static create(address: string, token: string, onReachabilityChange: (isReachable: boolean, problem: string) => void): TunnelClient {
-        return new TunnelClient(address, token, onReachabilityChange);
+    static create(address: string, token: string, callbacks: TunnelCallbacks): TunnelClient {
+        return new TunnelClient(address, token, callbacks);
     }
 
     /** False while the gate cannot be connected to, or has sent no frame since it failed to reply to an offer in time. */
@@ -111,6 +112,12 @@
         return { cancel: () => this.cancel(offer.key), confirm: () => undefined };
     }
 
+    open(): void {
+        if (!this.isUnreachable) {
+            this.connect();
+        }
+    }
+
     /** Handles timeouts. Call it several times a second while `isWaiting`. */
     tick(): void {
         const atMs = nowMs();
@@ -192,6 +199,9 @@
         else if (frame.kind === FrameKind.Reply) {
             this.handleReply(frame.key, frame.reply);
         }
+        else if (frame.kind === FrameKind.Invitation) {
+            this.callbacks.onInvitation(frame.invitation);
+        }
     }
 
     private handleWelcome(gateRun: string): void {
@@ -281,7 +291,7 @@
     private setUnreachable(isUnreachable: boolean, problem: string): void {
         if (this.isUnreachable !== isUnreachable) {
             this.isUnreachable = isUnreachable;
-            this.onReachabilityChange(!isUnreachable, problem);
+            this.callbacks.onReachabilityChange(!isUnreachable, problem);
         }
     }
 }
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -2,17 +2,20 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
+import { createLoadReport } from "../../../test/fixtures/createLoadReport.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { GatePort } from "../GatePort.js";
 import { GateReply } from "../GateReply.js";
 import { GateReplyKind } from "../GateReplyKind.js";
+import { Invitation } from "../Invitation.js";
 import { OfferHandle } from "../OfferHandle.js";
 import { TunnelServer } from "../TunnelServer/index.js";
 import { WorkOffer } from "../WorkOffer.js";
 import { TunnelClient } from "./index.js";
 
 const TOKEN = "token of the fleet";
+const CALLBACKS = { onReachabilityChange: (): void => undefined, onInvitation: (): void => undefined };
 const RESPONSE: GateReply = { kind: GateReplyKind.Answered, answer: { status: 200, headers: [], body: Buffer.from("ok") }, load: undefined };
 
 /** Gate that grants every offer and records which offers are started and cancelled. Tests reply through `replies`. */
@@ -84,9 +87,11 @@
 
 interface Fixture {
     readonly gate: FakeGate;
+    readonly server: TunnelServer;
     readonly tcpProxy: TcpProxy;
     readonly client: TunnelClient;
     readonly replies: GateReply[];
+    readonly invitations: Invitation[];
     readonly offer: (key: string, requestKind: RequestKind) => OfferHandle;
 }
 
@@ -99,13 +104,14 @@
     await once(probe, "close");
     const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate });
     const tcpProxy = await TcpProxy.create(port);
-    const client = TunnelClient.create(tcpProxy.address, TOKEN, () => undefined);
+    const invitations: Invitation[] = [];
+    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation: (invitation) => invitations.push(invitation) });
     const timer = setInterval(() => client.tick(), 20);
     const replies: GateReply[] = [];
     const offer = (key: string, requestKind: RequestKind): OfferHandle =>
         client.offer({ key, requestKind, remainingMs: 4_000, usualMs: 500 } as WorkOffer, (reply) => replies.push(reply));
     try {
-        await run({ gate, tcpProxy, client, replies, offer });
+        await run({ gate, server, tcpProxy, client, replies, invitations, offer });
     }
     finally {
         clearInterval(timer);
@@ -185,9 +191,25 @@
     });
 });
 
+test("a gate invites a connected entry to send a request, and withdraws the invitation once", async (t) => {
+    await withTunnel(t, async ({ server, replies, invitations, offer }) => {
+        offer("1", RequestKind.Repeatable);
+        await waitUntil(() => replies.length > 0);
+        const load = createLoadReport("vm-1");
+        server.invite({ load, waitedMs: 900 });
+        server.invite({ load, waitedMs: Number.POSITIVE_INFINITY });
+        server.withdrawInvitations(load);
+        server.withdrawInvitations(load);
+        server.invite({ load, waitedMs: 1_000 });
+        await waitUntil(() => invitations.length >= 4);
+        t.deepEqual(invitations.map(({ waitedMs }) => waitedMs), [900, Number.POSITIVE_INFINITY, undefined, 1_000]);
+        t.deepEqual(invitations[0]?.load, load);
+    });
+});
+
 test("an offer to an unreachable gate is refused as not executed", async (t) => {
     const replies: GateReply[] = [];
-    const client = TunnelClient.create("127.0.0.1:1", TOKEN, () => undefined);
+    const client = TunnelClient.create("127.0.0.1:1", TOKEN, CALLBACKS);
     client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 4_000 } as WorkOffer, (reply) => replies.push(reply));
     await waitUntil(() => replies.length > 0);
     t.is(replies[0]?.kind, GateReplyKind.Refused);
@@ -198,7 +220,7 @@
 test("a process without the token of the fleet cannot open a tunnel", async (t) => {
     await withTunnel(t, async ({ tcpProxy, gate }) => {
         const replies: GateReply[] = [];
-        const unauthenticated = TunnelClient.create(tcpProxy.address, "another token", () => undefined);
+        const unauthenticated = TunnelClient.create(tcpProxy.address, "another token", CALLBACKS);
         unauthenticated.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 4_000 } as WorkOffer, (reply) => replies.push(reply));
         await waitUntil(() => replies.length > 0);
         t.is(replies[0]?.kind, GateReplyKind.Refused);
@@ -216,7 +238,8 @@
     const gate = new FakeGate();
     const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate });
     const tcpProxy = await TcpProxy.create(port);
-    const client = TunnelClient.create(tcpProxy.address, TOKEN, () => undefined);
+    const invitations: Invitation[] = [];
+    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation: (invitation) => invitations.push(invitation) });
     const timer = setInterval(() => client.tick(), 20);
     t.teardown(() => {
         clearInterval(timer);
@@ -241,7 +264,7 @@
     server.on("connection", () => {
         attempts += 1;
     });
-    const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, () => undefined);
+    const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, CALLBACKS);
     const timer = setInterval(() => client.tick(), 20);
     t.teardown(() => {
         clearInterval(timer);
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -1,6 +1,8 @@
 import { once } from "node:events";
 import { WebSocket, WebSocketServer } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
+import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
@@ -10,6 +12,7 @@
 import { FrameKind } from "../FrameKind.js";
 import { GateReply } from "../GateReply.js";
 import { GateReplyKind } from "../GateReplyKind.js";
+import { Invitation } from "../Invitation.js";
 import { isFinalReply } from "../isFinalReply/index.js";
 import { OfferHandle } from "../OfferHandle.js";
 import { TunnelServerOptions } from "../TunnelServerOptions.js";
@@ -37,6 +40,7 @@
  */
 export class TunnelServer {
     private readonly offers = new Map<string, AcceptedOffer>();
+    private readonly invitations = ProbeInvitations.create<TunnelSocket>();
     private readonly cleanupTimer: NodeJS.Timeout;
 
     private constructor(private readonly server: WebSocketServer, private readonly options: TunnelServerOptions) {
@@ -68,6 +72,26 @@
         return new TunnelServer(server, options);
     }
 
+    /** True while entries have an invitation. */
+    get hasInvited(): boolean {
+        return this.invitations.isOpen;
+    }
+
+    /** Invites some of the connected entries to send the endpoint a request. */
+    invite(invitation: Invitation): void {
+        const sockets = this.invitations.startRound(invitation.load.trialWish, nowMs());
+        sockets.forEach((socket) => socket.send({ kind: FrameKind.Invitation, invitation }));
+    }
+
+    /**
+     * Withdraws the latest invitations, because the endpoint has had a request.
+     *
+     * @param load - Current load of the gate.
+     */
+    withdrawInvitations(load: GateLoadReport): void {
+        this.invitations.end().forEach((socket) => socket.send({ kind: FrameKind.Invitation, invitation: { load, waitedMs: undefined } }));
+    }
+
     /** Closes all tunnels and stops listening. */
     close(): void {
         clearInterval(this.cleanupTimer);
@@ -77,6 +101,7 @@
 
     private handleConnection(webSocket: WebSocket): void {
         const socket = TunnelSocket.create(webSocket, (frame) => this.handleFrame(socket, frame), () => this.handleConnectionLoss(socket));
+        this.invitations.addEntry(socket);
         socket.send({ kind: FrameKind.Welcome, gateRun: this.options.gateRun });
     }
 
@@ -99,6 +124,7 @@
                 return;
             case FrameKind.Welcome:
             case FrameKind.Reply:
+            case FrameKind.Invitation:
             case FrameKind.Pong:
                 return;
         }
@@ -110,6 +136,7 @@
             this.reattach(socket, offer.key, existing);
             return;
         }
+        this.invitations.recordRequest(socket, offer.requestKind, nowMs());
         const accepted: AcceptedOffer = { offer, handle: undefined, socket, hasStarted: false, finalReply: undefined, endedAtMs: 0 };
         this.offers.set(offer.key, accepted);
         accepted.handle = this.options.gate.offer({ ...offer, needsGo: true }, (reply) => this.handleReply(offer.key, accepted, reply));
@@ -171,6 +198,7 @@
 
     /** Cancels the unfinished offers of a lost connection that have not started or that the entry repeats elsewhere. */
     private handleConnectionLoss(socket: TunnelSocket): void {
+        this.invitations.removeEntry(socket);
         [...this.offers].filter(([, accepted]) => accepted.socket === socket && accepted.finalReply === undefined).forEach(([key, accepted]) => {
             accepted.socket = undefined;
             if (accepted.offer.requestKind !== RequestKind.Once) {
--- a/test/starvation.test.ts
+++ b/test/starvation.test.ts
@@ -32,7 +32,9 @@
     const { requests, failures } = model.counts;
     t.log(`${requests} requests, ${failures} failed`);
     for (const { name } of services) {
-        const gapsMs = model.backendsOf(name).map(({ arrivalsAtMs }) => longestGapMs(arrivalsAtMs, WARM_UP_MS, RUN_MS)).sort((left, right) => right - left);
+        const gapsMs = model.backendsOf(name)
+            .map(({ arrivalsAtMs }) => longestGapMs(arrivalsAtMs, WARM_UP_MS, RUN_MS))
+            .sort((left, right) => right - left);
         const starved = gapsMs.filter((gapMs) => gapMs > STARVATION_LIMIT_MS).length;
         t.is(starved, 0, `${starved} of ${gapsMs.length} endpoints of ${name} went without a request for up to ${gapsMs[0]} ms`);
     }
@@ -56,6 +58,6 @@
 
 test.serial("no endpoint goes without requests for 2 s although its requests run for most of that time", async (t) => {
     await findStarved(t, [
-        { name: "lookup", endpointCount: 80, slots: 8, requestsPerSecond: 81, repeatableShare: 1, workMs: 1_333, failingShare: 0 },
+        { name: "lookup", endpointCount: 80, slots: 8, requestsPerSecond: 120, repeatableShare: 1, workMs: 1_333, failingShare: 0 },
     ], 5, 1);
 });
