Invite few entries, and rarely, for endpoints of a service without requests

After 30 rounds in vain it invites 4 entries every fifth round. Test: 80 invitations in 100 further rounds to 40 entries (4,000 before). Also looks after tunnels that were opened ahead of need and failed, which were retried only after the next offer.

--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -237,6 +237,7 @@
         const created = this.options.openTunnel(gateAddress, {
             onReachabilityChange: (isReachable, problem) => {
                 this.events.record(isReachable ? EventNumber.PathRegained : EventNumber.PathLost, { peer: vm, problem });
+                this.scheduleTick();
             },
             onInvitation: (invitation) => this.applyInvitation(invitation),
         });
--- a/src/callers/FleetViewOptions.ts
+++ b/src/callers/FleetViewOptions.ts
@@ -8,6 +8,6 @@
     readonly failureDomain: string;
     /** Gate in the same process. */
     readonly localGate: GatePort;
-    /** Creates a tunnel to the gate at an address; it connects when the first request is offered. */
+    /** Creates a tunnel to the gate at an address; it connects when it is opened or a request is offered. */
     readonly openTunnel: (gateAddress: string, callbacks: TunnelCallbacks) => GateTunnel;
 }
--- a/src/decisions/outliers/ProbeInvitations/index.ts
+++ b/src/decisions/outliers/ProbeInvitations/index.ts
@@ -5,6 +5,10 @@
 const FIRST_ROUND_ENTRIES = 4;
 /** Factor from one round to the next, so that a service with few requests invites all entries before its endpoints starve. */
 const ROUND_FACTOR = 2;
+/** Number of rounds without a request, from the first one on, after which a service counts as idle: 6 s at the usual pace. */
+const MAX_FAST_ROUNDS = 30;
+/** Of the rounds for an endpoint of an idle service, one in this number invites anyone. */
+const IDLE_ROUND_INTERVAL = 5;
 /** Time for which an entry that has sent a repeatable request is expected to send more, in ms. */
 const REPEATABLE_MEMORY_MS = 10_000;
 
@@ -20,7 +24,7 @@
     /** Connected entries, the one that was invited longest ago first, with the time of their latest repeatable request. */
     private readonly entries = new Map<Entry, number>();
     private invited: readonly Entry[] = [];
-    private roundSize = FIRST_ROUND_ENTRIES;
+    private rounds = 0;
 
     private constructor() {}
 
@@ -63,7 +67,7 @@
         const suitable = demand === ProbeDemand.Any ? [] : connected.filter((entry) => this.sendsRepeatable(entry, nowMs));
         this.invited = (suitable.length > 0 ? suitable : connected).slice(0, this.roundSize);
         this.invited.forEach((entry) => this.moveToEnd(entry));
-        this.roundSize *= ROUND_FACTOR;
+        this.rounds += 1;
         return this.invited;
     }
 
@@ -75,10 +79,18 @@
     end(): readonly Entry[] {
         const { invited } = this;
         this.invited = [];
-        this.roundSize = FIRST_ROUND_ENTRIES;
+        this.rounds = 0;
         return invited;
     }
 
+    /** Number of entries that the next round may invite; few from time to time if the whole service seems to be idle. */
+    private get roundSize(): number {
+        if (this.rounds < MAX_FAST_ROUNDS) {
+            return FIRST_ROUND_ENTRIES * ROUND_FACTOR ** this.rounds;
+        }
+        return this.rounds % IDLE_ROUND_INTERVAL === 0 ? FIRST_ROUND_ENTRIES : 0;
+    }
+
     private sendsRepeatable(entry: Entry, nowMs: number): boolean {
         return nowMs - (this.entries.get(entry) ?? Number.NEGATIVE_INFINITY) < REPEATABLE_MEMORY_MS;
     }
--- a/src/decisions/outliers/ProbeInvitations/test.ts
+++ b/src/decisions/outliers/ProbeInvitations/test.ts
@@ -41,3 +41,12 @@
     invitations.removeEntry(1);
     t.deepEqual(invitations.startRound(ProbeDemand.Any, 0), [2]);
 });
+
+test("an endpoint of a service without requests invites few entries, and rarely", (t) => {
+    const invitations = create(Array.from({ length: 40 }, (_, number) => number));
+    const sizes = Array.from({ length: 130 }, (_, round) => invitations.startRound(ProbeDemand.Any, round * 200).length);
+    const invitedLater = sizes.slice(30).reduce((sum, size) => sum + size, 0);
+    t.is(invitedLater, 80);
+    invitations.end();
+    t.is(invitations.startRound(ProbeDemand.Any, 30_000).length, 4);
+});
