--- a/src/decisions/outliers/ProbeInvitations/index.ts
+++ b/src/decisions/outliers/ProbeInvitations/index.ts
@@ -5,8 +5,8 @@
 const FIRST_ROUND_ENTRIES = 4;
 /** Factor from one round to the next, so that a service with few requests invites all entries before its endpoints starve. */
 const ROUND_FACTOR = 2;
-/** Number of rounds without a request, from the first one on, after which a service counts as idle: 6 s at the usual pace. */
-const MAX_FAST_ROUNDS = 30;
+/** Number of rounds without a request, from the first one on, after which a service counts as idle: 2 s at the usual pace. */
+const MAX_FAST_ROUNDS = 10;
 /** Of the rounds for an endpoint of an idle service, one in this number invites anyone. */
 const IDLE_ROUND_INTERVAL = 5;
 /** Time for which an entry that has sent a repeatable request is expected to send more, in ms. */
--- a/src/decisions/outliers/ProbeInvitations/test.ts
+++ b/src/decisions/outliers/ProbeInvitations/test.ts
@@ -44,8 +44,8 @@
 
 test("an endpoint of a service without requests invites few entries, and rarely", (t) => {
     const invitations = create(Array.from({ length: 40 }, (_, number) => number));
-    const sizes = Array.from({ length: 130 }, (_, round) => invitations.startRound(ProbeDemand.Any, round * 200).length);
-    const invitedLater = sizes.slice(30).reduce((sum, size) => sum + size, 0);
+    const sizes = Array.from({ length: 110 }, (_, round) => invitations.startRound(ProbeDemand.Any, round * 200).length);
+    const invitedLater = sizes.slice(10).reduce((sum, size) => sum + size, 0);
     t.is(invitedLater, 80);
     invitations.end();
     t.is(invitations.startRound(ProbeDemand.Any, 30_000).length, 4);
