--- a/test/starvation.test.ts
+++ b/test/starvation.test.ts
@@ -48,6 +48,14 @@
     ], 5, 1);
 });
 
+test.serial("no endpoint of a fleet of 96 VMs goes without requests for 2 s while a third of the endpoints fail in turn", async (t) => {
+    await findStarved(t, [
+        { name: "catalogue", endpointCount: 40, slots: 6, requestsPerSecond: 100, repeatableShare: 0.7, workMs: 850, failingShare: 0.3 },
+        { name: "orders", endpointCount: 46, slots: 6, requestsPerSecond: 150, repeatableShare: 0.3, workMs: 550, failingShare: 0.3 },
+        { name: "drawings", endpointCount: 10, slots: 6, requestsPerSecond: 70, repeatableShare: 1, workMs: 300, failingShare: 0.3 },
+    ], 4, 1);
+});
+
 test.serial("no endpoint of a small fleet goes without requests for 2 s while a third of the endpoints fail in turn", async (t) => {
     await findStarved(t, [
         { name: "lookup", endpointCount: 9, slots: 5, requestsPerSecond: 25, repeatableShare: 0.6, workMs: 580, failingShare: 0.3 },
