--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -7,9 +7,7 @@
 import { GateRecord } from "../../../src/decisions/fleet/GateRecord.js";
 import { ProbeInvitations } from "../../../src/decisions/outliers/ProbeInvitations/index.js";
 import { packLoads } from "../../../src/decisions/fleet/packLoads/index.js";
-import { ItemKind } from "../../../src/decisions/items/ItemKind.js";
 import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
-import { VersionedItem } from "../../../src/decisions/items/VersionedItem.js";
 import { MessageKind } from "../../../src/links/MessageKind.js";
 import { RequestKind } from "../../../src/model/RequestKind.js";
 import { EventLog } from "../../../src/logs/EventLog/index.js";
@@ -21,14 +19,13 @@
 import { Invitation } from "../../../src/tunnel/Invitation.js";
 import { TunnelCallbacks } from "../../../src/tunnel/TunnelCallbacks.js";
 import { createRandom } from "../../soak/createRandom/index.js";
+import { createRoutes } from "../createRoutes/index.js";
 import { FleetModelOptions } from "../FleetModelOptions.js";
 import { ModelBackend } from "../ModelBackend/index.js";
+import { MODEL_HOST } from "../modelHost.js";
 import { ModelService } from "../ModelService.js";
+import { ModelVm } from "../ModelVm.js";
 
-const HOST = "model.example";
-const TARGET_LATENCY_MS = 4_000;
-const TIMEOUT_MS = 10_000;
-const MAX_ATTEMPTS = 2;
 const RETRY_BUDGET = { windowMs: 10_000, ratio: 0.2, slack: 400 };
 /** Status from which an answer counts as a failure. */
 const MIN_FAILED_STATUS = 500;
@@ -50,19 +47,6 @@
     isGenuine: () => true,
 };
 
-/** One VM: an entry and the gate of an endpoint. */
-interface ModelVm {
-    readonly name: string;
-    readonly service: ModelService;
-    readonly backend: ModelBackend;
-    readonly gate: ServingGate;
-    readonly fleetView: FleetView;
-    readonly dispatcher: RequestDispatcher;
-    readonly loadReporter: LoadReporter;
-    readonly control: FleetUpdateRelay;
-    readonly invitations: ProbeInvitations<TunnelCallbacks>;
-}
-
 /**
  * Fleet in one process and without a network: the real entries, gates, load reports and control VMs' relays, with messages
  * that arrive after a fixed time. Runs on a faked clock; see `advance`.
@@ -272,7 +256,7 @@
             request: {
                 method: "GET",
                 path: `/${service.name}/${requestKind}/${this.requestCount}`,
-                host: HOST,
+                host: MODEL_HOST,
                 headers: [],
                 body: Buffer.alloc(0),
                 hasBody: false,
@@ -288,23 +272,3 @@
         });
     }
 }
-
-function createRoutes({ name }: ModelService): readonly VersionedItem[] {
-    return [RequestKind.Repeatable, RequestKind.Once].map((requestKind) => ({
-        key: `route/${name}-${requestKind}`,
-        version: 1,
-        document: "",
-        content: {
-            kind: ItemKind.Route,
-            name: `${name}-${requestKind}`,
-            host: HOST,
-            pathPrefix: `/${name}/${requestKind}/`,
-            requestKind,
-            timeoutMs: TIMEOUT_MS,
-            targetLatencyMs: TARGET_LATENCY_MS,
-            priority: 1,
-            maxAttempts: MAX_ATTEMPTS,
-            services: [{ service: name, weight: 1 }],
-        },
-    }));
-}
--- /dev/null
+++ b/bench/fleetModel/createRoutes/index.ts
@@ -0,0 +1,37 @@
+import { ItemKind } from "../../../src/decisions/items/ItemKind.js";
+import { VersionedItem } from "../../../src/decisions/items/VersionedItem.js";
+import { RequestKind } from "../../../src/model/RequestKind.js";
+import { MODEL_HOST } from "../modelHost.js";
+import { ModelService } from "../ModelService.js";
+
+const TARGET_LATENCY_MS = 4_000;
+const TIMEOUT_MS = 10_000;
+const MAX_ATTEMPTS = 2;
+
+/**
+ * Creates the routes of a service of a `FleetModel`: one for repeatable and one for non-repeatable requests.
+ *
+ * @param service - The service.
+ * @returns Its routes, with the paths `/<service>/<kind>/`.
+ * @example
+ * createRoutes(service).length; // 2
+ */
+export function createRoutes({ name }: ModelService): readonly VersionedItem[] {
+    return [RequestKind.Repeatable, RequestKind.Once].map((requestKind) => ({
+        key: `route/${name}-${requestKind}`,
+        version: 1,
+        document: "",
+        content: {
+            kind: ItemKind.Route,
+            name: `${name}-${requestKind}`,
+            host: MODEL_HOST,
+            pathPrefix: `/${name}/${requestKind}/`,
+            requestKind,
+            timeoutMs: TIMEOUT_MS,
+            targetLatencyMs: TARGET_LATENCY_MS,
+            priority: 1,
+            maxAttempts: MAX_ATTEMPTS,
+            services: [{ service: name, weight: 1 }],
+        },
+    }));
+}
--- a/src/decisions/outliers/ProbeScheduler/index.ts
+++ b/src/decisions/outliers/ProbeScheduler/index.ts
@@ -5,7 +5,7 @@
 const EJECTED_PROBE_INTERVAL_MS = 1_000;
 /** Number of running requests below which a doubted endpoint accepts probes. */
 const MAX_RUNNING_DOUBTED = 2;
-/** Idle time after which a trusted endpoint accepts any request as a probe, in ms; until then only repeatable ones are steered to it. */
+/** Time since its latest request after which a trusted endpoint accepts any as a probe, in ms; until then repeatable ones are steered to it. */
 const MAX_IDLE_TRUSTED_MS = 1_000;
 /** The same for an endpoint that is not trusted, in ms: within the 2 s in which a healthy endpoint must get a request. */
 const MAX_IDLE_MS = 1_400;
@@ -49,7 +49,7 @@
      * Chooses which requests the endpoint accepts as probes; a trusted endpoint accepts any once it has been idle for too long.
      *
      * @param grade - Grade of the endpoint.
-     * @param running - Number of requests that it runs.
+     * @param running - Number of requests that it runs; limits the probes of a doubted one.
      * @param nowMs - Current time.
      * @returns The accepted probes.
      */
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -235,7 +235,7 @@
         return { cancel: () => this.cancel(offer.key), confirm: () => this.confirm(offer.key) };
     }
 
-    /** Records that the endpoint had no requests for too long, although it was ready for all that time. */
+    /** Records that a request ends a time without any that was too long. */
     private recordStarvation(sinceLastRequestMs: number, grade: Grade): void {
         if (Number.isFinite(sinceLastRequestMs) && sinceLastRequestMs > STARVATION_LIMIT_MS) {
             this.options.events.record(EventNumber.EndpointStarved, {
--- a/src/serving/ServingGateOptions.ts
+++ b/src/serving/ServingGateOptions.ts
@@ -8,6 +8,7 @@
     readonly vm: string;
     /** `host:port` of the backend server. */
     readonly backendAddress: string;
+    /** Connections to the backend server. */
     readonly backend: BackendPort;
     readonly dialect: EndpointDialect;
     readonly events: EventLog;
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -9,7 +9,7 @@
     Confirm = "g",
     Cancel = "c",
     Reply = "r",
-    /** Asks the entry for a request for the endpoint. */
+    /** Asks the entry for a request for the endpoint, or withdraws that. */
     Invitation = "i",
     Ping = "p",
     Pong = "q",
--- a/src/tunnel/TunnelCallbacks.ts
+++ b/src/tunnel/TunnelCallbacks.ts
@@ -4,6 +4,6 @@
 export interface TunnelCallbacks {
     /** Called when the gate becomes unreachable, with the problem, or reachable again. */
     onReachabilityChange(isReachable: boolean, problem: string): void;
-    /** Called when the gate asks for a request for its endpoint. */
+    /** Called when the gate asks for a request for its endpoint, and when it no longer does. */
     onInvitation(invitation: Invitation): void;
 }
