Log the limits that endpoints name and each excess of the requests sent to them

Gates decode what an endpoint states about itself (platform/decodeStatedLimit) and log event 422 when a limit changes and event 423 when more was sent in 4 s than the limit and a burst of one second allow, with the reasons. No request is handled otherwise.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -5,6 +5,7 @@
 import { EndpointPhase } from "../../../src/decisions/fleet/EndpointPhase.js";
 import { GateLoadReport } from "../../../src/decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../../src/decisions/fleet/GateRecord.js";
+import { StatedLimitKind } from "../../../src/decisions/limits/StatedLimitKind.js";
 import { ProbeInvitations } from "../../../src/decisions/outliers/ProbeInvitations/index.js";
 import { packLoads } from "../../../src/decisions/fleet/packLoads/index.js";
 import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
@@ -37,6 +38,7 @@
     requestHeaders: () => [],
     readRequestId: () => undefined,
     isNotRun: () => false,
+    readStatement: () => ({ limit: { kind: StatedLimitKind.None }, isLeaving: false }),
     isSigned: () => true,
 };
 
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -55,6 +55,8 @@
     ReportRefused = 404,
     EndpointGraded = 420,
     EndpointStarved = 421,
+    EndpointLimited = 422,
+    LimitExceeded = 423,
     BackendBroken = 530,
     RequestAnswered = 531,
     RequestFailed = 532,
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -7,6 +7,8 @@
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { EndpointLimiter } from "../../decisions/limits/EndpointLimiter/index.js";
+import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
 import { isBlockedByGrade } from "../../decisions/serving/isBlockedByGrade/index.js";
@@ -19,6 +21,7 @@
 import { isServerDown } from "../../http/isServerDown/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
+import { HeaderList } from "../../model/HeaderList.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { GateReply } from "../../tunnel/GateReply.js";
@@ -27,6 +30,7 @@
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GatePort } from "../../tunnel/GatePort.js";
+import { EndpointMonitor } from "../EndpointMonitor/index.js";
 import { ServingGateOptions } from "../ServingGateOptions.js";
 
 /** Interval at which accepted offers are checked for timeouts while there are any, in ms. */
@@ -84,6 +88,8 @@
     private tickTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
+    private limiter = EndpointLimiter.create();
+    private readonly monitor: EndpointMonitor;
     private retryBudget: FleetRetryBudget;
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
@@ -92,6 +98,7 @@
 
     private constructor(private readonly options: ServingGateOptions) {
         this.retryBudget = FleetRetryBudget.create(options.retryBudgetLimits);
+        this.monitor = EndpointMonitor.create(options.events);
         this.cleanupTimer = setInterval(() => this.options.backend.closeUnusable(), CLEANUP_INTERVAL_MS);
     }
 
@@ -152,6 +159,7 @@
         if (isNewRun) {
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
+            this.limiter = EndpointLimiter.create();
             this.queue.setProbeScheduler(ProbeScheduler.create());
             this.options.backend.closeUnusable();
         }
@@ -309,6 +317,7 @@
         if (!offer.isRepeat) {
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
         }
+        this.monitor.recordSend(this.endpoint, sendReasonOf(offer), this.limiter, accepted.startedAtMs);
         const remainingMs = Math.max(1, Math.round(accepted.deadlineAtMs - accepted.startedAtMs - RETURN_MARGIN_MS));
         accepted.exchange = this.options.backend.send({
             method: offer.method,
@@ -364,8 +373,12 @@
                 if (this.options.dialect.isNotRun(status, headers)) {
                     const isOtherEndpoint = status === STATUS_MISDIRECTED_REQUEST;
                     this.recordShed(!isOtherEndpoint);
+                    if (!isOtherEndpoint) {
+                        this.applyStatement(headers, startedAtMs, atMs);
+                    }
                     return this.createRefusal(isOtherEndpoint ? RefusalCause.OtherEndpoint : RefusalCause.Shed, 0, true);
                 }
+                this.applyStatement(headers, startedAtMs, atMs);
                 this.recordShed(false);
                 this.observeStatus(status, startedAtMs, atMs);
                 return { kind: GateReplyKind.Answered, answer: result.answer, load: this.load };
@@ -389,6 +402,14 @@
         }
     }
 
+    /** Applies what the endpoint states about itself in a response. */
+    private applyStatement(headers: HeaderList, sentAtMs: number, atMs: number): void {
+        const { limit } = this.options.dialect.readStatement(headers);
+        if (this.limiter.applyResponse(limit, sentAtMs)) {
+            this.monitor.recordLimit(this.endpoint, this.limiter.perSecond, atMs);
+        }
+    }
+
     private recordShed(isShed: boolean): void {
         this.shedShare += SHED_WEIGHT * ((isShed ? 1 : 0) - this.shedShare);
     }
@@ -492,3 +513,13 @@
         isLastResort: offer.isLastResort,
     };
 }
+
+function sendReasonOf({ isTrial, isLastResort, isRepeat }: WorkOffer): SendReason {
+    if (isRepeat) {
+        return SendReason.Repeat;
+    }
+    if (isTrial) {
+        return SendReason.Probe;
+    }
+    return isLastResort ? SendReason.LastResort : SendReason.First;
+}
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -7,6 +7,7 @@
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { StatedLimitKind } from "../../decisions/limits/StatedLimitKind.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
@@ -31,6 +32,7 @@
     requestHeaders: (offer) => [["Host", "a.example"], ["Id", offer.requestId]],
     readRequestId: (headers) => headers.find(([name]) => name === "Id")?.[1],
     isNotRun: (_status, headers) => headers.some(([name]) => name === "Not-Run"),
+    readStatement: () => ({ limit: { kind: StatedLimitKind.None }, isLeaving: false }),
     isSigned: () => true,
 };
 
