Show in the model of the fleet that endpoints get more requests than the limit they name

The run of the model on a faked clock is a function of its own now, shared with the tests of starved endpoints.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -9,6 +9,7 @@
 import { ProbeInvitations } from "../../../src/decisions/outliers/ProbeInvitations/index.js";
 import { packLoads } from "../../../src/decisions/fleet/packLoads/index.js";
 import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
+import { findHeader } from "../../../src/http/findHeader/index.js";
 import { MessageKind } from "../../../src/links/MessageKind.js";
 import { RequestKind } from "../../../src/model/RequestKind.js";
 import { EventLog } from "../../../src/logs/EventLog/index.js";
@@ -23,6 +24,7 @@
 import { createRoutes } from "../createRoutes/index.js";
 import { FleetModelOptions } from "../FleetModelOptions.js";
 import { ModelBackend } from "../ModelBackend/index.js";
+import { ModelHeaderName } from "../ModelHeaderName.js";
 import { MODEL_HOST } from "../modelHost.js";
 import { ModelService } from "../ModelService.js";
 import { ModelVm } from "../ModelVm.js";
@@ -38,7 +40,13 @@
     requestHeaders: () => [],
     readRequestId: () => undefined,
     isNotRun: () => false,
-    readStatement: () => ({ limit: { kind: StatedLimitKind.None }, isLeaving: false }),
+    readStatement: (headers) => {
+        const limit = findHeader(headers, ModelHeaderName.Limit);
+        return {
+            limit: limit === undefined ? { kind: StatedLimitKind.None } : { kind: StatedLimitKind.Rate, perSecond: Number(limit) },
+            isLeaving: false,
+        };
+    },
     isSigned: () => true,
 };
 
@@ -133,11 +141,12 @@
     private createVms(service: ModelService): readonly GateRecord[] {
         return Array.from({ length: service.endpointCount }, (_, index) => {
             const name = `${service.name}-${index}`;
-            return this.createVm(name, service, index % this.options.failureDomainCount);
+            const limitPerSecond = index < (service.limit?.endpointCount ?? 0) ? service.limit?.perSecond : undefined;
+            return this.createVm(name, service, index % this.options.failureDomainCount, limitPerSecond);
         });
     }
 
-    private createVm(name: string, service: ModelService, domain: number): GateRecord {
+    private createVm(name: string, service: ModelService, domain: number, limitPerSecond: number | undefined): GateRecord {
         const failureDomain = `domain-${domain}`;
         const endpoint = {
             id: name,
@@ -150,6 +159,7 @@
         };
         const events = EventLog.create(name, undefined);
         const backend = ModelBackend.create(service, this.random);
+        backend.limitPerSecond = limitPerSecond;
         const gate = ServingGate.create({
             vm: name,
             backendAddress: "",
--- a/bench/fleetModel/ModelBackend/index.ts
+++ b/bench/fleetModel/ModelBackend/index.ts
@@ -3,6 +3,8 @@
 import { BackendResult } from "../../../src/backend/BackendResult.js";
 import { BackendResultKind } from "../../../src/backend/BackendResultKind.js";
 import { nowMs } from "../../../src/clock/nowMs/index.js";
+import { HeaderList } from "../../../src/model/HeaderList.js";
+import { ModelHeaderName } from "../ModelHeaderName.js";
 import { ModelService } from "../ModelService.js";
 
 /** Period in which each endpoint fails once, for its service's share of the period, in ms. */
@@ -22,6 +24,8 @@
     /** Times at which requests have arrived, in ms. */
     readonly arrivalsAtMs: number[] = [];
     readonly openedCount = 0;
+    /** Requests per second that it says in its answers it accepts, or undefined. */
+    limitPerSecond: number | undefined;
 
     private constructor(private readonly service: ModelService, private readonly phaseMs: number, private readonly random: () => number) {}
 
@@ -40,14 +44,21 @@
         const isFailing = (nowMs() + this.phaseMs) % FAILURE_PERIOD_MS < this.service.failingShare * FAILURE_PERIOD_MS;
         const fails = this.random() < (isFailing ? FAILED_SHARE : BACKGROUND_FAILED_SHARE);
         const workMs = this.service.workMs * (1 + MAX_WORK_DEVIATION * (2 * this.random() - 1));
-        const answer = { status: fails ? STATUS_INTERNAL_SERVER_ERROR : STATUS_OK, headers: [], body: Buffer.alloc(0) };
+        const status = fails ? STATUS_INTERNAL_SERVER_ERROR : STATUS_OK;
         let timer: NodeJS.Timeout | undefined;
         const result = new Promise<BackendResult>((resolve) => {
-            timer = setTimeout(() => resolve({ kind: BackendResultKind.Answered, answer }), fails ? FAILURE_MS : workMs);
+            timer = setTimeout(
+                () => resolve({ kind: BackendResultKind.Answered, answer: { status, headers: this.responseHeaders, body: Buffer.alloc(0) } }),
+                fails ? FAILURE_MS : workMs,
+            );
         });
         return { result, cancel: () => clearTimeout(timer) };
     }
 
+    private get responseHeaders(): HeaderList {
+        return this.limitPerSecond === undefined ? [] : [[ModelHeaderName.Limit, String(this.limitPerSecond)]];
+    }
+
     closeUnusable(): void {}
 
     close(): void {}
--- a/bench/fleetModel/ModelService.ts
+++ b/bench/fleetModel/ModelService.ts
@@ -1,3 +1,5 @@
+import { ModelLimit } from "./ModelLimit.js";
+
 /** One service of a `FleetModel` and its requests, which arrive at random times at random entries. */
 export interface ModelService {
     readonly name: string;
@@ -11,4 +13,6 @@
     readonly workMs: number;
     /** Share of the endpoints that fail most of their requests at any time, in turn. */
     readonly failingShare: number;
+    /** Limit that some of its endpoints name in their answers; undefined if none does. */
+    readonly limit?: ModelLimit;
 }
--- a/test/starvation.test.ts
+++ b/test/starvation.test.ts
@@ -1,34 +1,16 @@
-import { install } from "@sinonjs/fake-timers";
 import test, { type ExecutionContext } from "ava";
-import { FleetModel } from "../bench/fleetModel/FleetModel/index.js";
 import { longestGapMs } from "../bench/fleetModel/longestGapMs/index.js";
 import { ModelService } from "../bench/fleetModel/ModelService.js";
-import { createRandom } from "../bench/soak/createRandom/index.js";
+import { runFleetModel } from "../bench/fleetModel/runFleetModel/index.js";
 
 /** Time within which a healthy endpoint must get a request, in ms. */
 const STARVATION_LIMIT_MS = 2_000;
 /** Time from which gaps count, in ms: by then the first requests have been answered. */
 const WARM_UP_MS = 4_000;
 const RUN_MS = 16_000;
-const STEP_MS = 1;
 
 async function findStarved(t: ExecutionContext, services: readonly ModelService[], failureDomainCount: number, seed: number): Promise<void> {
-    const clock = install({ toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance", "Date"] });
-    const { random } = Math;
-    Math.random = createRandom(seed);
-    const model = FleetModel.create({ services, failureDomainCount, controlCount: 5, oneWayDelayMs: 1, seed });
-    try {
-        for (let atMs = 0; atMs < RUN_MS; atMs += STEP_MS) {
-            clock.tick(STEP_MS);
-            model.advance();
-            await new Promise((resolve) => setImmediate(resolve));
-        }
-    }
-    finally {
-        model.close();
-        clock.uninstall();
-        Math.random = random;
-    }
+    const model = await runFleetModel({ services, failureDomainCount, controlCount: 5, oneWayDelayMs: 1, seed }, RUN_MS);
     const { requests, failures } = model.counts;
     t.log(`${requests} requests, ${failures} failed`);
     for (const { name } of services) {
