Keep the requests to an endpoint within the limit that it names

Callers saw: an endpoint in need that asked for 2.1 requests a second got 25 in 4 s, up to three times of it from first attempts alone.

Cause: nobody read the limit. Each entry places by slots, speed and grade, and the gate admitted whatever found a slot.

Change: all requests of an endpoint pass its gate, so that the gate holds the limit for the fleet, whatever its size. EndpointLimiter (token bucket, starting empty, burst of one second) is charged when ServingQueue starts a request, by whatever way it came: direct, queued, granted, probe, invited, last resort; a slot that is given back unused returns its share, and a resend of the pool is charged too. A grant that is confirmed late, as after a pause of the process, is void. Requests wait for the limit as they wait for a slot, by priority, and are refused at once with the time until then if they cannot. Load reports tell entries how many slots the limit leaves and when the next request fits (3 bits that were free), so that they place elsewhere.

--- a/src/backend/BackendPool/index.ts
+++ b/src/backend/BackendPool/index.ts
@@ -54,9 +54,10 @@
      *
      * @param request - The request.
      * @param needsLiveConnection - True for a request that must not be repeated: its connection is new or has responded recently.
+     * @param onResend - Called when the request is sent a second time because its first connection was stale.
      * @returns The exchange, which can be cancelled.
      */
-    send(request: BackendRequest, needsLiveConnection: boolean): BackendExchange {
+    send(request: BackendRequest, needsLiveConnection: boolean, onResend: () => void = () => undefined): BackendExchange {
         const exchange = { connection: undefined as BackendConnection | undefined, isCancelled: false };
         const sendAndRetryStale = async (): Promise<BackendResult> => {
             const reused = request.requestId === "" ? undefined : this.findIdle(needsLiveConnection ? MAX_RESPONSE_AGE_MS : UNLIMITED_IDLE_MS);
@@ -66,6 +67,7 @@
                 if (!isStaleFailure(result) || needsLiveConnection || exchange.isCancelled) {
                     return result;
                 }
+                onResend();
             }
             return this.sendOnNew(request, exchange);
         };
--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -83,7 +83,9 @@
 test("a connection with bytes after a complete response is not reused", async (t) => {
     await withServer(t, (socket, _number, connection) => socket.write(response(String(connection)) + response(String(connection), "extra")), async (pool) => {
         t.is(bodyOf(await pool.send(request("1"), false).result), "ok");
-        t.is(bodyOf(await pool.send(request("2"), false).result), "ok");
+        let resends = 0;
+        t.is(bodyOf(await pool.send(request("2"), false, () => resends += 1).result), "ok");
+        t.is(resends, 1);
         t.is(pool.openedCount, 2);
     });
 });
--- a/src/backend/BackendPort.ts
+++ b/src/backend/BackendPort.ts
@@ -10,8 +10,9 @@
      *
      * @param request - The request.
      * @param needsLiveConnection - True if the request must not be sent on a connection that may be dead.
+     * @param onResend - Called when the request is sent a second time because its first connection was stale.
      */
-    send(request: BackendRequest, needsLiveConnection: boolean): BackendExchange;
+    send(request: BackendRequest, needsLiveConnection: boolean, onResend?: () => void): BackendExchange;
     /** Closes connections that cannot be used again. */
     closeUnusable(): void;
     /** Closes all connections. */
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -7,6 +7,7 @@
 import { unpackLoads } from "../../decisions/fleet/unpackLoads/index.js";
 import { chooseSubset } from "../../decisions/placement/chooseSubset/index.js";
 import { GateIndex } from "../../decisions/placement/GateIndex/index.js";
+import { hasFreeSlot } from "../../decisions/placement/hasFreeSlot/index.js";
 import { PlacementCandidate } from "../../decisions/placement/PlacementCandidate.js";
 import { rankGates } from "../../decisions/placement/rankGates/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
@@ -194,7 +195,7 @@
         }
         const load = this.currentLoad(vm);
         return load === undefined
-            || (load.grade === Grade.Trusted && load.running + load.queued + (this.offersSinceLoad.get(vm) ?? 0) < load.slots);
+            || (load.grade === Grade.Trusted && hasFreeSlot(load, this.offersSinceLoad.get(vm) ?? 0));
     }
 
     private createCandidate(record: GateRecord, refused: ReadonlySet<string>): PlacementCandidate {
@@ -225,7 +226,12 @@
 
     private currentLoad(vm: string): GateLoadReport | undefined {
         const latest = this.loads.get(vm);
-        return latest !== undefined && nowMs() - latest.atMs < MAX_LOAD_AGE_MS ? latest.load : undefined;
+        const ageMs = nowMs() - (latest?.atMs ?? Number.NEGATIVE_INFINITY);
+        if (latest === undefined || ageMs >= MAX_LOAD_AGE_MS) {
+            return undefined;
+        }
+        const { load } = latest;
+        return load.limitWaitMs === undefined ? load : { ...load, limitWaitMs: Math.max(0, load.limitWaitMs - ageMs) };
     }
 
     private getOrCreateTunnel(record: GateRecord): GateTunnel {
--- a/src/decisions/dispatch/DispatchMachine/index.ts
+++ b/src/decisions/dispatch/DispatchMachine/index.ts
@@ -6,6 +6,7 @@
 import { GateReplyKind } from "../../../tunnel/GateReplyKind.js";
 import { GateLoadReport } from "../../fleet/GateLoadReport.js";
 import { Grade } from "../../fleet/Grade.js";
+import { hasFreeSlot } from "../../placement/hasFreeSlot/index.js";
 import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
 import { isBlockedByGrade } from "../../serving/isBlockedByGrade/index.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
@@ -232,11 +233,11 @@
         }
         const allowed = candidates.filter(({ load }) => !isBlockedByGrade(gradeOf(load), this.plan));
         const [best] = allowed;
-        if (this.plan.requestKind === RequestKind.Download && this.queueOffers === 0 && best !== undefined && !hasFreeSlot(best)) {
+        if (this.plan.requestKind === RequestKind.Download && this.queueOffers === 0 && best !== undefined && !isFree(best)) {
             this.queueOffers += 1;
             return [this.offer(best, { maxQueueMs: this.maxTimelyQueueMs(nowMs), isTrial: false, isLastResort: false })];
         }
-        const free = allowed.filter((candidate) => !this.refused.has(candidate.record.vm) && hasFreeSlot(candidate));
+        const free = allowed.filter((candidate) => !this.refused.has(candidate.record.vm) && isFree(candidate));
         const target = free.find(({ load }) => gradeOf(load) === Grade.Trusted) ?? free[0];
         if (target !== undefined && this.freeSlotOffers < MAX_FREE_SLOT_OFFERS) {
             this.freeSlotOffers += 1;
@@ -263,7 +264,7 @@
             return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort: allowed.length === 0 })];
         }
         const isFallback = ({ load }: PlacementCandidate): boolean => this.isRepeatable || gradeOf(load) !== Grade.Ejected;
-        const fallback = all.find((candidate) => isFallback(candidate) && !this.refused.has(candidate.record.vm) && hasFreeSlot(candidate));
+        const fallback = all.find((candidate) => isFallback(candidate) && !this.refused.has(candidate.record.vm) && isFree(candidate));
         if (fallback !== undefined && this.offers < MAX_OFFERS) {
             return [this.offer(fallback, { maxQueueMs: 0, isTrial: false, isLastResort: true })];
         }
@@ -358,12 +359,11 @@
     }
 }
 
-/** Estimates from the latest load report whether a gate has a free slot. */
-function hasFreeSlot({ load, offersSinceReport }: PlacementCandidate): boolean {
-    return load === undefined || load.running + load.queued + offersSinceReport < load.slots;
-}
-
 /** An endpoint without a load report counts as trusted. */
 function gradeOf(load: GateLoadReport | undefined): Grade {
     return load?.grade ?? Grade.Trusted;
 }
+
+function isFree({ load, offersSinceReport }: PlacementCandidate): boolean {
+    return hasFreeSlot(load, offersSinceReport);
+}
--- a/src/decisions/dispatch/DispatchMachine/test.ts
+++ b/src/decisions/dispatch/DispatchMachine/test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { createLoadReport } from "../../../../test/fixtures/createLoadReport.js";
 import { RefusalCause } from "../../../model/RefusalCause.js";
 import { RequestKind } from "../../../model/RequestKind.js";
 import { GateReply } from "../../../tunnel/GateReply.js";
@@ -28,7 +29,7 @@
     };
     return {
         record: { vm, failureDomain: "d", gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
-        load: { vm, running: 0, queued: 0, slots: 5, serviceMs: SERVICE_MS, grade, suspicion: 0, trialWish, shedShare: 0, isIdle: false },
+        load: createLoadReport(vm, { serviceMs: SERVICE_MS, grade, trialWish }),
         offersSinceReport: 0,
         isReachable: true,
         isCold: false,
--- a/src/decisions/fleet/GateLoadReport.ts
+++ b/src/decisions/fleet/GateLoadReport.ts
@@ -8,7 +8,10 @@
     readonly running: number;
     /** Requests that wait for a slot. */
     readonly queued: number;
+    /** Number of requests that the endpoint runs at the same time; fewer than its slots if its limit allows fewer. */
     readonly slots: number;
+    /** Time until the endpoint's limit allows a request that is not queued yet, in ms; undefined if it names none. */
+    readonly limitWaitMs: number | undefined;
     /** Mean time that a request occupies a slot, or undefined before the first measurement. */
     readonly serviceMs: number | undefined;
     readonly grade: Grade;
--- a/src/decisions/fleet/PackedLoadLayout.ts
+++ b/src/decisions/fleet/PackedLoadLayout.ts
@@ -5,7 +5,7 @@
     Running = 4,
     Queued = 5,
     Slots = 6,
-    /** Grade in bits 0 and 1, probe demand in bits 2 and 3, idleness in bit 4. */
+    /** Grade in bits 0 and 1, probe demand in bits 2 and 3, idleness in bit 4, wait for the limit in bits 5 to 7. */
     Flags = 7,
     /** Service time, in ms. */
     ServiceTime = 8,
--- a/src/decisions/fleet/unpackLoads/index.ts
+++ b/src/decisions/fleet/unpackLoads/index.ts
@@ -1,6 +1,7 @@
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { GateLoadReport } from "../GateLoadReport.js";
 import { Grade } from "../Grade.js";
+import { LIMIT_WAIT_STEP_MS } from "../limitWaitStepMs.js";
 import { PackedLoadLayout } from "../PackedLoadLayout.js";
 
 const UNKNOWN_SERVICE_MS = 0xFFFF;
@@ -37,6 +38,7 @@
         running: bytes.readUInt8(offset + PackedLoadLayout.Running),
         queued: bytes.readUInt8(offset + PackedLoadLayout.Queued),
         slots: bytes.readUInt8(offset + PackedLoadLayout.Slots),
+        limitWaitMs: flags >> 5 === 0 ? undefined : (flags >> 5) * LIMIT_WAIT_STEP_MS,
         serviceMs: serviceMs === UNKNOWN_SERVICE_MS ? undefined : serviceMs,
         grade: GRADES[flags & 3] ?? Grade.Trusted,
         suspicion: bytes.readUInt8(offset + PackedLoadLayout.Suspicion) / TENTHS,
--- a/src/decisions/fleet/unpackLoads/test.ts
+++ b/src/decisions/fleet/unpackLoads/test.ts
@@ -13,6 +13,7 @@
     running: fc.nat(255),
     queued: fc.nat(255),
     slots: fc.nat(255),
+    limitWaitMs: fc.constantFrom(undefined, 200, 400, 1_400),
     serviceMs: fc.option(fc.nat(65_534), { nil: undefined }),
     grade: fc.constantFrom(Grade.Trusted, Grade.Doubted, Grade.Ejected),
     suspicion: tenths(25),
--- a/src/decisions/limits/TokenBucket/index.ts
+++ b/src/decisions/limits/TokenBucket/index.ts
@@ -1,10 +1,10 @@
+const MS_PER_SECOND = 1_000;
+/** Tolerance for rounding errors of refills. */
+const EPSILON = 1e-6;
+
 /** Token bucket (Turner 1986): limits a rate and allows bursts above it. */
 export class TokenBucket {
-    private tokens: number;
-
-    private constructor(private readonly perSecond: number, private readonly burst: number, private refilledAtMs: number) {
-        this.tokens = burst;
-    }
+    private constructor(private perSecond: number, private burst: number, private tokens: number, private refilledAtMs: number) {}
 
     /**
      * Creates a full bucket.
@@ -14,7 +14,18 @@
      * @param nowMs - Current time.
      */
     static create(perSecond: number, burst: number, nowMs: number): TokenBucket {
-        return new TokenBucket(perSecond, burst, nowMs);
+        return new TokenBucket(perSecond, burst, burst, nowMs);
+    }
+
+    /**
+     * Creates an empty bucket, for a rate that may have been used up before.
+     *
+     * @param perSecond - Number of tokens added per second.
+     * @param burst - Capacity of the bucket.
+     * @param nowMs - Current time.
+     */
+    static createEmpty(perSecond: number, burst: number, nowMs: number): TokenBucket {
+        return new TokenBucket(perSecond, burst, 0, nowMs);
     }
 
     /**
@@ -23,17 +34,41 @@
      * @returns 0 if a token was available, else the time in ms until one will be.
      */
     take(nowMs: number): number {
-        this.refill(nowMs);
-        if (this.tokens >= 1) {
+        const waitMs = this.waitMs(1, nowMs);
+        if (waitMs === 0) {
             this.tokens -= 1;
-            return 0;
         }
-        return Math.ceil((1 - this.tokens) / this.perSecond * 1_000);
+        return waitMs;
+    }
+
+    /** Takes one token even if none is available; later ones are then available later. */
+    takeAhead(nowMs: number): void {
+        this.refill(nowMs);
+        this.tokens -= 1;
+    }
+
+    /** Returns a token that was taken and not used. */
+    giveBack(): void {
+        this.tokens = Math.min(this.burst, this.tokens + 1);
+    }
+
+    /** Returns the time until a number of tokens has been added, in ms; 0 if they are available. */
+    waitMs(count: number, nowMs: number): number {
+        this.refill(nowMs);
+        return Math.max(0, Math.ceil((count - this.tokens - EPSILON) / this.perSecond * MS_PER_SECOND));
+    }
+
+    /** Changes the rate and the capacity; the bucket keeps its tokens. */
+    setRate(perSecond: number, burst: number, nowMs: number): void {
+        this.refill(nowMs);
+        this.perSecond = perSecond;
+        this.burst = burst;
+        this.tokens = Math.min(burst, this.tokens);
     }
 
     private refill(nowMs: number): void {
         const elapsedMs = Math.max(0, nowMs - this.refilledAtMs);
-        this.tokens = Math.min(this.burst, this.tokens + elapsedMs * this.perSecond / 1_000);
+        this.tokens = Math.min(this.burst, this.tokens + elapsedMs * this.perSecond / MS_PER_SECOND);
         this.refilledAtMs = nowMs;
     }
 }
--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -88,7 +88,8 @@
     const slots = Math.max(1, load?.slots ?? record.endpoint?.slots ?? 1);
     const serviceMs = (load?.serviceMs ?? defaultServiceMs) * (candidate.isCold ? COLD_SERVICE_FACTOR : 1);
     const busy = (load === undefined ? 0 : load.running + load.queued) + offersSinceReport;
-    const waitMs = busy < slots ? 0 : (busy - slots + 1) * serviceMs / slots;
+    const slotWaitMs = busy < slots ? 0 : (busy - slots + 1) * serviceMs / slots;
+    const waitMs = Math.max(slotWaitMs, load?.limitWaitMs ?? 0);
     const isPacked = requestKind === RequestKind.Once && busy < MAX_PACKED_SHARE * slots;
     const spreadMs = (isPacked ? -1 : 1) * WAIT_RESOLUTION_MS * 2 * busy / slots;
     return waitMs + spreadMs + serviceMs / 2 + gradePenaltyMs(load?.grade ?? Grade.Trusted)
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -2,6 +2,7 @@
 import { RefusalCause } from "../../../model/RefusalCause.js";
 import { RequestKind } from "../../../model/RequestKind.js";
 import { Grade } from "../../fleet/Grade.js";
+import { EndpointLimiter } from "../../limits/EndpointLimiter/index.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { ProbeScheduler } from "../../outliers/ProbeScheduler/index.js";
 import { Admission } from "../Admission.js";
@@ -23,7 +24,7 @@
 
 /**
  * Admission control and queue of one endpoint: decides which requests run, which wait and which are refused. No more
- * requests are started than the endpoint has slots, so that a waiting request has certainly not run.
+ * requests are started than the endpoint has slots and its limit allows, so that a waiting request has certainly not run.
  *
  * Waiting requests are ordered by priority. Within a priority, those that can still meet their latency target go before
  * those that cannot, and earlier targets go first: nested calls that a running request waits for have short targets and
@@ -39,7 +40,7 @@
     private hasMeasured = false;
     private slotCount: number;
 
-    private constructor(slots: number, private probeScheduler: ProbeScheduler) {
+    private constructor(slots: number, private probeScheduler: ProbeScheduler, private limiter: EndpointLimiter) {
         this.slotCount = slots;
     }
 
@@ -49,7 +50,7 @@
      * @param slots - Number of requests that the endpoint may run at the same time.
      */
     static create(slots: number): ServingQueue {
-        return new ServingQueue(slots, ProbeScheduler.create());
+        return new ServingQueue(slots, ProbeScheduler.create(), EndpointLimiter.create());
     }
 
     /** Number of requests that the endpoint may run at the same time. */
@@ -82,14 +83,30 @@
         this.slotCount = slots;
     }
 
-    /** Replaces the probe scheduler, as when the endpoint has restarted. */
-    setProbeScheduler(probeScheduler: ProbeScheduler): void {
-        this.probeScheduler = probeScheduler;
+    /** Forgets what was known about the endpoint, because it has restarted. */
+    resetEndpoint(limiter: EndpointLimiter): void {
+        this.probeScheduler = ProbeScheduler.create();
+        this.limiter = limiter;
     }
 
-    /** Checks whether a slot is free and no request has been admitted for a duration, however long earlier ones run. */
+    /** Number of requests that run at the same time by slots and limit. */
+    get usableSlots(): number {
+        return Math.min(this.slotCount, this.limiter.maxConcurrent(this.meanServiceMs));
+    }
+
+    /** Returns the time until the limit allows a request behind those that wait, in ms. */
+    limitWaitMs(nowMs: number): number {
+        return this.limiter.waitMs(this.waiting.length, nowMs);
+    }
+
+    /** Returns the time until the limit allows the next waiting request, in ms; undefined if it waits for a slot, or none waits. */
+    nextStartDelayMs(nowMs: number): number | undefined {
+        return this.waiting.length > 0 && this.running.size < this.slotCount ? this.limiter.waitMs(0, nowMs) : undefined;
+    }
+
+    /** Checks whether a request could start and none has been admitted for a duration, however long earlier ones run. */
     hasBeenIdleFor(durationMs: number, nowMs: number): boolean {
-        return this.running.size < this.slotCount && this.probeScheduler.hasBeenIdleFor(durationMs, nowMs);
+        return this.canStart(nowMs) && this.probeScheduler.hasBeenIdleFor(durationMs, nowMs);
     }
 
     /** Time since a request was last admitted, in ms; infinite before the first one. */
@@ -97,24 +114,32 @@
         return this.probeScheduler.sinceLastRequestMs(nowMs);
     }
 
-    /** Requests that the endpoint currently accepts as probes; none if all slots are taken. */
+    /** Requests that the endpoint currently accepts as probes; none if all slots are taken or its limit is reached. */
     probeDemand(grade: Grade, nowMs: number): ProbeDemand {
-        return this.running.size < this.slotCount ? this.probeScheduler.chooseDemand(grade, this.running.size, nowMs) : ProbeDemand.None;
+        return this.canStart(nowMs) ? this.probeScheduler.chooseDemand(grade, this.running.size, nowMs) : ProbeDemand.None;
     }
 
     /**
-     * Estimates how long a request would wait for a slot, in ms. Slots that run requests of a higher priority are left out,
-     * as they are likely to go to other requests of that priority.
+     * Estimates how long a request would wait for a slot and for the limit, in ms. Slots that run requests of a higher
+     * priority are left out, as they are likely to go to other requests of that priority.
      */
-    expectedWaitMs(request: Pick<ServingRequest, "priority" | "targetAtMs">): number {
+    expectedWaitMs(request: Pick<ServingRequest, "priority" | "targetAtMs">, nowMs: number): number {
+        const ahead = this.waiting.filter((waiting) => waiting !== request && hasPrecedence(waiting, request)).length;
+        return Math.max(this.slotWaitMs(request, ahead), this.limiter.waitMs(ahead, nowMs));
+    }
+
+    private slotWaitMs({ priority }: Pick<ServingRequest, "priority">, ahead: number): number {
         if (this.running.size + this.waiting.length < this.slotCount) {
             return 0;
         }
-        const ahead = this.waiting.filter((waiting) => waiting !== request && hasPrecedence(waiting, request)).length;
-        const higher = [...this.running.values()].filter(({ priority }) => priority < request.priority).length;
+        const higher = [...this.running.values()].filter((running) => running.priority < priority).length;
         return (ahead + 1) * this.meanServiceMs / Math.max(1, this.slotCount - higher);
     }
 
+    private canStart(nowMs: number): boolean {
+        return this.running.size < this.slotCount && this.limiter.waitMs(0, nowMs) === 0;
+    }
+
     /**
      * Decides on an offered request and records the decision. A started request occupies a slot until `finish` is called;
      * after a request was queued, `startNext` must be called.
@@ -122,10 +147,10 @@
     admit(request: ServingRequest, grade: Grade, nowMs: number): Admission {
         const refusal = this.findRefusal(request, grade, nowMs);
         if (refusal !== undefined) {
-            return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request) };
+            return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request, nowMs) };
         }
         this.probeScheduler.recordRequest(grade, nowMs);
-        if (this.running.size < this.slotCount && this.waiting.length === 0) {
+        if (this.waiting.length === 0 && this.canStart(nowMs)) {
             this.start(request, nowMs);
             return { kind: AdmissionKind.Start };
         }
@@ -151,6 +176,13 @@
         }
     }
 
+    /** Frees the slot of a request that was not sent to the endpoint after all, which so has used nothing of its limit. */
+    release(key: string): void {
+        if (this.running.delete(key)) {
+            this.limiter.withdrawSend();
+        }
+    }
+
     /** Removes a request from the queue; returns whether it was waiting. */
     removeWaiting(key: string): boolean {
         const previousCount = this.waiting.length;
@@ -180,10 +212,10 @@
         return overdue;
     }
 
-    /** Starts waiting requests while there are free slots, and returns them. */
+    /** Starts waiting requests while there are free slots and the limit allows it, and returns them. */
     startNext(nowMs: number): readonly ServingRequest[] {
         const started: ServingRequest[] = [];
-        while (this.running.size < this.slotCount && this.waiting.length > 0) {
+        while (this.waiting.length > 0 && this.canStart(nowMs)) {
             const next = this.waiting.reduce((best, candidate) => this.shouldStartBefore(candidate, best, nowMs) ? candidate : best);
             this.waiting = this.waiting.filter((waiting) => waiting !== next);
             this.start(next, nowMs);
@@ -195,13 +227,14 @@
     private start(request: ServingRequest, nowMs: number): void {
         assertInvariant(!this.running.has(request.key), "a request occupies one slot", request.key);
         this.running.set(request.key, { startedAtMs: nowMs, priority: request.priority });
+        this.limiter.recordSend(nowMs);
     }
 
     private findRefusal(request: ServingRequest, grade: Grade, nowMs: number): RefusalCause | undefined {
         if (this.isBlocked(request, grade, nowMs)) {
             return RefusalCause.Untrusted;
         }
-        const waitMs = this.expectedWaitMs(request);
+        const waitMs = this.expectedWaitMs(request, nowMs);
         if (nowMs + waitMs >= request.deadlineAtMs) {
             return RefusalCause.Deadline;
         }
@@ -218,7 +251,7 @@
 
     /** True if not even half of the mean service time is expected to fit before the deadline. */
     private isOverdue(request: ServingRequest, nowMs: number): boolean {
-        return nowMs + this.expectedWaitMs(request) + this.meanServiceMs / 2 >= request.deadlineAtMs;
+        return nowMs + this.expectedWaitMs(request, nowMs) + this.meanServiceMs / 2 >= request.deadlineAtMs;
     }
 
     private shouldStartBefore(left: ServingRequest, right: ServingRequest, nowMs: number): boolean {
@@ -230,8 +263,8 @@
         return isLeftTimely === isRightTimely ? left.targetAtMs < right.targetAtMs : isLeftTimely;
     }
 
-    private retryAfterMs(request: ServingRequest): number {
-        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request)));
+    private retryAfterMs(request: ServingRequest, nowMs: number): number {
+        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request, nowMs)));
     }
 }
 
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -2,6 +2,9 @@
 import { RefusalCause } from "../../../model/RefusalCause.js";
 import { RequestKind } from "../../../model/RequestKind.js";
 import { Grade } from "../../fleet/Grade.js";
+import { EndpointLimiter } from "../../limits/EndpointLimiter/index.js";
+import { StatedLimitKind } from "../../limits/StatedLimitKind.js";
+import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { AdmissionKind } from "../AdmissionKind.js";
 import { ServingRequest } from "../ServingRequest.js";
 import { ServingQueue } from "./index.js";
@@ -160,3 +163,51 @@
     t.true((served[0] ?? 0) > 150, `${served.join(" and ")} served`);
     t.true((served[0] ?? 0) > 5 * (served[1] ?? 0));
 });
+
+function limitedQueue(slots: number, perSecond: number): ServingQueue {
+    const limiter = EndpointLimiter.create();
+    limiter.applyResponse({ kind: StatedLimitKind.Rate, perSecond }, 0, 0);
+    const queue = ServingQueue.create(slots);
+    queue.resetEndpoint(limiter);
+    return queue;
+}
+
+test("a request that the limit does not allow yet is refused with the time until then, or waits", (t) => {
+    const queue = limitedQueue(5, 2);
+    const refusal = queue.admit(request("a", { maxQueueMs: 0 }), Grade.Trusted, 0);
+    t.deepEqual(refusal, { kind: AdmissionKind.Refuse, cause: RefusalCause.Busy, retryAfterMs: 500 });
+    t.is(queue.admit(request("b", { maxQueueMs: 500 }), Grade.Trusted, 0).kind, AdmissionKind.Queue);
+    t.is(queue.admit(request("c", { maxQueueMs: 999 }), Grade.Trusted, 0).kind, AdmissionKind.Refuse);
+    t.deepEqual(keys(queue.startNext(499)), []);
+    t.deepEqual(keys(queue.startNext(500)), ["b"]);
+});
+
+test("what the limit allows goes to the most urgent request, whatever way the others came", (t) => {
+    const queue = limitedQueue(5, 1);
+    queue.admit(request("probe", { isTrial: true }), Grade.Trusted, 0);
+    queue.admit(request("last-resort", { isLastResort: true }), Grade.Trusted, 0);
+    queue.admit(request("urgent", { priority: 0 }), Grade.Trusted, 0);
+    t.deepEqual(keys(queue.startNext(1_000)), ["urgent"]);
+    t.deepEqual(keys(queue.startNext(1_999)), []);
+});
+
+test("a slot that is given back unused leaves its share of the limit to the next request", (t) => {
+    const queue = limitedQueue(5, 1);
+    t.is(queue.admit(request("a"), Grade.Trusted, 1_000).kind, AdmissionKind.Start);
+    t.is(queue.limitWaitMs(1_000), 1_000);
+    queue.release("a");
+    t.is(queue.limitWaitMs(1_000), 0);
+});
+
+test("an endpoint that has reached its limit asks for no probes", (t) => {
+    const queue = limitedQueue(5, 1);
+    t.is(queue.probeDemand(Grade.Trusted, 900), ProbeDemand.None);
+    t.false(queue.hasBeenIdleFor(500, 900));
+    t.is(queue.probeDemand(Grade.Trusted, 1_000), ProbeDemand.Any);
+    t.true(queue.hasBeenIdleFor(500, 1_000));
+});
+
+test("as many slots count as usable as requests run at the limited rate", (t) => {
+    t.is(limitedQueue(5, 4).usableSlots, 2);
+    t.is(ServingQueue.create(5).usableSlots, 5);
+});
--- a/src/serving/EndpointMonitor/index.ts
+++ b/src/serving/EndpointMonitor/index.ts
@@ -7,9 +7,6 @@
 
 /** Length of the window in which requests are counted, in ms. */
 const WINDOW_MS = 4_000;
-/** Bursts of this many seconds of the limit, and of one request, are no excess. */
-const BURST_S = 1;
-const MS_PER_SECOND = 1_000;
 
 /** Logs the limits that an endpoint names, and each excess of the requests sent to it. */
 export class EndpointMonitor {
@@ -44,7 +41,7 @@
         if (perSecond === undefined || hasGrace) {
             return;
         }
-        const allowed = perSecond * WINDOW_MS / MS_PER_SECOND + Math.max(1, perSecond * BURST_S);
+        const allowed = EndpointLimiter.maxRequests(perSecond, WINDOW_MS);
         if (this.window.count(nowMs) > allowed) {
             this.loggedAtMs = nowMs;
             this.events.record(EventNumber.LimitExceeded, {
@@ -52,7 +49,7 @@
                 service: endpoint?.service,
                 perSecond,
                 sent: this.window.count(nowMs),
-                allowed: Math.floor(allowed),
+                allowed,
                 windowMs: WINDOW_MS,
                 reasons: Object.entries(this.window.countByReason(nowMs)).map(([reason, count]) => `${reason} ${count}`),
             });
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -17,7 +17,6 @@
 import { ObservedOutcome } from "../../decisions/outliers/ObservedOutcome.js";
 import { OutlierDetector } from "../../decisions/outliers/OutlierDetector/index.js";
 import { ProbeDemand } from "../../decisions/outliers/ProbeDemand.js";
-import { ProbeScheduler } from "../../decisions/outliers/ProbeScheduler/index.js";
 import { isServerDown } from "../../http/isServerDown/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
@@ -86,6 +85,7 @@
     private readonly queue = ServingQueue.create(1);
     private readonly acceptedOffers = new Map<string, AcceptedOffer>();
     private tickTimer: NodeJS.Timeout | undefined;
+    private limitTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
     private limiter = EndpointLimiter.create();
@@ -115,7 +115,8 @@
             vm: this.options.vm,
             running: this.queue.runningCount,
             queued: this.queue.waitingCount,
-            slots: this.queue.slots,
+            slots: this.queue.usableSlots,
+            limitWaitMs: this.limiter.perSecond === undefined ? undefined : this.queue.limitWaitMs(atMs),
             serviceMs: this.queue.measuredServiceMs === undefined ? undefined : Math.round(this.queue.measuredServiceMs),
             grade,
             suspicion: Math.round(this.outlierDetector.scoreAt(atMs) * 10) / 10,
@@ -160,7 +161,7 @@
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
             this.limiter = EndpointLimiter.create();
-            this.queue.setProbeScheduler(ProbeScheduler.create());
+            this.queue.resetEndpoint(this.limiter);
             this.options.backend.closeUnusable();
         }
         this.endpoint = endpoint;
@@ -181,6 +182,7 @@
     close(): void {
         clearTimeout(this.tickTimer);
         this.tickTimer = undefined;
+        clearTimeout(this.limitTimer);
         clearInterval(this.cleanupTimer);
         this.options.backend.close();
     }
@@ -271,11 +273,11 @@
     private grant(key: string): void {
         const accepted = this.acceptedOffers.get(key);
         if (accepted === undefined) {
-            this.queue.finish(key, nowMs(), false);
+            this.queue.release(key);
             return;
         }
         if (this.isBlocked(accepted)) {
-            this.refuseGranted(key);
+            this.refuseGranted(key, RefusalCause.Untrusted);
             return;
         }
         accepted.grantedAtMs = nowMs();
@@ -293,7 +295,12 @@
             return;
         }
         if (this.isBlocked(accepted)) {
-            this.refuseGranted(key);
+            this.refuseGranted(key, RefusalCause.Untrusted);
+            this.startNext();
+            return;
+        }
+        if (nowMs() - accepted.grantedAtMs > CONFIRM_TIMEOUT_MS) {
+            this.refuseGranted(key, RefusalCause.Voided);
             this.startNext();
             return;
         }
@@ -305,9 +312,9 @@
         return !offer.isTrial && !offer.isLastResort && isBlockedByGrade(this.outlierDetector.grade(nowMs()), offer);
     }
 
-    private refuseGranted(key: string): void {
-        this.queue.finish(key, nowMs(), false);
-        this.refuse(key, RefusalCause.Untrusted, 0, false);
+    private refuseGranted(key: string, cause: RefusalCause): void {
+        this.queue.release(key);
+        this.refuse(key, cause, 0, false);
     }
 
     private start(key: string, accepted: AcceptedOffer): void {
@@ -326,18 +333,30 @@
             body: offer.body,
             hasBody: offer.hasBody,
             requestId: offer.requestId,
-        }, offer.requestKind === RequestKind.Once);
+        }, offer.requestKind === RequestKind.Once, () => this.recordResend());
         accepted.onReply({ kind: GateReplyKind.Started });
         void accepted.exchange.result.then((result) => this.finish(key, accepted, result));
     }
 
+    /** Counts a request that the pool sends again because its first connection was stale. */
+    private recordResend(): void {
+        const atMs = nowMs();
+        this.limiter.recordSend(atMs);
+        this.monitor.recordSend(this.endpoint, SendReason.Resend, this.limiter, atMs);
+    }
+
     private finish(key: string, accepted: AcceptedOffer, result: BackendResult): void {
         if (this.acceptedOffers.get(key) !== accepted) {
             return;
         }
         this.acceptedOffers.delete(key);
         const atMs = nowMs();
-        this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < MIN_FAILED_STATUS);
+        if (result.kind === BackendResultKind.NotConnected) {
+            this.queue.release(key);
+        }
+        else {
+            this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < MIN_FAILED_STATUS);
+        }
         const reply = this.evaluateResult(accepted, result, atMs);
         this.handleGradeChange(atMs);
         this.startNext();
@@ -405,7 +424,7 @@
     /** Applies what the endpoint states about itself in a response. */
     private applyStatement(headers: HeaderList, sentAtMs: number, atMs: number): void {
         const { limit } = this.options.dialect.readStatement(headers);
-        if (this.limiter.applyResponse(limit, sentAtMs)) {
+        if (this.limiter.applyResponse(limit, sentAtMs, atMs)) {
             this.monitor.recordLimit(this.endpoint, this.limiter.perSecond, atMs);
         }
     }
@@ -423,8 +442,13 @@
         if (this.queue.removeWaiting(key)) {
             return;
         }
-        accepted.exchange?.cancel();
-        this.queue.finish(key, nowMs(), false);
+        if (accepted.startedAtMs > 0) {
+            accepted.exchange?.cancel();
+            this.queue.finish(key, nowMs(), false);
+        }
+        else {
+            this.queue.release(key);
+        }
         this.startNext();
         this.options.onLoadChange(false);
     }
@@ -461,10 +485,7 @@
     private reclaimUnconfirmedSlots(atMs: number): void {
         const isUnconfirmed = ({ grantedAtMs, startedAtMs }: AcceptedOffer): boolean =>
             grantedAtMs > 0 && startedAtMs === 0 && atMs - grantedAtMs > CONFIRM_TIMEOUT_MS;
-        [...this.acceptedOffers].filter(([, accepted]) => isUnconfirmed(accepted)).forEach(([key]) => {
-            this.queue.finish(key, atMs, false);
-            this.refuse(key, RefusalCause.Voided, 0, false);
-        });
+        [...this.acceptedOffers].filter(([, accepted]) => isUnconfirmed(accepted)).forEach(([key]) => this.refuseGranted(key, RefusalCause.Voided));
     }
 
     private scheduleTick(): void {
@@ -480,6 +501,18 @@
     private startNext(): void {
         if (this.endpoint?.phase === EndpointPhase.Ready && !this.isStopping) {
             this.queue.startNext(nowMs()).forEach(({ key }) => this.grant(key));
+            this.scheduleLimitedStart();
+        }
+    }
+
+    /** Starts the next waiting request as soon as the limit of the endpoint allows it. */
+    private scheduleLimitedStart(): void {
+        const delayMs = this.queue.nextStartDelayMs(nowMs());
+        if (delayMs !== undefined && this.limitTimer === undefined) {
+            this.limitTimer = setTimeout(() => {
+                this.limitTimer = undefined;
+                this.startNext();
+            }, delayMs);
         }
     }
 
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -42,3 +42,12 @@
         assertWithinLimits(t, await run(service, 1), service);
     });
 }
+
+test.serial("what slots and limits together allow is used when there are more requests than that", async (t) => {
+    const { counts } = await run(OVERLOADED, 1);
+    const limited = OVERLOADED.limit?.endpointCount ?? 0;
+    const perSecond = limited * (OVERLOADED.limit?.perSecond ?? 0) + (OVERLOADED.endpointCount - limited) * OVERLOADED.slots * MS_PER_S / OVERLOADED.workMs;
+    const capacity = Math.round(perSecond * RUN_MS / MS_PER_S);
+    t.log(`${counts.answered - counts.failures} served, ${capacity} possible`);
+    t.true(counts.answered - counts.failures > 0.8 * capacity);
+});
