--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -83,9 +83,7 @@
 test("a connection with bytes after a complete response is not reused", async (t) => {
     await withServer(t, (socket, _number, connection) => socket.write(response(String(connection)) + response(String(connection), "extra")), async (pool) => {
         t.is(bodyOf(await pool.send(request("1"), false).result), "ok");
-        let resends = 0;
-        t.is(bodyOf(await pool.send(request("2"), false, () => resends += 1).result), "ok");
-        t.is(resends, 1);
+        t.is(bodyOf(await pool.send(request("2"), false).result), "ok");
         t.is(pool.openedCount, 2);
     });
 });
@@ -175,7 +173,9 @@
         socket.write(response(connection === 1 ? "1" : "2"));
     }, async (pool) => {
         await pool.send(request("1"), false).result;
-        t.is(bodyOf(await pool.send(request("2"), false).result), "ok");
+        let resends = 0;
+        t.is(bodyOf(await pool.send(request("2"), false, () => resends += 1).result), "ok");
+        t.is(resends, 1);
         t.is(pool.openedCount, 2);
     });
 });
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -45,8 +45,8 @@
 
 test.serial("what slots and limits together allow is used when there are more requests than that", async (t) => {
     const { counts } = await run(OVERLOADED, 1);
-    const limited = OVERLOADED.limit?.endpointCount ?? 0;
-    const perSecond = limited * (OVERLOADED.limit?.perSecond ?? 0) + (OVERLOADED.endpointCount - limited) * OVERLOADED.slots * MS_PER_S / OVERLOADED.workMs;
+    const { endpointCount, slots, workMs, limit = { endpointCount: 0, perSecond: 0 } } = OVERLOADED;
+    const perSecond = limit.endpointCount * limit.perSecond + (endpointCount - limit.endpointCount) * slots * MS_PER_S / workMs;
     const capacity = Math.round(perSecond * RUN_MS / MS_PER_S);
     t.log(`${counts.answered - counts.failures} served, ${capacity} possible`);
     t.true(counts.answered - counts.failures > 0.8 * capacity);
