Keep the limit of an endpoint when its gate restarts

Callers' requests that began at entries which knew the limit reached the endpoint unlimited, since a restart excuses only the proxy where a request began: a gate that was killed or rolled came back knowing nothing (model, all gates restarted every 0.7 s: up to 30 requests in 4 s of 15 allowed).

Cause: only the gate's process knew the limit. It is now told by two others that outlive it. Entries keep what endpoints have stated in the responses that they handed on (EndpointNotices) and say it with each offer; the control VMs give a proxy that restarts the record of its former run, which holds the limit now, before its new record replaces that (FormerRecord). Both hold only until the first response of the endpoint, and the bucket starts empty. Statements of an earlier run of the endpoint are not applied to the next.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -1,3 +1,4 @@
+import { EndpointStatement } from "../../../src/backend/EndpointStatement.js";
 import { nowMs } from "../../../src/clock/nowMs/index.js";
 import { CallerDialect } from "../../../src/callers/CallerDialect.js";
 import { FleetView } from "../../../src/callers/FleetView/index.js";
@@ -11,6 +12,7 @@
 import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
 import { findHeader } from "../../../src/http/findHeader/index.js";
 import { MessageKind } from "../../../src/links/MessageKind.js";
+import { HeaderList } from "../../../src/model/HeaderList.js";
 import { RequestKind } from "../../../src/model/RequestKind.js";
 import { EventLog } from "../../../src/logs/EventLog/index.js";
 import { FleetUpdateRelay } from "../../../src/mesh/FleetUpdateRelay/index.js";
@@ -40,13 +42,7 @@
     requestHeaders: () => [],
     readRequestId: () => undefined,
     isNotRun: () => false,
-    readStatement: (headers) => {
-        const limit = findHeader(headers, ModelHeaderName.Limit);
-        return {
-            limit: limit === undefined ? { kind: StatedLimitKind.None } : { kind: StatedLimitKind.Rate, perSecond: Number(limit) },
-            isLeaving: false,
-        };
-    },
+    readStatement,
     isSigned: () => true,
 };
 
@@ -55,6 +51,7 @@
     forwardedHeaders: (headers) => headers,
     ownResponseHeaders: () => [],
     isGenuine: () => true,
+    readStatement,
 };
 
 /**
@@ -111,6 +108,18 @@
         });
     }
 
+    /** Restarts the gates of a service: the new ones know nothing, and what the old ones ran has no answer. */
+    restartGates(service: string): void {
+        [...this.vms.values()].filter((vm) => vm.service.name === service).forEach((vm) => {
+            vm.gate.close();
+            vm.gate = vm.createGate();
+            this.publish(vm, { run: vm.record.run + 1, limitPerSecond: undefined });
+            if (vm.record.endpoint !== undefined) {
+                vm.gate.setEndpoint(vm.record.endpoint);
+            }
+        });
+    }
+
     /** Stops all timers of the fleet. */
     close(): void {
         clearInterval(this.invitationTimer);
@@ -128,10 +137,14 @@
             send: (name, message) => {
                 if (message.kind === MessageKind.FleetUpdate) {
                     this.deliver(() => {
+                        this.vms.get(name)?.fleetView.mergeRecords(message.records);
                         this.vms.get(name)?.fleetView.applyPackedLoads(message.loads);
                         this.controls[names.indexOf(name)]?.handleUpdate(message.records, message.loads, false);
                     });
                 }
+                else if (message.kind === MessageKind.FormerRecord) {
+                    this.deliver(() => this.restore(name, message.record));
+                }
             },
             peers: () => names.filter((_, index) => index !== number),
         });
@@ -160,7 +173,7 @@
         const events = EventLog.create(name, undefined);
         const backend = ModelBackend.create(service, this.random);
         backend.limitPerSecond = limitPerSecond;
-        const gate = ServingGate.create({
+        const createGate = (): ServingGate => ServingGate.create({
             vm: name,
             backendAddress: "",
             backend,
@@ -173,11 +186,12 @@
                 this.handleLoadChange(vm);
                 loadReporter.handleLoadChange(isUrgent);
             },
+            onLimitChange: (limitPerSecond) => this.publish(vm, { sequence: vm.record.sequence + 1, limitPerSecond }),
         });
         const fleetView: FleetView = FleetView.create({
             vm: name,
             failureDomain,
-            localGate: gate,
+            localGate: { offer: (offer, onReply) => vm.gate.offer(offer, onReply) },
             openTunnel: (gateAddress, callbacks) => this.openTunnel(gateAddress, callbacks),
         }, events);
         const dispatcher = RequestDispatcher.create({
@@ -194,12 +208,14 @@
             fleetView.applyLoad(load);
             this.deliver(() => control.handleUpdate([], packLoads([load]), true));
         };
-        const loadReporter: LoadReporter = LoadReporter.create(() => gate.load, sendLoad, () => fleetView.gateCount);
+        const loadReporter: LoadReporter = LoadReporter.create(() => vm.gate.load, sendLoad, () => fleetView.gateCount);
         const vm: ModelVm = {
             name,
             service,
             backend,
-            gate,
+            createGate,
+            gate: createGate(),
+            record: { vm: name, failureDomain, gateAddress: name, run: 1, sequence: 1, isOpen: true, endpoint, limitPerSecond: undefined },
             fleetView,
             dispatcher,
             loadReporter,
@@ -207,8 +223,20 @@
             invitations: ProbeInvitations.create(),
         };
         this.vms.set(name, vm);
-        gate.setEndpoint(endpoint);
-        return { vm: name, failureDomain, gateAddress: name, run: 1, sequence: 1, isOpen: true, endpoint };
+        vm.gate.setEndpoint(endpoint);
+        return vm.record;
+    }
+
+    private restore(name: string, { endpoint, limitPerSecond }: GateRecord): void {
+        if (endpoint !== undefined && limitPerSecond !== undefined) {
+            this.vms.get(name)?.gate.restoreLimit(endpoint, limitPerSecond);
+        }
+    }
+
+    private publish(vm: ModelVm, change: Partial<GateRecord>): void {
+        vm.record = { ...vm.record, ...change };
+        const { record, control } = vm;
+        this.deliver(() => control.handleUpdate([record], packLoads([]), true));
     }
 
     private openTunnel(gateAddress: string, callbacks: TunnelCallbacks): GateTunnel {
@@ -284,3 +312,11 @@
         });
     }
 }
+
+function readStatement(headers: HeaderList): EndpointStatement {
+    const limit = findHeader(headers, ModelHeaderName.Limit);
+    return {
+        limit: limit === undefined ? { kind: StatedLimitKind.None } : { kind: StatedLimitKind.Rate, perSecond: Number(limit) },
+        isLeaving: false,
+    };
+}
--- a/bench/fleetModel/ModelVm.ts
+++ b/bench/fleetModel/ModelVm.ts
@@ -1,5 +1,6 @@
 import { FleetView } from "../../src/callers/FleetView/index.js";
 import { RequestDispatcher } from "../../src/callers/RequestDispatcher/index.js";
+import { GateRecord } from "../../src/decisions/fleet/GateRecord.js";
 import { ProbeInvitations } from "../../src/decisions/outliers/ProbeInvitations/index.js";
 import { FleetUpdateRelay } from "../../src/mesh/FleetUpdateRelay/index.js";
 import { LoadReporter } from "../../src/mesh/LoadReporter/index.js";
@@ -13,7 +14,11 @@
     readonly name: string;
     readonly service: ModelService;
     readonly backend: ModelBackend;
-    readonly gate: ServingGate;
+    /** Creates a gate as after a restart. */
+    readonly createGate: () => ServingGate;
+    record: GateRecord;
+    /** Replaced when the gate restarts. */
+    gate: ServingGate;
     readonly fleetView: FleetView;
     readonly dispatcher: RequestDispatcher;
     readonly loadReporter: LoadReporter;
--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -1,4 +1,4 @@
-import { StatedLimitKind } from "../../decisions/limits/StatedLimitKind.js";
+import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { install } from "@sinonjs/fake-timers";
@@ -13,7 +13,7 @@
 const DIALECT: ResponseDialect = {
     readRequestId: (headers: HeaderList) => headers.find(([name]) => name.toLowerCase() === "id")?.[1],
     isNotRun: (_status, headers) => headers.some(([name]) => name.toLowerCase() === "not-run"),
-    readStatement: () => ({ limit: { kind: StatedLimitKind.None }, isLeaving: false }),
+    readStatement: () => SILENT_STATEMENT,
     isSigned: () => true,
 };
 
--- a/src/callers/CallerDialect.ts
+++ b/src/callers/CallerDialect.ts
@@ -1,8 +1,9 @@
+import { StatementDialect } from "../backend/StatementDialect.js";
 import { HeaderList } from "../model/HeaderList.js";
 import { CallerMetadata } from "./CallerMetadata.js";
 
 /** Conventions for the requests of callers and the responses to them. */
-export interface CallerDialect {
+export interface CallerDialect extends StatementDialect {
     /** Reads the metadata of a request from its header fields. */
     readMetadata(headers: HeaderList): CallerMetadata;
     /** Returns the header fields of a request that are forwarded to the endpoint. */
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -2,6 +2,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
+import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
 import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
@@ -12,6 +13,7 @@
     readMetadata: (headers) => ({ requestId: headers.find(([name]) => name === "Id")?.[1] ?? "", patienceMs: undefined }),
     forwardedHeaders: (headers) => headers,
     ownResponseHeaders: () => [],
+    readStatement: () => SILENT_STATEMENT,
     isGenuine: () => true,
 };
 
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -1,5 +1,8 @@
 import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { EndpointStatement } from "../../backend/EndpointStatement.js";
+import { EndpointNotices } from "../../decisions/fleet/EndpointNotices/index.js";
+import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { FleetTable } from "../../decisions/fleet/FleetTable/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
@@ -44,6 +47,7 @@
     private readonly offersSinceLoad = new Map<string, number>();
     /** Invitations of gates: when they came, and for how long the endpoint had waited by then. */
     private readonly invitations = new Map<string, { readonly atMs: number; readonly waitedMs: number }>();
+    private readonly notices = EndpointNotices.create();
     private readonly coldUntilMs = new Map<string, number>();
     private readonly tunnels = new Map<string, GateTunnel>();
 
@@ -107,6 +111,23 @@
         }
     }
 
+    /**
+     * Records what an endpoint states about itself in a response to this entry.
+     *
+     * @param endpoint - Endpoint that the request was offered to.
+     * @param statement - What it states.
+     * @param sentAtMs - Time of the offer.
+     */
+    recordStatement(endpoint: EndpointReport, statement: EndpointStatement, sentAtMs: number): void {
+        this.notices.record(endpoint, statement, sentAtMs);
+    }
+
+    /** Requests per second that the endpoint of a VM accepts, as far as it has told this entry. */
+    limitOf(vm: string): number | undefined {
+        const endpoint = this.table.find(vm)?.endpoint;
+        return endpoint === undefined ? undefined : this.notices.limitOf(endpoint);
+    }
+
     /** Ranks the gates of a service by how soon a request is expected to be answered there. */
     rankCandidates(service: string, requestKind: RequestKind, bodyBytes: number, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
         const gates = chooseSubset(this.index.serving(service), (record) => this.hasFreeSlot(record, refused));
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -240,6 +240,7 @@
         const gate = this.fleetView.gateOf(vm);
         const atMs = nowMs();
         const loadAgeMs = this.fleetView.loadAgeMs(vm);
+        const endpoint = this.fleetView.find(vm)?.endpoint;
         this.offersMade += 1;
         this.fleetView.recordOffer(vm);
         active.vmsByAttempt.set(attempt, vm);
@@ -248,7 +249,7 @@
             requestId: request.requestId,
             service: active.service,
             callerService: this.options.callerService(),
-            endpointId: this.fleetView.find(vm)?.endpoint?.id ?? "",
+            endpointId: endpoint?.id ?? "",
             requestKind: active.route.requestKind,
             priority: active.route.priority,
             method: request.method,
@@ -261,11 +262,15 @@
             usualMs: Math.round(this.fleetView.meanServiceMs(active.service)),
             needsGo: false,
             callOfRepeatShare: active.callOfRepeatShare,
+            limitPerSecond: this.fleetView.limitOf(vm),
             ...terms,
         }, (reply) => {
             if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
                 this.fleetView.applyLoad(reply.load);
             }
+            if (reply.kind === GateReplyKind.Answered && endpoint !== undefined) {
+                this.fleetView.recordStatement(endpoint, this.options.dialect.readStatement(reply.answer.headers), atMs);
+            }
             const isBusy = reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Busy;
             if (!isBusy && (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken)) {
                 this.events.record(EventNumber.AttemptRetried, {
--- a/src/decisions/dispatch/DispatchMachine/test.ts
+++ b/src/decisions/dispatch/DispatchMachine/test.ts
@@ -28,7 +28,7 @@
         coldRemainingMs: 0,
     };
     return {
-        record: { vm, failureDomain: "d", gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
+        record: { vm, failureDomain: "d", gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint, limitPerSecond: undefined },
         load: createLoadReport(vm, { serviceMs: SERVICE_MS, grade, trialWish }),
         offersSinceReport: 0,
         isReachable: true,
--- a/src/decisions/fleet/EndpointTracker/index.ts
+++ b/src/decisions/fleet/EndpointTracker/index.ts
@@ -1,5 +1,6 @@
 import { EndpointPhase } from "../EndpointPhase.js";
 import { EndpointReport } from "../EndpointReport.js";
+import { isSameRun } from "../isSameRun/index.js";
 
 /**
  * Silence after which a run counts as ended, in ms: three missed heartbeats at the usual 1.5 s. A run with an earlier start
@@ -96,10 +97,6 @@
     return PHASE_ORDER.indexOf(left) >= PHASE_ORDER.indexOf(right) ? left : right;
 }
 
-function isSameRun(left: EndpointReport, right: EndpointReport): boolean {
-    return left.id === right.id && left.bornAtMs === right.bornAtMs;
-}
-
 function isOlder(report: EndpointReport, latest: EndpointReport): boolean {
     if (report.bornAtMs !== latest.bornAtMs) {
         return report.bornAtMs < latest.bornAtMs;
--- a/src/decisions/fleet/GateRecord.ts
+++ b/src/decisions/fleet/GateRecord.ts
@@ -14,4 +14,6 @@
     readonly isOpen: boolean;
     /** Current report of the endpoint, or undefined if there is none yet. */
     readonly endpoint: EndpointReport | undefined;
+    /** Requests per second that this run of the endpoint accepts, or undefined if it has named no limit. */
+    readonly limitPerSecond: number | undefined;
 }
--- a/src/decisions/limits/EndpointLimiter/index.ts
+++ b/src/decisions/limits/EndpointLimiter/index.ts
@@ -1,4 +1,5 @@
 import { LatestLimit } from "../LatestLimit/index.js";
+import { StatedLimitKind } from "../StatedLimitKind.js";
 import { StatedLimit } from "../StatedLimit.js";
 import { TokenBucket } from "../TokenBucket/index.js";
 
@@ -15,6 +16,7 @@
 export class EndpointLimiter {
     private readonly latest = LatestLimit.create();
     private bucket: TokenBucket | undefined;
+    private hasResponse = false;
 
     private constructor() {}
 
@@ -43,6 +45,7 @@
      * @returns True if the limit has changed.
      */
     applyResponse(limit: StatedLimit, sentAtMs: number, nowMs: number): boolean {
+        this.hasResponse ||= limit.kind !== StatedLimitKind.Unreadable;
         const hasChanged = this.latest.apply(limit, sentAtMs);
         if (hasChanged) {
             this.setRate(this.latest.perSecond, nowMs);
@@ -50,6 +53,22 @@
         return hasChanged;
     }
 
+    /**
+     * Adopts a limit that an entry has been told, until the first response shows what holds now.
+     *
+     * @param perSecond - The limit.
+     * @param nowMs - Current time.
+     * @returns True if the limit has changed.
+     */
+    adopt(perSecond: number, nowMs: number): boolean {
+        if (this.hasResponse || perSecond >= (this.perSecond ?? Number.POSITIVE_INFINITY)) {
+            return false;
+        }
+        this.latest.apply({ kind: StatedLimitKind.Rate, perSecond }, Number.NEGATIVE_INFINITY);
+        this.setRate(perSecond, nowMs);
+        return true;
+    }
+
     /** Returns the time until a request may be sent if others go before it, in ms; 0 without a limit. */
     waitMs(requestsAhead: number, nowMs: number): number {
         return this.bucket?.waitMs(requestsAhead + 1, nowMs) ?? 0;
--- a/src/decisions/limits/EndpointLimiter/test.ts
+++ b/src/decisions/limits/EndpointLimiter/test.ts
@@ -75,3 +75,21 @@
     t.is(limiter.maxConcurrent(300), 2);
     t.is(limiter.maxConcurrent(20), 1);
 });
+
+test("a gate that knows nothing adopts the lowest limit that entries know, with an empty bucket, until the first response", (t) => {
+    const limiter = EndpointLimiter.create();
+    t.true(limiter.adopt(4, 0));
+    t.true(limiter.adopt(2, 0));
+    t.false(limiter.adopt(3, 0));
+    t.is(limiter.waitMs(0, 0), 500);
+    t.true(limiter.applyResponse({ kind: StatedLimitKind.None }, 1, 2));
+    t.false(limiter.adopt(2, 3));
+    t.is(limiter.perSecond, undefined);
+});
+
+test("a gate that has had a response does not adopt what an entry was told before", (t) => {
+    const limiter = EndpointLimiter.create();
+    limiter.applyResponse(rate(5), 1, 2);
+    t.false(limiter.adopt(2, 3));
+    t.is(limiter.perSecond, 5);
+});
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -23,7 +23,7 @@
         coldRemainingMs: 0,
     };
     return {
-        record: { vm, failureDomain: vm.slice(0, 1), gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint },
+        record: { vm, failureDomain: vm.slice(0, 1), gateAddress: "a:1", run: 1, sequence: 1, isOpen: true, endpoint, limitPerSecond: undefined },
         load: load === undefined ? undefined : createLoadReport(vm, load),
         offersSinceReport: 0,
         isReachable: true,
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -74,6 +74,8 @@
     | { readonly kind: MessageKind.Subscribe; readonly wants: boolean; readonly wantsLoads: boolean }
     /** `loads` is encoded by `packLoads`. */
     | { readonly kind: MessageKind.FleetUpdate; readonly records: readonly GateRecord[]; readonly loads: Uint8Array }
+    /** Gives a proxy that has restarted the record that its former run published. */
+    | { readonly kind: MessageKind.FormerRecord; readonly record: GateRecord }
     /**
      * `isComplete` is true if these are all items, so that any other item does not exist. `position` is the log position up
      * to which the sender has now sent all changes.
--- a/src/links/MessageKind.ts
+++ b/src/links/MessageKind.ts
@@ -26,6 +26,7 @@
     ControlPeers = "control-peers",
     Subscribe = "subscribe",
     FleetUpdate = "fleet-news",
+    FormerRecord = "former-record",
     ItemUpdate = "item-news",
     ProposeItems = "propose-items",
     ItemsDecided = "items-decided",
--- a/src/mesh/FleetUpdateRelay/index.ts
+++ b/src/mesh/FleetUpdateRelay/index.ts
@@ -73,6 +73,9 @@
      * @param isFromProxy - False if another control VM has relayed the updates.
      */
     handleUpdate(records: readonly GateRecord[], packedLoads: Uint8Array, isFromProxy: boolean): void {
+        if (isFromProxy) {
+            records.forEach((record) => this.returnFormerRecord(record));
+        }
         const merged = this.table.merge(records);
         const intervals = updateIntervals(this.table.size);
         merged.forEach((record) => {
@@ -99,6 +102,14 @@
         [this.recordsTask, this.loadsTask, this.gradesTask].forEach((task) => task.close());
     }
 
+    /** Gives a proxy that has restarted the record of its former run, before its new record replaces that. */
+    private returnFormerRecord({ vm, run }: GateRecord): void {
+        const former = this.table.find(vm);
+        if (former?.endpoint !== undefined && former.run < run) {
+            this.callbacks.send(vm, { kind: MessageKind.FormerRecord, record: former });
+        }
+    }
+
     private addLoad(load: GateLoadReport, isFromProxy: boolean): void {
         const { vm, grade } = load;
         if ((this.latestLoads.get(vm)?.grade ?? Grade.Trusted) !== grade) {
--- a/src/mesh/FleetUpdateRelay/test.ts
+++ b/src/mesh/FleetUpdateRelay/test.ts
@@ -1,6 +1,7 @@
 import { type Clock, install } from "@sinonjs/fake-timers";
 import test from "ava";
 import { createLoadReport } from "../../../test/fixtures/createLoadReport.js";
+import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
@@ -16,7 +17,7 @@
 const NO_LOADS = packLoads([]);
 
 function record(vm: string, sequence = 1): GateRecord {
-    return { vm, failureDomain: "a", gateAddress: "10.0.0.1:1", run: 1, sequence, isOpen: true, endpoint: undefined };
+    return { vm, failureDomain: "a", gateAddress: "10.0.0.1:1", run: 1, sequence, isOpen: true, endpoint: undefined, limitPerSecond: undefined };
 }
 
 function withRelay(run: (clock: Clock, relay: FleetUpdateRelay, sent: (vm: string) => FleetUpdate[]) => void): void {
@@ -91,3 +92,17 @@
         t.true(sent("vm-0").slice(1).every(({ loads }) => loads.length === 0));
     });
 });
+
+test("a proxy that has restarted gets the record of its former run, which its new record replaces", (t) => {
+    const sentMessages: { vm: string; message: Message }[] = [];
+    const relay = FleetUpdateRelay.create({ send: (vm, message) => void sentMessages.push({ vm, message }), peers: () => [] });
+    const endpoint = { id: "i-1", bornAtMs: 1, sequence: 1, service: "s", phase: EndpointPhase.Draining, slots: 1, coldRemainingMs: 0 };
+    const former = { ...record("vm-1"), endpoint, limitPerSecond: 2 };
+    relay.handleUpdate([former], NO_LOADS, true);
+    relay.handleUpdate([{ ...record("vm-1"), run: 2 }], NO_LOADS, true);
+    relay.handleUpdate([{ ...record("vm-1", 2), run: 2 }], NO_LOADS, true);
+    relay.close();
+    t.deepEqual(sentMessages.filter(({ message }) => message.kind === MessageKind.FormerRecord), [
+        { vm: "vm-1", message: { kind: MessageKind.FormerRecord, record: former } },
+    ]);
+});
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -7,6 +7,7 @@
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
+import { isSignificantLimitChange } from "../../decisions/fleet/isSignificantLimitChange/index.js";
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { UpdateSources } from "../../decisions/fleet/UpdateSources/index.js";
 import { ItemStore } from "../../decisions/items/ItemStore/index.js";
@@ -83,6 +84,7 @@
             sequence: 1,
             isOpen: true,
             endpoint: undefined,
+            limitPerSecond: undefined,
         };
     }
 
@@ -109,6 +111,7 @@
             countGates: () => roleReference.role?.countGates() ?? 1,
             hasFailedCallSince: (sinceMs) => (roleReference.role?.dispatcher.lastFailureAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoadChange: (isUrgent) => roleReference.role?.handleLoadChange(isUrgent),
+            onLimitChange: (perSecond) => roleReference.role?.handleLimitChange(perSecond),
         });
         const fleetView = FleetView.create({
             vm: vm.name,
@@ -254,6 +257,9 @@
                 message.records.filter((record) => record.vm === this.record.vm).forEach((record) => this.reconcileFormerRun(record));
                 this.hasFleetRecords = true;
                 return;
+            case MessageKind.FormerRecord:
+                this.reconcileFormerRun(message.record);
+                return;
             case MessageKind.Strike:
                 this.dispatcher.recordStrike(message.fingerprint, message.loss);
                 return;
@@ -269,8 +275,8 @@
     }
 
     /**
-     * Reconciles the record of an earlier run of this proxy: restores the phase of its endpoint, so that a drain persists,
-     * and makes the current record newer than it.
+     * Reconciles the record of an earlier run of this proxy: restores the phase and the limit of its endpoint, so that a drain
+     * persists, and makes the current record newer than it.
      */
     private reconcileFormerRun(record: GateRecord): void {
         if (record.run === this.record.run) {
@@ -280,6 +286,9 @@
             this.events.record(EventNumber.RetainedPhaseRestored, { endpoint: record.endpoint.id, phase: record.endpoint.phase });
             this.publishEndpoint();
         }
+        if (record.endpoint !== undefined && record.limitPerSecond !== undefined) {
+            this.gate.restoreLimit(record.endpoint, record.limitPerSecond);
+        }
         if (record.run > this.record.run) {
             this.record = { ...this.record, run: record.run + 1 };
             this.publishRecord({});
@@ -313,7 +322,7 @@
                 sequence: report.sequence,
                 bornAtMs: report.bornAtMs,
             });
-            this.publishRecord({ endpoint: report });
+            this.publishRecord({ endpoint: report, limitPerSecond: this.gate.limitPerSecond });
         }
     }
 
@@ -323,6 +332,13 @@
         this.sendToControls({ kind: MessageKind.FleetUpdate, records: [this.record], loads: packLoads([this.gate.load]) });
     }
 
+    /** Publishes the limit of the endpoint, so that this proxy gets it back if it restarts. */
+    private handleLimitChange(perSecond: number | undefined): void {
+        if (isSignificantLimitChange(this.record.limitPerSecond, perSecond)) {
+            this.publishRecord({ limitPerSecond: perSecond });
+        }
+    }
+
     private handleLoadChange(isUrgent: boolean): void {
         const { load, invitation } = this.gate;
         this.fleetView.applyInvitation(invitation ?? { load, waitedMs: undefined });
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -5,8 +5,10 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { EndpointRun } from "../../decisions/fleet/EndpointRun.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { isSameRun } from "../../decisions/fleet/isSameRun/index.js";
 import { EndpointLimiter } from "../../decisions/limits/EndpointLimiter/index.js";
 import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
@@ -73,6 +75,8 @@
     readonly onReply: (reply: GateReply) => void;
     grantedAtMs: number;
     startedAtMs: number;
+    /** Run of the endpoint that the request was sent to. */
+    run: EndpointRun | undefined;
     exchange: BackendExchange | undefined;
     isHung: boolean;
 }
@@ -90,6 +94,8 @@
     private outlierDetector = OutlierDetector.create();
     private limiter = EndpointLimiter.create();
     private readonly monitor: EndpointMonitor;
+    /** Limit that an earlier run of this proxy knew. */
+    private formerLimit: { readonly run: EndpointRun; readonly perSecond: number } | undefined;
     private retryBudget: FleetRetryBudget;
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
@@ -153,7 +159,7 @@
 
     /** Sets the latest report of the endpoint. Offers are refused while the endpoint is not ready. */
     setEndpoint(endpoint: EndpointReport): void {
-        const isNewRun = this.endpoint?.id !== endpoint.id || this.endpoint.bornAtMs !== endpoint.bornAtMs;
+        const isNewRun = this.endpoint === undefined || !isSameRun(this.endpoint, endpoint);
         if (this.endpoint !== undefined && this.endpoint.service !== endpoint.service) {
             this.retryBudget = FleetRetryBudget.create(this.options.retryBudgetLimits);
         }
@@ -165,6 +171,7 @@
             this.options.backend.closeUnusable();
         }
         this.endpoint = endpoint;
+        this.adoptFormerLimit();
         this.queue.setSlots(endpoint.slots);
         if (endpoint.phase !== EndpointPhase.Ready || isNewRun) {
             this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, RefusalCause.NotServing, 0, false));
@@ -172,6 +179,28 @@
         this.startNext();
     }
 
+    /**
+     * Restores the limit that an earlier run of this proxy knew, until the endpoint's next response.
+     *
+     * @param run - Run of the endpoint that named the limit.
+     * @param perSecond - The limit.
+     */
+    restoreLimit(run: EndpointRun, perSecond: number): void {
+        this.formerLimit = { run, perSecond };
+        this.adoptFormerLimit();
+    }
+
+    /** Requests per second that the endpoint accepts, or undefined if it names no limit. */
+    get limitPerSecond(): number | undefined {
+        return this.limiter.perSecond;
+    }
+
+    private adoptFormerLimit(): void {
+        if (this.formerLimit !== undefined && this.endpoint !== undefined && isSameRun(this.formerLimit.run, this.endpoint)) {
+            this.adoptLimit({ limitPerSecond: this.formerLimit.perSecond }, nowMs());
+        }
+    }
+
     /** Refuses queued and new offers from now on. Running requests continue. */
     stop(): void {
         this.isStopping = true;
@@ -194,6 +223,7 @@
             onReply(this.createRefusal(cause, 0, false));
             return FINISHED_HANDLE;
         }
+        this.adoptLimit(offer, atMs);
         const deadlineAtMs = atMs + offer.remainingMs;
         if (offer.isRepeat && !this.retryBudget.canRepeat(this.options.countGates(), atMs)) {
             onReply(this.createRefusal(RefusalCause.RetryBudget, 0, false));
@@ -219,6 +249,7 @@
                     onReply,
                     grantedAtMs: 0,
                     startedAtMs: 0,
+                    run: undefined,
                     exchange: undefined,
                     isHung: false,
                 });
@@ -232,6 +263,7 @@
                     onReply,
                     grantedAtMs: 0,
                     startedAtMs: 0,
+                    run: undefined,
                     exchange: undefined,
                     isHung: false,
                 });
@@ -321,6 +353,7 @@
         const { offer } = accepted;
         const endpointId = this.endpoint?.id ?? "";
         accepted.startedAtMs = nowMs();
+        accepted.run = this.endpoint;
         if (!offer.isRepeat) {
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
         }
@@ -374,7 +407,7 @@
         accepted.onReply({ ...reply, lostEndpoint: await isServerDown(this.options.backendAddress) });
     }
 
-    private evaluateResult({ offer, startedAtMs }: AcceptedOffer, result: BackendResult, atMs: number): GateReply {
+    private evaluateResult({ offer, startedAtMs, run }: AcceptedOffer, result: BackendResult, atMs: number): GateReply {
         switch (result.kind) {
             case BackendResultKind.NotConnected:
                 this.outlierDetector.observe(ObservedOutcome.Failure, atMs, startedAtMs);
@@ -393,11 +426,11 @@
                     const isOtherEndpoint = status === STATUS_MISDIRECTED_REQUEST;
                     this.recordShed(!isOtherEndpoint);
                     if (!isOtherEndpoint) {
-                        this.applyStatement(headers, startedAtMs, atMs);
+                        this.applyStatement(run, headers, startedAtMs, atMs);
                     }
                     return this.createRefusal(isOtherEndpoint ? RefusalCause.OtherEndpoint : RefusalCause.Shed, 0, true);
                 }
-                this.applyStatement(headers, startedAtMs, atMs);
+                this.applyStatement(run, headers, startedAtMs, atMs);
                 this.recordShed(false);
                 this.observeStatus(status, startedAtMs, atMs);
                 return { kind: GateReplyKind.Answered, answer: result.answer, load: this.load };
@@ -421,11 +454,27 @@
         }
     }
 
-    /** Applies what the endpoint states about itself in a response. */
-    private applyStatement(headers: HeaderList, sentAtMs: number, atMs: number): void {
+    /** Applies what the endpoint states about itself in a response, unless another run has begun since the request. */
+    private applyStatement(run: EndpointRun | undefined, headers: HeaderList, sentAtMs: number, atMs: number): void {
+        if (run === undefined || this.endpoint === undefined || !isSameRun(run, this.endpoint)) {
+            return;
+        }
         const { limit } = this.options.dialect.readStatement(headers);
         if (this.limiter.applyResponse(limit, sentAtMs, atMs)) {
-            this.monitor.recordLimit(this.endpoint, this.limiter.perSecond, atMs);
+            this.handleLimitChange(atMs);
+        }
+    }
+
+    private handleLimitChange(atMs: number): void {
+        const { perSecond } = this.limiter;
+        this.monitor.recordLimit(this.endpoint, perSecond, atMs);
+        this.options.onLimitChange(perSecond);
+    }
+
+    /** Applies the limit that the endpoint has told an entry, if this gate has restarted since. */
+    private adoptLimit({ limitPerSecond }: Pick<WorkOffer, "limitPerSecond">, atMs: number): void {
+        if (limitPerSecond !== undefined && this.limiter.adopt(limitPerSecond, atMs)) {
+            this.handleLimitChange(atMs);
         }
     }
 
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -7,7 +7,7 @@
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
-import { StatedLimitKind } from "../../decisions/limits/StatedLimitKind.js";
+import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
@@ -32,7 +32,7 @@
     requestHeaders: (offer) => [["Host", "a.example"], ["Id", offer.requestId]],
     readRequestId: (headers) => headers.find(([name]) => name === "Id")?.[1],
     isNotRun: (_status, headers) => headers.some(([name]) => name === "Not-Run"),
-    readStatement: () => ({ limit: { kind: StatedLimitKind.None }, isLeaving: false }),
+    readStatement: () => SILENT_STATEMENT,
     isSigned: () => true,
 };
 
@@ -57,6 +57,7 @@
     isLastResort: false,
     isRepeat: false,
     callOfRepeatShare: 0,
+    limitPerSecond: undefined,
 };
 
 interface Fixture {
@@ -89,6 +90,7 @@
         countGates: () => 1,
         hasFailedCallSince: (sinceMs) => failedCallAtMs >= sinceMs,
         onLoadChange: () => undefined,
+        onLimitChange: () => undefined,
     });
     gate.setEndpoint(READY);
     try {
--- a/src/serving/ServingGateOptions.ts
+++ b/src/serving/ServingGateOptions.ts
@@ -20,4 +20,6 @@
     readonly hasFailedCallSince: (sinceMs: number) => boolean;
     /** Called when the load changes; urgent if the grade of the endpoint has changed. */
     readonly onLoadChange: (isUrgent: boolean) => void;
+    /** Called when the limit that the endpoint names has changed; undefined if it names none any more. */
+    readonly onLimitChange: (perSecond: number | undefined) => void;
 }
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -40,4 +40,6 @@
     readonly isRepeat: boolean;
     /** Probability that the request is a call made by a retried request, from 0 to 1. */
     readonly callOfRepeatShare: number;
+    /** Requests per second that the endpoint accepts, as it has told the entry, for a gate that has restarted since; undefined without a limit. */
+    readonly limitPerSecond: number | undefined;
 }
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -8,6 +8,7 @@
 const WARM_UP_MS = 3_000;
 const WINDOW_MS = 4_000;
 const RUN_MS = 16_000;
+const RESTART_INTERVAL_MS = 700;
 const MS_PER_S = 1_000;
 
 /** Orders run at 12 endpoints, 8 of which name a limit of about half of what they get. */
@@ -43,6 +44,15 @@
     });
 }
 
+test.serial("a gate that restarts again and again does not forget the limit that entries know", async (t) => {
+    const model = await run(ORDERS, 1, (running, atMs) => {
+        if (atMs > WARM_UP_MS && atMs % RESTART_INTERVAL_MS === 0) {
+            running.restartGates(ORDERS.name);
+        }
+    });
+    assertWithinLimits(t, model, ORDERS);
+});
+
 test.serial("what slots and limits together allow is used when there are more requests than that", async (t) => {
     const { counts } = await run(OVERLOADED, 1);
     const { endpointCount, slots, workMs, limit = { endpointCount: 0, perSecond: 0 } } = OVERLOADED;
