Take a response that says its endpoint leaves for a drain that came earlier

Requests reached endpoints that had said in all their answers that they leave for as long as no report said so: nobody read that header field. The gate now counts the endpoint as draining from the first such response on (EndpointTracker.applyLeaving), publishes that, and gets it back after a restart. Each entry remembers it by itself (EndpointNotices) and offers that run of the endpoint nothing any more, whatever becomes of the gate and its reports.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -39,7 +39,7 @@
 const MS_PER_S = 1_000;
 
 const ENDPOINT_DIALECT: EndpointDialect = {
-    requestHeaders: () => [],
+    requestHeaders: ({ key }) => [[ModelHeaderName.Entry, key.split("/")[0] ?? ""]],
     readRequestId: () => undefined,
     isNotRun: () => false,
     readStatement,
@@ -186,6 +186,7 @@
                 this.handleLoadChange(vm);
                 loadReporter.handleLoadChange(isUrgent);
             },
+            onLeaving: () => undefined,
             onLimitChange: (limitPerSecond) => this.publish(vm, { sequence: vm.record.sequence + 1, limitPerSecond }),
         });
         const fleetView: FleetView = FleetView.create({
@@ -317,6 +318,6 @@
     const limit = findHeader(headers, ModelHeaderName.Limit);
     return {
         limit: limit === undefined ? { kind: StatedLimitKind.None } : { kind: StatedLimitKind.Rate, perSecond: Number(limit) },
-        isLeaving: false,
+        isLeaving: findHeader(headers, ModelHeaderName.Leaving) !== undefined,
     };
 }
--- a/bench/fleetModel/ModelBackend/index.ts
+++ b/bench/fleetModel/ModelBackend/index.ts
@@ -1,9 +1,11 @@
 import { BackendExchange } from "../../../src/backend/BackendExchange.js";
 import { BackendPort } from "../../../src/backend/BackendPort.js";
+import { BackendRequest } from "../../../src/backend/BackendRequest.js";
+import { BackendResponse } from "../../../src/backend/BackendResponse.js";
 import { BackendResult } from "../../../src/backend/BackendResult.js";
 import { BackendResultKind } from "../../../src/backend/BackendResultKind.js";
 import { nowMs } from "../../../src/clock/nowMs/index.js";
-import { HeaderList } from "../../../src/model/HeaderList.js";
+import { findHeader } from "../../../src/http/findHeader/index.js";
 import { ModelHeaderName } from "../ModelHeaderName.js";
 import { ModelService } from "../ModelService.js";
 
@@ -24,6 +26,12 @@
     /** Times at which requests have arrived, in ms. */
     readonly arrivalsAtMs: number[] = [];
     readonly openedCount = 0;
+    /** Entries of these requests, in the same order. */
+    readonly arrivedFrom: string[] = [];
+    /** Times at which it first answered a request of an entry that it leaves, by entry, in ms. */
+    readonly toldLeavingAtMs = new Map<string, number>();
+    /** True if it says in its answers that it leaves. */
+    isLeaving = false;
     /** Requests per second that it says in its answers it accepts, or undefined. */
     limitPerSecond: number | undefined;
 
@@ -39,8 +47,10 @@
         return new ModelBackend(service, random() * FAILURE_PERIOD_MS, random);
     }
 
-    send(): BackendExchange {
+    send({ headers }: BackendRequest): BackendExchange {
+        const entry = findHeader(headers, ModelHeaderName.Entry) ?? "";
         this.arrivalsAtMs.push(nowMs());
+        this.arrivedFrom.push(entry);
         const isFailing = (nowMs() + this.phaseMs) % FAILURE_PERIOD_MS < this.service.failingShare * FAILURE_PERIOD_MS;
         const fails = this.random() < (isFailing ? FAILED_SHARE : BACKGROUND_FAILED_SHARE);
         const workMs = this.service.workMs * (1 + MAX_WORK_DEVIATION * (2 * this.random() - 1));
@@ -48,15 +58,23 @@
         let timer: NodeJS.Timeout | undefined;
         const result = new Promise<BackendResult>((resolve) => {
             timer = setTimeout(
-                () => resolve({ kind: BackendResultKind.Answered, answer: { status, headers: this.responseHeaders, body: Buffer.alloc(0) } }),
+                () => resolve({ kind: BackendResultKind.Answered, answer: this.createAnswer(status, entry) }),
                 fails ? FAILURE_MS : workMs,
             );
         });
         return { result, cancel: () => clearTimeout(timer) };
     }
 
-    private get responseHeaders(): HeaderList {
-        return this.limitPerSecond === undefined ? [] : [[ModelHeaderName.Limit, String(this.limitPerSecond)]];
+    private createAnswer(status: number, entry: string): BackendResponse {
+        const headers: [string, string][] = [];
+        if (this.limitPerSecond !== undefined) {
+            headers.push([ModelHeaderName.Limit, String(this.limitPerSecond)]);
+        }
+        if (this.isLeaving) {
+            headers.push([ModelHeaderName.Leaving, "1"]);
+            this.toldLeavingAtMs.set(entry, this.toldLeavingAtMs.get(entry) ?? nowMs());
+        }
+        return { status, headers, body: Buffer.alloc(0) };
     }
 
     closeUnusable(): void {}
--- a/bench/fleetModel/ModelHeaderName.ts
+++ b/bench/fleetModel/ModelHeaderName.ts
@@ -1,4 +1,7 @@
-/** Header fields by which backend servers of a `FleetModel` speak of themselves. */
+/** Header fields of the requests and responses of a `FleetModel`. */
 export enum ModelHeaderName {
     Limit = "limit",
+    Leaving = "leaving",
+    /** In a request: the entry that it came from. */
+    Entry = "entry",
 }
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -130,7 +130,7 @@
 
     /** Ranks the gates of a service by how soon a request is expected to be answered there. */
     rankCandidates(service: string, requestKind: RequestKind, bodyBytes: number, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
-        const gates = chooseSubset(this.index.serving(service), (record) => this.hasFreeSlot(record, refused));
+        const gates = chooseSubset(this.servingGates(service), (record) => this.hasFreeSlot(record, refused));
         this.openTunnels(gates);
         const invited = this.invitedGates(service).filter((record) => !gates.includes(record));
         const candidates = [...gates, ...invited].map((record) => this.createCandidate(record, refused));
@@ -242,7 +242,14 @@
     /** Gates of a service that ask for a request; drops expired invitations. */
     private invitedGates(service: string): readonly GateRecord[] {
         [...this.invitations.keys()].filter((vm) => this.waitingMs(vm) === undefined).forEach((vm) => this.invitations.delete(vm));
-        return this.invitations.size === 0 ? [] : this.index.serving(service).filter(({ vm }) => this.invitations.has(vm));
+        return this.invitations.size === 0 ? [] : this.servingGates(service).filter(({ vm }) => this.invitations.has(vm));
+    }
+
+    /** Gates of a service, except those whose endpoint has told this entry that it leaves. */
+    private servingGates(service: string): readonly GateRecord[] {
+        const gates = this.index.serving(service);
+        const isLeaving = ({ endpoint }: GateRecord): boolean => endpoint !== undefined && this.notices.isLeaving(endpoint);
+        return this.notices.size > 0 && gates.some(isLeaving) ? gates.filter((record) => !isLeaving(record)) : gates;
     }
 
     private currentLoad(vm: string): GateLoadReport | undefined {
--- a/src/decisions/fleet/EndpointNotices/index.ts
+++ b/src/decisions/fleet/EndpointNotices/index.ts
@@ -25,6 +25,11 @@
         return new EndpointNotices();
     }
 
+    /** Number of endpoints whose statements are kept. */
+    get size(): number {
+        return this.notices.size;
+    }
+
     /**
      * Records what an endpoint states in a response.
      *
--- a/src/decisions/fleet/EndpointTracker/index.ts
+++ b/src/decisions/fleet/EndpointTracker/index.ts
@@ -1,5 +1,6 @@
 import { EndpointPhase } from "../EndpointPhase.js";
 import { EndpointReport } from "../EndpointReport.js";
+import { EndpointRun } from "../EndpointRun.js";
 import { isSameRun } from "../isSameRun/index.js";
 
 /**
@@ -55,6 +56,21 @@
         return latest === undefined || !isSameRun(latest, next) || latest.phase !== next.phase || latest.slots !== next.slots;
     }
 
+    /**
+     * Applies the statement of an endpoint that it leaves, as if it had reported that it drains.
+     *
+     * @param run - Run of the endpoint.
+     * @returns True if it is the current run and was ready before.
+     */
+    applyLeaving(run: EndpointRun): boolean {
+        const { latest } = this;
+        if (latest === undefined || !isSameRun(run, latest) || latest.phase !== EndpointPhase.Ready) {
+            return false;
+        }
+        this.latest = { ...latest, phase: EndpointPhase.Draining };
+        return true;
+    }
+
     /**
      * Applies the departure of a backend server.
      *
--- a/src/decisions/fleet/EndpointTracker/test.ts
+++ b/src/decisions/fleet/EndpointTracker/test.ts
@@ -70,3 +70,19 @@
     t.false(tracker.restore({ ...READY, id: "i-0", phase: EndpointPhase.Left }));
     t.is(tracker.report?.phase, EndpointPhase.Ready);
 });
+
+test("an endpoint that has stated in a response that it leaves drains, although later heartbeats still say ready", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    t.true(tracker.applyLeaving(READY));
+    t.false(tracker.applyLeaving(READY));
+    tracker.applyReport({ ...READY, sequence: 9 }, 10);
+    t.is(tracker.report?.phase, EndpointPhase.Draining);
+});
+
+test("a late response of an earlier run does not make the current one drain", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport({ ...READY, bornAtMs: 2 }, 0);
+    t.false(tracker.applyLeaving({ ...READY, bornAtMs: 1 }));
+    t.is(tracker.report?.phase, EndpointPhase.Ready);
+});
--- a/src/decisions/placement/GateIndex/test.ts
+++ b/src/decisions/placement/GateIndex/test.ts
@@ -12,6 +12,7 @@
         gateAddress: `10.0.0.${number}:1`,
         run: 1,
         sequence: 1,
+        limitPerSecond: undefined,
         isOpen: overrides.isOpen ?? true,
         endpoint: {
             id: `i-${number}`,
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -53,6 +53,7 @@
     StorageReopened = 316,
     EndpointReported = 403,
     ReportRefused = 404,
+    EndpointLeaving = 405,
     EndpointGraded = 420,
     EndpointStarved = 421,
     EndpointLimited = 422,
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -5,6 +5,7 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointTracker } from "../../decisions/fleet/EndpointTracker/index.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { EndpointRun } from "../../decisions/fleet/EndpointRun.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { isSignificantLimitChange } from "../../decisions/fleet/isSignificantLimitChange/index.js";
@@ -111,6 +112,7 @@
             countGates: () => roleReference.role?.countGates() ?? 1,
             hasFailedCallSince: (sinceMs) => (roleReference.role?.dispatcher.lastFailureAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoadChange: (isUrgent) => roleReference.role?.handleLoadChange(isUrgent),
+            onLeaving: (run) => roleReference.role?.handleEndpointLeaving(run),
             onLimitChange: (perSecond) => roleReference.role?.handleLimitChange(perSecond),
         });
         const fleetView = FleetView.create({
@@ -332,6 +334,14 @@
         this.sendToControls({ kind: MessageKind.FleetUpdate, records: [this.record], loads: packLoads([this.gate.load]) });
     }
 
+    /** Handles the statement of the endpoint that it leaves, which may come long before its report. */
+    private handleEndpointLeaving(run: EndpointRun): void {
+        if (this.endpointTracker.applyLeaving(run)) {
+            this.events.record(EventNumber.EndpointLeaving, { endpoint: run.id, service: this.callerService });
+            this.publishEndpoint();
+        }
+    }
+
     /** Publishes the limit of the endpoint, so that this proxy gets it back if it restarts. */
     private handleLimitChange(perSecond: number | undefined): void {
         if (isSignificantLimitChange(this.record.limitPerSecond, perSecond)) {
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -459,10 +459,13 @@
         if (run === undefined || this.endpoint === undefined || !isSameRun(run, this.endpoint)) {
             return;
         }
-        const { limit } = this.options.dialect.readStatement(headers);
+        const { limit, isLeaving } = this.options.dialect.readStatement(headers);
         if (this.limiter.applyResponse(limit, sentAtMs, atMs)) {
             this.handleLimitChange(atMs);
         }
+        if (isLeaving && this.endpoint.phase === EndpointPhase.Ready) {
+            this.options.onLeaving(run);
+        }
     }
 
     private handleLimitChange(atMs: number): void {
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -90,6 +90,7 @@
         countGates: () => 1,
         hasFailedCallSince: (sinceMs) => failedCallAtMs >= sinceMs,
         onLoadChange: () => undefined,
+        onLeaving: () => undefined,
         onLimitChange: () => undefined,
     });
     gate.setEndpoint(READY);
--- a/src/serving/ServingGateOptions.ts
+++ b/src/serving/ServingGateOptions.ts
@@ -1,4 +1,5 @@
 import { BackendPort } from "../backend/BackendPort.js";
+import { EndpointRun } from "../decisions/fleet/EndpointRun.js";
 import { RetryBudgetLimits } from "../decisions/requests/RetryBudgetLimits.js";
 import { EventLog } from "../logs/EventLog/index.js";
 import { EndpointDialect } from "./EndpointDialect.js";
@@ -20,6 +21,8 @@
     readonly hasFailedCallSince: (sinceMs: number) => boolean;
     /** Called when the load changes; urgent if the grade of the endpoint has changed. */
     readonly onLoadChange: (isUrgent: boolean) => void;
+    /** Called when the endpoint states in a response that it leaves. */
+    readonly onLeaving: (run: EndpointRun) => void;
     /** Called when the limit that the endpoint names has changed; undefined if it names none any more. */
     readonly onLimitChange: (perSecond: number | undefined) => void;
 }
