--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -109,7 +109,7 @@
             dialect,
             events,
             retryBudgetLimits: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
-            countGates: () => roleReference.role?.countGates() ?? 1,
+            countGates: () => roleReference.role?.countGates(roleReference.role.callerService) ?? 1,
             hasFailedCallSince: (sinceMs) => (roleReference.role?.dispatcher.lastFailureAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoadChange: (isUrgent) => roleReference.role?.handleLoadChange(isUrgent),
             onLeaving: (run) => roleReference.role?.handleEndpointLeaving(run),
@@ -159,8 +159,9 @@
         return this.endpointTracker.report?.service ?? this.settings.proxy?.service ?? "";
     }
 
-    private countGates(): number {
-        return this.fleetView.countGates(this.callerService);
+    /** Returns the number of gates that serve a service, as known here. */
+    countGates(service: string): number {
+        return this.fleetView.countGates(service);
     }
 
     /** Applies new settings. */
--- /dev/null
+++ b/test/faultyBackend.test.ts
@@ -0,0 +1,151 @@
+import { once } from "node:events";
+import { Agent, request } from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
+import { startFleet, type StartedFleet } from "./fixtures/startFleet.js";
+
+const GRACE_MS = 6_000;
+const REQUEST_ID = /attempt-id: (\S+)/i;
+
+interface CallerResult {
+    /** Status of the answer, or undefined if the connection ended without a complete one. */
+    readonly status: number | undefined;
+    readonly body: string;
+}
+
+interface Fixture extends StartedFleet {
+    /** Ids of the requests that the backend server has got, in their order. */
+    readonly arrivals: string[];
+    readonly call: (kind: string, id: string, agent?: Agent) => Promise<CallerResult>;
+}
+
+/** Runs a fleet in front of a backend server whose handler gets the id of the request, and its number on its connection. */
+async function withFleet(onRequest: (socket: Socket, id: string, number: number) => void, run: (fixture: Fixture) => Promise<void>): Promise<void> {
+    const arrivals: string[] = [];
+    const server = createServer({ allowHalfOpen: false }, (socket) => {
+        let count = 0;
+        socket.on("error", () => undefined);
+        socket.on("data", (chunk: Buffer) => {
+            const id = REQUEST_ID.exec(chunk.toString())?.[1] ?? "";
+            count += 1;
+            arrivals.push(id);
+            onRequest(socket, id, count);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const fleet = await startFleet((server.address() as AddressInfo).port, GRACE_MS);
+    try {
+        await run({ ...fleet, arrivals, call: (kind, id, agent) => call(fleet.callerAddress, kind, id, agent) });
+    }
+    finally {
+        server.close();
+        await fleet.close();
+    }
+}
+
+function call(address: StartedFleet["callerAddress"], kind: string, id: string, agent?: Agent): Promise<CallerResult> {
+    return new Promise((resolve) => {
+        const fail = (): void => resolve({ status: undefined, body: "" });
+        const sent = request({
+            ...address,
+            agent: agent ?? false,
+            path: "/p",
+            headers: { "Host": `${kind}.example`, "Attempt-Id": id, "Deadline-Ms": "2500" },
+        }, (response) => {
+            let body = "";
+            response.on("data", (chunk: Buffer) => {
+                body += chunk.toString();
+            });
+            response.on("end", () => resolve(response.complete ? { status: response.statusCode, body } : { status: undefined, body }));
+            response.on("error", fail);
+        });
+        sent.on("error", fail);
+        sent.end();
+    });
+}
+
+function success(id: string, body: string): string {
+    return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Signature: s\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+function refusal(...ids: readonly string[]): string {
+    const fields = ids.map((id) => `Attempt-Id: ${id}\r\n`).join("");
+    return `HTTP/1.1 503 Busy\r\n${fields}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+}
+
+for (const [description, copy] of [["with its id", refusal("1")], ["without an id", refusal()]] as const) {
+    test.serial(`a refusal that comes once more ${description} on a kept connection does not make the next request "not run"`, async (t) => {
+        await withFleet((socket, id, number) => {
+            if (id === "1") {
+                socket.write(refusal(id));
+                return;
+            }
+            if (number > 1) {
+                socket.write(copy);
+            }
+            setTimeout(() => socket.write(success(id, "it ran")), 50);
+        }, async ({ arrivals, call: send }) => {
+            t.is((await send("once", "1")).status, 503);
+            const result = await send("once", "2");
+            t.true(result.status === 502 || (result.status === 200 && result.body === "it ran"), JSON.stringify(result));
+            t.deepEqual(arrivals, ["1", "2"]);
+        });
+    });
+}
+
+test.serial("a response that is cut anywhere in its head never reaches a caller as a success", async (t) => {
+    const head = "HTTP/1.1 200 OK\r\nAttempt-Id: 00\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n";
+    const results: (CallerResult & { readonly id: string })[] = [];
+    await withFleet((socket, id) => {
+        const [kind, cut] = id.split("-");
+        if (kind === "whole") {
+            socket.write(success(id, "whole"));
+            return;
+        }
+        socket.write(head.replace("Attempt-Id: 00", `Attempt-Id: ${id}`).slice(0, Number(cut)));
+        if (kind === "reset") {
+            socket.resetAndDestroy();
+        }
+        else {
+            socket.end();
+        }
+    }, async ({ call: send }) => {
+        for (let cut = 0; cut < head.length; cut += 1) {
+            for (const kind of ["end", "reset"]) {
+                t.is((await send("repeatable", `whole-${cut}`)).body, "whole");
+                const id = `${kind}-${cut}`;
+                results.push({ id, ...await send("once", id) });
+            }
+        }
+    });
+    t.deepEqual(results.filter(({ status = 200 }) => status < 500), []);
+});
+
+test.serial("in a planned stop of an entry every request that has reached the endpoint gets a complete answer", async (t) => {
+    const results: { readonly id: string; readonly status: number | undefined; readonly sentAtMs: number }[] = [];
+    await withFleet((socket, id) => {
+        setTimeout(() => socket.write(success(id, "done")), 400);
+    }, async ({ entry, arrivals, call: send }) => {
+        const agent = new Agent({ keepAlive: true, maxSockets: 20 });
+        const calls: Promise<void>[] = [];
+        const sendAt = async (id: string, sentAtMs: number, used?: Agent): Promise<void> => {
+            const { status } = await send("once", id, used);
+            results.push({ id, status, sentAtMs });
+        };
+        await Promise.all([1, 2, 3].map((number) => sendAt(`warm-${number}`, 0, agent)));
+        const stopped = entry.stop();
+        for (let atMs = 0; atMs < GRACE_MS; atMs += 50) {
+            calls.push(sendAt(`kept-${atMs}`, atMs, agent), sendAt(`new-${atMs}`, atMs));
+            await delay(50);
+        }
+        await Promise.all(calls);
+        await stopped;
+        agent.destroy();
+        const unanswered = results.filter(({ id, status }) => arrivals.includes(id) && status !== 200);
+        t.log(`${results.length} requests, ${arrivals.length} reached the endpoint, ${results.filter(({ status }) => status === 503).length} refused`);
+        t.deepEqual(unanswered, []);
+        t.is(new Set(arrivals).size, arrivals.length);
+    });
+});
