Log header fields of responses that nothing reads

The endpoints had named limits and said that they leave in header fields which no code read, and nothing of ours told us: the fleet kept serving, and no rule of ours spoke of it.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -44,6 +44,7 @@
     isNotRun: () => false,
     readStatement,
     isSigned: () => true,
+    isKnownResponseHeader: () => true,
 };
 
 const CALLER_DIALECT: CallerDialect = {
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -54,6 +54,7 @@
     EndpointReported = 403,
     ReportRefused = 404,
     EndpointLeaving = 405,
+    HeaderUnknown = 406,
     EndpointGraded = 420,
     EndpointStarved = 421,
     EndpointLimited = 422,
--- a/src/serving/EndpointDialect.ts
+++ b/src/serving/EndpointDialect.ts
@@ -6,4 +6,6 @@
 export interface EndpointDialect extends ResponseDialect {
     /** Returns the header fields with which a request is sent to its endpoint. */
     requestHeaders(offer: WorkOffer, remainingMs: number): HeaderList;
+    /** Returns whether the meaning of a header field of a response is known, by its name in lower case. */
+    isKnownResponseHeader(name: string): boolean;
 }
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -32,6 +32,7 @@
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GatePort } from "../../tunnel/GatePort.js";
 import { EndpointMonitor } from "../EndpointMonitor/index.js";
+import { HeaderWatch } from "../HeaderWatch/index.js";
 import { ServingGateOptions } from "../ServingGateOptions.js";
 
 /** Interval at which accepted offers are checked for timeouts while there are any, in ms. */
@@ -94,6 +95,7 @@
     private outlierDetector = OutlierDetector.create();
     private limiter = EndpointLimiter.create();
     private readonly monitor: EndpointMonitor;
+    private readonly headerWatch: HeaderWatch;
     /** Limit that an earlier run of this proxy knew. */
     private formerLimit: { readonly run: EndpointRun; readonly perSecond: number } | undefined;
     private retryBudget: FleetRetryBudget;
@@ -105,6 +107,7 @@
     private constructor(private readonly options: ServingGateOptions) {
         this.retryBudget = FleetRetryBudget.create(options.retryBudgetLimits);
         this.monitor = EndpointMonitor.create(options.events);
+        this.headerWatch = HeaderWatch.create((name) => options.dialect.isKnownResponseHeader(name), options.events);
         this.cleanupTimer = setInterval(() => this.options.backend.closeUnusable(), CLEANUP_INTERVAL_MS);
     }
 
@@ -422,6 +425,7 @@
                 return { kind: GateReplyKind.Broken, problem: result.problem, lostEndpoint: !result.hadResponseBytes };
             case BackendResultKind.Answered: {
                 const { status, headers } = result.answer;
+                this.headerWatch.observe(headers);
                 if (this.options.dialect.isNotRun(status, headers)) {
                     const isOtherEndpoint = status === STATUS_MISDIRECTED_REQUEST;
                     this.recordShed(!isOtherEndpoint);
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -34,6 +34,7 @@
     isNotRun: (_status, headers) => headers.some(([name]) => name === "Not-Run"),
     readStatement: () => SILENT_STATEMENT,
     isSigned: () => true,
+    isKnownResponseHeader: () => true,
 };
 
 const OFFER: Omit<WorkOffer, "key"> = {
