Count no excess over a limit for requests that were sent before it was named or lowered

Event 423 stands for a fault of ours, so it must not come when an endpoint lowers its limit, names a second one, or starts again within 4 s: the window then still holds requests that were within the former limit.

--- a/src/serving/EndpointMonitor/index.ts
+++ b/src/serving/EndpointMonitor/index.ts
@@ -11,6 +11,8 @@
 /** Logs the limits that an endpoint names, and each excess of the requests sent to it. */
 export class EndpointMonitor {
     private readonly window = SendWindow.create(WINDOW_MS);
+    private perSecond: number | undefined;
+    /** Time since which the limit has not been lowered, in ms. */
     private limitedSinceMs = Number.POSITIVE_INFINITY;
     private loggedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -23,7 +25,10 @@
 
     /** Records that the limit of the endpoint has changed. */
     recordLimit(endpoint: EndpointReport | undefined, perSecond: number | undefined, nowMs: number): void {
-        this.limitedSinceMs = perSecond === undefined ? Number.POSITIVE_INFINITY : Math.min(this.limitedSinceMs, nowMs);
+        if (perSecond !== undefined && perSecond < (this.perSecond ?? Number.POSITIVE_INFINITY)) {
+            this.limitedSinceMs = nowMs;
+        }
+        this.perSecond = perSecond;
         this.events.record(EventNumber.EndpointLimited, {
             endpoint: endpoint?.id,
             service: endpoint?.service,
@@ -34,9 +39,9 @@
     }
 
     /** Records that a request is sent to the endpoint; logs an excess at most once in each window. */
-    recordSend(endpoint: EndpointReport | undefined, reason: SendReason, limiter: EndpointLimiter, nowMs: number): void {
+    recordSend(endpoint: EndpointReport | undefined, reason: SendReason, nowMs: number): void {
         this.window.record(reason, nowMs);
-        const { perSecond } = limiter;
+        const { perSecond } = this;
         const hasGrace = nowMs - this.limitedSinceMs < WINDOW_MS || nowMs - this.loggedAtMs < WINDOW_MS;
         if (perSecond === undefined || hasGrace) {
             return;
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -94,7 +94,7 @@
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
     private limiter = EndpointLimiter.create();
-    private readonly monitor: EndpointMonitor;
+    private monitor: EndpointMonitor;
     private readonly headerWatch: HeaderWatch;
     /** Limit that an earlier run of this proxy knew. */
     private formerLimit: { readonly run: EndpointRun; readonly perSecond: number } | undefined;
@@ -170,6 +170,7 @@
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
             this.limiter = EndpointLimiter.create();
+            this.monitor = EndpointMonitor.create(this.options.events);
             this.queue.resetEndpoint(this.limiter);
             this.options.backend.closeUnusable();
         }
@@ -360,7 +361,7 @@
         if (!offer.isRepeat) {
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
         }
-        this.monitor.recordSend(this.endpoint, sendReasonOf(offer), this.limiter, accepted.startedAtMs);
+        this.monitor.recordSend(this.endpoint, sendReasonOf(offer), accepted.startedAtMs);
         const remainingMs = Math.max(1, Math.round(accepted.deadlineAtMs - accepted.startedAtMs - RETURN_MARGIN_MS));
         accepted.exchange = this.options.backend.send({
             method: offer.method,
@@ -378,7 +379,7 @@
     private recordResend(): void {
         const atMs = nowMs();
         this.limiter.recordSend(atMs);
-        this.monitor.recordSend(this.endpoint, SendReason.Resend, this.limiter, atMs);
+        this.monitor.recordSend(this.endpoint, SendReason.Resend, atMs);
     }
 
     private finish(key: string, accepted: AcceptedOffer, result: BackendResult): void {
