--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -9,7 +9,6 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { isSameRun } from "../../decisions/fleet/isSameRun/index.js";
-import { EndpointLimiter } from "../../decisions/limits/EndpointLimiter/index.js";
 import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
@@ -22,7 +21,6 @@
 import { isServerDown } from "../../http/isServerDown/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
-import { HeaderList } from "../../model/HeaderList.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { GateReply } from "../../tunnel/GateReply.js";
@@ -31,8 +29,7 @@
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GatePort } from "../../tunnel/GatePort.js";
-import { EndpointMonitor } from "../EndpointMonitor/index.js";
-import { HeaderWatch } from "../HeaderWatch/index.js";
+import { EndpointStatements } from "../EndpointStatements/index.js";
 import { ServingGateOptions } from "../ServingGateOptions.js";
 
 /** Interval at which accepted offers are checked for timeouts while there are any, in ms. */
@@ -93,11 +90,7 @@
     private limitTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
-    private limiter = EndpointLimiter.create();
-    private monitor: EndpointMonitor;
-    private readonly headerWatch: HeaderWatch;
-    /** Limit that an earlier run of this proxy knew. */
-    private formerLimit: { readonly run: EndpointRun; readonly perSecond: number } | undefined;
+    private readonly statements: EndpointStatements;
     private retryBudget: FleetRetryBudget;
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
@@ -106,8 +99,7 @@
 
     private constructor(private readonly options: ServingGateOptions) {
         this.retryBudget = FleetRetryBudget.create(options.retryBudgetLimits);
-        this.monitor = EndpointMonitor.create(options.events);
-        this.headerWatch = HeaderWatch.create((name) => options.dialect.isKnownResponseHeader(name), options.events);
+        this.statements = EndpointStatements.create(options);
         this.cleanupTimer = setInterval(() => this.options.backend.closeUnusable(), CLEANUP_INTERVAL_MS);
     }
 
@@ -125,7 +117,7 @@
             running: this.queue.runningCount,
             queued: this.queue.waitingCount,
             slots: this.queue.usableSlots,
-            limitWaitMs: this.limiter.perSecond === undefined ? undefined : this.queue.limitWaitMs(atMs),
+            limitWaitMs: this.limitPerSecond === undefined ? undefined : this.queue.limitWaitMs(atMs),
             serviceMs: this.queue.measuredServiceMs === undefined ? undefined : Math.round(this.queue.measuredServiceMs),
             grade,
             suspicion: Math.round(this.outlierDetector.scoreAt(atMs) * 10) / 10,
@@ -166,16 +158,14 @@
         if (this.endpoint !== undefined && this.endpoint.service !== endpoint.service) {
             this.retryBudget = FleetRetryBudget.create(this.options.retryBudgetLimits);
         }
+        this.statements.setEndpoint(endpoint);
         if (isNewRun) {
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
-            this.limiter = EndpointLimiter.create();
-            this.monitor = EndpointMonitor.create(this.options.events);
-            this.queue.resetEndpoint(this.limiter);
+            this.queue.resetEndpoint(this.statements.limiter);
             this.options.backend.closeUnusable();
         }
         this.endpoint = endpoint;
-        this.adoptFormerLimit();
         this.queue.setSlots(endpoint.slots);
         if (endpoint.phase !== EndpointPhase.Ready || isNewRun) {
             this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, RefusalCause.NotServing, 0, false));
@@ -190,19 +180,12 @@
      * @param perSecond - The limit.
      */
     restoreLimit(run: EndpointRun, perSecond: number): void {
-        this.formerLimit = { run, perSecond };
-        this.adoptFormerLimit();
+        this.statements.restoreLimit(run, perSecond);
     }
 
     /** Requests per second that the endpoint accepts, or undefined if it names no limit. */
     get limitPerSecond(): number | undefined {
-        return this.limiter.perSecond;
-    }
-
-    private adoptFormerLimit(): void {
-        if (this.formerLimit !== undefined && this.endpoint !== undefined && isSameRun(this.formerLimit.run, this.endpoint)) {
-            this.adoptLimit({ limitPerSecond: this.formerLimit.perSecond }, nowMs());
-        }
+        return this.statements.limiter.perSecond;
     }
 
     /** Refuses queued and new offers from now on. Running requests continue. */
@@ -227,7 +210,9 @@
             onReply(this.createRefusal(cause, 0, false));
             return FINISHED_HANDLE;
         }
-        this.adoptLimit(offer, atMs);
+        if (offer.limitPerSecond !== undefined) {
+            this.statements.adoptLimit(offer.limitPerSecond, atMs);
+        }
         const deadlineAtMs = atMs + offer.remainingMs;
         if (offer.isRepeat && !this.retryBudget.canRepeat(this.options.countGates(), atMs)) {
             onReply(this.createRefusal(RefusalCause.RetryBudget, 0, false));
@@ -361,7 +346,7 @@
         if (!offer.isRepeat) {
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
         }
-        this.monitor.recordSend(this.endpoint, sendReasonOf(offer), accepted.startedAtMs);
+        this.statements.recordSend(sendReasonOf(offer), accepted.startedAtMs);
         const remainingMs = Math.max(1, Math.round(accepted.deadlineAtMs - accepted.startedAtMs - RETURN_MARGIN_MS));
         accepted.exchange = this.options.backend.send({
             method: offer.method,
@@ -378,8 +363,8 @@
     /** Counts a request that the pool sends again because its first connection was stale. */
     private recordResend(): void {
         const atMs = nowMs();
-        this.limiter.recordSend(atMs);
-        this.monitor.recordSend(this.endpoint, SendReason.Resend, atMs);
+        this.statements.limiter.recordSend(atMs);
+        this.statements.recordSend(SendReason.Resend, atMs);
     }
 
     private finish(key: string, accepted: AcceptedOffer, result: BackendResult): void {
@@ -426,16 +411,15 @@
                 return { kind: GateReplyKind.Broken, problem: result.problem, lostEndpoint: !result.hadResponseBytes };
             case BackendResultKind.Answered: {
                 const { status, headers } = result.answer;
-                this.headerWatch.observe(headers);
                 if (this.options.dialect.isNotRun(status, headers)) {
                     const isOtherEndpoint = status === STATUS_MISDIRECTED_REQUEST;
                     this.recordShed(!isOtherEndpoint);
                     if (!isOtherEndpoint) {
-                        this.applyStatement(run, headers, startedAtMs, atMs);
+                        this.statements.applyResponse(run, headers, startedAtMs, atMs);
                     }
                     return this.createRefusal(isOtherEndpoint ? RefusalCause.OtherEndpoint : RefusalCause.Shed, 0, true);
                 }
-                this.applyStatement(run, headers, startedAtMs, atMs);
+                this.statements.applyResponse(run, headers, startedAtMs, atMs);
                 this.recordShed(false);
                 this.observeStatus(status, startedAtMs, atMs);
                 return { kind: GateReplyKind.Answered, answer: result.answer, load: this.load };
@@ -459,33 +443,6 @@
         }
     }
 
-    /** Applies what the endpoint states about itself in a response, unless another run has begun since the request. */
-    private applyStatement(run: EndpointRun | undefined, headers: HeaderList, sentAtMs: number, atMs: number): void {
-        if (run === undefined || this.endpoint === undefined || !isSameRun(run, this.endpoint)) {
-            return;
-        }
-        const { limit, isLeaving } = this.options.dialect.readStatement(headers);
-        if (this.limiter.applyResponse(limit, sentAtMs, atMs)) {
-            this.handleLimitChange(atMs);
-        }
-        if (isLeaving && this.endpoint.phase === EndpointPhase.Ready) {
-            this.options.onLeaving(run);
-        }
-    }
-
-    private handleLimitChange(atMs: number): void {
-        const { perSecond } = this.limiter;
-        this.monitor.recordLimit(this.endpoint, perSecond, atMs);
-        this.options.onLimitChange(perSecond);
-    }
-
-    /** Applies the limit that the endpoint has told an entry, if this gate has restarted since. */
-    private adoptLimit({ limitPerSecond }: Pick<WorkOffer, "limitPerSecond">, atMs: number): void {
-        if (limitPerSecond !== undefined && this.limiter.adopt(limitPerSecond, atMs)) {
-            this.handleLimitChange(atMs);
-        }
-    }
-
     private recordShed(isShed: boolean): void {
         this.shedShare += SHED_WEIGHT * ((isShed ? 1 : 0) - this.shedShare);
     }
