--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -138,6 +138,20 @@
     });
 });
 
+test("a confirmation that comes after a pause of the process runs nothing", async (t) => {
+    await withGate(t, (socket) => respond(socket, 200), async ({ arrivals, offer }) => {
+        const paused = offer("1", { needsGo: true });
+        const resumeAtMs = nowMs() + 400;
+        while (nowMs() < resumeAtMs) {
+            // Timers cannot run, as while the process is frozen.
+        }
+        paused.handle.confirm();
+        t.true(paused.replies[1]?.kind === GateReplyKind.Refused && paused.replies[1].cause === RefusalCause.Voided);
+        await delay(50);
+        t.is(arrivals(), 0);
+    });
+});
+
 test("once the endpoint drains, queued requests are refused and running ones continue", async (t) => {
     const sockets: Socket[] = [];
     await withGate(t, (socket) => sockets.push(socket), async ({ gate, arrivals, offer }) => {
