--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -50,6 +50,11 @@
         return new Deployment(recorder, network, controlCount);
     }
 
+    /** Number of control machines. */
+    get controlCount() {
+        return this.#controlCount;
+    }
+
     /** Address `host:port` of a control machine for operators. */
     controlAddress(control) {
         return `${this.#network.addressOf(control)}:${this.#network.ports.control}`;
