--- a/src/backend/ResponseParser/index.ts
+++ b/src/backend/ResponseParser/index.ts
@@ -1,24 +1,53 @@
 import { HTTPParser } from "http-parser-js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { findFramingProblem } from "../../http/findFramingProblem/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
+import { isBodiless } from "../../http/isBodiless/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { ParsedResponse } from "../ParsedResponse.js";
 import { ResponseLimits } from "../ResponseLimits.js";
 
+const MIN_STATUS = 100;
+const STATUS_SWITCHING_PROTOCOLS = 101;
 const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+const MAJOR_VERSION = 1;
 const CHUNK_SIZE_LINE = /^[0-9a-fA-F]{1,8}(;.*)?$/;
 /** Bytes of framing allowed for each byte of a chunked body; a chunk of one byte has 5 bytes of framing. */
 const FRAMING_FACTOR = 8;
+const FIELD_LINE = /^([^: \t]+)[ \t]*:/;
+const CONTINUATION_LINE = /^[ \t]/;
 
-/** Incremental parser for the responses on one connection to a backend server. Enforces limits on their size. */
+/** What the library passes on when a header section is complete. */
+interface ResponseHead {
+    readonly versionMajor: number;
+    readonly versionMinor: number;
+    readonly statusCode: number;
+    readonly headers: readonly string[];
+    readonly shouldKeepAlive: boolean;
+}
+
+/** Methods and state of the library that its types leave out. */
+interface ParserInternals {
+    readonly state: string;
+    readonly offset: number;
+    readonly end: number;
+    consumeLine(): string | undefined;
+    parseHeader(line: string, headers: string[]): void;
+}
+
+/**
+ * Incremental parser for the responses on one connection to a backend server. Enforces limits on their size, and rejects
+ * responses whose framing the library would guess.
+ */
 export class ResponseParser {
     private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
     private status = 0;
     private headers: HeaderList = [];
     private body: Buffer[] = [];
     private keepsAlive = false;
-    private isBodiless = false;
+    private method = "";
     private receivedBytes = 0;
     private bodyBytes = 0;
     private bufferedBytes = 0;
@@ -28,21 +57,14 @@
         private readonly limits: ResponseLimits,
         private readonly budget: ByteBudget,
     ) {
-        this.parser[HTTPParser.kOnHeadersComplete] = (info): number => {
-            this.status = info.statusCode;
-            this.headers = pairHeaders(info.headers);
-            this.keepsAlive = info.shouldKeepAlive;
-            this.body = [];
-            this.checkDeclaredLength();
-            return this.isBodiless ? 1 : 0;
-        };
+        this.parser[HTTPParser.kOnHeadersComplete] = (head: ResponseHead): number => this.handleHead(head);
         this.parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
             this.bodyBytes += length;
             this.reserve(length);
             this.body.push(chunk.subarray(offset, offset + length));
         };
         this.parser[HTTPParser.kOnMessageComplete] = (): void => this.complete();
-        this.rejectMalformedChunkSizes();
+        this.rejectMalformedLines();
     }
 
     /**
@@ -63,7 +85,7 @@
 
     /** Prepares the parser for the response to a request. */
     expectResponse(method: string): void {
-        this.isBodiless = method === "HEAD";
+        this.method = method;
         this.receivedBytes = 0;
         this.bodyBytes = 0;
     }
@@ -103,10 +125,37 @@
         }
     }
 
+    /** Returns 1 if the library must not read a body after a header section, and 0 otherwise. */
+    private handleHead(head: ResponseHead): number {
+        this.status = head.statusCode;
+        this.headers = pairHeaders(head.headers);
+        this.keepsAlive = head.shouldKeepAlive;
+        this.body = [];
+        const hasBody = this.status >= MIN_FINAL_STATUS && !isBodiless(this.method, this.status);
+        this.checkHead(head);
+        if (hasBody) {
+            this.checkDeclaredLength();
+        }
+        return hasBody ? 0 : 1;
+    }
+
+    private checkHead({ versionMajor, versionMinor, statusCode }: ResponseHead): void {
+        if (versionMajor !== MAJOR_VERSION) {
+            throw new Error(`unsupported version HTTP/${versionMajor}.${versionMinor}`);
+        }
+        if (statusCode < MIN_STATUS || statusCode > MAX_STATUS || statusCode === STATUS_SWITCHING_PROTOCOLS) {
+            throw new Error(`unexpected status code ${statusCode}`);
+        }
+        const problem = findFramingProblem(this.headers, versionMinor > 0);
+        if (problem !== undefined) {
+            throw new Error(problem);
+        }
+    }
+
     /** Rejects a response whose `Content-Length` exceeds the limit before any of its body is read. */
     private checkDeclaredLength(): void {
         const declaredBytes = Number(findHeader(this.headers, "content-length") ?? 0);
-        if (!this.isBodiless && declaredBytes > this.limits.maxBodyBytes) {
+        if (declaredBytes > this.limits.maxBodyBytes) {
             throw new Error(`the declared body length of ${declaredBytes} bytes exceeds the limit`);
         }
     }
@@ -135,20 +184,36 @@
 
     /** True if bytes that belong to no request follow the response that was just completed. */
     private get hasTrailingBytes(): boolean {
-        const { offset, end } = this.parser as unknown as { offset: number; end: number };
+        const { offset, end } = this.internals;
         return offset < end;
     }
 
-    /** Makes a malformed chunk size an error. The library would take it for the last chunk, and the response for complete. */
-    private rejectMalformedChunkSizes(): void {
-        const parser = this.parser as unknown as { consumeLine(): string | undefined; state: string };
-        const consumeLine = parser.consumeLine.bind(parser);
-        parser.consumeLine = (): string | undefined => {
+    private get internals(): ParserInternals {
+        return this.parser as unknown as ParserInternals;
+    }
+
+    /**
+     * Makes malformed lines an error. The library would take a malformed chunk size for that of the last chunk, and would
+     * skip a malformed line of a header section, which may be the one that frames the body.
+     */
+    private rejectMalformedLines(): void {
+        const { internals } = this;
+        const consumeLine = internals.consumeLine.bind(internals);
+        const parseHeader = internals.parseHeader.bind(internals);
+        internals.consumeLine = (): string | undefined => {
             const line = consumeLine();
-            if (parser.state === "BODY_CHUNKHEAD" && line !== undefined && !CHUNK_SIZE_LINE.test(line.trim())) {
+            if (internals.state === "BODY_CHUNKHEAD" && line !== undefined && !CHUNK_SIZE_LINE.test(line.trim())) {
                 throw new Error("malformed chunk size");
             }
             return line;
         };
+        internals.parseHeader = (line: string, headers: string[]): void => {
+            const isContinuation = CONTINUATION_LINE.test(line) && headers.length > 0;
+            if (!isContinuation && !FIELD_LINE.test(line)) {
+                throw new Error("malformed line in a header section");
+            }
+            // RFC 9112, section 5.1: a proxy removes whitespace between the name and the colon.
+            parseHeader(isContinuation ? line : line.replace(FIELD_LINE, "$1:"), headers);
+        };
     }
 }
--- /dev/null
+++ b/src/backend/ResponseParser/test.ts
@@ -0,0 +1,91 @@
+import test from "ava";
+import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { ParsedResponse } from "../ParsedResponse.js";
+import { ResponseParser } from "./index.js";
+
+const LIMITS = { maxBodyBytes: 4_096, maxHeadBytes: 4_096 };
+const STATUS_LINE = "HTTP/1.1 200 OK";
+
+/** Parses bytes as the response to a request, in pieces of a given size. */
+function parse(text: string, method = "GET", pieceBytes = text.length): ParsedResponse[] {
+    const responses: ParsedResponse[] = [];
+    const parser = ResponseParser.create((response) => responses.push(response), LIMITS, ByteBudget.create(4_096));
+    parser.expectResponse(method);
+    const data = Buffer.from(text, "latin1");
+    for (let offset = 0; offset < data.length; offset += pieceBytes) {
+        parser.parse(data.subarray(offset, offset + pieceBytes));
+    }
+    return responses;
+}
+
+/** Encodes a response of status 200. */
+function encode(fields: readonly string[], body: string, statusLine = STATUS_LINE): string {
+    return `${[statusLine, ...fields].join("\r\n")}\r\n\r\n${body}`;
+}
+
+const BODY = "0123456789abcdef";
+const CHUNKED_BODY = `${BODY.length.toString(16)}\r\n${BODY}\r\n0\r\n\r\n`;
+
+// Guards against lenient framing: such a response was taken for complete, with an empty or a partial body.
+const MALFORMED_FRAMINGS: Record<string, string> = {
+    "a length with a letter": encode(["Content-Length: 1x"], BODY),
+    "a signed length": encode(["Content-Length: +16"], BODY),
+    "a negative length": encode(["Content-Length: -16"], BODY),
+    "an empty length": encode(["Content-Length:"], BODY),
+    "a fractional length": encode(["Content-Length: 16.0"], BODY),
+    "a length in scientific notation": encode(["Content-Length: 1e1"], BODY),
+    "a hexadecimal length": encode(["Content-Length: 0x10"], BODY),
+    "a list of lengths": encode(["Content-Length: 16, 16"], BODY),
+    "a length beyond exact integers": encode(["Content-Length: 99999999999999999999"], BODY),
+    "two differing lengths": encode(["Content-Length: 10", "Content-Length: 16"], BODY),
+    "two unreadable lengths": encode(["Content-Length: x", "Content-Length: x"], BODY),
+    "an unknown transfer coding": encode(["Transfer-Encoding: chunkee"], CHUNKED_BODY),
+    "an empty transfer coding": encode(["Transfer-Encoding:"], CHUNKED_BODY),
+    "a further transfer coding": encode(["Transfer-Encoding: gzip, chunked"], CHUNKED_BODY),
+    "two transfer codings": encode(["Transfer-Encoding: chunked", "Transfer-Encoding: identity"], CHUNKED_BODY),
+    "a length and a transfer coding": encode(["Content-Length: 16", "Transfer-Encoding: chunked"], CHUNKED_BODY),
+    "a transfer coding in HTTP/1.0": encode(["Transfer-Encoding: chunked"], CHUNKED_BODY, "HTTP/1.0 200 OK"),
+    "a line without a colon": encode(["Content-Length 16"], BODY),
+    "a line without a name": encode([": 16", "Content-Length: 16"], BODY),
+    "a continuation of no line": encode([" 16", "Content-Length: 16"], BODY),
+    "another major version": encode(["Content-Length: 16"], BODY, "HTTP/2.0 200 OK"),
+    "a status below 100": encode(["Content-Length: 16"], BODY, "HTTP/1.1 020 OK"),
+    "a status above 599": encode(["Content-Length: 16"], BODY, "HTTP/1.1 600 OK"),
+    "a switch of protocols": encode(["Upgrade: other", "Connection: upgrade"], "", "HTTP/1.1 101 Switching Protocols"),
+};
+
+Object.entries(MALFORMED_FRAMINGS).forEach(([description, text]) => {
+    test(`a response with ${description} is rejected instead of being framed by a guess`, (t) => {
+        t.throws(() => parse(text));
+        t.throws(() => parse(text, "GET", 1));
+    });
+});
+
+const WELL_FRAMED: Record<string, string> = {
+    "a length": encode(["Content-Length: 16"], BODY),
+    "a length with leading zeros": encode(["Content-Length: 0016"], BODY),
+    "the same length twice": encode(["Content-Length: 16", "Content-Length: 16"], BODY),
+    "a length after whitespace before the colon": encode(["Content-Length : 16"], BODY),
+    "chunks": encode(["Transfer-Encoding: Chunked"], CHUNKED_BODY),
+};
+
+Object.entries(WELL_FRAMED).forEach(([description, text]) => {
+    test(`a response framed by ${description} is complete`, (t) => {
+        t.deepEqual(parse(text).map(({ body }) => body.toString()), [BODY]);
+        t.deepEqual(parse(text, "GET", 1).map(({ body }) => body.toString()), [BODY]);
+    });
+});
+
+// Guards against a wait for a body that never comes, until the deadline of the request.
+test("a response that has no body by its status or its method is complete after its head, whatever length it declares", (t) => {
+    const notModified = encode(["Content-Length: 16"], "", "HTTP/1.1 304 Not Modified");
+    const noContent = encode(["Transfer-Encoding: chunked"], "", "HTTP/1.1 204 No Content");
+    t.deepEqual(parse(notModified).map(({ status, body }) => [status, body.length]), [[304, 0]]);
+    t.deepEqual(parse(noContent).map(({ status, body }) => [status, body.length]), [[204, 0]]);
+    t.deepEqual(parse(encode(["Content-Length: 16"], ""), "HEAD").map(({ status, body }) => [status, body.length]), [[200, 0]]);
+});
+
+test("an interim response is skipped, even if it declares a length", (t) => {
+    const interim = encode(["Content-Length: 16"], "", "HTTP/1.1 103 Early Hints");
+    t.deepEqual(parse(interim + encode(["Content-Length: 16"], BODY)).map(({ status, body }) => [status, body.toString()]), [[200, BODY]]);
+});
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -4,6 +4,7 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { findFramingProblem } from "../../http/findFramingProblem/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
@@ -29,6 +30,7 @@
 const MAX_BUFFERED_BODY_BYTES = 32 * 1_024 * 1_024;
 /** Retry-after of a request that was refused because the body budget was exhausted, in ms; about the time of a request. */
 const BUDGET_RETRY_AFTER_MS = 1_000;
+const STATUS_BAD_REQUEST = 400;
 const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
@@ -150,9 +152,10 @@
         const headers = pairHeaders(request.rawHeaders);
         const metadata = this.dialect.readMetadata(headers);
         const respond = (callerResponse: CallerResponse): void => this.respond(socket, pending, request, callerResponse);
-        if (this.hasTooLargeHeaders(request)) {
+        const problemStatus = this.findProblemStatus(request, headers);
+        if (problemStatus !== undefined) {
             respond({
-                status: STATUS_HEADERS_TOO_LARGE,
+                status: problemStatus,
                 headers: this.dialect.ownResponseHeaders(metadata.requestId, undefined),
                 body: Buffer.alloc(0),
             });
@@ -188,6 +191,15 @@
         });
     }
 
+    /** Returns the status with which a request is refused before its body is read, or undefined if its header section is fine. */
+    private findProblemStatus(request: IncomingMessage, headers: HeaderList): number | undefined {
+        if (this.hasTooLargeHeaders(request)) {
+            return STATUS_HEADERS_TOO_LARGE;
+        }
+        // The parser of Node.js accepts transfer codings before the chunks, which would be lost when the body is forwarded.
+        return findFramingProblem(headers, request.httpVersionMinor > 0) === undefined ? undefined : STATUS_BAD_REQUEST;
+    }
+
     private hasTooLargeHeaders(request: IncomingMessage): boolean {
         const bytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? "").length);
         return bytes > (this.limits?.maxHeaderBytes ?? MAX_HEADER_BYTES);
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -227,6 +227,18 @@
     });
 });
 
+// Guards against a body that reaches the endpoint without the coding that it needs to be read.
+test("a request with a transfer coding besides chunks is refused instead of being forwarded without it", async (t) => {
+    await withServer(t, async (_server, exchanges, open) => {
+        const socket = await open();
+        const collected = collect(socket);
+        socket.write("POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        await waitUntil(() => collected.text.includes("\r\n\r\n"));
+        t.true(collected.text.startsWith("HTTP/1.1 400 "), collected.text);
+        t.is(exchanges.length, 0);
+    });
+});
+
 test("an unexpected error closes only the connection of its request", async (t) => {
     const probe = createServer().listen(0, "127.0.0.1");
     await once(probe, "listening");
--- a/test/faultyBackend.test.ts
+++ b/test/faultyBackend.test.ts
@@ -123,6 +123,24 @@
     t.deepEqual(results.filter(({ status = 200 }) => status < 500), []);
 });
 
+const UNREADABLE_LENGTHS = ["1x", "+18", "-18", "", "1e1", "18, 18", "0x12"];
+
+// Guards against a success without its body: an unreadable length was taken for a length of zero.
+test.serial("a response with an unreadable length never reaches a caller as a success", async (t) => {
+    const results: (CallerResult & { readonly length: string })[] = [];
+    await withFleet((socket, id) => {
+        const [kind, index] = id.split("-");
+        const text = success(id, "eighteen bytes: ok");
+        socket.write(kind === "whole" ? text : text.replace("Content-Length: 18", `Content-Length: ${UNREADABLE_LENGTHS[Number(index)]}`));
+    }, async ({ call: send }) => {
+        for (const [index, length] of UNREADABLE_LENGTHS.entries()) {
+            results.push({ length, ...await send("once", `spoiled-${index}`) });
+            t.is((await send("repeatable", `whole-${index}`)).body, "eighteen bytes: ok");
+        }
+    });
+    t.deepEqual(results, UNREADABLE_LENGTHS.map((length) => ({ length, status: 502, body: "" })));
+});
+
 test.serial("in a planned stop of an entry every request that has reached the endpoint gets a complete answer", async (t) => {
     const results: { readonly id: string; readonly status: number | undefined; readonly sentAtMs: number }[] = [];
     await withFleet((socket, id) => {
