--- a/src/backend/ResponseParser/index.ts
+++ b/src/backend/ResponseParser/index.ts
@@ -1,5 +1,6 @@
 import { HTTPParser } from "http-parser-js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { findFieldProblem } from "../../http/findFieldProblem/index.js";
 import { findFramingProblem } from "../../http/findFramingProblem/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { isBodiless } from "../../http/isBodiless/index.js";
@@ -19,6 +20,9 @@
 const FIELD_LINE = /^([^: \t]+)[ \t]*:/;
 const CONTINUATION_LINE = /^[ \t]/;
 
+// The default, ASCII, would clear the highest bit of each byte and so turn UTF-8 into control characters.
+HTTPParser.encoding = "latin1";
+
 /** What the library passes on when a header section is complete. */
 interface ResponseHead {
     readonly versionMajor: number;
@@ -39,7 +43,7 @@
 
 /**
  * Incremental parser for the responses on one connection to a backend server. Enforces limits on their size, and rejects
- * responses whose framing the library would guess.
+ * responses that cannot be forwarded or whose framing the library would guess.
  */
 export class ResponseParser {
     private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
@@ -146,7 +150,7 @@
         if (statusCode < MIN_STATUS || statusCode > MAX_STATUS || statusCode === STATUS_SWITCHING_PROTOCOLS) {
             throw new Error(`unexpected status code ${statusCode}`);
         }
-        const problem = findFramingProblem(this.headers, versionMinor > 0);
+        const problem = findFieldProblem(this.headers) ?? findFramingProblem(this.headers, versionMinor > 0);
         if (problem !== undefined) {
             throw new Error(problem);
         }
--- a/src/backend/ResponseParser/test.ts
+++ b/src/backend/ResponseParser/test.ts
@@ -61,6 +61,20 @@
     });
 });
 
+// Guards against an answer that is never passed on, because Node.js refuses to write one of its header fields.
+const UNFORWARDABLE_FIELDS = ["X-Node: a\x01b", "X-Node: a\x00b", "X-Node: a\x7fb", "X(Node): a", "X\x01: a", "X-N\xe9: a"];
+
+UNFORWARDABLE_FIELDS.forEach((field) => {
+    test(`a response with the header field ${JSON.stringify(field)}, which cannot be forwarded, is rejected`, (t) => {
+        t.throws(() => parse(encode([field, "Content-Length: 16"], BODY)), { message: /invalid (name|value) of the header field/ });
+    });
+});
+
+test("a header field in UTF-8 keeps its bytes", (t) => {
+    const author = Buffer.from("MU\u00d1OZ", "utf8").toString("latin1");
+    t.deepEqual(parse(encode([`X-Author: ${author}`, "Content-Length: 16"], BODY))[0]?.headers[0], ["X-Author", author]);
+});
+
 const WELL_FRAMED: Record<string, string> = {
     "a length": encode(["Content-Length: 16"], BODY),
     "a length with leading zeros": encode(["Content-Length: 0016"], BODY),
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -34,6 +34,7 @@
 const STATUS_REQUEST_TIMEOUT = 408;
 const STATUS_BODY_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
+const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
@@ -60,18 +61,13 @@
         private readonly server: Server,
         private readonly dialect: CallerDialect,
         private readonly onRequest: (exchange: CallerExchange) => void,
-        onError: (error: Error) => void,
+        private readonly onError: (error: Error) => void,
     ) {
         server.requestTimeout = 0;
         server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS;
         server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
         server.on("connection", (socket: Socket) => this.handleConnection(socket));
-        server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-            this.handleRequest(request, response).catch((thrown: unknown) => {
-                onError(toError(thrown));
-                request.destroy();
-            });
-        });
+        server.on("request", (request: IncomingMessage, response: ServerResponse) => void this.handleRequest(request, response));
     }
 
     /**
@@ -80,7 +76,7 @@
      * @param address - `host:port`.
      * @param dialect - Conventions for requests and responses.
      * @param onRequest - Called with each request.
-     * @param onError - Called with each unexpected error, which closes only the connection of its request.
+     * @param onError - Called with each unexpected error, which fails only its own request.
      * @throws FleetError if the server cannot listen on the address.
      */
     static async create(
@@ -145,13 +141,27 @@
     }
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { socket } = request;
-        const arrivedAtMs = nowMs();
         const pending: PendingRequest = { response, isSettled: false, bodyBytes: 0, onDisconnect: undefined };
-        this.pending.get(socket)?.add(pending);
+        this.pending.get(request.socket)?.add(pending);
         const headers = pairHeaders(request.rawHeaders);
+        const respond = (callerResponse: CallerResponse): void => this.respond(pending, request, callerResponse);
+        try {
+            await this.readRequest(request, pending, headers, respond);
+        }
+        catch (thrown) {
+            this.onError(toError(thrown));
+            respond(this.createFailure(headers));
+        }
+    }
+
+    private async readRequest(
+        request: IncomingMessage,
+        pending: PendingRequest,
+        headers: HeaderList,
+        respond: (response: CallerResponse) => void,
+    ): Promise<void> {
+        const arrivedAtMs = nowMs();
         const metadata = this.dialect.readMetadata(headers);
-        const respond = (callerResponse: CallerResponse): void => this.respond(socket, pending, request, callerResponse);
         const problemStatus = this.findProblemStatus(request, headers);
         if (problemStatus !== undefined) {
             respond({
@@ -243,14 +253,20 @@
         pending.bodyBytes = 0;
     }
 
-    private respond(socket: Socket, pending: PendingRequest, request: IncomingMessage, callerResponse: CallerResponse): void {
+    /** Response to a request that may have run and whose outcome cannot be passed on. */
+    private createFailure(requestHeaders: HeaderList): CallerResponse {
+        const { requestId } = this.dialect.readMetadata(requestHeaders);
+        return { status: STATUS_BAD_GATEWAY, headers: this.dialect.ownResponseHeaders(requestId, undefined), body: Buffer.alloc(0) };
+    }
+
+    private respond(pending: PendingRequest, request: IncomingMessage, callerResponse: CallerResponse): void {
         if (pending.isSettled) {
             return;
         }
         pending.isSettled = true;
         this.releaseBody(pending);
         const { response } = pending;
-        const unsettled = this.pending.get(socket);
+        const unsettled = this.pending.get(request.socket);
         const shouldClose = this.isDraining && (unsettled?.size ?? 0) <= 1;
         const removePending = (): void => void unsettled?.delete(pending);
         response.once("finish", removePending);
@@ -258,11 +274,31 @@
         response.sendDate = false;
         // The rest of an unread body may be endless, so the connection cannot be reused.
         response.shouldKeepAlive &&= !shouldClose && request.complete;
-        response.writeHead(callerResponse.status, framedHeaders(request.method ?? "GET", callerResponse).flat());
-        response.end(callerResponse.body);
+        const method = request.method ?? "GET";
+        try {
+            writeResponse(response, method, callerResponse);
+        }
+        catch (thrown) {
+            this.onError(toError(thrown));
+            if (response.headersSent) {
+                response.destroy();
+                return;
+            }
+            writeResponse(response, method, this.createFailure(pairHeaders(request.rawHeaders)));
+        }
     }
 }
 
+/**
+ * Writes a response.
+ *
+ * @throws Error before anything is written if Node.js rejects the status or a header field.
+ */
+function writeResponse(response: ServerResponse, method: string, callerResponse: CallerResponse): void {
+    response.writeHead(callerResponse.status, framedHeaders(method, callerResponse).flat());
+    response.end(callerResponse.body);
+}
+
 function framedHeaders(method: string, response: CallerResponse): HeaderList {
     const headers = withoutConnectionHeaders(response.headers);
     const isBodiless = response.status === STATUS_NO_CONTENT || response.status === STATUS_NOT_MODIFIED;
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -239,7 +239,8 @@
     });
 });
 
-test("an unexpected error closes only the connection of its request", async (t) => {
+/** Starts a server whose handler throws for requests to `/bad`, and returns its port and the errors that it reports. */
+async function startThrowingServer(t: ExecutionContext): Promise<{ readonly port: number; readonly errors: readonly Error[] }> {
     const probe = createServer().listen(0, "127.0.0.1");
     await once(probe, "listening");
     const { port } = probe.address() as AddressInfo;
@@ -253,15 +254,38 @@
         exchange.respond(okResponse("ok"));
     }, (error) => errors.push(error));
     t.teardown(() => server.close());
-    const bad = connect(port, "127.0.0.1");
-    bad.on("error", () => undefined);
-    bad.write(get("bad"));
-    await waitUntil(() => bad.destroyed);
-    t.is(errors.length, 1);
-    const good = connect(port, "127.0.0.1");
-    const collected = collect(good);
-    good.write(get("good"));
+    return { port, errors };
+}
+
+// Guards against callers that wait in vain, and against the loss of the other requests on the connection.
+test("an unexpected error fails only its own request, and those behind it on the connection are answered", async (t) => {
+    const { port, errors } = await startThrowingServer(t);
+    const socket = connect(port, "127.0.0.1");
+    t.teardown(() => socket.destroy());
+    const collected = collect(socket);
+    socket.write(get("bad") + get("good"));
     await waitUntil(() => collected.text.includes("ok"));
-    t.regex(collected.text, /200 OK/);
-    good.destroy();
+    t.is(errors.length, 1);
+    t.deepEqual(collected.text.match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 502", "HTTP/1.1 200"]);
+    const other = connect(port, "127.0.0.1");
+    t.teardown(() => other.destroy());
+    const collectedByOther = collect(other);
+    other.write(get("good"));
+    await waitUntil(() => collectedByOther.text.includes("ok"));
+    t.regex(collectedByOther.text, /200 OK/);
+});
+
+// Guards against a caller that gets no answer at all, since its request counts as settled before the answer is written.
+test("a response that cannot be written is replaced by a failure, and the connection stays usable", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        const collected = collect(socket);
+        socket.write(get("1") + get("2"));
+        await waitUntil(() => exchanges.length === 2);
+        exchanges[0]?.respond({ status: 200, headers: [["X-Node", "a\x01b"]], body: Buffer.from("one") });
+        exchanges[1]?.respond(okResponse("two"));
+        await waitUntil(() => collected.text.includes("two"));
+        t.deepEqual(collected.text.match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 502", "HTTP/1.1 200"]);
+        t.is(server.openRequestCount, 0);
+    });
 });
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -274,6 +274,7 @@
                 this.scheduleTick();
             },
             onInvitation: (invitation) => this.applyInvitation(invitation),
+            onError: (error) => this.events.recordError(error, { peer: vm }),
         });
         this.tunnels.set(vm, created);
         return created;
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -6,6 +6,7 @@
 import { DispatchEventKind } from "../../decisions/dispatch/DispatchEventKind.js";
 import { DispatchFailure } from "../../decisions/dispatch/DispatchFailure.js";
 import { DispatchMachine } from "../../decisions/dispatch/DispatchMachine/index.js";
+import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { pickService } from "../../decisions/items/pickService/index.js";
 import { RouteItem } from "../../decisions/items/RouteItem.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
@@ -15,6 +16,8 @@
 import { assertNever } from "../../model/assertNever/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
+import { toError } from "../../model/toError/index.js";
+import { GateReply } from "../../tunnel/GateReply.js";
 import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
 import { CallerExchange } from "../CallerExchange.js";
@@ -48,6 +51,17 @@
     readonly handlesByAttempt: Map<number, OfferHandle>;
     readonly vmsByAttempt: Map<number, string>;
     readonly timers: Set<NodeJS.Timeout>;
+    /** True once an unexpected error has ended the request. */
+    hasFailed: boolean;
+}
+
+/** What is known about an offer from the time at which it was sent. */
+interface SentOffer {
+    readonly vm: string;
+    readonly endpoint: EndpointReport | undefined;
+    readonly atMs: number;
+    readonly loadAgeMs: number | undefined;
+    readonly isProbe: boolean;
 }
 
 /**
@@ -177,6 +191,7 @@
             handlesByAttempt: new Map(),
             vmsByAttempt: new Map(),
             timers: new Set(),
+            hasFailed: false,
         };
         this.activeRequests.add(active);
         exchange.onDisconnect(() => this.applyEvent(active, { kind: DispatchEventKind.CallerDisconnected }));
@@ -185,21 +200,46 @@
     }
 
     private applyEvent(active: ActiveRequest, event: DispatchEvent): void {
-        if (active.stateMachine.isFinished) {
+        if (active.stateMachine.isFinished || active.hasFailed) {
             return;
         }
-        const effects = active.stateMachine.step(event, nowMs());
-        this.removeIfFinished(active);
-        effects.forEach((effect) => this.executeEffect(active, effect));
+        this.runGuarded(active, () => {
+            const effects = active.stateMachine.step(event, nowMs());
+            this.removeIfFinished(active);
+            effects.forEach((effect) => this.executeEffect(active, effect));
+        });
+    }
+
+    /** Runs a step of a request. An unexpected error ends the request with a response, since no timer may be left to do so. */
+    private runGuarded(active: ActiveRequest, step: () => void): void {
+        try {
+            step();
+        }
+        catch (thrown) {
+            this.abandon(active, toError(thrown));
+        }
+    }
+
+    private abandon(active: ActiveRequest, error: Error): void {
+        const { exchange, handlesByAttempt } = active;
+        active.hasFailed = true;
+        this.events.recordError(error, { requestId: exchange.request.requestId });
+        this.remove(active);
+        handlesByAttempt.forEach((handle) => handle.cancel());
+        this.respondDirectly(exchange, STATUS_BAD_GATEWAY, undefined);
     }
 
     private removeIfFinished(active: ActiveRequest): void {
         if (active.stateMachine.isFinished) {
-            this.activeRequests.delete(active);
-            active.timers.forEach((timer) => clearTimeout(timer));
+            this.remove(active);
         }
     }
 
+    private remove(active: ActiveRequest): void {
+        this.activeRequests.delete(active);
+        active.timers.forEach((timer) => clearTimeout(timer));
+    }
+
     private executeEffect(active: ActiveRequest, effect: DispatchEffect): void {
         switch (effect.kind) {
             case DispatchEffectKind.Offer:
@@ -264,34 +304,40 @@
             callOfRepeatShare: active.callOfRepeatShare,
             limitPerSecond: this.fleetView.limitOf(vm),
             ...terms,
-        }, (reply) => {
-            if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
-                this.fleetView.applyLoad(reply.load);
-            }
-            if (reply.kind === GateReplyKind.Answered && endpoint !== undefined) {
-                this.fleetView.recordStatement(endpoint, this.options.dialect.readStatement(reply.answer.headers), atMs);
-            }
-            const isBusy = reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Busy;
-            if (!isBusy && (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken)) {
-                this.events.record(EventNumber.AttemptRetried, {
-                    requestId: request.requestId,
-                    peer: vm,
-                    outcome: reply.kind,
-                    cause: reply.kind === GateReplyKind.Refused ? reply.cause : reply.problem,
-                    isProbe: terms.isTrial,
-                    loadAgeMs,
-                });
-            }
-            if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
-                this.reportStrike(active, vm);
-            }
+        }, (reply) => this.runGuarded(active, () => {
+            this.observeReply(active, { vm, endpoint, atMs, loadAgeMs, isProbe: terms.isTrial }, reply);
             this.applyEvent(active, { kind: DispatchEventKind.Reply, attempt, reply });
-        });
+        }));
         if (handle !== undefined && !active.stateMachine.isFinished) {
             active.handlesByAttempt.set(attempt, handle);
         }
     }
 
+    /** Records what a reply says about its gate and its endpoint. */
+    private observeReply(active: ActiveRequest, sent: SentOffer, reply: GateReply): void {
+        const { vm, endpoint, atMs, loadAgeMs, isProbe } = sent;
+        if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
+            this.fleetView.applyLoad(reply.load);
+        }
+        if (reply.kind === GateReplyKind.Answered && endpoint !== undefined) {
+            this.fleetView.recordStatement(endpoint, this.options.dialect.readStatement(reply.answer.headers), atMs);
+        }
+        const isBusy = reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Busy;
+        if (!isBusy && (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken)) {
+            this.events.record(EventNumber.AttemptRetried, {
+                requestId: active.exchange.request.requestId,
+                peer: vm,
+                outcome: reply.kind,
+                cause: reply.kind === GateReplyKind.Refused ? reply.cause : reply.problem,
+                isProbe,
+                loadAgeMs,
+            });
+        }
+        if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
+            this.reportStrike(active, vm);
+        }
+    }
+
     private reportStrike(active: ActiveRequest, vm: string): void {
         const loss = `${vm}/${Math.round(nowMs())}`;
         this.events.record(EventNumber.RequestStruck, { requestId: active.exchange.request.requestId, peer: vm, fingerprint: active.fingerprint });
--- a/src/logs/EventLog/index.ts
+++ b/src/logs/EventLog/index.ts
@@ -59,6 +59,16 @@
         }
     }
 
+    /**
+     * Records an unexpected error that ended one request, connection or message, while the process continues.
+     *
+     * @param error - The error.
+     * @param fields - What it ended.
+     */
+    recordError(error: Error, fields: LogFields): void {
+        this.record(EventNumber.UnexpectedError, { ...fields, problem: error.message, stack: error.stack, isLast: false });
+    }
+
     /** Returns the recent events that contain the text in one of their fields, oldest first. */
     find(text: string): readonly LogFields[] {
         return this.recentEvents.filter((fields) => Object.values(fields).some((value) => String(value).includes(text)));
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -214,10 +214,16 @@
     private async start(token: string, dialect: MeshDialect): Promise<void> {
         const { vm, links, proxy } = this.settings;
         this.fleetView.mergeRecords([this.record]);
-        this.tunnelServer = await TunnelServer.create({ host: vm.ip, port: links.firstPort + 1, token, gateRun: this.gateRun, gate: this.gate });
-        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.dispatcher.dispatch(exchange), (error) => {
-            this.events.record(EventNumber.UnexpectedError, { problem: error.message, stack: error.stack, isLast: false });
+        const onError = (error: Error): void => this.events.recordError(error, {});
+        this.tunnelServer = await TunnelServer.create({
+            host: vm.ip,
+            port: links.firstPort + 1,
+            token,
+            gateRun: this.gateRun,
+            gate: this.gate,
+            onError,
         });
+        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.dispatcher.dispatch(exchange), onError);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
             onMessage: (_link, message) => this.handleMessage(message),
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -23,6 +23,7 @@
 import { assertNever } from "../../model/assertNever/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
+import { toError } from "../../model/toError/index.js";
 import { GateReply } from "../../tunnel/GateReply.js";
 import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
 import { Invitation } from "../../tunnel/Invitation.js";
@@ -357,7 +358,10 @@
             requestId: offer.requestId,
         }, offer.requestKind === RequestKind.Once, () => this.recordResend());
         accepted.onReply({ kind: GateReplyKind.Started });
-        void accepted.exchange.result.then((result) => this.finish(key, accepted, result));
+        accepted.exchange.result.then((result) => this.finish(key, accepted, result)).catch((thrown: unknown) => {
+            this.options.events.recordError(toError(thrown), { requestId: offer.requestId });
+            accepted.onReply({ kind: GateReplyKind.Broken, problem: "unexpected error at the gate", lostEndpoint: false });
+        });
     }
 
     /** Counts a request that the pool sends again because its first connection was stale. */
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -32,7 +32,12 @@
     requestHeaders: (offer) => [["Host", "a.example"], ["Id", offer.requestId]],
     readRequestId: (headers) => headers.find(([name]) => name === "Id")?.[1],
     isNotRun: (_status, headers) => headers.some(([name]) => name === "Not-Run"),
-    readStatement: () => SILENT_STATEMENT,
+    readStatement: (headers) => {
+        if (headers.some(([name]) => name === "Unexpected")) {
+            throw new Error("unexpected");
+        }
+        return SILENT_STATEMENT;
+    },
     isSigned: () => true,
     isKnownResponseHeader: () => true,
 };
@@ -315,3 +320,14 @@
         t.is(replies.at(-1)?.kind, GateReplyKind.Broken);
     });
 });
+
+// Guards against an entry that waits until the deadline, since the gate has forgotten the request when the error arises.
+test("an unexpected error while a response is evaluated ends its request as broken", async (t) => {
+    const handle = (socket: Socket): unknown => socket.write("HTTP/1.1 200 X\r\nId: 1\r\nUnexpected: 1\r\nContent-Length: 0\r\n\r\n");
+    await withGate(t, handle, async ({ gate, offer }) => {
+        const { replies } = offer("1");
+        await waitUntil(() => replies.length === 2);
+        t.deepEqual(replies.map(({ kind }) => kind), [GateReplyKind.Started, GateReplyKind.Broken]);
+        t.is(gate.load.running, 0);
+    });
+});
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -183,7 +183,12 @@
             perMessageDeflate: false,
             headers: { authorization: this.token },
         });
-        const socket = TunnelSocket.create(webSocket, (frame) => this.handleFrame(socket, frame), (problem) => this.handleClose(socket, problem));
+        const socket = TunnelSocket.create(
+            webSocket,
+            (frame) => this.handleFrame(socket, frame),
+            (problem) => this.handleClose(socket, problem),
+            (error) => this.callbacks.onError(error),
+        );
         this.socket = socket;
     }
 
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -15,7 +15,10 @@
 import { TunnelClient } from "./index.js";
 
 const TOKEN = "token of the fleet";
-const CALLBACKS = { onReachabilityChange: (): void => undefined, onInvitation: (): void => undefined };
+const throwError = (error: Error): void => {
+    throw error;
+};
+const CALLBACKS = { onReachabilityChange: (): void => undefined, onInvitation: (): void => undefined, onError: throwError };
 const RESPONSE: GateReply = { kind: GateReplyKind.Answered, answer: { status: 200, headers: [], body: Buffer.from("ok") }, load: undefined };
 
 /** Gate that grants every offer and records which offers are started and cancelled. Tests reply through `replies`. */
@@ -95,17 +98,22 @@
     readonly offer: (key: string, requestKind: RequestKind) => OfferHandle;
 }
 
-async function withTunnel(t: ExecutionContext, run: (fixture: Fixture) => Promise<void>): Promise<void> {
+async function withTunnel(
+    t: ExecutionContext,
+    run: (fixture: Fixture) => Promise<void>,
+    onError: (error: Error) => void = throwError,
+): Promise<void> {
     const gate = new FakeGate();
     const probe = createServer().listen(0, "127.0.0.1");
     await once(probe, "listening");
     const { port } = probe.address() as AddressInfo;
     probe.close();
     await once(probe, "close");
-    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate });
+    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate, onError: throwError });
     const tcpProxy = await TcpProxy.create(port);
     const invitations: Invitation[] = [];
-    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation: (invitation) => invitations.push(invitation) });
+    const onInvitation = (invitation: Invitation): unknown => invitations.push(invitation);
+    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation, onError });
     const timer = setInterval(() => client.tick(), 20);
     const replies: GateReply[] = [];
     const offer = (key: string, requestKind: RequestKind): OfferHandle =>
@@ -132,6 +140,26 @@
     return replies.map(({ kind }) => kind);
 }
 
+// Guards against one bad answer that interrupts the requests of all others on the tunnel.
+test("an error while one reply is handled leaves the tunnel open for other offers", async (t) => {
+    const errors: Error[] = [];
+    await withTunnel(t, async ({ gate, client, tcpProxy, replies, offer }) => {
+        client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 4_000, usualMs: 500 } as WorkOffer, (reply) => {
+            if (reply.kind === GateReplyKind.Answered) {
+                throw new Error("unexpected");
+            }
+        });
+        offer("2", RequestKind.Once);
+        await waitUntil(() => gate.started.length === 2);
+        gate.replies.get("1")?.(RESPONSE);
+        gate.replies.get("2")?.(RESPONSE);
+        await waitUntil(() => replies.length === 2);
+        t.deepEqual(kindsOf(replies), [GateReplyKind.Started, GateReplyKind.Answered]);
+        t.is(tcpProxy.count, 1);
+        t.deepEqual(errors.map(({ message }) => message), ["unexpected"]);
+    }, (error) => errors.push(error));
+});
+
 test("an offer starts once its entry has confirmed it, and its response is returned", async (t) => {
     await withTunnel(t, async ({ gate, replies, offer }) => {
         offer("1", RequestKind.Once);
@@ -236,7 +264,7 @@
     probe.close();
     await once(probe, "close");
     const gate = new FakeGate();
-    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate });
+    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate, onError: throwError });
     const tcpProxy = await TcpProxy.create(port);
     const invitations: Invitation[] = [];
     const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation: (invitation) => invitations.push(invitation) });
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -100,7 +100,12 @@
     }
 
     private handleConnection(webSocket: WebSocket): void {
-        const socket = TunnelSocket.create(webSocket, (frame) => this.handleFrame(socket, frame), () => this.handleConnectionLoss(socket));
+        const socket = TunnelSocket.create(
+            webSocket,
+            (frame) => this.handleFrame(socket, frame),
+            () => this.handleConnectionLoss(socket),
+            (error) => this.options.onError(error),
+        );
         this.invitations.addEntry(socket);
         socket.send({ kind: FrameKind.Welcome, gateRun: this.options.gateRun });
     }
@@ -143,6 +148,9 @@
     }
 
     private handleReply(key: string, accepted: AcceptedOffer, reply: GateReply): void {
+        if (accepted.finalReply !== undefined) {
+            return;
+        }
         accepted.hasStarted ||= reply.kind === GateReplyKind.Started;
         if (isFinalReply(reply)) {
             accepted.finalReply = reply;
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -9,4 +9,6 @@
     /** Identifies this run of the proxy. */
     readonly gateRun: string;
     readonly gate: GatePort;
+    /** Called with each unexpected error, which affects only the frame that caused it. */
+    readonly onError: (error: Error) => void;
 }
--- a/src/tunnel/TunnelSocket/index.ts
+++ b/src/tunnel/TunnelSocket/index.ts
@@ -16,17 +16,31 @@
      * @param socket - WebSocket that is open or connecting.
      * @param onFrame - Called with each frame.
      * @param onClose - Called once with the reason when the socket is closed.
+     * @param onError - Called with the error if a frame cannot be handled; the socket stays open for the others.
      */
-    static create(socket: WebSocket, onFrame: (frame: Frame) => void, onClose: (problem: string) => void): TunnelSocket {
+    static create(
+        socket: WebSocket,
+        onFrame: (frame: Frame) => void,
+        onClose: (problem: string) => void,
+        onError: (error: Error) => void,
+    ): TunnelSocket {
         const tunnelSocket = new TunnelSocket(socket);
         let problem = "the connection was closed";
         socket.on("message", (data: Buffer) => {
+            let frame: Frame;
             try {
-                onFrame(unpackr.unpack(data) as Frame);
+                frame = unpackr.unpack(data) as Frame;
             }
             catch (thrown) {
                 problem = `invalid frame: ${toError(thrown).message}`;
                 socket.terminate();
+                return;
+            }
+            try {
+                onFrame(frame);
+            }
+            catch (thrown) {
+                onError(toError(thrown));
             }
         });
         socket.on("error", (error) => {
--- a/test/faultyBackend.test.ts
+++ b/test/faultyBackend.test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { Agent, request } from "node:http";
+import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
@@ -12,6 +12,7 @@
     /** Status of the answer, or undefined if the connection ended without a complete one. */
     readonly status: number | undefined;
     readonly body: string;
+    readonly headers: IncomingHttpHeaders;
 }
 
 interface Fixture extends StartedFleet {
@@ -47,7 +48,7 @@
 
 function call(address: StartedFleet["callerAddress"], kind: string, id: string, agent?: Agent): Promise<CallerResult> {
     return new Promise((resolve) => {
-        const fail = (): void => resolve({ status: undefined, body: "" });
+        const fail = (): void => resolve({ status: undefined, body: "", headers: {} });
         const sent = request({
             ...address,
             agent: agent ?? false,
@@ -58,7 +59,8 @@
             response.on("data", (chunk: Buffer) => {
                 body += chunk.toString();
             });
-            response.on("end", () => resolve(response.complete ? { status: response.statusCode, body } : { status: undefined, body }));
+            const { headers } = response;
+            response.on("end", () => resolve({ status: response.complete ? response.statusCode : undefined, body, headers }));
             response.on("error", fail);
         });
         sent.on("error", fail);
@@ -127,20 +129,58 @@
 
 // Guards against a success without its body: an unreadable length was taken for a length of zero.
 test.serial("a response with an unreadable length never reaches a caller as a success", async (t) => {
-    const results: (CallerResult & { readonly length: string })[] = [];
+    const results: { readonly length: string; readonly status: number | undefined; readonly body: string }[] = [];
     await withFleet((socket, id) => {
         const [kind, index] = id.split("-");
         const text = success(id, "eighteen bytes: ok");
         socket.write(kind === "whole" ? text : text.replace("Content-Length: 18", `Content-Length: ${UNREADABLE_LENGTHS[Number(index)]}`));
     }, async ({ call: send }) => {
         for (const [index, length] of UNREADABLE_LENGTHS.entries()) {
-            results.push({ length, ...await send("once", `spoiled-${index}`) });
+            const { status, body } = await send("once", `spoiled-${index}`);
+            results.push({ length, status, body });
             t.is((await send("repeatable", `whole-${index}`)).body, "eighteen bytes: ok");
         }
     });
     t.deepEqual(results, UNREADABLE_LENGTHS.map((length) => ({ length, status: 502, body: "" })));
 });
 
+const UNWRITABLE_FIELDS = ["X-Node: a\x01b", "X-Node: a\x00b", "X(Node): a"];
+
+// Guards against callers that get no answer until they give up: Node.js refuses to write such a field.
+test.serial("a response with a header field that cannot be written ends as a failure at once, and others on the tunnel go on", async (t) => {
+    await withFleet((socket, id) => {
+        const text = success(id, "done");
+        if (id.startsWith("slow")) {
+            setTimeout(() => socket.write(text), 500);
+            return;
+        }
+        socket.write(text.replace("Response-Signature", `${UNWRITABLE_FIELDS[Number(id)]}\r\nResponse-Signature`), "latin1");
+    }, async ({ arrivals, call: send }) => {
+        const slow = [1, 2].map((number) => send("once", `slow-${number}`));
+        while (arrivals.length < slow.length) {
+            await delay(10);
+        }
+        for (const index of UNWRITABLE_FIELDS.keys()) {
+            const startedAtMs = Date.now();
+            t.is((await send("once", String(index))).status, 502);
+            t.true(Date.now() - startedAtMs < 1_000);
+        }
+        t.deepEqual((await Promise.all(slow)).map(({ body }) => body), ["done", "done"]);
+    });
+});
+
+test.serial("a header field in UTF-8 reaches the caller byte for byte", async (t) => {
+    const author = Buffer.from("MU\u00d1OZ", "utf8");
+    await withFleet((socket, id) => {
+        const [head, tail] = success(id, "done").split("Response-Signature");
+        socket.write(Buffer.concat([Buffer.from(`${head}X-Author: `), author, Buffer.from(`\r\nResponse-Signature${tail}`)]));
+    }, async ({ call: send }) => {
+        const { status, headers } = await send("once", "1");
+        t.is(status, 200);
+        t.is(headers["x-author"], author.toString("latin1"));
+    });
+});
+
 test.serial("in a planned stop of an entry every request that has reached the endpoint gets a complete answer", async (t) => {
     const results: { readonly id: string; readonly status: number | undefined; readonly sentAtMs: number }[] = [];
     await withFleet((socket, id) => {
