--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -188,6 +188,7 @@
                 loadReporter.handleLoadChange(isUrgent);
             },
             onLeaving: () => undefined,
+            onPresence: () => undefined,
             onLimitChange: (limitPerSecond) => this.publish(vm, { sequence: vm.record.sequence + 1, limitPerSecond }),
         });
         const fleetView: FleetView = FleetView.create({
--- a/src/decisions/fleet/EndpointTracker/test.ts
+++ b/src/decisions/fleet/EndpointTracker/test.ts
@@ -86,3 +86,98 @@
     t.false(tracker.applyLeaving({ ...READY, bornAtMs: 1 }));
     t.is(tracker.report?.phase, EndpointPhase.Ready);
 });
+
+const FOREIGN: EndpointReport = { ...READY, id: "i-9", bornAtMs: 90_000, sequence: 1 };
+
+// Guards against the report of another writer that keeps the true endpoint out of service for seconds.
+test("a displaced run is current again as soon as the endpoint denies to be the one that displaced it", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    t.true(tracker.applyReport(FOREIGN, 100));
+    t.true(tracker.applyPresence(FOREIGN, false, 200));
+    t.deepEqual(tracker.report, READY);
+    t.false(tracker.applyReport({ ...FOREIGN, sequence: 2 }, 300));
+    t.deepEqual(tracker.report, READY);
+});
+
+test("two runs that displaced the true one in turn are both denied", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    tracker.applyReport({ ...FOREIGN, id: "i-10", bornAtMs: 95_000 }, 150);
+    t.true(tracker.applyPresence({ id: "i-10", bornAtMs: 95_000 }, false, 200));
+    t.true(tracker.applyPresence(FOREIGN, false, 250));
+    t.deepEqual(tracker.report, READY);
+});
+
+test("a displaced run is current again if it goes on reporting while the other one does not", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    t.false(tracker.applyReport({ ...READY, sequence: 5 }, 1_500));
+    t.true(tracker.applyReport({ ...READY, sequence: 6 }, 3_000));
+    t.is(tracker.report?.id, "i-1");
+});
+
+test("late reports of a run that ended do not displace its successor", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    t.false(tracker.applyReport({ ...READY, sequence: 5 }, 150));
+    t.false(tracker.applyReport({ ...READY, sequence: 6 }, 160));
+    tracker.applyReport({ ...FOREIGN, sequence: 2 }, 1_600);
+    t.false(tracker.applyReport({ ...READY, sequence: 7 }, 1_700));
+    t.is(tracker.report?.id, "i-9");
+});
+
+test("a successor that has answered a request stays, whatever its predecessor still reports", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    t.false(tracker.applyPresence(FOREIGN, true, 150));
+    t.false(tracker.applyReport({ ...READY, sequence: 5 }, 1_500));
+    t.false(tracker.applyReport({ ...READY, sequence: 6 }, 3_000));
+    t.is(tracker.report?.id, "i-9");
+});
+
+test("a drain that a displaced run reports still binds when it is current again", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    t.false(tracker.applyReport({ ...READY, sequence: 5, phase: EndpointPhase.Draining }, 150));
+    t.true(tracker.applyPresence(FOREIGN, false, 200));
+    t.is(tracker.report?.phase, EndpointPhase.Draining);
+});
+
+test("an endpoint that has left while it was displaced does not come back", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    tracker.applyDeparture("i-1", 150, 5_000);
+    t.false(tracker.applyPresence(FOREIGN, false, 200));
+    t.is(tracker.report?.id, "i-9");
+});
+
+test("a run that the endpoint denies to be, and that displaced none, gives way to whatever reports next", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(FOREIGN, 0);
+    t.false(tracker.applyPresence(FOREIGN, false, 100));
+    t.true(tracker.applyReport(READY, 200));
+    t.is(tracker.report?.id, "i-1");
+});
+
+test("a denial that concerns an earlier run changes nothing", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport(READY, 0);
+    tracker.applyReport(FOREIGN, 100);
+    t.false(tracker.applyPresence(READY, false, 200));
+    t.is(tracker.report?.id, "i-9");
+});
+
+// Guards against an acknowledged drain without effect, after a report with a sequence number that no later one exceeds.
+test("a drain is applied although a report with a higher sequence number came before", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport({ ...READY, sequence: 4_000_000_000 }, 0);
+    t.true(tracker.applyReport({ ...READY, sequence: 5, phase: EndpointPhase.Draining }, 100));
+    t.is(tracker.report?.phase, EndpointPhase.Draining);
+});
--- a/src/decisions/items/ItemStore/index.ts
+++ b/src/decisions/items/ItemStore/index.ts
@@ -28,6 +28,11 @@
         return this.items.size;
     }
 
+    /** Returns whether an item exists and is not removed. */
+    hasContent(key: string): boolean {
+        return this.items.get(key)?.content !== undefined;
+    }
+
     /**
      * Applies a change atomically: either all of its items or none.
      *
@@ -86,10 +91,6 @@
         return undefined;
     }
 
-    private hasContent(key: string): boolean {
-        return this.items.get(key)?.content !== undefined;
-    }
-
     private versionOf(key: string): number {
         return this.items.get(key)?.version ?? Number.NEGATIVE_INFINITY;
     }
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -26,6 +26,7 @@
     EndpointAnnounced = 400,
     EndpointRefused = 401,
     EndpointLeaseLapsed = 402,
+    EndpointReinstated = 407,
     EndpointDraining = 410,
     EndpointDrained = 411,
     RequestRefused = 500,
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -5,12 +5,16 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointTracker } from "../../decisions/fleet/EndpointTracker/index.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { findReportProblem } from "../../decisions/fleet/findReportProblem/index.js";
 import { EndpointRun } from "../../decisions/fleet/EndpointRun.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { isSignificantLimitChange } from "../../decisions/fleet/isSignificantLimitChange/index.js";
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
+import { ReportVerdict } from "../../decisions/fleet/ReportVerdict.js";
 import { UpdateSources } from "../../decisions/fleet/UpdateSources/index.js";
+import { itemKey } from "../../decisions/items/itemKey/index.js";
+import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { ItemStore } from "../../decisions/items/ItemStore/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
@@ -47,6 +51,7 @@
 /** Time for which connections stay open after the last responses, so that these arrive, in ms. */
 const CLOSE_DELAY_MS = 150;
 const RUN_ID_BYTES = 6;
+const MAX_LOGGED_CHARACTERS = 300;
 
 /** Role of a proxy beside an endpoint: the entry for callers on its VM, and the gate of the endpoint. */
 export class SidecarRole {
@@ -113,6 +118,7 @@
             hasFailedCallSince: (sinceMs) => (roleReference.role?.dispatcher.lastFailureAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoadChange: (isUrgent) => roleReference.role?.handleLoadChange(isUrgent),
             onLeaving: (run) => roleReference.role?.handleEndpointLeaving(run),
+            onPresence: (run, isPresent) => roleReference.role?.handlePresence(run, isPresent),
             onLimitChange: (perSecond) => roleReference.role?.handleLimitChange(perSecond),
         });
         const fleetView = FleetView.create({
@@ -170,11 +176,18 @@
         this.links?.setSeeds(settings);
     }
 
-    /** Applies a report of the endpoint. */
-    applyEndpointReport(report: EndpointReport): void {
+    /** Applies a report of the endpoint, unless it names an endpoint that cannot be one of this fleet. */
+    applyEndpointReport(report: EndpointReport): ReportVerdict {
+        const isKnownService = this.isKnownService(report.service);
+        const problem = findReportProblem(report, Date.now()) ?? (isKnownService ? undefined : `unknown service "${report.service}"`);
+        if (problem !== undefined) {
+            this.events.record(EventNumber.ReportRefused, { endpoint: report.id.slice(0, MAX_LOGGED_CHARACTERS), problem });
+            return isKnownService || this.hasItems ? ReportVerdict.Refused : ReportVerdict.Undecided;
+        }
         if (this.endpointTracker.applyReport(report, nowMs())) {
             this.publishEndpoint();
         }
+        return ReportVerdict.Accepted;
     }
 
     /** Handles the departure of the endpoint. */
@@ -206,6 +219,12 @@
         this.close();
     }
 
+    /** Returns whether the settings, the configuration or the current endpoint name a service. */
+    private isKnownService(service: string): boolean {
+        const named = [this.settings.proxy?.service, this.endpointTracker.report?.service];
+        return named.includes(service) || this.itemStore.hasContent(itemKey(ItemKind.Service, service));
+    }
+
     /** True while callers wait for responses, including requests that are still being read, or the endpoint has requests. */
     private get hasPendingRequests(): boolean {
         return (this.callerServer?.openRequestCount ?? 0) > 0 || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
@@ -349,6 +368,14 @@
         }
     }
 
+    /** Handles an answer that shows whether the run that a request was meant for is there. */
+    private handlePresence(run: EndpointRun, isPresent: boolean): void {
+        if (this.endpointTracker.applyPresence(run, isPresent, nowMs())) {
+            this.events.record(EventNumber.EndpointReinstated, { refuted: run.id, endpoint: this.endpointTracker.report?.id });
+            this.publishEndpoint();
+        }
+    }
+
     /** Publishes the limit of the endpoint, so that this proxy gets it back if it restarts. */
     private handleLimitChange(perSecond: number | undefined): void {
         if (isSignificantLimitChange(this.record.limitPerSecond, perSecond)) {
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -418,11 +418,17 @@
                 if (this.options.dialect.isNotRun(status, headers)) {
                     const isOtherEndpoint = status === STATUS_MISDIRECTED_REQUEST;
                     this.recordShed(!isOtherEndpoint);
-                    if (!isOtherEndpoint) {
+                    if (isOtherEndpoint && run !== undefined) {
+                        this.options.onPresence(run, false);
+                    }
+                    else {
                         this.statements.applyResponse(run, headers, startedAtMs, atMs);
                     }
                     return this.createRefusal(isOtherEndpoint ? RefusalCause.OtherEndpoint : RefusalCause.Shed, 0, true);
                 }
+                if (run !== undefined) {
+                    this.options.onPresence(run, true);
+                }
                 this.statements.applyResponse(run, headers, startedAtMs, atMs);
                 this.recordShed(false);
                 this.observeStatus(status, startedAtMs, atMs);
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -31,7 +31,7 @@
 const DIALECT: EndpointDialect = {
     requestHeaders: (offer) => [["Host", "a.example"], ["Id", offer.requestId]],
     readRequestId: (headers) => headers.find(([name]) => name === "Id")?.[1],
-    isNotRun: (_status, headers) => headers.some(([name]) => name === "Not-Run"),
+    isNotRun: (status, headers) => status === 421 || headers.some(([name]) => name === "Not-Run"),
     readStatement: (headers) => {
         if (headers.some(([name]) => name === "Unexpected")) {
             throw new Error("unexpected");
@@ -68,6 +68,8 @@
 
 interface Fixture {
     readonly gate: ServingGate;
+    /** Runs of the endpoint that an answer has shown to be there or not. */
+    readonly presences: readonly (readonly [string, boolean])[];
     readonly arrivals: () => number;
     readonly offer: (key: string, overrides?: Partial<WorkOffer>) => { readonly replies: GateReply[]; readonly handle: OfferHandle };
     readonly failCallAt: (atMs: number) => void;
@@ -76,6 +78,7 @@
 async function withGate(t: ExecutionContext, onRequest: (socket: Socket) => void, run: (fixture: Fixture) => Promise<void>): Promise<void> {
     let arrivals = 0;
     let failedCallAtMs = Number.NEGATIVE_INFINITY;
+    const presences: [string, boolean][] = [];
     const server = createServer((socket) => {
         socket.on("error", () => undefined);
         socket.on("data", () => {
@@ -97,12 +100,14 @@
         hasFailedCallSince: (sinceMs) => failedCallAtMs >= sinceMs,
         onLoadChange: () => undefined,
         onLeaving: () => undefined,
+        onPresence: (run, isPresent) => void presences.push([run.id, isPresent]),
         onLimitChange: () => undefined,
     });
     gate.setEndpoint(READY);
     try {
         await run({
             gate,
+            presences,
             arrivals: () => arrivals,
             offer: (key, overrides = {}) => {
                 const replies: GateReply[] = [];
@@ -331,3 +336,22 @@
         t.is(gate.load.running, 0);
     });
 });
+
+test("an answer shows whether the intended run of the endpoint is there, and a refusal for want of room does not", async (t) => {
+    const statuses = [200, 421];
+    const handle = (socket: Socket): void => {
+        const status = statuses.shift();
+        if (status === undefined) {
+            socket.write("HTTP/1.1 503 X\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        respond(socket, status);
+    };
+    await withGate(t, handle, async ({ presences, offer }) => {
+        for (const key of ["1", "2", "3"]) {
+            const { replies } = offer(key);
+            await waitUntil(() => replies.length === 2);
+        }
+        t.deepEqual(presences, [["i-1", true], ["i-1", false]]);
+    });
+});
--- a/src/serving/ServingGateOptions.ts
+++ b/src/serving/ServingGateOptions.ts
@@ -23,6 +23,8 @@
     readonly onLoadChange: (isUrgent: boolean) => void;
     /** Called when the endpoint states in a response that it leaves. */
     readonly onLeaving: (run: EndpointRun) => void;
+    /** Called when an answer shows whether the run of the endpoint that a request was meant for is there. */
+    readonly onPresence: (run: EndpointRun, isPresent: boolean) => void;
     /** Called when the limit that the endpoint names has changed; undefined if it names none any more. */
     readonly onLimitChange: (perSecond: number | undefined) => void;
 }
