--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -15,9 +15,11 @@
 import { toError } from "../../model/toError/index.js";
 import { BodyLimits } from "../BodyLimits.js";
 import { BodyResultKind } from "../BodyResultKind.js";
+import { CallerConnection } from "../CallerConnection/index.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
 import { CallerResponse } from "../CallerResponse.js";
+import { PendingRequest } from "../PendingRequest.js";
 import { readBody } from "../readBody/index.js";
 
 /** Limits that apply until the configuration sets others. */
@@ -39,20 +41,12 @@
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
-interface PendingRequest {
-    readonly response: ServerResponse;
-    isSettled: boolean;
-    /** Bytes of its body that are reserved in the budget. */
-    bodyBytes: number;
-    onDisconnect: (() => void) | undefined;
-}
-
 /**
  * HTTP/1.1 server for callers. Reads complete requests, including pipelined ones, writes responses in the order of the
  * requests, and reports callers that disconnect. Bounds the memory for bodies and refuses requests that exceed it.
  */
 export class CallerServer {
-    private readonly pending = new Map<Socket, Set<PendingRequest>>();
+    private readonly connections = new Map<Socket, CallerConnection>();
     private limits: LimitsItem | undefined;
     private readonly bodyBudget = ByteBudget.create(MAX_BUFFERED_BODY_BYTES);
     private isDraining = false;
@@ -66,6 +60,8 @@
         server.requestTimeout = 0;
         server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS;
         server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
+        // The server would destroy connections whose responses are complete but not yet sent.
+        server.closeIdleConnections = () => this.closeIdle();
         server.on("connection", (socket: Socket) => this.handleConnection(socket));
         server.on("request", (request: IncomingMessage, response: ServerResponse) => void this.handleRequest(request, response));
     }
@@ -98,9 +94,14 @@
         return new CallerServer(server, dialect, onRequest, onError);
     }
 
-    /** Number of requests without a response. */
+    /** Number of requests whose response has not been handed to the operating system. */
     get openRequestCount(): number {
-        return [...this.pending.values()].reduce((sum, pending) => sum + pending.size, 0);
+        return [...this.connections.values()].reduce((sum, { pendingCount }) => sum + pendingCount, 0);
+    }
+
+    /** Number of open connections, including those that are closed for writing only. */
+    get connectionCount(): number {
+        return this.connections.size;
     }
 
     /** Sets the limits of the configuration. */
@@ -118,7 +119,11 @@
     /** Stops accepting connections and closes idle ones. */
     stopListening(): void {
         this.server.close();
-        this.server.closeIdleConnections();
+    }
+
+    /** Closes connections without a pending request. */
+    closeIdle(): void {
+        [...this.connections.values()].filter(({ pendingCount }) => pendingCount === 0).forEach((connection) => connection.close());
     }
 
     /** Stops listening and closes all connections immediately. */
@@ -128,21 +133,24 @@
     }
 
     private handleConnection(socket: Socket): void {
-        this.pending.set(socket, new Set());
-        socket.once("close", () => {
-            const unsettled = this.pending.get(socket);
-            this.pending.delete(socket);
-            unsettled?.forEach((pending) => {
+        this.connections.set(socket, CallerConnection.create(socket, (unsettled) => {
+            this.connections.delete(socket);
+            unsettled.forEach((pending) => {
                 pending.isSettled = true;
                 this.releaseBody(pending);
                 pending.onDisconnect?.();
             });
-        });
+        }));
     }
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const connection = this.connections.get(request.socket);
+        if (connection?.acceptsRequests !== true) {
+            request.resume();
+            return;
+        }
         const pending: PendingRequest = { response, isSettled: false, bodyBytes: 0, onDisconnect: undefined };
-        this.pending.get(request.socket)?.add(pending);
+        connection.add(pending);
         const headers = pairHeaders(request.rawHeaders);
         const respond = (callerResponse: CallerResponse): void => this.respond(pending, request, callerResponse);
         try {
@@ -266,14 +274,15 @@
         pending.isSettled = true;
         this.releaseBody(pending);
         const { response } = pending;
-        const unsettled = this.pending.get(request.socket);
-        const shouldClose = this.isDraining && (unsettled?.size ?? 0) <= 1;
-        const removePending = (): void => void unsettled?.delete(pending);
-        response.once("finish", removePending);
-        response.once("close", removePending);
+        const connection = this.connections.get(request.socket);
+        const shouldClose = this.isDraining && (connection?.pendingCount ?? 0) <= 1;
         response.sendDate = false;
         // The rest of an unread body may be endless, so the connection cannot be reused.
         response.shouldKeepAlive &&= !shouldClose && request.complete;
+        if (!response.shouldKeepAlive) {
+            connection?.setLastResponse();
+        }
+        request.resume();
         const method = request.method ?? "GET";
         try {
             writeResponse(response, method, callerResponse);
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -145,6 +145,84 @@
     });
 });
 
+/** Larger than what the buffers of a loopback connection hold. */
+const LARGE_BYTES = 24 * 1_024 * 1_024;
+
+/** Reads from a paused socket until it ends, and returns the number of bytes and the errors. */
+async function readToEnd(socket: Socket): Promise<{ readonly bytes: number; readonly errors: readonly Error[] }> {
+    let bytes = 0;
+    const errors: Error[] = [];
+    socket.on("error", (error) => errors.push(error));
+    socket.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+        socket.pause();
+        setTimeout(() => socket.resume(), 1);
+    });
+    socket.resume();
+    await once(socket, "end");
+    return { bytes, errors };
+}
+
+// Guards against a planned stop that cuts answers which callers are still reading: the server took their connections for idle.
+test("a response that its caller reads slowly is complete although the server stops listening", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        socket.pause();
+        socket.write(get("1"));
+        await waitUntil(() => exchanges.length === 1);
+        server.startDraining();
+        exchanges[0]?.respond({ status: 200, headers: [], body: Buffer.alloc(LARGE_BYTES, "x") });
+        await delay(50);
+        t.is(server.openRequestCount, 1);
+        server.stopListening();
+        const { bytes, errors } = await readToEnd(socket);
+        t.true(bytes > LARGE_BYTES, `${bytes} bytes`);
+        t.deepEqual(errors, []);
+        t.is(server.openRequestCount, 0);
+    });
+});
+
+// Guards against a request that runs and has no answer, and against the reset that its bytes would cause.
+test("a request behind the last response of a connection is not dispatched, and the response before it is read whole", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        socket.pause();
+        socket.write(get("1"));
+        await waitUntil(() => exchanges.length === 1);
+        server.startDraining();
+        exchanges[0]?.respond({ status: 200, headers: [], body: Buffer.alloc(LARGE_BYTES, "x") });
+        socket.write(get("2"));
+        await delay(100);
+        const reading = readToEnd(socket);
+        const timer = setInterval(() => socket.write(get("3")), 5);
+        const { bytes, errors } = await reading;
+        clearInterval(timer);
+        t.true(bytes > LARGE_BYTES, `${bytes} bytes`);
+        t.deepEqual(errors, []);
+        t.is(exchanges.length, 1);
+    });
+});
+
+test("an idle connection is closed in order, also if a request crosses its end, and none is dispatched any more", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        const collected = collect(socket);
+        socket.write(get("1"));
+        await waitUntil(() => exchanges.length === 1);
+        exchanges[0]?.respond(okResponse("one"));
+        await waitUntil(() => collected.text.includes("one"));
+        const errors: Error[] = [];
+        socket.on("error", (error) => errors.push(error));
+        server.stopListening();
+        socket.write(get("2"));
+        await once(socket, "close");
+        t.deepEqual(errors, []);
+        t.is(exchanges.length, 1);
+        await waitUntil(() => server.connectionCount === 0);
+        t.is(server.connectionCount, 0);
+    });
+});
+
 test("a response is framed by its body length, whatever framing the endpoint used", async (t) => {
     await withServer(t, async (_server, exchanges, open) => {
         const socket = await open();
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -48,8 +48,8 @@
 /** Margin before the end of the grace period at which the process stops in any case, in ms. */
 const STOP_MARGIN_MS = 900;
 const STOP_POLL_INTERVAL_MS = 50;
-/** Time for which connections stay open after the last responses, so that these arrive, in ms. */
-const CLOSE_DELAY_MS = 150;
+/** Margin before the end of the grace period up to which callers may read the last responses, in ms. */
+const CLOSE_MARGIN_MS = 400;
 const RUN_ID_BYTES = 6;
 const MAX_LOGGED_CHARACTERS = 300;
 
@@ -215,10 +215,18 @@
         }
         this.events.record(EventNumber.DaemonStopped, { callers: this.dispatcher.activeCount, work: this.gate.offerCount });
         this.dispatcher.finishAll();
-        await delay(CLOSE_DELAY_MS);
+        await Promise.all([this.closeCallers(startedAtMs + this.settings.terms.grace - CLOSE_MARGIN_MS), this.tunnelServer?.shutDown()]);
         this.close();
     }
 
+    /** Closes the connections of callers, which have time to read the last responses. */
+    private async closeCallers(untilMs: number): Promise<void> {
+        while (nowMs() < untilMs && (this.callerServer?.connectionCount ?? 0) > 0) {
+            this.callerServer?.closeIdle();
+            await delay(STOP_POLL_INTERVAL_MS);
+        }
+    }
+
     /** Returns whether the settings, the configuration or the current endpoint name a service. */
     private isKnownService(service: string): boolean {
         const named = [this.settings.proxy?.service, this.endpointTracker.report?.service];
@@ -227,7 +235,8 @@
 
     /** True while callers wait for responses, including requests that are still being read, or the endpoint has requests. */
     private get hasPendingRequests(): boolean {
-        return (this.callerServer?.openRequestCount ?? 0) > 0 || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
+        const isAnswering = (this.callerServer?.openRequestCount ?? 0) > 0 || this.tunnelServer?.hasUnsentReplies === true;
+        return isAnswering || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
     }
 
     private async start(token: string, dialect: MeshDialect): Promise<void> {
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -309,3 +309,17 @@
     t.is(attempts, attemptsBeforeReset + 1);
     t.true(performance.now() - resetAtMs < 2_000, "without the reset, the next attempt would come 4 s after the last one");
 });
+
+// Guards against answers that are lost with the tunnels of a gate that stops.
+test("replies that a gate has sent arrive although it shuts its tunnels down", async (t) => {
+    await withTunnel(t, async ({ gate, server, replies, offer }) => {
+        offer("1", RequestKind.Repeatable);
+        await waitUntil(() => gate.started.length === 1);
+        const answer = { status: 200, headers: [], body: Buffer.alloc(16 * 1_024 * 1_024, "x") };
+        gate.replies.get("1")?.({ kind: GateReplyKind.Answered, answer, load: undefined });
+        const shutDown = server.shutDown();
+        await waitUntil(() => replies.length === 2);
+        await shutDown;
+        t.deepEqual(kindsOf(replies), [GateReplyKind.Started, GateReplyKind.Answered]);
+    });
+});
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -22,6 +22,10 @@
 /** Time for which the final reply to an offer that must not be repeated is kept, in ms; longer than any deadline. */
 const RETENTION_MS = 30_000;
 const CLEANUP_INTERVAL_MS = 2_000;
+/** Time that entries have to close their end of a tunnel, in ms: several round trips. */
+const CLOSE_TIMEOUT_MS = 300;
+/** Close code of a server that goes away (RFC 6455, section 7.4.1). */
+const GOING_AWAY = 1_001;
 const MAX_FRAME_BYTES = 128 * 1_024 * 1_024;
 
 interface AcceptedOffer {
@@ -92,7 +96,22 @@
         this.invitations.end().forEach((socket) => socket.send({ kind: FrameKind.Invitation, invitation: { load, waitedMs: undefined } }));
     }
 
-    /** Closes all tunnels and stops listening. */
+    /** True while replies have not been handed to the operating system. */
+    get hasUnsentReplies(): boolean {
+        return [...this.server.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
+    }
+
+    /** Closes all tunnels after what was sent, so that entries receive it, and resolves when they have closed their ends. */
+    async shutDown(): Promise<void> {
+        const clients = [...this.server.clients];
+        const signal = AbortSignal.timeout(CLOSE_TIMEOUT_MS);
+        await Promise.all(clients.map((client) => {
+            client.close(GOING_AWAY);
+            return once(client, "close", { signal }).catch(() => undefined);
+        }));
+    }
+
+    /** Closes all tunnels immediately and stops listening. */
     close(): void {
         clearInterval(this.cleanupTimer);
         this.server.clients.forEach((client) => client.terminate());
