--- /dev/null
+++ b/bench/processSoak.ts
@@ -0,0 +1,28 @@
+import { Command } from "commander";
+import { runProcessSoak } from "./processes/runProcessSoak/index.js";
+
+const options = new Command("processSoak")
+    .description("Runs the platform program as processes under signals and restarts, and prints the promises that were broken.")
+    .option("--seed <seed>", "first seed", "1")
+    .option("--seeds <count>", "number of seeds", "1")
+    .option("--proxies <count>", "number of proxies", "6")
+    .option("--seconds <count>", "seconds of faults per seed", "40")
+    .option("--earliest-reload <ms>", "time after the start of a process before which it gets no SIGHUP", "300")
+    .option("--program <file>", "the platform program", "target/gypsumpulley.cjs")
+    .parse()
+    .opts<Record<"seed" | "seeds" | "proxies" | "seconds" | "earliestReload" | "program", string>>();
+
+let violations = 0;
+for (let seed = Number(options.seed); seed < Number(options.seed) + Number(options.seeds); seed += 1) {
+    const report = await runProcessSoak({
+        seed,
+        proxyCount: Number(options.proxies),
+        durationMs: Number(options.seconds) * 1_000,
+        earliestReloadMs: Number(options.earliestReload),
+        program: options.program,
+    });
+    violations += report.violations.length;
+    process.stdout.write(`${JSON.stringify(report, undefined, 1)}\n`);
+}
+process.stdout.write(`${violations} violations\n`);
+process.exitCode = violations === 0 ? 0 : 1;
--- /dev/null
+++ b/bench/processes/ProcessFleet/index.ts
@@ -0,0 +1,171 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { closeSync, mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createSettings } from "../createSettings/index.js";
+import { FaultKind } from "../FaultKind.js";
+import { FaultRecord } from "../FaultRecord.js";
+
+const CONTROL_COUNT = 3;
+const PORTS = { link: 7_600, control: 8_620, outbound: 8_621, ready: 8_622, backend: 8_623 };
+const SETTINGS_VARIABLE = "GYPSUMPULLEY_NODE_FILE";
+/** Delay after which a process that ended by itself is started again, in ms. */
+const RESTART_DELAY_MS = 200;
+/** Time to wait for a process that was killed, in ms. */
+const EXIT_TIMEOUT_MS = 5_000;
+
+interface RunningProcess {
+    readonly child: ChildProcess;
+    /** True once it was told to end. */
+    isEnding: boolean;
+}
+
+/** Control VMs and proxies as processes of their own, each with a loopback address. */
+export class ProcessFleet {
+    readonly faults: FaultRecord[] = [];
+    readonly folder = mkdtempSync(join(tmpdir(), "gypsumpulley-soak-"));
+    private readonly running = new Map<string, RunningProcess>();
+    private isClosed = false;
+
+    private constructor(
+        private readonly program: string,
+        private readonly block: string,
+        readonly proxyCount: number,
+        readonly graceMs: number,
+        private readonly nowMs: () => number,
+    ) {}
+
+    /**
+     * Starts all processes.
+     *
+     * @param program - JavaScript file of the platform program.
+     * @param block - First three numbers of the loopback addresses, such as `127.20.1`.
+     * @param proxyCount - Number of proxies.
+     * @param graceMs - Time that a process has to stop.
+     * @param nowMs - Clock of the soak.
+     */
+    static create(program: string, block: string, proxyCount: number, graceMs: number, nowMs: () => number): ProcessFleet {
+        const fleet = new ProcessFleet(program, block, proxyCount, graceMs, nowMs);
+        [...fleet.controlNames, ...fleet.proxyNames].forEach((name) => fleet.start(name, true));
+        return fleet;
+    }
+
+    /** Names of the control processes. */
+    get controlNames(): readonly string[] {
+        return Array.from({ length: CONTROL_COUNT }, (_value, index) => `control-${index}`);
+    }
+
+    /** Names of the proxy processes. */
+    get proxyNames(): readonly string[] {
+        return Array.from({ length: this.proxyCount }, (_value, index) => `proxy-${index}`);
+    }
+
+    /** Addresses for operators. */
+    get operatorAddresses(): readonly string[] {
+        return this.controlNames.map((name) => `${this.ipOf(name)}:${PORTS.control}`);
+    }
+
+    /** Addresses of the VM of a proxy. */
+    addressesOf(vm: number): { readonly outbound: string; readonly ready: string; readonly control: string; readonly backend: string } {
+        const ip = this.ipOf(`proxy-${vm}`);
+        return {
+            outbound: `${ip}:${PORTS.outbound}`,
+            ready: `${ip}:${PORTS.ready}`,
+            control: `${ip}:${PORTS.control}`,
+            backend: `${ip}:${PORTS.backend}`,
+        };
+    }
+
+    /** Service of the endpoint on the VM of a proxy. */
+    serviceOf(vm: number): string {
+        return vm % 2 === 0 ? "alpha" : "beta";
+    }
+
+    /** Starts a process, unless it is running. */
+    start(name: string, isFirstStart = false): void {
+        if (this.isClosed || this.running.has(name)) {
+            return;
+        }
+        const dataFolder = join(this.folder, `${name}-data`);
+        mkdirSync(dataFolder, { recursive: true });
+        const file = join(this.folder, `${name}.toml`);
+        const seeds = this.operatorAddresses;
+        const service = name.startsWith("proxy") ? this.serviceOf(Number(name.split("-")[1])) : undefined;
+        const network = { ip: this.ipOf(name), seeds, linkPort: PORTS.link, ports: PORTS };
+        writeFileSync(file, createSettings({ name, isFirstStart, ...network, graceMs: this.graceMs, service, dataFolder }));
+        const log = openSync(join(this.folder, `${name}.log`), "a");
+        const child = spawn(process.execPath, ["--max-old-space-size=160", this.program], {
+            stdio: ["ignore", log, log],
+            env: { ...process.env, [SETTINGS_VARIABLE]: file },
+        });
+        closeSync(log);
+        const running = { child, isEnding: false };
+        this.running.set(name, running);
+        this.record(FaultKind.Start, name);
+        child.once("exit", (code, signal) => {
+            this.running.delete(name);
+            this.record(running.isEnding ? FaultKind.Exit : FaultKind.OwnEnd, name, signal ?? `code ${code}`);
+            if (!running.isEnding) {
+                setTimeout(() => this.start(name), RESTART_DELAY_MS);
+            }
+        });
+    }
+
+    /** Returns whether a process is running. */
+    isRunning(name: string): boolean {
+        return this.running.has(name);
+    }
+
+    /** Kills a process that has not stopped within the grace period. */
+    killAfterGrace(name: string): void {
+        const running = this.running.get(name);
+        if (running !== undefined) {
+            this.record(FaultKind.KillAfterGrace, name);
+            running.child.kill("SIGKILL");
+        }
+    }
+
+    /** Sends a signal to a process of this fleet, if it is running. */
+    signal(name: string, kind: FaultKind.Terminate | FaultKind.Reload | FaultKind.Kill | FaultKind.Freeze | FaultKind.Thaw): void {
+        const running = this.running.get(name);
+        if (running === undefined) {
+            return;
+        }
+        running.isEnding ||= kind === FaultKind.Terminate || kind === FaultKind.Kill;
+        this.record(kind, name);
+        running.child.kill(kind);
+    }
+
+    /** Resolves when a process has exited, or after a timeout. */
+    async waitForExit(name: string, timeoutMs: number): Promise<void> {
+        const running = this.running.get(name);
+        if (running !== undefined) {
+            await once(running.child, "exit", { signal: AbortSignal.timeout(timeoutMs) }).catch(() => undefined);
+        }
+    }
+
+    /**
+     * Ends all processes.
+     *
+     * @param keepsFolder - True if the logs are kept.
+     */
+    async close(keepsFolder: boolean): Promise<void> {
+        this.isClosed = true;
+        const names = [...this.running.keys()];
+        names.forEach((name) => this.signal(name, FaultKind.Kill));
+        await Promise.all(names.map((name) => this.waitForExit(name, EXIT_TIMEOUT_MS)));
+        if (!keepsFolder) {
+            rmSync(this.folder, { recursive: true });
+        }
+    }
+
+    private ipOf(name: string): string {
+        const [role, index = "0"] = name.split("-");
+        return `${this.block}.${Number(index) + (role === "control" ? 1 : 10)}`;
+    }
+
+    private record(kind: FaultKind, process: string, exit?: string): void {
+        this.faults.push({ kind, process, atMs: Math.round(this.nowMs()), exit });
+    }
+}
--- /dev/null
+++ b/bench/processes/ProcessSoakOptions.ts
@@ -0,0 +1,12 @@
+/** What `runProcessSoak` runs. */
+export interface ProcessSoakOptions {
+    /** Seed of the faults and of the callers; with an odd one processes are also killed and frozen. */
+    readonly seed: number;
+    readonly proxyCount: number;
+    /** Time for which faults are injected. */
+    readonly durationMs: number;
+    /** Time after the start of a process before which it gets no SIGHUP; Node.js handles none in its own first moments. */
+    readonly earliestReloadMs: number;
+    /** JavaScript file of the platform program. */
+    readonly program: string;
+}
--- /dev/null
+++ b/bench/processes/createSettings/index.ts
@@ -0,0 +1,50 @@
+/** Addresses and ports of one process. */
+interface ProcessSettings {
+    readonly name: string;
+    readonly ip: string;
+    readonly isFirstStart: boolean;
+    readonly seeds: readonly string[];
+    readonly linkPort: number;
+    readonly graceMs: number;
+    /** Service of the endpoint beside a proxy, or undefined for a control VM. */
+    readonly service: string | undefined;
+    readonly ports: { readonly control: number; readonly outbound: number; readonly ready: number; readonly backend: number };
+    readonly dataFolder: string;
+}
+
+/**
+ * Renders the settings file of a process.
+ *
+ * @param settings - Addresses and ports.
+ * @returns The file in TOML.
+ * @example
+ * writeFileSync(path, createSettings(settings));
+ */
+export function createSettings(settings: ProcessSettings): string {
+    const { name, ip, isFirstStart, seeds, linkPort, graceMs, service, ports, dataFolder } = settings;
+    const role = service === undefined
+        ? `[control]\naddress = "${ip}:${ports.control}"\ndataFolder = "${dataFolder}"`
+        : `[proxy]
+callerAddress = "${ip}:${ports.outbound}"
+announceAddress = "${ip}:${ports.control}"
+readyAddress = "${ip}:${ports.ready}"
+backendAddress = "${ip}:${ports.backend}"
+service = "${service}"`;
+    return `[vm]
+name = "${name}"
+ip = "${ip}"
+failureDomain = "a"
+isFirstStart = ${isFirstStart}
+[links]
+firstPort = ${linkPort}
+seeds = [${seeds.map((seed) => `"${seed}"`).join(", ")}]
+fleetKey = "a key of the fleet that is long enough"
+[terms]
+toleratedLosses = 1
+grace = "${graceMs}ms"
+retryRatio = 0.2
+retryWindow = "10s"
+retrySlack = 60
+${role}
+`;
+}
