Use all other entries if one is odd, and keep the link that brought it

Other operators report machines that ended again and again, or stopped following the list, after one odd entry among those of the endpoints.

Change: isGateRecord and isControlPeer where entries are merged, errors of one message reported instead of closing the link, attempts to connect never reject, delays bounded. Events 214 and 215.

--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { MAX_TIMER_MS } from "../../clock/maxTimerMs.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
@@ -107,8 +108,8 @@
     /** Sets the limits of the configuration. */
     setLimits(limits: LimitsItem | undefined): void {
         this.limits = limits;
-        this.server.keepAliveTimeout = limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
-        this.server.headersTimeout = limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS;
+        this.server.keepAliveTimeout = this.idleTimeoutMs;
+        this.server.headersTimeout = Math.min(MAX_TIMER_MS, limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS);
     }
 
     /** Closes each connection after its last pending response. */
@@ -226,10 +227,14 @@
     private get bodyLimits(): BodyLimits {
         return {
             maxBytes: this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-            idleTimeoutMs: this.limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+            idleTimeoutMs: this.idleTimeoutMs,
         };
     }
 
+    private get idleTimeoutMs(): number {
+        return Math.min(MAX_TIMER_MS, this.limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS);
+    }
+
     /** Refuses a request whose body could not be read; it has not been executed. */
     private refuseIncompleteBody(
         kind: Exclude<BodyResultKind, BodyResultKind.Complete>,
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -279,6 +279,26 @@
     });
 });
 
+// Guards against timers that fire at once: Node.js takes a delay that is too long for one of 1 ms.
+test("an idle timeout beyond the longest timer neither stalls bodies nor fails responses", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const limits = { kind: ItemKind.Limits as const, name: "limits", maxHeaderBytes: 16_384, maxBodyBytes: 100_000 };
+        for (const timeoutMs of [2 ** 40, Number.POSITIVE_INFINITY]) {
+            server.setLimits({ ...limits, headerTimeoutMs: timeoutMs, idleTimeoutMs: timeoutMs });
+            const socket = await open();
+            const collected = collect(socket);
+            const count = exchanges.length;
+            socket.write("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nab");
+            await delay(50);
+            socket.write("cd");
+            await waitUntil(() => exchanges.length > count);
+            exchanges.at(-1)?.respond(okResponse("whole"));
+            await waitUntil(() => collected.text.includes("whole"));
+            t.regex(collected.text, /^HTTP\/1.1 200 /);
+        }
+    });
+});
+
 test("bodies beyond the memory budget are refused, and accepted again once other requests are answered", async (t) => {
     const megabytes = 12;
     const post = `POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${megabytes * 1_024 * 1_024}\r\n\r\n`;
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -85,7 +85,7 @@
     }
 
     /** Merges gate records and applies those that are newer than the known ones. */
-    mergeRecords(records: readonly GateRecord[]): void {
+    mergeRecords(records: readonly unknown[]): void {
         this.table.merge(records).forEach((record) => this.applyRecord(record));
     }
 
--- a/src/daemon/Daemon/index.ts
+++ b/src/daemon/Daemon/index.ts
@@ -118,6 +118,7 @@
                 onMessage: (link, message) => this.handleMessage(link, message),
                 onCall: (_link, message) => this.handleCall(message),
                 onClose: (link) => this.handleLinkClosed(link),
+                onMessageError: (error) => this.events.record(EventNumber.MessageFailed, { error: error.message }),
             },
             () => this.configuration.view.position,
             (error: FleetError) => this.events.record(EventNumber.LinkRefused, { error: error.message }),
--- a/src/decisions/fleet/FleetTable/index.ts
+++ b/src/decisions/fleet/FleetTable/index.ts
@@ -1,5 +1,6 @@
 import { gateHash } from "../gateHash/index.js";
 import { GateRecord } from "../GateRecord.js";
+import { isGateRecord } from "../isGateRecord/index.js";
 
 /** Table of the newest record of each proxy's gate. */
 export class FleetTable {
@@ -35,12 +36,12 @@
     }
 
     /**
-     * Stores the records that are newer than those in the table.
+     * Stores the records that are newer than those in the table. Skips what is no record, so that it is not passed on either.
      *
      * @returns The records that were newer.
      */
-    merge(records: readonly GateRecord[]): readonly GateRecord[] {
-        const newer = records.filter((record) => this.isNewer(record));
+    merge(records: readonly unknown[]): readonly GateRecord[] {
+        const newer = records.filter(isGateRecord).filter((record) => this.isNewer(record));
         newer.forEach((record) => {
             this.records.set(record.vm, record);
             this.vms.set(gateHash(record.vm), record.vm);
--- /dev/null
+++ b/src/decisions/fleet/FleetTable/test.ts
@@ -0,0 +1,50 @@
+import test from "ava";
+import { EndpointPhase } from "../EndpointPhase.js";
+import { GateRecord } from "../GateRecord.js";
+import { FleetTable } from "./index.js";
+
+const RECORD: GateRecord = {
+    vm: "vm-1",
+    failureDomain: "a",
+    gateAddress: "10.0.0.1:1",
+    run: 1,
+    sequence: 1,
+    isOpen: true,
+    endpoint: { id: "i-1", bornAtMs: 1, sequence: 1, service: "s", phase: EndpointPhase.Ready, slots: 5, coldRemainingMs: 0 },
+    limitPerSecond: undefined,
+};
+
+const nested = JSON.parse(`${"[".repeat(10_000)}${"]".repeat(10_000)}`) as unknown;
+
+// Guards against one odd record that keeps a process from using all others, or that is passed on to the next one.
+const ODD_RECORDS: Record<string, unknown> = {
+    "nothing": undefined,
+    "null": null,
+    "a number": 5,
+    "a record without a name": { ...RECORD, vm: undefined },
+    "a record whose name is deeply nested": { ...RECORD, vm: nested },
+    "a run beyond exact integers": { ...RECORD, run: 2 ** 60 },
+    "an address of another type": { ...RECORD, gateAddress: 7 },
+    "an endpoint of another type": { ...RECORD, endpoint: "i-1" },
+    "an endpoint without a service": { ...RECORD, endpoint: { ...RECORD.endpoint, service: undefined } },
+    "an endpoint in an unknown phase": { ...RECORD, endpoint: { ...RECORD.endpoint, phase: "asleep" } },
+    "an endpoint with infinite slots": { ...RECORD, endpoint: { ...RECORD.endpoint, slots: Number.POSITIVE_INFINITY } },
+    "a limit that is no number": { ...RECORD, limitPerSecond: "5" },
+};
+
+Object.entries(ODD_RECORDS).forEach(([description, odd]) => {
+    test(`among other records, ${description} is skipped`, (t) => {
+        const table = FleetTable.create();
+        const other = { ...RECORD, vm: "vm-2" };
+        t.deepEqual(table.merge([odd, other]), [other]);
+        t.deepEqual(table.all, [other]);
+    });
+});
+
+test("a newer record of the same proxy replaces the older one, and not the other way round", (t) => {
+    const table = FleetTable.create();
+    const newer = { ...RECORD, sequence: 2, endpoint: undefined };
+    t.deepEqual(table.merge([newer]), [newer]);
+    t.deepEqual(table.merge([RECORD]), []);
+    t.deepEqual(table.find("vm-1"), newer);
+});
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -91,13 +91,16 @@
         return new Set(this.byVm.keys());
     }
 
-    /** Opens a link to an address, or joins an attempt in progress; resolves to undefined if the attempt fails. */
+    /** Opens a link to an address, or joins an attempt in progress; resolves to undefined if the attempt fails. Never rejects. */
     connect(address: string): Promise<WsLink | undefined> {
         const pending = this.pendingConnects.get(address);
         if (pending !== undefined) {
             return pending;
         }
-        const attempt = this.open(address).finally(() => this.pendingConnects.delete(address));
+        const attempt = this.open(address).catch((thrown: unknown): undefined => {
+            const cause = toError(thrown);
+            this.onError(FleetError.create({ step: Step.Link, peer: address, cause }, cause.message));
+        }).finally(() => this.pendingConnects.delete(address));
         this.pendingConnects.set(address, attempt);
         return attempt;
     }
@@ -178,6 +181,7 @@
             onCall: (link, message) => this.handler.onCall(link, message),
             onClose: (link, wasOpen) => this.removeLink(link, wasOpen),
             onError: this.onError,
+            onMessageError: (error) => this.handler.onMessageError(error),
         };
     }
 
--- a/src/links/LinkHandler.ts
+++ b/src/links/LinkHandler.ts
@@ -1,3 +1,4 @@
+import { FleetError } from "../model/FleetError.js";
 import { PeerLink } from "./PeerLink.js";
 import { Message } from "./Message.js";
 
@@ -11,4 +12,6 @@
     onCall(link: PeerLink, message: Message): Promise<Message | undefined>;
     /** Called when an open link has closed. */
     onClose(link: PeerLink): void;
+    /** Called if a message or a call could not be handled; the link stays open. */
+    onMessageError(error: FleetError): void;
 }
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -102,25 +102,40 @@
 
     private handleFrame(data: Buffer): void {
         this.options.bytes.received += data.length;
+        let envelope: Envelope;
         try {
-            this.handleEnvelope(unpackr.unpack(data) as Envelope);
+            envelope = unpackr.unpack(data) as Envelope;
+            if (!this.isOpen) {
+                this.handleHandshake(envelope.message);
+                return;
+            }
         }
         catch (thrown) {
             const cause = toError(thrown);
             this.options.onError(FleetError.create({ step: Step.Link, peer: this.peerName, cause }, `invalid frame: ${cause.message}`));
             this.close();
+            return;
+        }
+        try {
+            this.handleEnvelope(envelope);
+        }
+        catch (thrown) {
+            this.reportMessageError(thrown);
         }
     }
 
+    /** Reports a message that could not be handled. Another link would only bring the same message again, so this one stays. */
+    private reportMessageError(thrown: unknown): void {
+        const cause = toError(thrown);
+        this.options.onMessageError(FleetError.create({ step: Step.Link, peer: this.peerName, cause }, `message not handled: ${cause.message}`));
+    }
+
     private handleEnvelope(envelope: Envelope): void {
-        if (!this.isOpen) {
-            this.handleHandshake(envelope.message);
-        }
-        else if (envelope.reply !== undefined) {
+        if (envelope.reply !== undefined) {
             this.completeCall(envelope.reply, envelope.message);
         }
         else if (envelope.call !== undefined) {
-            void this.handleCall(envelope.call, envelope.message);
+            this.handleCall(envelope.call, envelope.message).catch((thrown: unknown) => this.reportMessageError(thrown));
         }
         else {
             this.options.onMessage(this, envelope.message);
--- a/src/links/WsLinkOptions.ts
+++ b/src/links/WsLinkOptions.ts
@@ -19,4 +19,6 @@
     readonly onCall: (link: WsLink, message: Message) => Promise<Message | undefined>;
     readonly onClose: (link: WsLink, wasOpen: boolean) => void;
     readonly onError: (error: FleetError) => void;
+    /** Called if a message cannot be handled; the link stays open. */
+    readonly onMessageError: (error: FleetError) => void;
 }
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -11,6 +11,8 @@
     MemberRefuted = 211,
     MemberLost = 212,
     IdentityContested = 213,
+    RecordRefused = 214,
+    MessageFailed = 215,
     ConfigurationAccepted = 300,
     ConfigurationRefused = 301,
     ConfigurationInForce = 302,
--- a/src/mesh/ControlAddresses/index.ts
+++ b/src/mesh/ControlAddresses/index.ts
@@ -1,5 +1,6 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { ControlPeer } from "../../links/ControlPeer.js";
+import { isControlPeer } from "../../links/isControlPeer/index.js";
 
 /** Time for which a discovered address is tried, in ms; longer than the downtime of a control VM. */
 const RETENTION_MS = 120_000;
@@ -38,12 +39,15 @@
     }
 
     /** Records a control VM that has announced itself. */
-    recordAnnounced(peer: ControlPeer): void {
-        this.discovered.set(peer.vm, { peer, atMs: nowMs() });
+    recordAnnounced(peer: unknown): void {
+        if (isControlPeer(peer)) {
+            this.discovered.set(peer.vm, { peer, atMs: nowMs() });
+        }
     }
 
     /** Records control VMs reported by another process. A known entry takes precedence, since it may come from the VM itself. */
-    recordReported(peers: readonly ControlPeer[]): void {
-        peers.filter(({ vm }) => !this.discovered.has(vm)).forEach((peer) => this.discovered.set(peer.vm, { peer, atMs: nowMs() }));
+    recordReported(peers: readonly unknown[]): void {
+        const unknownPeers = peers.filter(isControlPeer).filter(({ vm }) => !this.discovered.has(vm));
+        unknownPeers.forEach((peer) => this.discovered.set(peer.vm, { peer, atMs: nowMs() }));
     }
 }
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -71,6 +71,7 @@
             onMessage: (link, message) => role.handleMessage(link, message),
             onCall: (_link, message) => role.handleCall(message),
             onClose: (link) => role.updateRelay.unsubscribe(link.peer.vm),
+            onMessageError: (error) => events.record(EventNumber.MessageFailed, { error: error.message }),
         }, () => role.ownPeer, () => role.itemController?.position ?? 0, events);
         role.timers.push(
             setInterval(() => void role.maintainQuorum(), VOTER_CHECK_INTERVAL_MS),
--- a/src/mesh/FleetUpdateRelay/index.ts
+++ b/src/mesh/FleetUpdateRelay/index.ts
@@ -2,6 +2,7 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { isGateRecord } from "../../decisions/fleet/isGateRecord/index.js";
 import { updateIntervals } from "../../decisions/fleet/updateIntervals/index.js";
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { unpackLoads } from "../../decisions/fleet/unpackLoads/index.js";
@@ -72,9 +73,9 @@
      * @param packedLoads - Packed loads of gates.
      * @param isFromProxy - False if another control VM has relayed the updates.
      */
-    handleUpdate(records: readonly GateRecord[], packedLoads: Uint8Array, isFromProxy: boolean): void {
+    handleUpdate(records: readonly unknown[], packedLoads: Uint8Array, isFromProxy: boolean): void {
         if (isFromProxy) {
-            records.forEach((record) => this.returnFormerRecord(record));
+            records.filter(isGateRecord).forEach((record) => this.returnFormerRecord(record));
         }
         const merged = this.table.merge(records);
         const intervals = updateIntervals(this.table.size);
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -82,6 +82,7 @@
                     events.record(EventNumber.LinkClosed, { peer: link.peer.vm });
                     handler.onClose(link);
                 },
+                onMessageError: (error) => handler.onMessageError(error),
             },
             () => ({ term: 0, version: position(), manifestVersion: 0 }),
             (error: FleetError) => events.record(EventNumber.LinkRefused, { error: error.message }),
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -10,6 +10,7 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { GateRecord } from "../../decisions/fleet/GateRecord.js";
 import { isSignificantLimitChange } from "../../decisions/fleet/isSignificantLimitChange/index.js";
+import { isGateRecord } from "../../decisions/fleet/isGateRecord/index.js";
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { ReportVerdict } from "../../decisions/fleet/ReportVerdict.js";
 import { UpdateSources } from "../../decisions/fleet/UpdateSources/index.js";
@@ -257,6 +258,7 @@
             onMessage: (_link, message) => this.handleMessage(message),
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.handleLinkClose(link),
+            onMessageError: (error) => this.events.record(EventNumber.MessageFailed, { error: error.message }),
         }, () => undefined, () => 0, this.events);
         this.timerStops.push(
             setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()),
@@ -289,13 +291,10 @@
     private handleMessage(message: Message): void {
         switch (message.kind) {
             case MessageKind.FleetUpdate:
-                this.fleetView.mergeRecords(message.records.filter((record) => record.vm !== this.record.vm));
-                this.fleetView.applyPackedLoads(message.loads);
-                message.records.filter((record) => record.vm === this.record.vm).forEach((record) => this.reconcileFormerRun(record));
-                this.hasFleetRecords = true;
+                this.applyFleetUpdate(message.records, message.loads);
                 return;
             case MessageKind.FormerRecord:
-                this.reconcileFormerRun(message.record);
+                this.applyFleetUpdate([message.record], packLoads([]));
                 return;
             case MessageKind.Strike:
                 this.dispatcher.recordStrike(message.fingerprint, message.loss);
@@ -311,6 +310,17 @@
         }
     }
 
+    private applyFleetUpdate(received: readonly unknown[], loads: Uint8Array): void {
+        const records = received.filter(isGateRecord);
+        if (records.length < received.length) {
+            this.events.record(EventNumber.RecordRefused, { count: received.length - records.length });
+        }
+        this.fleetView.mergeRecords(records.filter(({ vm }) => vm !== this.record.vm));
+        this.fleetView.applyPackedLoads(loads);
+        records.filter(({ vm }) => vm === this.record.vm).forEach((record) => this.reconcileFormerRun(record));
+        this.hasFleetRecords = true;
+    }
+
     /**
      * Reconciles the record of an earlier run of this proxy: restores the phase and the limit of its endpoint, so that a drain
      * persists, and makes the current record newer than it.
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -2,6 +2,7 @@
 import { BackendResult } from "../../backend/BackendResult.js";
 import { BackendResultKind } from "../../backend/BackendResultKind.js";
 import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
+import { MAX_TIMER_MS } from "../../clock/maxTimerMs.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
@@ -543,7 +544,7 @@
             this.limitTimer = setTimeout(() => {
                 this.limitTimer = undefined;
                 this.startNext();
-            }, delayMs);
+            }, Math.min(MAX_TIMER_MS, delayMs));
         }
     }
 
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -2,6 +2,7 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
+import { toError } from "../../model/toError/index.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
 import { GateReply } from "../GateReply.js";
@@ -178,11 +179,19 @@
             return;
         }
         this.lastConnectAtMs = nowMs();
-        const webSocket = new WebSocket(`ws://${this.address}/`, {
-            handshakeTimeout: CONNECT_TIMEOUT_MS,
-            perMessageDeflate: false,
-            headers: { authorization: this.token },
-        });
+        let webSocket: WebSocket;
+        try {
+            webSocket = new WebSocket(`ws://${this.address}/`, {
+                handshakeTimeout: CONNECT_TIMEOUT_MS,
+                perMessageDeflate: false,
+                headers: { authorization: this.token },
+            });
+        }
+        catch (thrown) {
+            // The record of the gate has an address that nothing can be connected to.
+            this.handleConnectFailure(toError(thrown).message);
+            return;
+        }
         const socket = TunnelSocket.create(
             webSocket,
             (frame) => this.handleFrame(socket, frame),
@@ -254,15 +263,21 @@
         this.socket = undefined;
         this.gateRun = undefined;
         if (!wasOpen) {
-            this.failedConnects += 1;
-            this.setUnreachable(true, problem);
+            this.handleConnectFailure(problem);
+            return;
         }
         this.settleAfterClose(problem);
-        if (this.outstanding.size > 0 && wasOpen) {
+        if (this.outstanding.size > 0) {
             this.connect();
         }
     }
 
+    private handleConnectFailure(problem: string): void {
+        this.failedConnects += 1;
+        this.setUnreachable(true, problem);
+        this.settleAfterClose(problem);
+    }
+
     /** Settles offers after their connection closed. Confirmed ones that must not be repeated wait for the next connection. */
     private settleAfterClose(problem: string): void {
         [...this.outstanding].forEach(([key, outstanding]) => {
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -323,3 +323,17 @@
         t.deepEqual(kindsOf(replies), [GateReplyKind.Started, GateReplyKind.Answered]);
     });
 });
+
+// Guards against an odd address in the record of one gate, by which every request of its service failed.
+test("an offer to a gate with an impossible address is refused as not executed, and so is the next one", (t) => {
+    for (const address of ["10.0.0.1:99999", "no address"]) {
+        const client = TunnelClient.create(address, TOKEN, CALLBACKS);
+        const replies: GateReply[] = [];
+        client.open();
+        ["1", "2"].forEach((key) => client.offer({ key, requestKind: RequestKind.Once, remainingMs: 1_000 } as WorkOffer, (reply) => replies.push(reply)));
+        client.tick();
+        t.deepEqual(kindsOf(replies), [GateReplyKind.Refused, GateReplyKind.Refused]);
+        t.false(client.isReachable);
+        client.close();
+    }
+});
--- a/test/badInput.test.ts
+++ b/test/badInput.test.ts
@@ -146,7 +146,13 @@
     test(title, async (t) => {
         const [port = 0] = await findFreePorts(1);
         const errors: string[] = [];
-        const handler = { onOpen: () => undefined, onMessage: () => undefined, onCall: () => Promise.resolve(undefined), onClose: () => undefined };
+        const handler = {
+            onOpen: () => undefined,
+            onMessage: () => undefined,
+            onCall: () => Promise.resolve(undefined),
+            onClose: () => undefined,
+            onMessageError: () => undefined,
+        };
         const create = (vm: string, linkPort: number, fleetKey: string): Promise<LinkController> => LinkController.create({
             identity: { vm, startedAtMs: 1, failureDomain: "a", roles: [Role.Proxy], linkAddress: `127.0.0.1:${linkPort}` },
             host: "127.0.0.1",
