--- a/src/decisions/items/ItemStore/index.ts
+++ b/src/decisions/items/ItemStore/index.ts
@@ -53,14 +53,20 @@
     }
 
     /**
-     * Stores the items that are newer than those in the store, without validation.
+     * Stores the items that are newer than those in the store, without validation. Of several versions of an item the highest
+     * one is stored, wherever it stands among the changes.
      *
      * @returns The items that were newer.
      */
     merge(changes: readonly VersionedItem[]): readonly VersionedItem[] {
-        const newer = changes.filter((change) => change.version > this.versionOf(change.key));
-        newer.forEach((change) => this.items.set(change.key, change));
-        return newer;
+        const newest = new Map<string, VersionedItem>();
+        changes.forEach((change) => {
+            if (change.version > (newest.get(change.key)?.version ?? this.versionOf(change.key))) {
+                newest.set(change.key, change);
+            }
+        });
+        newest.forEach((change, key) => this.items.set(key, change));
+        return [...newest.values()];
     }
 
     private findConflict(changes: readonly VersionedItem[]): ItemOutcome | undefined {
--- a/src/decisions/items/ItemStore/test.ts
+++ b/src/decisions/items/ItemStore/test.ts
@@ -71,3 +71,14 @@
     t.is(store.apply([route("r", 1, "s")]).kind, ItemOutcomeKind.UnknownService);
     t.is(store.apply([route("r", 1, "s"), service("s", 1)]).kind, ItemOutcomeKind.Accepted);
 });
+
+// Guards against an acknowledged change that has no effect.
+test("of two versions of an item in one change the higher one takes effect, wherever it stands", (t) => {
+    for (const order of [[0, 1], [1, 0]] as const) {
+        const store = ItemStore.create();
+        store.apply([service("s", 1), route("r", 3, "s")]);
+        const versions = [tombstone("r", 18), route("r", 20, "s", "newest")] as const;
+        t.is(store.apply(order.map((index) => versions[index])).kind, ItemOutcomeKind.Accepted);
+        t.is(store.all.find(({ key }) => key === "route/r")?.document, "newest");
+    }
+});
