--- a/src/decisions/items/ItemStore/index.ts
+++ b/src/decisions/items/ItemStore/index.ts
@@ -81,14 +81,17 @@
         return undefined;
     }
 
+    /** Finds a route that would name an unknown service because the change brings the route or removes the service. */
     private findUnknownService(changes: readonly VersionedItem[]): ItemOutcome | undefined {
         const merged = ItemStore.create();
         merged.merge(this.all);
-        merged.merge(changes);
-        for (const { key, version, content } of changes) {
-            const isNewest = merged.items.get(key)?.version === version;
-            if (content?.kind === ItemKind.Route && isNewest) {
-                const unknown = content.services.find(({ service }) => !merged.hasContent(itemKey(ItemKind.Service, service)));
+        const changedKeys = new Set(merged.merge(changes).map(({ key }) => key));
+        for (const { key, content } of merged.all) {
+            if (content?.kind === ItemKind.Route) {
+                const unknown = content.services.find(({ service }) => {
+                    const serviceKey = itemKey(ItemKind.Service, service);
+                    return !merged.hasContent(serviceKey) && (changedKeys.has(key) || changedKeys.has(serviceKey));
+                });
                 if (unknown !== undefined) {
                     return { kind: ItemOutcomeKind.UnknownService, key, service: unknown.service };
                 }
--- a/src/decisions/items/ItemStore/test.ts
+++ b/src/decisions/items/ItemStore/test.ts
@@ -82,3 +82,20 @@
         t.is(store.all.find(({ key }) => key === "route/r")?.document, "newest");
     }
 });
+
+// Guards against a configuration in force whose route leads nowhere.
+test("the removal of a service that a route names is refused, and accepted once no route names it", (t) => {
+    const store = ItemStore.create();
+    const removal: VersionedItem = { key: "service/s", version: 2, content: undefined, document: "" };
+    store.apply([service("s", 1), service("u", 1), route("r", 1, "s")]);
+    t.deepEqual(store.apply([removal]), { kind: ItemOutcomeKind.UnknownService, key: "route/r", service: "s" });
+    t.is(store.apply([removal, route("r", 2, "u")]).kind, ItemOutcomeKind.Accepted);
+    t.is(store.apply([removal]).kind, ItemOutcomeKind.Accepted);
+});
+
+test("a removal that a newer version of the service has overtaken is accepted and has no effect", (t) => {
+    const store = ItemStore.create();
+    store.apply([service("s", 5), route("r", 1, "s")]);
+    t.is(store.apply([{ key: "service/s", version: 2, content: undefined, document: "" }]).kind, ItemOutcomeKind.Accepted);
+    t.true(store.hasContent("service/s"));
+});
