--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -294,7 +294,7 @@
                 this.applyFleetUpdate(message.records, message.loads);
                 return;
             case MessageKind.FormerRecord:
-                this.applyFleetUpdate([message.record], packLoads([]));
+                this.selectRecords([message.record]).forEach((record) => this.reconcileFormerRun(record));
                 return;
             case MessageKind.Strike:
                 this.dispatcher.recordStrike(message.fingerprint, message.loss);
@@ -310,11 +310,17 @@
         }
     }
 
-    private applyFleetUpdate(received: readonly unknown[], loads: Uint8Array): void {
+    /** Selects the well-formed ones of received records. */
+    private selectRecords(received: readonly unknown[]): readonly GateRecord[] {
         const records = received.filter(isGateRecord);
         if (records.length < received.length) {
             this.events.record(EventNumber.RecordRefused, { count: received.length - records.length });
         }
+        return records;
+    }
+
+    private applyFleetUpdate(received: readonly unknown[], loads: Uint8Array): void {
+        const records = this.selectRecords(received);
         this.fleetView.mergeRecords(records.filter(({ vm }) => vm !== this.record.vm));
         this.fleetView.applyPackedLoads(loads);
         records.filter(({ vm }) => vm === this.record.vm).forEach((record) => this.reconcileFormerRun(record));
