--- a/bench/processes/ProcessFleet/index.ts
+++ b/bench/processes/ProcessFleet/index.ts
@@ -87,13 +87,10 @@
         if (this.isClosed || this.running.has(name)) {
             return;
         }
-        const dataFolder = join(this.folder, `${name}-data`);
-        mkdirSync(dataFolder, { recursive: true });
         const file = join(this.folder, `${name}.toml`);
         const seeds = this.operatorAddresses;
-        const service = name.startsWith("proxy") ? this.serviceOf(Number(name.split("-")[1])) : undefined;
         const network = { ip: this.ipOf(name), seeds, linkPort: PORTS.link, ports: PORTS };
-        writeFileSync(file, createSettings({ name, isFirstStart, ...network, graceMs: this.graceMs, service, dataFolder }));
+        writeFileSync(file, createSettings({ name, isFirstStart, ...network, graceMs: this.graceMs, role: this.roleOf(name) }));
         const log = openSync(join(this.folder, `${name}.log`), "a");
         const child = spawn(process.execPath, ["--max-old-space-size=160", this.program], {
             stdio: ["ignore", log, log],
@@ -160,6 +157,16 @@
         }
     }
 
+    private roleOf(name: string): Parameters<typeof createSettings>[0]["role"] {
+        if (name.startsWith("control")) {
+            const dataFolder = join(this.folder, `${name}-data`);
+            mkdirSync(dataFolder, { recursive: true });
+            return { dataFolder };
+        }
+        const vm = Number(name.split("-")[1]);
+        return { service: this.serviceOf(vm), backendAddress: this.addressesOf(vm).backend };
+    }
+
     private ipOf(name: string): string {
         const [role, index = "0"] = name.split("-");
         return `${this.block}.${Number(index) + (role === "control" ? 1 : 10)}`;
--- a/bench/processes/createSettings/index.ts
+++ b/bench/processes/createSettings/index.ts
@@ -6,10 +6,9 @@
     readonly seeds: readonly string[];
     readonly linkPort: number;
     readonly graceMs: number;
-    /** Service of the endpoint beside a proxy, or undefined for a control VM. */
-    readonly service: string | undefined;
-    readonly ports: { readonly control: number; readonly outbound: number; readonly ready: number; readonly backend: number };
-    readonly dataFolder: string;
+    /** Data folder of a control VM, or the endpoint beside a proxy. */
+    readonly role: { readonly dataFolder: string } | { readonly service: string; readonly backendAddress: string };
+    readonly ports: { readonly control: number; readonly outbound: number; readonly ready: number };
 }
 
 /**
@@ -21,15 +20,17 @@
  * writeFileSync(path, createSettings(settings));
  */
 export function createSettings(settings: ProcessSettings): string {
-    const { name, ip, isFirstStart, seeds, linkPort, graceMs, service, ports, dataFolder } = settings;
-    const role = service === undefined
-        ? `[control]\naddress = "${ip}:${ports.control}"\ndataFolder = "${dataFolder}"`
+    const { name, ip, isFirstStart, seeds, linkPort, graceMs, role, ports } = settings;
+    const roleTable = "dataFolder" in role
+        ? `[control]
+address = "${ip}:${ports.control}"
+dataFolder = "${role.dataFolder}"`
         : `[proxy]
 callerAddress = "${ip}:${ports.outbound}"
 announceAddress = "${ip}:${ports.control}"
 readyAddress = "${ip}:${ports.ready}"
-backendAddress = "${ip}:${ports.backend}"
-service = "${service}"`;
+backendAddress = "${role.backendAddress}"
+service = "${role.service}"`;
     return `[vm]
 name = "${name}"
 ip = "${ip}"
@@ -45,6 +46,6 @@
 retryRatio = 0.2
 retryWindow = "10s"
 retrySlack = 60
-${role}
+${roleTable}
 `;
 }
