--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -156,6 +156,8 @@
     private async reopen(): Promise<void> {
         this.itemController?.close();
         this.itemController = undefined;
+        // Until the items are current again, a subscriber would take an outdated or empty snapshot for all items.
+        this.hasSentSnapshot = false;
         let isOpen = false;
         while (!isOpen && !this.isClosed) {
             await delay(REOPEN_DELAY_MS);
