--- a/bench/processes/CallerConnection/index.ts
+++ b/bench/processes/CallerConnection/index.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { AttemptEnd } from "../AttemptEnd.js";
 import { AttemptRecord } from "../AttemptRecord.js";
 import { responseBody } from "../responseBody/index.js";
@@ -8,6 +9,15 @@
 const HEAD_END = "\r\n\r\n";
 /** Size of the pieces in which a request body is sent. */
 const PIECE_BYTES = 32_768;
+/** Time to wait before the next piece while the send buffer is full, in ms. */
+const FULL_BUFFER_DELAY_MS = 20;
+
+/** Line between a caller and a proxy. */
+interface Line {
+    readonly readBytesPerMs: number;
+    /** Time that bytes and the end of the connection take in each direction. */
+    readonly latencyMs: number;
+}
 
 interface OutstandingAttempt {
     readonly record: AttemptRecord;
@@ -22,22 +32,22 @@
     private data = Buffer.alloc(0);
     private isClosed = false;
 
-    private constructor(private readonly socket: Socket, private readonly readBytesPerMs: number, private readonly nowMs: () => number) {
+    private constructor(private readonly socket: Socket, private readonly line: Line, private readonly nowMs: () => number) {
         socket.on("data", (chunk: Buffer) => this.handleData(chunk));
-        socket.on("end", () => this.fail(AttemptEnd.Closed));
-        socket.on("error", () => this.fail(AttemptEnd.Reset));
-        socket.on("close", () => this.fail(AttemptEnd.Closed));
+        socket.on("end", () => this.afterLatency(() => this.fail(AttemptEnd.Closed)));
+        socket.on("error", () => this.afterLatency(() => this.fail(AttemptEnd.Reset)));
+        socket.on("close", () => this.afterLatency(() => this.fail(AttemptEnd.Closed)));
     }
 
     /**
      * Opens a connection.
      *
      * @param address - `host:port` of a proxy for callers.
-     * @param readBytesPerMs - Rate at which responses are read.
+     * @param line - Rate at which responses are read, and latency.
      * @param nowMs - Clock of the soak.
      * @returns The connection, or undefined if it was refused or not opened in time.
      */
-    static async create(address: string, readBytesPerMs: number, nowMs: () => number): Promise<CallerConnection | undefined> {
+    static async create(address: string, line: Line, nowMs: () => number): Promise<CallerConnection | undefined> {
         const [host, port] = address.split(":");
         const socket = connect({ host, port: Number(port), noDelay: true });
         socket.on("error", () => undefined);
@@ -48,7 +58,7 @@
             socket.destroy();
             return undefined;
         }
-        return new CallerConnection(socket, readBytesPerMs, nowMs);
+        return new CallerConnection(socket, line, nowMs);
     }
 
     /** True while requests can be sent. */
@@ -94,22 +104,31 @@
             `Deadline-Ms: ${record.deadlineMs}`,
             ...bodyBytes > 0 ? [`Content-Length: ${bodyBytes}`] : [],
         ];
-        this.socket.write(`${lines.join("\r\n")}${HEAD_END}`);
+        this.afterLatency(() => this.socket.write(`${lines.join("\r\n")}${HEAD_END}`));
         for (let sentBytes = 0; sentBytes < bodyBytes && !this.isClosed; sentBytes += PIECE_BYTES) {
-            const hasRoom = this.socket.write(Buffer.alloc(Math.min(PIECE_BYTES, bodyBytes - sentBytes), "u"));
-            await new Promise((resolve) => setTimeout(resolve, hasRoom ? 1 : 20));
+            const piece = Buffer.alloc(Math.min(PIECE_BYTES, bodyBytes - sentBytes), "u");
+            this.afterLatency(() => this.socket.write(piece));
+            await delay(this.socket.writableNeedDrain ? FULL_BUFFER_DELAY_MS : 1);
         }
         record.sentAtMs = this.nowMs();
     }
 
+    /** Runs what the other end sees or causes after the latency of the line, in the order of the calls. */
+    private afterLatency(action: () => void): void {
+        setTimeout(action, this.line.latencyMs);
+    }
+
     private handleData(chunk: Buffer): void {
-        this.data = Buffer.concat([this.data, chunk]);
-        while (this.readResponse()) {
-            // Pipelined responses may arrive together.
-        }
-        if (Number.isFinite(this.readBytesPerMs)) {
+        const { readBytesPerMs } = this.line;
+        this.afterLatency(() => {
+            this.data = Buffer.concat([this.data, chunk]);
+            while (this.readResponse()) {
+                // Pipelined responses may arrive together.
+            }
+        });
+        if (Number.isFinite(readBytesPerMs)) {
             this.socket.pause();
-            setTimeout(() => this.socket.resume(), chunk.length / this.readBytesPerMs);
+            setTimeout(() => this.socket.resume(), chunk.length / readBytesPerMs);
         }
     }
 
--- a/bench/processes/TrafficSource/index.ts
+++ b/bench/processes/TrafficSource/index.ts
@@ -10,6 +10,7 @@
 /** Questions without a 200 after which callers open no connection to a proxy. */
 const MAX_MISSES = 2;
 const RETRY_DELAY_MS = 100;
+const MAX_LATENCY_MS = 20;
 const STATUS_OK = 200;
 const UNLIMITED = Number.POSITIVE_INFINITY;
 
@@ -75,7 +76,8 @@
             return undefined;
         }
         const readBytesPerMs = caller === Caller.SlowReading ? this.between(300, 3_000) : UNLIMITED;
-        return CallerConnection.create(this.fleet.addressesOf(vm).outbound, readBytesPerMs, this.nowMs);
+        const latencyMs = this.between(0, MAX_LATENCY_MS);
+        return CallerConnection.create(this.fleet.addressesOf(vm).outbound, { readBytesPerMs, latencyMs }, this.nowMs);
     }
 
     private async sendGroup(connection: CallerConnection, vm: number, caller: Caller): Promise<void> {
