--- a/bench/processes/EndpointServer/index.ts
+++ b/bench/processes/EndpointServer/index.ts
@@ -29,6 +29,7 @@
         private readonly addresses: { readonly backend: string; readonly control: string },
         private readonly runs: RunRecord[],
         private readonly nowMs: () => number,
+        private readonly misbehave: (socket: Socket, path: string, attemptId: string) => boolean,
     ) {
         this.id = `i-${vm}`;
         server.on("connection", (socket: Socket) => this.handleConnection(socket));
@@ -42,6 +43,7 @@
      * @param addresses - Its own address, and that of the proxy for heartbeats.
      * @param runs - Receives a record of each run.
      * @param nowMs - Clock of the soak.
+     * @param misbehave - Called with each request; returns true if it has taken the response on itself.
      */
     static async create(
         vm: number,
@@ -49,12 +51,13 @@
         addresses: { readonly backend: string; readonly control: string },
         runs: RunRecord[],
         nowMs: () => number,
+        misbehave: (socket: Socket, path: string, attemptId: string) => boolean = () => false,
     ): Promise<EndpointServer> {
         const server = createServer({ noDelay: true });
         const [host, port] = addresses.backend.split(":");
         server.listen(Number(port), host);
         await once(server, "listening");
-        const endpoint = new EndpointServer(server, vm, service, addresses, runs, nowMs);
+        const endpoint = new EndpointServer(server, vm, service, addresses, runs, nowMs, misbehave);
         endpoint.timer = setInterval(() => endpoint.report(), HEARTBEAT_INTERVAL_MS);
         endpoint.report();
         return endpoint;
@@ -101,6 +104,9 @@
             socket.write(`HTTP/1.1 421 X\r\nAttempt-Id: ${attemptId}\r\nNot-Executed: 1\r\nContent-Length: 0${HEAD_END}`);
             return;
         }
+        if (this.misbehave(socket, path, attemptId)) {
+            return;
+        }
         const [, workMs = "0", bytes = "0"] = PATH.exec(path) ?? [];
         const run: RunRecord = {
             attemptId,
--- a/bench/processes/ProcessFleet/index.ts
+++ b/bench/processes/ProcessFleet/index.ts
@@ -6,9 +6,10 @@
 import { createSettings } from "../createSettings/index.js";
 import { FaultKind } from "../FaultKind.js";
 import { FaultRecord } from "../FaultRecord.js";
+import { readRunCommand } from "../readRunCommand/index.js";
 
 const CONTROL_COUNT = 3;
-const PORTS = { link: 7_600, control: 8_620, outbound: 8_621, ready: 8_622, backend: 8_623 };
+const PORTS = { link: 7_600, control: 8_620, outbound: 8_621, ready: 8_622, backend: 8_623, metrics: 9_464 };
 const SETTINGS_VARIABLE = "GYPSUMPULLEY_NODE_FILE";
 /** Delay after which a process that ended by itself is started again, in ms. */
 const RESTART_DELAY_MS = 200;
@@ -66,6 +67,16 @@
         return this.controlNames.map((name) => `${this.ipOf(name)}:${PORTS.control}`);
     }
 
+    /** Address at which a process serves its metrics. */
+    metricsAddressOf(name: string): string {
+        return `${this.ipOf(name)}:${PORTS.metrics}`;
+    }
+
+    /** Process id of a process, or undefined while it does not run. */
+    pidOf(name: string): number | undefined {
+        return this.running.get(name)?.child.pid;
+    }
+
     /** Addresses of the VM of a proxy. */
     addressesOf(vm: number): { readonly outbound: string; readonly ready: string; readonly control: string; readonly backend: string } {
         const ip = this.ipOf(`proxy-${vm}`);
@@ -92,7 +103,7 @@
         const network = { ip: this.ipOf(name), seeds, linkPort: PORTS.link, ports: PORTS };
         writeFileSync(file, createSettings({ name, isFirstStart, ...network, graceMs: this.graceMs, role: this.roleOf(name) }));
         const log = openSync(join(this.folder, `${name}.log`), "a");
-        const child = spawn(process.execPath, ["--max-old-space-size=160", this.program], {
+        const child = spawn(process.execPath, readRunCommand(name.startsWith("control") ? "control" : "proxy", this.program), {
             stdio: ["ignore", log, log],
             env: { ...process.env, [SETTINGS_VARIABLE]: file },
         });
--- /dev/null
+++ b/bench/processes/createConfigurationChange/index.ts
@@ -0,0 +1,41 @@
+import { RouteKind } from "../RouteKind.js";
+
+const SERVICES = { [RouteKind.Safe]: "alpha", [RouteKind.Unsafe]: "beta", [RouteKind.Download]: "alpha" };
+
+/**
+ * Creates the body of an operator's call that sets all routes, services and limits of a fleet of processes.
+ *
+ * @param version - Version of all items.
+ * @param timeoutMs - Timeout of all routes.
+ * @returns The body in JSON.
+ * @example
+ * createConfigurationChange(2, 7_000);
+ */
+export function createConfigurationChange(version: number, timeoutMs: number): string {
+    const metadata = (name: string): object => ({ name, version: `r${version}` });
+    const routes = Object.values(RouteKind).map((kind) => ({
+        entry_kind: "routes",
+        metadata: metadata(`r-${kind}`),
+        spec: {
+            host: `${kind}.example`,
+            path_prefix: "/",
+            route_kind: kind,
+            timeout: `${timeoutMs}ms`,
+            target_latency: "2000ms",
+            priority: 1,
+            max_attempts: 2,
+            service: SERVICES[kind],
+        },
+    }));
+    const services = ["alpha", "beta"].map((name) => ({
+        entry_kind: "services",
+        metadata: metadata(name),
+        spec: { health_path: "/health", max_connections: 390, protocol: "h1", tls: false },
+    }));
+    const limits = {
+        entry_kind: "limits",
+        metadata: { version: `r${version}` },
+        spec: { max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout: "3000ms", idle_timeout: "15000ms" },
+    };
+    return JSON.stringify({ upsert: { resources: [...services, limits, ...routes] } });
+}
--- a/bench/processes/createSettings/index.ts
+++ b/bench/processes/createSettings/index.ts
@@ -8,7 +8,7 @@
     readonly graceMs: number;
     /** Data folder of a control VM, or the endpoint beside a proxy. */
     readonly role: { readonly dataFolder: string } | { readonly service: string; readonly backendAddress: string };
-    readonly ports: { readonly control: number; readonly outbound: number; readonly ready: number };
+    readonly ports: { readonly control: number; readonly outbound: number; readonly ready: number; readonly metrics?: number };
 }
 
 /**
@@ -31,6 +31,11 @@
 readyAddress = "${ip}:${ports.ready}"
 backendAddress = "${role.backendAddress}"
 service = "${role.service}"`;
+    const metricsTable = ports.metrics === undefined
+        ? ""
+        : `[metrics]
+address = "${ip}:${ports.metrics}"
+`;
     return `[vm]
 name = "${name}"
 ip = "${ip}"
@@ -46,6 +51,6 @@
 retryRatio = 0.2
 retryWindow = "10s"
 retrySlack = 60
-${roleTable}
+${metricsTable}${roleTable}
 `;
 }
--- a/test/processSoak.test.ts
+++ b/test/processSoak.test.ts
@@ -1,5 +1,3 @@
-import { execFile } from "node:child_process";
-import { promisify } from "node:util";
 import test from "ava";
 import { runProcessSoak } from "../bench/processes/runProcessSoak/index.js";
 
@@ -10,10 +8,6 @@
 const EARLIEST_RELOAD_MS = 300;
 const TIMEOUT_MS = 150_000;
 
-test.before("bundle the program", async () => {
-    await promisify(execFile)(process.execPath, ["deploy/bundle.mjs"]);
-});
-
 // Seeds that failed before: requests cut by a second SIGTERM, and answers cut by planned stops while their callers read them slowly.
 for (const seed of [2, 1]) {
     test.serial(`processes under signals, restarts and changes lose no request and run none twice (seed ${seed})`, async (t) => {
