Hold a backend server's response by its bytes, and bound its pieces

Callers saw: an endpoint that answered `Transfer-Encoding: chunked` with `1\r\nz\r\n` without end ended the proxy beside it, so that other callers' requests at that machine were reset or had no answer.

Cause: the parser of responses kept a slice of each piece of a body. The limits (16 MB a body, 48 MB in all) count bytes, but a slice takes about 110 bytes of heap and keeps the whole read that it is a part of. Framing was limited to eight bytes for each byte of body, which chunks of one byte (five bytes) never reach. The same class: a chunk line behind a body of 16 MB could be 128 MB long; a line that arrives byte by byte took 32 bytes for each; header fields and trailers had no limit on their number, and counted nothing against the 48 MB.

Change: bodies are collected in a BodyBuffer. ResponseMeter counts bytes, chunks (65,536, and one more for each 16 bytes of body) and header fields (1,000); framing may take 12 bytes a chunk and all other bytes outside of bodies 64 KB. Fields count against the 48 MB. A refusal names its limit in the problem of the exchange and is recorded as event 108; gauge response_buffer_bytes.

The parser's tests get a budget of 64 KB instead of 4 KB, since header fields now count against it; no test there is about the budget.

--- a/src/backend/BackendConnection/index.ts
+++ b/src/backend/BackendConnection/index.ts
@@ -9,6 +9,8 @@
 import { encodeRequest } from "../encodeRequest/index.js";
 import { ParsedResponse } from "../ParsedResponse.js";
 import { ResponseDialect } from "../ResponseDialect.js";
+import { ResponseExcess } from "../ResponseExcess.js";
+import { ResponseLimitError } from "../ResponseLimitError.js";
 import { ResponseLimits } from "../ResponseLimits.js";
 import { ResponseParser } from "../ResponseParser/index.js";
 
@@ -17,7 +19,13 @@
 /** Margin before the stated idle limit from which a connection is no longer reused, in ms. */
 const IDLE_MARGIN_MS = 1_000;
 /** Limits on what is read for one request; larger than any response of the current services. */
-const RESPONSE_LIMITS: ResponseLimits = { maxBodyBytes: 16 * 1_024 * 1_024, maxHeadBytes: 64 * 1_024 };
+const RESPONSE_LIMITS: ResponseLimits = {
+    maxBodyBytes: 16 * 1_024 * 1_024,
+    maxHeadBytes: 64 * 1_024,
+    maxFields: 1_000,
+    maxSmallChunks: 65_536,
+    minMeanChunkBytes: 16,
+};
 const EMPTY = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
@@ -130,7 +138,8 @@
         }
         catch (thrown) {
             this.isRetired = true;
-            this.fail(`invalid response: ${toError(thrown).message}`);
+            const error = toError(thrown);
+            this.fail(`invalid response: ${error.message}`, error instanceof ResponseLimitError ? error.excess : undefined);
             this.socket.destroy();
         }
     }
@@ -194,12 +203,13 @@
         return this.requestCount === 1 && (request.requestId === "" || this.dialect.isNotRun(response.status, response.headers));
     }
 
-    private fail(problem: string): void {
+    private fail(problem: string, excess?: ResponseExcess): void {
         this.isOpen = false;
         this.parser.discard();
         this.finish({
             kind: BackendResultKind.Broken,
             problem,
+            excess,
             wasReused: this.requestCount > 1,
             hadResponseBytes: this.parser.responseBytes > 0,
             afterMs: nowMs() - this.sentAtMs,
--- a/src/backend/BackendPool/index.ts
+++ b/src/backend/BackendPool/index.ts
@@ -49,6 +49,11 @@
         return this.openedConnections;
     }
 
+    /** Bytes of incomplete responses that all connections hold. */
+    get bufferedBytes(): number {
+        return this.budget.heldBytes;
+    }
+
     /**
      * Sends a request.
      *
--- a/src/backend/BackendPort.ts
+++ b/src/backend/BackendPort.ts
@@ -5,6 +5,8 @@
 export interface BackendPort {
     /** Number of connections opened since the start. */
     readonly openedCount: number;
+    /** Bytes of incomplete responses that all connections hold. */
+    readonly bufferedBytes: number;
     /**
      * Sends a request.
      *
--- a/src/backend/BackendResult.ts
+++ b/src/backend/BackendResult.ts
@@ -1,5 +1,6 @@
 import { BackendResponse } from "./BackendResponse.js";
 import { BackendResultKind } from "./BackendResultKind.js";
+import { ResponseExcess } from "./ResponseExcess.js";
 
 /** Result of an exchange with a backend server. */
 export type BackendResult =
@@ -8,6 +9,8 @@
     | {
         readonly kind: BackendResultKind.Broken;
         readonly problem: string;
+        /** What the response exceeded, if that is why it failed. */
+        readonly excess: ResponseExcess | undefined;
         /** True if the connection had carried earlier requests. */
         readonly wasReused: boolean;
         readonly hadResponseBytes: boolean;
--- a/src/backend/ResponseParser/index.ts
+++ b/src/backend/ResponseParser/index.ts
@@ -1,5 +1,6 @@
 import { HTTPParser } from "http-parser-js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { BodyBuffer } from "../../http/BodyBuffer/index.js";
 import { findFieldProblem } from "../../http/findFieldProblem/index.js";
 import { findFramingProblem } from "../../http/findFramingProblem/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
@@ -7,7 +8,10 @@
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { ParsedResponse } from "../ParsedResponse.js";
+import { ResponseLimitError } from "../ResponseLimitError.js";
+import { ResponseLimitKind } from "../ResponseLimitKind.js";
 import { ResponseLimits } from "../ResponseLimits.js";
+import { ResponseMeter } from "../ResponseMeter/index.js";
 
 const MIN_STATUS = 100;
 const STATUS_SWITCHING_PROTOCOLS = 101;
@@ -15,8 +19,10 @@
 const MAX_STATUS = 599;
 const MAJOR_VERSION = 1;
 const CHUNK_SIZE_LINE = /^[0-9a-fA-F]{1,8}(;.*)?$/;
-/** Bytes of framing allowed for each byte of a chunked body; a chunk of one byte has 5 bytes of framing. */
-const FRAMING_FACTOR = 8;
+/** Memory that a header field takes beside its characters, in bytes. */
+const FIELD_OVERHEAD_BYTES = 128;
+/** Number of reads after which the parts of an incomplete line are joined: each part takes 32 bytes besides its characters. */
+const MAX_LINE_PARTS = 256;
 const FIELD_LINE = /^([^: \t]+)[ \t]*:/;
 const CONTINUATION_LINE = /^[ \t]/;
 
@@ -37,6 +43,8 @@
     readonly state: string;
     readonly offset: number;
     readonly end: number;
+    /** Beginning of a line whose end has not been received. */
+    line: string;
     consumeLine(): string | undefined;
     parseHeader(line: string, headers: string[]): void;
 }
@@ -49,26 +57,27 @@
     private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
     private status = 0;
     private headers: HeaderList = [];
-    private body: Buffer[] = [];
+    private readonly body = BodyBuffer.create();
+    private readonly meter: ResponseMeter;
     private keepsAlive = false;
     private method = "";
-    private receivedBytes = 0;
-    private bodyBytes = 0;
     private bufferedBytes = 0;
+    private lineParts = 0;
 
     private constructor(
         private readonly onResponse: (response: ParsedResponse) => void,
-        private readonly limits: ResponseLimits,
+        limits: ResponseLimits,
         private readonly budget: ByteBudget,
     ) {
+        this.meter = ResponseMeter.create(limits);
         this.parser[HTTPParser.kOnHeadersComplete] = (head: ResponseHead): number => this.handleHead(head);
         this.parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
-            this.bodyBytes += length;
+            this.meter.countBody(length);
             this.reserve(length);
-            this.body.push(chunk.subarray(offset, offset + length));
+            this.body.add(chunk.subarray(offset, offset + length));
         };
         this.parser[HTTPParser.kOnMessageComplete] = (): void => this.complete();
-        this.rejectMalformedLines();
+        this.checkLines();
     }
 
     /**
@@ -84,28 +93,28 @@
 
     /** Number of bytes received since the last call of `expectResponse`. */
     get responseBytes(): number {
-        return this.receivedBytes;
+        return this.meter.receivedBytes;
     }
 
     /** Prepares the parser for the response to a request. */
     expectResponse(method: string): void {
         this.method = method;
-        this.receivedBytes = 0;
-        this.bodyBytes = 0;
+        this.meter.reset();
     }
 
     /**
      * Parses bytes received on the connection.
      *
-     * @throws Error if they are not valid HTTP, or exceed the limits.
+     * @throws ResponseLimitError if they exceed the limits.
+     * @throws Error if they are not valid HTTP.
      */
     parse(chunk: Buffer): void {
-        this.receivedBytes += chunk.length;
+        this.meter.countRead(chunk.length);
         const result: number | Error = this.parser.execute(chunk);
         if (result instanceof Error) {
             throw result;
         }
-        this.checkSize();
+        this.meter.checkHead();
     }
 
     /**
@@ -120,25 +129,16 @@
         }
     }
 
-    private checkSize(): void {
-        if (this.bodyBytes > this.limits.maxBodyBytes) {
-            throw new Error(`more than ${this.limits.maxBodyBytes} bytes of body`);
-        }
-        if (this.receivedBytes - this.bodyBytes > this.limits.maxHeadBytes + FRAMING_FACTOR * this.bodyBytes) {
-            throw new Error(`more than ${this.limits.maxHeadBytes} bytes of head`);
-        }
-    }
-
     /** Returns 1 if the library must not read a body after a header section, and 0 otherwise. */
     private handleHead(head: ResponseHead): number {
         this.status = head.statusCode;
         this.headers = pairHeaders(head.headers);
         this.keepsAlive = head.shouldKeepAlive;
-        this.body = [];
         const hasBody = this.status >= MIN_FINAL_STATUS && !isBodiless(this.method, this.status);
         this.checkHead(head);
         if (hasBody) {
-            this.checkDeclaredLength();
+            // A length beyond the limit is refused before any of the body is read.
+            this.meter.checkLength(Number(findHeader(this.headers, "content-length") ?? 0));
         }
         return hasBody ? 0 : 1;
     }
@@ -156,32 +156,26 @@
         }
     }
 
-    /** Rejects a response whose `Content-Length` exceeds the limit before any of its body is read. */
-    private checkDeclaredLength(): void {
-        const declaredBytes = Number(findHeader(this.headers, "content-length") ?? 0);
-        if (declaredBytes > this.limits.maxBodyBytes) {
-            throw new Error(`the declared body length of ${declaredBytes} bytes exceeds the limit`);
-        }
-    }
-
     private complete(): void {
         if (this.status >= MIN_FINAL_STATUS) {
             const { status, headers } = this;
-            this.onResponse({ status, headers, body: Buffer.concat(this.body), keepsAlive: this.keepsAlive && !this.hasTrailingBytes });
+            this.onResponse({ status, headers, body: this.body.take(), keepsAlive: this.keepsAlive && !this.hasTrailingBytes });
         }
         this.discard();
     }
 
     /** Discards the buffered part of an incomplete response. Call it when the connection ends. */
     discard(): void {
-        this.body = [];
+        this.body.clear();
         this.budget.release(this.bufferedBytes);
         this.bufferedBytes = 0;
     }
 
     private reserve(bytes: number): void {
         if (!this.budget.tryAcquire(bytes)) {
-            throw new Error(`response buffer is full: ${this.budget.heldBytes} bytes of other responses are held`);
+            const { heldBytes, limitBytes } = this.budget;
+            const excess = { kind: ResponseLimitKind.Buffers, held: heldBytes + bytes, limit: limitBytes };
+            throw ResponseLimitError.create(excess, `response buffer is full: ${heldBytes} bytes of responses are held`);
         }
         this.bufferedBytes += bytes;
     }
@@ -197,21 +191,29 @@
     }
 
     /**
-     * Makes malformed lines an error. The library would take a malformed chunk size for that of the last chunk, and would
-     * skip a malformed line of a header section, which may be the one that frames the body.
+     * Limits lines, and makes malformed ones an error. The library would take a malformed chunk size for that of the last chunk,
+     * and would skip a malformed line of a header section, which may be the one that frames the body.
      */
-    private rejectMalformedLines(): void {
+    private checkLines(): void {
         const { internals } = this;
         const consumeLine = internals.consumeLine.bind(internals);
         const parseHeader = internals.parseHeader.bind(internals);
         internals.consumeLine = (): string | undefined => {
             const line = consumeLine();
-            if (internals.state === "BODY_CHUNKHEAD" && line !== undefined && !CHUNK_SIZE_LINE.test(line.trim())) {
-                throw new Error("malformed chunk size");
+            if (line === undefined) {
+                this.joinLineParts();
+            }
+            else if (internals.state === "BODY_CHUNKHEAD") {
+                this.meter.countChunk();
+                if (!CHUNK_SIZE_LINE.test(line.trim())) {
+                    throw new Error("malformed chunk size");
+                }
             }
             return line;
         };
         internals.parseHeader = (line: string, headers: string[]): void => {
+            this.meter.countField();
+            this.reserve(line.length + FIELD_OVERHEAD_BYTES);
             const isContinuation = CONTINUATION_LINE.test(line) && headers.length > 0;
             if (!isContinuation && !FIELD_LINE.test(line)) {
                 throw new Error("malformed line in a header section");
@@ -220,4 +222,13 @@
             parseHeader(isContinuation ? line : line.replace(FIELD_LINE, "$1:"), headers);
         };
     }
+
+    /** Joins the parts of an incomplete line, which the library appends to each other with each read. */
+    private joinLineParts(): void {
+        this.lineParts += 1;
+        if (this.lineParts % MAX_LINE_PARTS === 0) {
+            const { internals } = this;
+            internals.line = Buffer.from(internals.line, "latin1").toString("latin1");
+        }
+    }
 }
--- a/src/backend/ResponseParser/test.ts
+++ b/src/backend/ResponseParser/test.ts
@@ -1,15 +1,16 @@
 import test from "ava";
+import { measureHeldBytes } from "../../../test/fixtures/measureHeldBytes.js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { ParsedResponse } from "../ParsedResponse.js";
 import { ResponseParser } from "./index.js";
 
-const LIMITS = { maxBodyBytes: 4_096, maxHeadBytes: 4_096 };
+const LIMITS = { maxBodyBytes: 4_096, maxHeadBytes: 4_096, maxFields: 64, maxSmallChunks: 64, minMeanChunkBytes: 16 };
 const STATUS_LINE = "HTTP/1.1 200 OK";
 
 /** Parses bytes as the response to a request, in pieces of a given size. */
 function parse(text: string, method = "GET", pieceBytes = text.length): ParsedResponse[] {
     const responses: ParsedResponse[] = [];
-    const parser = ResponseParser.create((response) => responses.push(response), LIMITS, ByteBudget.create(4_096));
+    const parser = ResponseParser.create((response) => responses.push(response), LIMITS, ByteBudget.create(65_536));
     parser.expectResponse(method);
     const data = Buffer.from(text, "latin1");
     for (let offset = 0; offset < data.length; offset += pieceBytes) {
@@ -103,3 +104,81 @@
     const interim = encode(["Content-Length: 16"], "", "HTTP/1.1 103 Early Hints");
     t.deepEqual(parse(interim + encode(["Content-Length: 16"], BODY)).map(({ status, body }) => [status, body.toString()]), [[200, BODY]]);
 });
+
+const MEGABYTE = 1_024 * 1_024;
+/** Limits that hold a response by its bytes alone. */
+const WIDE_LIMITS = { maxBodyBytes: MEGABYTE, maxHeadBytes: MEGABYTE, maxFields: 1_000, maxSmallChunks: MEGABYTE, minMeanChunkBytes: 16 };
+
+/** Returns a parser that has read the head of a response without a length, or with chunks, and its budget. */
+function startResponse(fields: readonly string[]): { readonly parser: ResponseParser; readonly budget: ByteBudget } {
+    const budget = ByteBudget.create(MEGABYTE);
+    const parser = ResponseParser.create(() => undefined, WIDE_LIMITS, budget);
+    parser.expectResponse("GET");
+    parser.parse(Buffer.from(encode(fields, "")));
+    return { parser, budget };
+}
+
+test("a body in chunks of one byte takes memory by its bytes, not by its chunks", (t) => {
+    const count = 200_000;
+    const heldBytes = measureHeldBytes(() => {
+        const { parser } = startResponse(["Transfer-Encoding: chunked"]);
+        const block = "1\r\nz\r\n".repeat(count / 100);
+        for (let number = 0; number < 100; number += 1) {
+            parser.parse(Buffer.from(block));
+        }
+        return parser;
+    });
+    t.log(`${heldBytes / count} bytes for each chunk`);
+    t.true(heldBytes < 4 * count, `${heldBytes} bytes for a body of ${count} bytes`);
+});
+
+test("a body that arrives byte by byte does not hold the buffers that it was read into", (t) => {
+    const count = 1_000;
+    const heldBytes = measureHeldBytes(() => {
+        const { parser } = startResponse([]);
+        for (let number = 0; number < count; number += 1) {
+            parser.parse(Buffer.alloc(16_384).subarray(0, 1));
+        }
+        return parser;
+    });
+    t.log(`${heldBytes / count} bytes for each piece`);
+    t.true(heldBytes < MEGABYTE, `${heldBytes} bytes for a body of ${count} bytes`);
+});
+
+test("a line that arrives byte by byte takes memory by its bytes, not by its pieces", (t) => {
+    const count = 60_000;
+    const heldBytes = measureHeldBytes(() => {
+        const { parser } = startResponse(["Transfer-Encoding: chunked"]);
+        parser.parse(Buffer.from("1;"));
+        const piece = Buffer.from("x");
+        for (let number = 0; number < count; number += 1) {
+            parser.parse(piece);
+        }
+        return parser;
+    });
+    t.log(`${heldBytes / count} bytes for each piece`);
+    t.true(heldBytes < 8 * count, `${heldBytes} bytes for a line of ${count} bytes`);
+});
+
+// Guards against bytes of head that hide behind a body: each byte of it allowed eight more of framing.
+test("a chunk line without end behind a large body is refused at the limit on the head", (t) => {
+    const head = encode(["Transfer-Encoding: chunked"], `${(2_048).toString(16)}\r\n${"x".repeat(2_048)}\r\n`);
+    t.throws(() => parse(`${head}1;${"x".repeat(4_096)}`, "GET", 512), { message: "more than 4096 bytes of head" });
+});
+
+test("header fields, continued lines and trailers without end are refused by their number", (t) => {
+    const fields = Array.from({ length: 80 }, () => "a:");
+    const trailers = `0\r\n${fields.join("\r\n")}`;
+    const continued = ["a: b", ...Array.from({ length: 80 }, () => " b")];
+    t.throws(() => parse(encode(fields, "")), { message: "more than 64 header fields" });
+    t.throws(() => parse(encode(continued, "")), { message: "more than 64 header fields" });
+    t.throws(() => parse(encode(["Transfer-Encoding: chunked"], trailers)), { message: "more than 64 header fields" });
+});
+
+test("header fields and bytes of an incomplete response count against what all connections may hold, until it is discarded", (t) => {
+    const { parser, budget } = startResponse(["a: b", "Transfer-Encoding: chunked"]);
+    parser.parse(Buffer.from("3\r\nabc\r\n"));
+    t.true(budget.heldBytes > 128 * 2, `${budget.heldBytes} bytes`);
+    parser.discard();
+    t.is(budget.heldBytes, 0);
+});
--- a/src/decisions/limits/ByteBudget/index.ts
+++ b/src/decisions/limits/ByteBudget/index.ts
@@ -22,6 +22,11 @@
         return this.acquiredBytes;
     }
 
+    /** Maximum number of bytes in use. */
+    get limitBytes(): number {
+        return this.maxBytes;
+    }
+
     /** Acquires bytes; returns false and acquires nothing if too few are left. */
     tryAcquire(bytes: number): boolean {
         if (this.acquiredBytes + bytes > this.maxBytes) {
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -154,6 +154,7 @@
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -20,6 +20,7 @@
 import { OutlierDetector } from "../../decisions/outliers/OutlierDetector/index.js";
 import { ProbeDemand } from "../../decisions/outliers/ProbeDemand.js";
 import { isServerDown } from "../../http/isServerDown/index.js";
+import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
@@ -93,6 +94,7 @@
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
     private readonly statements: EndpointStatements;
+    private readonly budgetLog: BudgetLog;
     private retryBudget: FleetRetryBudget;
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
@@ -102,6 +104,7 @@
     private constructor(private readonly options: ServingGateOptions) {
         this.retryBudget = FleetRetryBudget.create(options.retryBudgetLimits);
         this.statements = EndpointStatements.create(options);
+        this.budgetLog = BudgetLog.create(options.events);
         this.cleanupTimer = setInterval(() => this.options.backend.closeUnusable(), CLEANUP_INTERVAL_MS);
     }
 
@@ -154,6 +157,11 @@
         return this.options.backend.openedCount;
     }
 
+    /** Bytes of incomplete responses that are held. */
+    get responseBufferBytes(): number {
+        return this.options.backend.bufferedBytes;
+    }
+
     /** Sets the latest report of the endpoint. Offers are refused while the endpoint is not ready. */
     setEndpoint(endpoint: EndpointReport): void {
         const isNewRun = this.endpoint === undefined || !isSameRun(this.endpoint, endpoint);
@@ -420,6 +428,9 @@
                     problem: result.problem,
                     reused: result.wasReused,
                 });
+                if (result.excess !== undefined) {
+                    this.budgetLog.recordRefusal(result.excess.kind, result.excess.held, result.excess.limit, this.options.backendAddress);
+                }
                 return { kind: GateReplyKind.Broken, problem: result.problem, lostEndpoint: !result.hadResponseBytes };
             case BackendResultKind.Answered: {
                 const { status, headers } = result.answer;
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -68,6 +68,7 @@
 
 interface Fixture {
     readonly gate: ServingGate;
+    readonly events: EventLog;
     /** Runs of the endpoint that an answer has shown to be there or not. */
     readonly presences: readonly (readonly [string, boolean])[];
     readonly arrivals: () => number;
@@ -89,12 +90,13 @@
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     const backendAddress = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const events = EventLog.create("vm-1", undefined);
     const gate = ServingGate.create({
         vm: "vm-1",
         backendAddress,
         backend: BackendPool.create(backendAddress, DIALECT),
         dialect: DIALECT,
-        events: EventLog.create("vm-1", undefined),
+        events,
         retryBudgetLimits: { windowMs: 10_000, ratio: 0.2, slack: 5 },
         countGates: () => 1,
         hasFailedCallSince: (sinceMs) => failedCallAtMs >= sinceMs,
@@ -107,6 +109,7 @@
     try {
         await run({
             gate,
+            events,
             presences,
             arrivals: () => arrivals,
             offer: (key, overrides = {}) => {
@@ -380,3 +383,56 @@
         t.is(arrivals(), 0);
     });
 });
+
+// Guards against a response of pieces without end that ends the process: each piece took memory of its own.
+test.serial("a response of tiny chunks without end is refused by their number, with one line that names the limit", async (t) => {
+    const handle = (socket: Socket): void => {
+        socket.write("HTTP/1.1 200 X\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        socket.write("1\r\nz\r\n".repeat(200_000));
+    };
+    await withGate(t, handle, async ({ gate, events, offer }) => {
+        const { replies } = offer("1");
+        await waitUntil(() => replies.length === 2);
+        const broken = replies[1];
+        t.true(broken?.kind === GateReplyKind.Broken && broken.problem.includes("chunks"), JSON.stringify(broken));
+        const holders = events.find("BudgetExceeded").map(({ holder }) => holder);
+        t.deepEqual(holders, ["chunks of a response"]);
+        t.is(gate.responseBufferBytes, 0);
+    });
+});
+
+test.serial("a response that trickles past its deadline is ended, and what it held is given back", async (t) => {
+    let timer: NodeJS.Timeout | undefined;
+    const handle = (socket: Socket): void => {
+        socket.write("HTTP/1.1 200 X\r\nId: 1\r\n\r\n");
+        timer = setInterval(() => socket.write("x"), 10);
+    };
+    await withGate(t, handle, async ({ gate, offer }) => {
+        const { replies } = offer("1", { remainingMs: 200 });
+        await waitUntil(() => gate.responseBufferBytes > 0);
+        await waitUntil(() => replies.length === 2);
+        clearInterval(timer);
+        t.is(replies[1]?.kind, GateReplyKind.Broken);
+        t.is(gate.responseBufferBytes, 0);
+        t.is(gate.load.running, 0);
+    });
+});
+
+test.serial("a response whose request was cancelled, or whose connection ends midway, holds nothing any longer", async (t) => {
+    const sockets: Socket[] = [];
+    const handle = (socket: Socket): void => {
+        sockets.push(socket);
+        socket.write(`HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: 100000\r\n\r\n${"x".repeat(50_000)}`);
+    };
+    await withGate(t, handle, async ({ gate, offer }) => {
+        const cancelled = offer("1");
+        await waitUntil(() => gate.responseBufferBytes > 50_000);
+        cancelled.handle.cancel();
+        t.is(gate.responseBufferBytes, 0);
+        const cut = offer("2");
+        await waitUntil(() => gate.responseBufferBytes > 50_000);
+        sockets[1]?.destroy();
+        await waitUntil(() => cut.replies.length === 2);
+        t.is(gate.responseBufferBytes, 0);
+    });
+});
