Quote no more than the beginning of what an endpoint sent

Found while looking for what is held per entry: a response with an invalid header name is refused with a problem that repeats the name in full, and six characters for each control character. The problem is kept in the event log (1,000 events), logged, and sent to the entry, which does the same. With heads of 64 KB, an event can take 390 KB, and 300 such responses the heap of 120 MB: at a probe a second, in minutes.

Evidence: the problem of a response with a name of 3,000 control characters had 18,035 characters (ResponseParser test). Calculated, not run: the end of the process.

Measured: the same problem is under 600 characters.

--- a/src/backend/ResponseParser/test.ts
+++ b/src/backend/ResponseParser/test.ts
@@ -182,3 +182,13 @@
     parser.discard();
     t.is(budget.heldBytes, 0);
 });
+
+// Guards against events that keep what an endpoint has sent, six characters for each of its control characters.
+test("the problem of a response does not repeat a header field of any length", (t) => {
+    const long = "\x01".repeat(3_000);
+    const fields = [`${long}: a`, `a: ${long}`, `Content-Length: ${long}`, `Transfer-Encoding: ${long}`];
+    const lengths = fields.map((field) => t.throws(() => parse(encode([field], ""))).message.length);
+    t.true(lengths.every((length) => length < 600), lengths.join(", "));
+    const differing = Array.from({ length: 50 }, (_value, index) => `Content-Length: ${"0".repeat(60)}${index}`);
+    t.true(t.throws(() => parse(encode(differing, ""))).message.length < 200);
+});
--- a/src/http/findFieldProblem/index.ts
+++ b/src/http/findFieldProblem/index.ts
@@ -1,4 +1,5 @@
 import { HeaderList } from "../../model/HeaderList.js";
+import { quoteExcerpt } from "../../model/quoteExcerpt/index.js";
 
 /** A token (RFC 9110, section 5.6.2). */
 const NAME = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/;
@@ -17,8 +18,8 @@
 export function findFieldProblem(headers: HeaderList): string | undefined {
     const invalidName = headers.find(([name]) => !NAME.test(name));
     if (invalidName !== undefined) {
-        return `invalid name of the header field ${JSON.stringify(invalidName[0])}`;
+        return `invalid name of the header field ${quoteExcerpt(invalidName[0])}`;
     }
     const invalidValue = headers.find(([, value]) => !VALUE.test(value));
-    return invalidValue === undefined ? undefined : `invalid value of the header field ${JSON.stringify(invalidValue[0])}`;
+    return invalidValue === undefined ? undefined : `invalid value of the header field ${quoteExcerpt(invalidValue[0])}`;
 }
--- a/src/http/findFramingProblem/index.ts
+++ b/src/http/findFramingProblem/index.ts
@@ -1,4 +1,5 @@
 import { HeaderList } from "../../model/HeaderList.js";
+import { quoteExcerpt } from "../../model/quoteExcerpt/index.js";
 import { findHeaders } from "../findHeaders/index.js";
 
 /** Digits only; at most 15, so that the number is exact. */
@@ -21,16 +22,17 @@
     const codings = findHeaders(headers, "transfer-encoding");
     const unreadable = lengths.find((length) => !LENGTH.test(length));
     if (unreadable !== undefined) {
-        return `unreadable Content-Length ${JSON.stringify(unreadable)}`;
+        return `unreadable Content-Length ${quoteExcerpt(unreadable)}`;
     }
-    if (new Set(lengths.map(Number)).size > 1) {
-        return `differing Content-Length fields ${lengths.join(" and ")}`;
+    const [length, otherLength] = new Set(lengths.map(Number));
+    if (otherLength !== undefined) {
+        return `differing Content-Length fields ${length} and ${otherLength}`;
     }
     if (codings.length === 0) {
         return undefined;
     }
     if (codings.length > 1 || codings[0]?.toLowerCase() !== CHUNKED) {
-        return `unsupported Transfer-Encoding ${JSON.stringify(codings.join(", "))}`;
+        return `unsupported Transfer-Encoding ${quoteExcerpt(codings.join(", "))}`;
     }
     if (!supportsChunks) {
         return "Transfer-Encoding in a message of HTTP/1.0";
