Bound the number of requests that wait at a gate, and search the queue once a tick

Found while looking for what is held per waiter: the queue of a gate was bounded by expected waiting times alone. A request that overtakes all others waits for none of them, so requests with ever earlier targets were all accepted, each with its body.

Evidence: the new tests failed before: 1,999 waiting requests of 2,000; the number of reads of a request while overdue ones are searched.

Change: at most 1,024 requests wait, further ones are refused as busy. Overdue requests are found in one pass over the sorted queue; a test compares the result with the wait that each request alone would have.

--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -10,6 +10,8 @@
 import { isBlockedByGrade } from "../isBlockedByGrade/index.js";
 import { ServingRequest } from "../ServingRequest.js";
 
+/** Maximum number of waiting requests; each takes memory with its body, and time whenever the queue is searched. */
+const MAX_WAITING = 1_024;
 /** Service time assumed before the first answer, in ms: about that of a short request. */
 const INITIAL_SERVICE_MS = 300;
 /** Weight of the latest service time in the moving average. */
@@ -125,6 +127,10 @@
      */
     expectedWaitMs(request: Pick<ServingRequest, "priority" | "targetAtMs">, nowMs: number): number {
         const ahead = this.waiting.filter((waiting) => waiting !== request && hasPrecedence(waiting, request)).length;
+        return this.waitAheadMs(request, ahead, nowMs);
+    }
+
+    private waitAheadMs(request: Pick<ServingRequest, "priority">, ahead: number, nowMs: number): number {
         return Math.max(this.slotWaitMs(request, ahead), this.limiter.waitMs(ahead, nowMs));
     }
 
@@ -207,9 +213,10 @@
 
     /** Removes and returns the waiting requests that are expected to miss their deadline because others have overtaken them. */
     removeOverdue(nowMs: number): readonly ServingRequest[] {
-        const overdue = this.waiting.filter((waiting) => this.isOverdue(waiting, nowMs));
-        this.waiting = this.waiting.filter((waiting) => !overdue.includes(waiting));
-        return overdue;
+        const overdue = this.findOverdue(nowMs);
+        const removed = this.waiting.filter((waiting) => overdue.has(waiting));
+        this.waiting = this.waiting.filter((waiting) => !overdue.has(waiting));
+        return removed;
     }
 
     /** Starts waiting requests while there are free slots and the limit allows it, and returns them. */
@@ -234,6 +241,9 @@
         if (this.isBlocked(request, grade, nowMs)) {
             return RefusalCause.Untrusted;
         }
+        if (this.waiting.length >= MAX_WAITING) {
+            return RefusalCause.Busy;
+        }
         const waitMs = this.expectedWaitMs(request, nowMs);
         if (nowMs + waitMs >= request.deadlineAtMs) {
             return RefusalCause.Deadline;
@@ -249,9 +259,27 @@
         return demand === ProbeDemand.None || (demand === ProbeDemand.Repeatable && request.requestKind === RequestKind.Once);
     }
 
+    /** Finds overdue requests in one pass over the queue: the last of several equal requests tells how many are ahead of each. */
+    private findOverdue(nowMs: number): ReadonlySet<ServingRequest> {
+        const lastFirst = [...this.waiting].sort((left, right) => right.priority - left.priority || right.targetAtMs - left.targetAtMs);
+        const overdue = new Set<ServingRequest>();
+        let ahead = 0;
+        let next: ServingRequest | undefined;
+        for (const [index, request] of lastFirst.entries()) {
+            if (next === undefined || !hasPrecedence(next, request)) {
+                ahead = lastFirst.length - 1 - index;
+            }
+            if (this.isOverdue(request, ahead, nowMs)) {
+                overdue.add(request);
+            }
+            next = request;
+        }
+        return overdue;
+    }
+
     /** True if not even half of the mean service time is expected to fit before the deadline. */
-    private isOverdue(request: ServingRequest, nowMs: number): boolean {
-        return nowMs + this.expectedWaitMs(request, nowMs) + this.meanServiceMs / 2 >= request.deadlineAtMs;
+    private isOverdue(request: ServingRequest, ahead: number, nowMs: number): boolean {
+        return nowMs + this.waitAheadMs(request, ahead, nowMs) + this.meanServiceMs / 2 >= request.deadlineAtMs;
     }
 
     private shouldStartBefore(left: ServingRequest, right: ServingRequest, nowMs: number): boolean {
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -211,3 +211,49 @@
     t.is(limitedQueue(5, 4).usableSlots, 2);
     t.is(ServingQueue.create(5).usableSlots, 5);
 });
+
+// Guards against a queue that is bounded by time alone: requests that overtake all others wait for no one.
+test("the number of waiting requests is bounded, whatever their targets", (t) => {
+    const queue = ServingQueue.create(1);
+    const admissions = Array.from({ length: 2_000 }, (_value, index) =>
+        queue.admit(request(String(index), { targetAtMs: 5_000 - index }), Grade.Trusted, 0));
+    t.is(queue.waitingCount, 1_024);
+    const last = admissions.at(-1);
+    t.true(last?.kind === AdmissionKind.Refuse && last.cause === RefusalCause.Busy, JSON.stringify(last));
+});
+
+// Guards against a search of the queue for each request in it, ten times a second: with 1,024 it took a third of a processor.
+test("the overdue requests of a long queue are those that each wait alone would tell, and are found in one pass", (t) => {
+    let random = 1;
+    const next = (bound: number): number => {
+        random = random * 48_271 % 2_147_483_647;
+        return random % bound;
+    };
+    const queue = ServingQueue.create(4);
+    for (let index = 0; index < 1_000; index += 1) {
+        queue.admit(request(String(index), {
+            priority: next(3),
+            targetAtMs: next(40),
+            deadlineAtMs: 100_000 + next(100_000),
+            maxQueueMs: Number.POSITIVE_INFINITY,
+        }), Grade.Trusted, 0);
+    }
+    const { serviceMs } = queue;
+    const atMs = 90_000;
+    let reads = 0;
+    const waiting = queue.removeAllWaiting().map(({ targetAtMs, ...rest }) => ({
+        ...rest,
+        get targetAtMs(): number {
+            reads += 1;
+            return targetAtMs;
+        },
+    }));
+    t.true(waiting.length > 900);
+    waiting.forEach((one) => void queue.admit(one, Grade.Trusted, 0));
+    const expected = waiting.filter((one) => atMs + queue.expectedWaitMs(one, atMs) + serviceMs / 2 >= one.deadlineAtMs).map(({ key }) => key);
+    reads = 0;
+    const removed = keys(queue.removeOverdue(atMs));
+    t.deepEqual(removed, expected);
+    t.true(removed.length > 100 && removed.length < waiting.length, `${removed.length} of ${waiting.length}`);
+    t.true(reads < 50 * waiting.length, `${reads} reads`);
+});
