Bound the strikes of a request, the departures of endpoints, and the names of header fields

Found by listing all that grows per request, header name, loss or endpoint id in the parts beside an endpoint.

--- a/src/decisions/fleet/EndpointTracker/index.ts
+++ b/src/decisions/fleet/EndpointTracker/index.ts
@@ -1,3 +1,4 @@
+import { copyText } from "../../../model/copyText/index.js";
 import { EndpointPhase } from "../EndpointPhase.js";
 import { EndpointReport } from "../EndpointReport.js";
 import { EndpointRun } from "../EndpointRun.js";
@@ -16,6 +17,11 @@
 /** Maximum number of displaced and of refuted runs that are remembered. */
 const MAX_REMEMBERED_RUNS = 8;
 
+/** Maximum number of departures that are remembered, the latest ones; more than reports can be late. */
+const MAX_DEPARTURES = 256;
+/** Length of an id in characters beyond which no report is accepted, so that its departure need not be remembered. */
+const MAX_ID_CHARACTERS = 256;
+
 /** A run that a later one has displaced while it was ready and reported. */
 interface DisplacedRun {
     readonly report: EndpointReport;
@@ -53,6 +59,11 @@
         return this.latest;
     }
 
+    /** Number of departures that are remembered. */
+    get departureCount(): number {
+        return this.departedAtMs.size;
+    }
+
     /** Time at which a report was last accepted. */
     get lastReportAtMs(): number {
         return this.reportedAtMs;
@@ -139,7 +150,7 @@
      */
     applyDeparture(id: string, nowMs: number, timeOfDayMs: number): boolean {
         const { latest } = this;
-        this.departedAtMs.set(id, timeOfDayMs);
+        this.rememberDeparture(id, timeOfDayMs);
         this.displaced = this.displaced.filter((run) => run.report.id !== id);
         if (latest?.id !== id) {
             return false;
@@ -165,6 +176,19 @@
         return true;
     }
 
+    private rememberDeparture(id: string, timeOfDayMs: number): void {
+        if (id.length > MAX_ID_CHARACTERS) {
+            return;
+        }
+        const key = copyText(id, MAX_ID_CHARACTERS);
+        this.departedAtMs.delete(key);
+        this.departedAtMs.set(key, timeOfDayMs);
+        const oldest = this.departedAtMs.keys().next();
+        if (this.departedAtMs.size > MAX_DEPARTURES && oldest.done !== true) {
+            this.departedAtMs.delete(oldest.value);
+        }
+    }
+
     /** Applies a report of the current run. A late one still counts if it says that the run ends, since no run takes that back. */
     private applyCurrentRun(report: EndpointReport, latest: EndpointReport, nowMs: number): boolean {
         const phase = laterPhase(latest.phase, report.phase);
--- a/src/decisions/fleet/EndpointTracker/test.ts
+++ b/src/decisions/fleet/EndpointTracker/test.ts
@@ -181,3 +181,16 @@
     t.true(tracker.applyReport({ ...READY, sequence: 5, phase: EndpointPhase.Draining }, 100));
     t.is(tracker.report?.phase, EndpointPhase.Draining);
 });
+
+// Guards against departures without end, each under an id of its own, of which none was ever forgotten.
+test("the remembered departures are bounded; the latest ones still hold", (t) => {
+    const tracker = EndpointTracker.create();
+    for (let index = 0; index < 1_000; index += 1) {
+        tracker.applyDeparture(`i-${index}`, index, 2_000);
+    }
+    tracker.applyDeparture("i".repeat(10_000), 1_000, 2_000);
+    t.is(tracker.departureCount, 256);
+    t.false(tracker.applyReport({ ...READY, id: "i-999" }, 1_000));
+    t.false(tracker.applyReport({ ...READY, id: "i-800" }, 1_000));
+    t.true(tracker.applyReport({ ...READY, id: "i-1000" }, 1_000));
+});
--- a/src/decisions/quarantine/QuarantineTracker/index.ts
+++ b/src/decisions/quarantine/QuarantineTracker/index.ts
@@ -2,6 +2,8 @@
 /** Age from which a strike no longer counts, in ms. */
 const STRIKE_TTL_MS = 600_000;
 const QUARANTINE_MS = 600_000;
+/** Maximum number of strikes that are kept of a request, the latest ones; more than any number that quarantines it. */
+const MAX_STRIKES = 16;
 /** Maximum number of requests with strikes that are tracked. */
 const MAX_FINGERPRINTS = 4_096;
 
@@ -32,6 +34,11 @@
         return new QuarantineTracker(strikesToQuarantine);
     }
 
+    /** Number of strikes that are kept of all requests. */
+    get strikeCount(): number {
+        return [...this.requests.values()].reduce((sum, { strikes }) => sum + strikes.size, 0);
+    }
+
     /** Number of requests with strikes. */
     get size(): number {
         return this.requests.size;
@@ -50,12 +57,12 @@
         if (record.strikes.has(lossId)) {
             return false;
         }
+        dropOutdated(record.strikes, nowMs);
         record.strikes.set(lossId, nowMs);
         this.requests.delete(fingerprint);
         this.requests.set(fingerprint, record);
         this.evictOldest();
-        const valid = [...record.strikes.values()].filter((atMs) => nowMs - atMs < STRIKE_TTL_MS);
-        if (valid.length >= this.strikesToQuarantine) {
+        if (record.strikes.size >= this.strikesToQuarantine) {
             record.quarantinedUntilMs = nowMs + QUARANTINE_MS;
         }
         return true;
@@ -78,3 +85,12 @@
         }
     }
 }
+
+/** Drops the strikes that no longer count, and the oldest ones so that there is room for another. */
+function dropOutdated(strikes: Map<string, number>, nowMs: number): void {
+    for (const [lossId, atMs] of strikes) {
+        if (nowMs - atMs >= STRIKE_TTL_MS || strikes.size >= MAX_STRIKES) {
+            strikes.delete(lossId);
+        }
+    }
+}
--- a/src/decisions/quarantine/QuarantineTracker/test.ts
+++ b/src/decisions/quarantine/QuarantineTracker/test.ts
@@ -52,3 +52,16 @@
     }
     t.is(tracker.size, 4_096);
 });
+
+// Guards against strikes of losses without end, each under an id of its own, of which none was ever dropped.
+test("the strikes of a request are bounded, and those that no longer count are dropped", (t) => {
+    const tracker = QuarantineTracker.create();
+    for (let index = 0; index < 1_000; index += 1) {
+        t.true(tracker.recordStrike("crash", `gate-${index}`, index));
+    }
+    t.is(tracker.strikeCount, 16);
+    t.true(tracker.isQuarantined("crash", 1_000));
+    t.true(tracker.recordStrike("crash", "gate-late", 20 * MINUTE_MS));
+    t.is(tracker.strikeCount, 1);
+    t.false(tracker.isQuarantined("crash", 20 * MINUTE_MS));
+});
--- a/src/serving/HeaderWatch/index.ts
+++ b/src/serving/HeaderWatch/index.ts
@@ -1,9 +1,12 @@
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { copyText } from "../../model/copyText/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
 
 /** Maximum number of distinct header fields that are remembered. */
 const MAX_NAMES = 256;
+/** Number of characters of a name that are remembered; longer than any usual one. */
+const MAX_NAME_CHARACTERS = 128;
 
 /**
  * Logs each header field of the responses of backend servers that nothing reads, once: backend servers may have begun to say
@@ -27,10 +30,19 @@
     /** Inspects the header fields of a response. */
     observe(headers: HeaderList): void {
         for (const [name] of headers) {
-            if (!this.names.has(name) && this.names.size < MAX_NAMES) {
-                this.names.add(name);
-                this.reportIfUnknown(name.toLowerCase());
+            if (this.names.size >= MAX_NAMES) {
+                return;
             }
+            if (!this.names.has(name)) {
+                this.remember(copyText(name, MAX_NAME_CHARACTERS));
+            }
+        }
+    }
+
+    private remember(name: string): void {
+        if (!this.names.has(name)) {
+            this.names.add(name);
+            this.reportIfUnknown(name.toLowerCase());
         }
     }
 
