Bound bodies of callers, operators and heartbeats by their pieces and their time

What callers saw: one client that sent `1\r\nz\r\n` without end on one connection ended the process that read it, and with it all requests of other callers there (11 of 70 calls were not answered). Cause: each piece of a body was kept as an object of its own (100 bytes and more for one byte), limits counted bytes only, and every port collected a body up to 32 MiB, also those whose requests have none. After an answer, the rest of a body was parsed on for as long as its sender liked. Change: bodies are collected by BodyBuffer; a body may have 16,384 pieces and one more for each 256 bytes, so that parsing stays short; it must be complete within the time that its caller waits, ten minutes at most, besides the idle timeout of the configuration. What is refused gets 413, 408, or 503 with Retry-After, and its connection is closed for writing while the rest is dropped unparsed (dropInput, closeInOrder).

--- a/src/callers/CallerConnection/index.ts
+++ b/src/callers/CallerConnection/index.ts
@@ -1,9 +1,8 @@
 import type { Socket } from "node:net";
+import { closeInOrder } from "../../http/closeInOrder/index.js";
+import { dropInput } from "../../http/dropInput/index.js";
 import { PendingRequest } from "../PendingRequest.js";
 
-/** Time for which a connection that was closed for writing is still read, in ms; several round trips to a caller. */
-const LINGER_MS = 1_000;
-
 /**
  * Connection of a caller. It is closed for writing first and then read until the caller closes it as well: a socket that is
  * closed while bytes are unread is reset, and the reset discards responses that the caller has not read yet.
@@ -46,9 +45,10 @@
         pending.response.once("close", remove);
     }
 
-    /** Records that the response which is written now closes the connection. */
+    /** Records that the response which is written now closes the connection; what the caller still sends is dropped. */
     setLastResponse(): void {
         this.isLastResponseSet = true;
+        dropInput(this.socket);
     }
 
     /** Closes the connection after what was written, and reads on for a while so that it is not reset. */
@@ -57,9 +57,6 @@
             return;
         }
         this.isClosing = true;
-        this.socket.end();
-        this.socket.resume();
-        const timer = setTimeout(() => this.socket.destroy(), LINGER_MS);
-        this.socket.once("close", () => clearTimeout(timer));
+        closeInOrder(this.socket);
     }
 }
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -5,23 +5,26 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { BodyLimits } from "../../http/BodyLimits.js";
+import { BodyResultKind } from "../../http/BodyResultKind.js";
 import { findFramingProblem } from "../../http/findFramingProblem/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
+import { hasBody } from "../../http/hasBody/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
+import { readBody } from "../../http/readBody/index.js";
+import { RefusalListener } from "../../http/RefusalListener.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
 import { assertNever } from "../../model/assertNever/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
-import { BodyLimits } from "../BodyLimits.js";
-import { BodyResultKind } from "../BodyResultKind.js";
 import { CallerConnection } from "../CallerConnection/index.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
 import { CallerResponse } from "../CallerResponse.js";
 import { PendingRequest } from "../PendingRequest.js";
-import { readBody } from "../readBody/index.js";
+import { writeResponse } from "../writeResponse/index.js";
 
 /** Limits that apply until the configuration sets others. */
 const DEFAULT_MAX_BODY_BYTES = 64 * 1_024 * 1_024;
@@ -31,6 +34,8 @@
 const MAX_HEADER_BYTES = 128 * 1_024;
 /** Limit on the buffered bytes of all bodies; each body is copied once, in a process of a few hundred megabytes. */
 const MAX_BUFFERED_BODY_BYTES = 32 * 1_024 * 1_024;
+/** Maximum time that a body takes, in ms; the longest time that a route may keep a caller waiting. */
+const MAX_BODY_TIME_MS = 600_000;
 /** Retry-after of a request that was refused because the body budget was exhausted, in ms; about the time of a request. */
 const BUDGET_RETRY_AFTER_MS = 1_000;
 const STATUS_BAD_REQUEST = 400;
@@ -39,8 +44,6 @@
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
-const STATUS_NO_CONTENT = 204;
-const STATUS_NOT_MODIFIED = 304;
 
 /**
  * HTTP/1.1 server for callers. Reads complete requests, including pipelined ones, writes responses in the order of the
@@ -57,6 +60,7 @@
         private readonly dialect: CallerDialect,
         private readonly onRequest: (exchange: CallerExchange) => void,
         private readonly onError: (error: Error) => void,
+        private readonly onRefusal: RefusalListener,
     ) {
         server.requestTimeout = 0;
         server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS;
@@ -74,6 +78,7 @@
      * @param dialect - Conventions for requests and responses.
      * @param onRequest - Called with each request.
      * @param onError - Called with each unexpected error, which fails only its own request.
+     * @param onRefusal - Called when a limit on what callers hold refuses more.
      * @throws FleetError if the server cannot listen on the address.
      */
     static async create(
@@ -81,6 +86,7 @@
         dialect: CallerDialect,
         onRequest: (exchange: CallerExchange) => void,
         onError: (error: Error) => void,
+        onRefusal: RefusalListener = () => undefined,
     ): Promise<CallerServer> {
         const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1_000 });
         const [host, port] = address.split(":");
@@ -92,7 +98,7 @@
             const cause = toError(thrown);
             throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
         }
-        return new CallerServer(server, dialect, onRequest, onError);
+        return new CallerServer(server, dialect, onRequest, onError, onRefusal);
     }
 
     /** Number of requests whose response has not been handed to the operating system. */
@@ -100,6 +106,11 @@
         return [...this.connections.values()].reduce((sum, { pendingCount }) => sum + pendingCount, 0);
     }
 
+    /** Bytes of request bodies that are held. */
+    get heldBodyBytes(): number {
+        return this.bodyBudget.heldBytes;
+    }
+
     /** Number of open connections, including those that are closed for writing only. */
     get connectionCount(): number {
         return this.connections.size;
@@ -180,9 +191,9 @@
             });
             return;
         }
-        const result = await readBody(request, this.bodyLimits, this.bodyBudget);
+        const result = await readBody(request, this.bodyLimits(metadata.patienceMs), this.bodyBudget);
         if (result.kind !== BodyResultKind.Complete) {
-            this.refuseIncompleteBody(result.kind, metadata.requestId, respond);
+            this.refuseIncompleteBody(result.kind, request, metadata.requestId, respond);
             return;
         }
         const { body } = result;
@@ -191,7 +202,7 @@
             this.releaseBody(pending);
             return;
         }
-        const hasBody = request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
+        const announcesBody = request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
         this.onRequest({
             request: {
                 method: request.method ?? "GET",
@@ -199,7 +210,7 @@
                 host: findHeader(headers, "host") ?? "",
                 headers: this.dialect.forwardedHeaders(withoutConnectionHeaders(headers)),
                 body,
-                hasBody,
+                hasBody: announcesBody,
                 arrivedAtMs,
                 ...metadata,
             },
@@ -224,10 +235,11 @@
         return bytes > (this.limits?.maxHeaderBytes ?? MAX_HEADER_BYTES);
     }
 
-    private get bodyLimits(): BodyLimits {
+    private bodyLimits(patienceMs: number | undefined): BodyLimits {
         return {
             maxBytes: this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
             idleTimeoutMs: this.idleTimeoutMs,
+            totalTimeoutMs: Math.min(patienceMs ?? MAX_BODY_TIME_MS, MAX_BODY_TIME_MS),
         };
     }
 
@@ -238,6 +250,7 @@
     /** Refuses a request whose body could not be read; it has not been executed. */
     private refuseIncompleteBody(
         kind: Exclude<BodyResultKind, BodyResultKind.Complete>,
+        request: IncomingMessage,
         requestId: string,
         respond: (response: CallerResponse) => void,
     ): void {
@@ -247,7 +260,12 @@
             case BodyResultKind.TooLarge:
                 refuse(STATUS_BODY_TOO_LARGE, undefined);
                 return;
+            case BodyResultKind.TooManyPieces:
+                this.onRefusal("pieces of a request body", request.socket.bytesRead, MAX_BUFFERED_BODY_BYTES, request.socket.remoteAddress);
+                refuse(STATUS_BODY_TOO_LARGE, undefined);
+                return;
             case BodyResultKind.BudgetExhausted:
+                this.onRefusal("request bodies", this.bodyBudget.heldBytes, MAX_BUFFERED_BODY_BYTES, request.socket.remoteAddress);
                 refuse(STATUS_UNAVAILABLE, BUDGET_RETRY_AFTER_MS);
                 return;
             case BodyResultKind.Stalled:
@@ -283,7 +301,7 @@
         const shouldClose = this.isDraining && (connection?.pendingCount ?? 0) <= 1;
         response.sendDate = false;
         // The rest of an unread body may be endless, so the connection cannot be reused.
-        response.shouldKeepAlive &&= !shouldClose && request.complete;
+        response.shouldKeepAlive &&= !shouldClose && (request.complete || !hasBody(request));
         if (!response.shouldKeepAlive) {
             connection?.setLastResponse();
         }
@@ -302,23 +320,3 @@
         }
     }
 }
-
-/**
- * Writes a response.
- *
- * @throws Error before anything is written if Node.js rejects the status or a header field.
- */
-function writeResponse(response: ServerResponse, method: string, callerResponse: CallerResponse): void {
-    response.writeHead(callerResponse.status, framedHeaders(method, callerResponse).flat());
-    response.end(callerResponse.body);
-}
-
-function framedHeaders(method: string, response: CallerResponse): HeaderList {
-    const headers = withoutConnectionHeaders(response.headers);
-    const isBodiless = response.status === STATUS_NO_CONTENT || response.status === STATUS_NOT_MODIFIED;
-    if (isBodiless) {
-        return headers;
-    }
-    const declaredLength = method === "HEAD" ? findHeader(response.headers, "content-length") : undefined;
-    return [...headers, ["Content-Length", declaredLength ?? String(response.body.length)]];
-}
--- a/src/callers/BodyLimits.ts
+++ b/src/http/BodyLimits.ts
@@ -3,4 +3,6 @@
     readonly maxBytes: number;
     /** Maximum time without any byte. */
     readonly idleTimeoutMs: number;
+    /** Maximum time until the body is complete. */
+    readonly totalTimeoutMs: number;
 }
--- a/src/http/collectBody/index.ts
+++ b/src/http/collectBody/index.ts
@@ -1,7 +1,8 @@
 import type { Readable } from "node:stream";
+import { BodyBuffer } from "../BodyBuffer/index.js";
 
 /**
- * Reads a body into memory.
+ * Reads a body into memory, which grows with its bytes however small its pieces are.
  *
  * @param source - Body to read.
  * @param maxBytes - Maximum size of the body in bytes.
@@ -12,18 +13,19 @@
  */
 export function collectBody(source: Readable, maxBytes: number): Promise<Buffer | undefined> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let receivedBytes = 0;
-        source.on("data", (chunk: Buffer) => {
-            receivedBytes += chunk.length;
-            if (receivedBytes > maxBytes) {
+        const body = BodyBuffer.create();
+        let isTooLarge = false;
+        source.on("data", (piece: Buffer) => {
+            isTooLarge ||= body.lengthBytes + piece.length > maxBytes;
+            if (isTooLarge) {
+                body.clear();
                 source.pause();
                 resolve(undefined);
                 return;
             }
-            chunks.push(chunk);
+            body.add(piece);
         });
-        source.once("end", () => resolve(Buffer.concat(chunks)));
+        source.once("end", () => resolve(isTooLarge ? undefined : body.take()));
         source.once("error", reject);
         source.once("close", () => reject(new Error("the body ended prematurely")));
     });
--- a/src/http/serveText/test.ts
+++ b/src/http/serveText/test.ts
@@ -1,4 +1,6 @@
-import type { AddressInfo } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, connect } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import { FleetError } from "../../model/FleetError.js";
 import { serveText } from "./index.js";
@@ -25,3 +27,23 @@
     const error = await t.throwsAsync(serveText(address, text, () => undefined), { any: true });
     t.true(error instanceof FleetError && error.message.includes(address));
 });
+
+// Guards against a reader whose endless body is parsed for as long as it likes.
+test("a request with an endless body is answered, and its connection closed", async (t) => {
+    const text = { path: "/metrics", contentType: "text/plain", render: () => Promise.resolve("up 1\n") };
+    const server = await serveText("127.0.0.1:0", text, () => undefined);
+    t.teardown(() => server.close());
+    const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    t.teardown(() => socket.destroy());
+    const errors: Error[] = [];
+    let received = "";
+    socket.on("error", (error) => errors.push(error));
+    socket.on("data", (data: Buffer) => received += data.toString());
+    socket.write("GET /metrics HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const timer = setInterval(() => socket.writable && socket.write("1\r\nz\r\n".repeat(1_000)), 1);
+    const end = await Promise.race([once(socket, "end"), delay(3_000, "still open")]);
+    clearInterval(timer);
+    t.not(end, "still open");
+    t.regex(received, /^HTTP\/1.1 200 [^]*up 1\n/);
+    t.deepEqual(errors, []);
+});
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -20,12 +20,14 @@
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { RequestDispatcher } from "../../callers/RequestDispatcher/index.js";
+import { CallerExchange } from "../../callers/CallerExchange.js";
 import { CallerServer } from "../../callers/CallerServer/index.js";
 import { FleetView } from "../../callers/FleetView/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
+import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { Role } from "../../model/Role.js";
@@ -157,6 +159,8 @@
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
+            { name: "request_body_bytes", help: "Bytes of request bodies that are held", read: () => this.callerServer?.heldBodyBytes ?? 0 },
+            { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
     }
@@ -252,7 +256,10 @@
             gate: this.gate,
             onError,
         });
-        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.dispatcher.dispatch(exchange), onError);
+        const budgetLog = BudgetLog.create(this.events);
+        const onRefusal = budgetLog.recordRefusal.bind(budgetLog);
+        const dispatch = (exchange: CallerExchange): void => this.dispatcher.dispatch(exchange);
+        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, onRefusal);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
             onMessage: (_link, message) => this.handleMessage(message),
