Wait for a port that is held or an address that is absent at a start

Callers and operators saw a process that ended with code 1, was started again every 0.2 s and ended again, as long as an earlier process (or anything else) held one of its ports.

Cause: each listener took the first EADDRINUSE or EADDRNOTAVAIL for final, and main ended the process.

Evidence: test/starts.test.ts, real processes by the commands of the deploy file, each port of each role held in turn: 9 of 9 ended before, with "listen EADDRINUSE: address already in use" (6 ports of a proxy, 3 of a control VM).

Change: listenWithRetry, used by CallerServer, TunnelServer, LinkController, serveJson and serveText, retries every 0.1 s what the operating system refuses (StartWaits), and says so by event 112 at once and then every 5 s. A port number that is impossible still is a FleetError. The ports of readiness, reports and operators are opened beside the role and answer 503 until it runs; the metrics delay nothing but themselves. A SIGTERM ends the waits: a process whose role doesn't run yet ends with code 0 and event 109 `stopped`; a role that runs stops as usual. A proxy gets its links, and so is known to the fleet, only once its tunnels and callers can reach it.

A listening server has an error listener now: an error at accept (EMFILE) would have been uncaught, which ends a control VM.

--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { MAX_TIMER_MS } from "../../clock/maxTimerMs.js";
@@ -7,13 +6,13 @@
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { findFramingProblem } from "../../http/findFramingProblem/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
+import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
 import { assertNever } from "../../model/assertNever/index.js";
-import { FleetError } from "../../model/FleetError.js";
 import { HeaderList } from "../../model/HeaderList.js";
-import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { BodyLimits } from "../BodyLimits.js";
 import { BodyResultKind } from "../BodyResultKind.js";
 import { CallerConnection } from "../CallerConnection/index.js";
@@ -73,7 +72,8 @@
      * @param address - `host:port`.
      * @param dialect - Conventions for requests and responses.
      * @param onRequest - Called with each request.
-     * @param onError - Called with each unexpected error, which fails only its own request.
+     * @param onError - Called with each unexpected error, which fails only its own request or connection.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if the server cannot listen on the address.
      */
     static async create(
@@ -81,17 +81,11 @@
         dialect: CallerDialect,
         onRequest: (exchange: CallerExchange) => void,
         onError: (error: Error) => void,
+        waits?: StartWaits,
     ): Promise<CallerServer> {
         const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1_000 });
         const [host, port] = address.split(":");
-        server.listen(Number(port), host);
-        try {
-            await once(server, "listening");
-        }
-        catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
-        }
+        await listenWithRetry(address, () => server.listen(Number(port), host), onError, waits);
         return new CallerServer(server, dialect, onRequest, onError);
     }
 
--- a/src/http/serveText/index.ts
+++ b/src/http/serveText/index.ts
@@ -1,8 +1,7 @@
-import { once } from "node:events";
 import { createServer, type Server } from "node:http";
-import { FleetError } from "../../model/FleetError.js";
-import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
+import { listenWithRetry } from "../listenWithRetry/index.js";
 
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
@@ -20,13 +19,14 @@
  *
  * @param address - `host:port`.
  * @param text - Path, media type and renderer of the document.
- * @param onError - Called with each error of the renderer.
+ * @param onError - Called with each error of the renderer, and when a connection cannot be accepted.
+ * @param waits - Waits for a port that is held; without it, that is an error.
  * @returns The listening server.
  * @throws FleetError if the server cannot listen on the address.
  * @example
  * await serveText("127.0.0.1:9464", { path: "/metrics", contentType: "text/plain", render }, report);
  */
-export async function serveText(address: string, text: ServedText, onError: (error: Error) => void): Promise<Server> {
+export async function serveText(address: string, text: ServedText, onError: (error: Error) => void, waits?: StartWaits): Promise<Server> {
     const server = createServer((request, response) => {
         if (request.url !== text.path) {
             response.writeHead(STATUS_NOT_FOUND).end();
@@ -40,13 +40,5 @@
         });
     });
     const [host, port] = address.split(":");
-    server.listen(Number(port), host);
-    try {
-        await once(server, "listening");
-    }
-    catch (thrown) {
-        const cause = toError(thrown);
-        throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
-    }
-    return server;
+    return listenWithRetry(address, () => server.listen(Number(port), host), onError, waits);
 }
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -1,10 +1,11 @@
-import { once } from "node:events";
 import { WebSocket, WebSocketServer } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { ConfigurationVersion } from "../../model/ConfigurationVersion.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { LinkBytes } from "../LinkBytes.js";
 import { LinkHandler } from "../LinkHandler.js";
 import { LinkSettings } from "../LinkSettings.js";
@@ -62,6 +63,7 @@
      * @param handler - Callbacks for link events.
      * @param position - Returns the configuration position to announce to peers.
      * @param onError - Called when a link fails.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if the process cannot listen on the port.
      */
     static async create(
@@ -69,20 +71,17 @@
         handler: LinkHandler,
         position: () => ConfigurationVersion,
         onError: (error: FleetError) => void,
+        waits?: StartWaits,
     ): Promise<LinkController> {
-        const server = new WebSocketServer({
+        const address = `${settings.host}:${settings.port}`;
+        const listen = (): WebSocketServer => new WebSocketServer({
             host: settings.host,
             port: settings.port,
             maxPayload: MAX_FRAME_BYTES,
             perMessageDeflate: false,
         });
-        try {
-            await once(server, "listening");
-        }
-        catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: `links.port ${settings.port}`, cause }, cause.message);
-        }
+        const report = (cause: Error): void => onError(FleetError.create({ step: Step.Link, peer: address, cause }, cause.message));
+        const server = await listenWithRetry(address, listen, report, waits);
         return new LinkController(settings, server, handler, position, onError);
     }
 
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -56,6 +56,7 @@
     BudgetExceeded = 108,
     ProcessEnding = 109,
     MemoryHigh = 110,
+    StartDelayed = 112,
     StorageReopened = 316,
     EndpointReported = 403,
     ReportRefused = 404,
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -16,6 +16,7 @@
 import { Role } from "../../model/Role.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { FolderDisk } from "../../storage/FolderDisk/index.js";
 import { FleetUpdateRelay } from "../FleetUpdateRelay/index.js";
 import { MeshLinks } from "../MeshLinks/index.js";
@@ -61,9 +62,10 @@
      *
      * @param settings - Settings with a `control` table.
      * @param events - Event log.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if a port is in use or the data folder cannot be used.
      */
-    static async create(settings: MeshSettings, events: EventLog): Promise<ControlPlaneRole> {
+    static async create(settings: MeshSettings, events: EventLog, waits?: StartWaits): Promise<ControlPlaneRole> {
         const role = new ControlPlaneRole(settings, events);
         await role.open();
         role.links = await MeshLinks.create(settings, Role.Control, {
@@ -72,7 +74,7 @@
             onCall: (_link, message) => role.handleCall(message),
             onClose: (link) => role.updateRelay.unsubscribe(link.peer.vm),
             onMessageError: (error) => events.record(EventNumber.MessageFailed, { error: error.message }),
-        }, () => role.ownPeer, () => role.itemController?.position ?? 0, events);
+        }, () => role.ownPeer, () => role.itemController?.position ?? 0, events, waits);
         role.timers.push(
             setInterval(() => void role.maintainQuorum(), VOTER_CHECK_INTERVAL_MS),
             setInterval(() => role.sendSnapshotOnceCurrent(), SNAPSHOT_CHECK_INTERVAL_MS),
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -10,6 +10,7 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Role } from "../../model/Role.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { ControlAddresses } from "../ControlAddresses/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
@@ -49,6 +50,7 @@
      * @param ownPeer - Returns the announcement of this process if it is a control VM.
      * @param position - Returns the log position up to which this process has applied the configuration.
      * @param events - Event log.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if the process cannot listen on the port.
      */
     static async create(
@@ -58,6 +60,7 @@
         ownPeer: () => ControlPeer | undefined,
         position: () => number,
         events: EventLog,
+        waits?: StartWaits,
     ): Promise<MeshLinks> {
         const { vm, links: { firstPort, fleetKey } } = settings;
         const linkAddress = `${vm.ip}:${firstPort}`;
@@ -86,6 +89,7 @@
             },
             () => ({ term: 0, version: position(), manifestVersion: 0 }),
             (error: FleetError) => events.record(EventNumber.LinkRefused, { error: error.message }),
+            waits,
         );
         started.mesh = new MeshLinks(links, controlAddresses, ownPeer);
         started.mesh.setSeeds(settings);
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -20,6 +20,7 @@
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { RequestDispatcher } from "../../callers/RequestDispatcher/index.js";
+import { CallerExchange } from "../../callers/CallerExchange.js";
 import { CallerServer } from "../../callers/CallerServer/index.js";
 import { FleetView } from "../../callers/FleetView/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
@@ -30,6 +31,7 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
 import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
 import { GaugeSource } from "../../metrics/GaugeSource.js";
@@ -101,9 +103,10 @@
      * @param settings - Settings with a `proxy` table.
      * @param dialect - Conventions for messages of callers and backend servers.
      * @param events - Event log.
-     * @throws FleetError if a port is in use.
+     * @param waits - Waits for ports that are held; without it, that is an error.
+     * @throws FleetError if it cannot listen on a port.
      */
-    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog): Promise<SidecarRole> {
+    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog, waits?: StartWaits): Promise<SidecarRole> {
         const { vm, links, terms, proxy } = settings;
         const roleReference: { role?: SidecarRole } = {};
         const token = deriveToken(links.fleetKey);
@@ -137,7 +140,7 @@
             callerService: () => roleReference.role?.callerService ?? "",
         }, fleetView, events);
         const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, roleReference);
-        await role.start(token, dialect);
+        await role.start(token, dialect, waits);
         return role;
     }
 
@@ -240,7 +243,7 @@
         return isAnswering || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
     }
 
-    private async start(token: string, dialect: MeshDialect): Promise<void> {
+    private async start(token: string, dialect: MeshDialect, waits: StartWaits | undefined): Promise<void> {
         const { vm, links, proxy } = this.settings;
         this.fleetView.mergeRecords([this.record]);
         const onError = (error: Error): void => this.events.recordError(error, {});
@@ -251,15 +254,17 @@
             gateRun: this.gateRun,
             gate: this.gate,
             onError,
+            waits,
         });
-        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.dispatcher.dispatch(exchange), onError);
+        const dispatch = (exchange: CallerExchange): void => this.dispatcher.dispatch(exchange);
+        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, waits);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
             onMessage: (_link, message) => this.handleMessage(message),
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.handleLinkClose(link),
             onMessageError: (error) => this.events.record(EventNumber.MessageFailed, { error: error.message }),
-        }, () => undefined, () => 0, this.events);
+        }, () => undefined, () => 0, this.events, waits);
         this.timerStops.push(
             setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()),
             setAlignedInterval(INVITATION_INTERVAL_MS, () => this.inviteEntries()),
--- a/src/signals/ProcessSignals/index.ts
+++ b/src/signals/ProcessSignals/index.ts
@@ -13,6 +13,7 @@
     private isStopping = false;
     private onReload: (() => void) | undefined;
     private onStop: (() => void) | undefined;
+    private onEarlyStop: (() => void) | undefined;
 
     private constructor(source: SignalSource) {
         source.on("SIGHUP", () => this.handleReload());
@@ -29,6 +30,18 @@
         return new ProcessSignals(source);
     }
 
+    /**
+     * Sets what a signal to stop does until the process has started, besides being kept until then.
+     *
+     * @param onStop - Called when the start has to be given up if it waits for something, also for a signal that came before.
+     */
+    listenEarly(onStop: () => void): void {
+        this.onEarlyStop = onStop;
+        if (this.hasStop) {
+            onStop();
+        }
+    }
+
     /**
      * Sets what the signals do, once the process has started.
      *
@@ -53,7 +66,10 @@
 
     private handleStop(): void {
         this.hasStop = true;
-        if (this.onStop !== undefined && !this.isStopping) {
+        if (this.onStop === undefined) {
+            this.onEarlyStop?.();
+        }
+        else if (!this.isStopping) {
             this.isStopping = true;
             this.onStop();
         }
--- a/src/signals/ProcessSignals/test.ts
+++ b/src/signals/ProcessSignals/test.ts
@@ -31,3 +31,20 @@
     ["SIGTERM", "SIGTERM", "SIGINT"].forEach((signal) => t.true(source.emit(signal)));
     t.deepEqual(calls, ["stop"]);
 });
+
+// Guards against a process that waits for a port or a disk for ever and can only be killed.
+test("a signal to stop ends the waits of a start, whether it comes before or during them", (t) => {
+    for (const isBefore of [true, false]) {
+        const { source, signals, calls, listen } = create();
+        if (isBefore) {
+            source.emit("SIGTERM");
+        }
+        signals.listenEarly(() => calls.push("give up"));
+        if (!isBefore) {
+            source.emit("SIGTERM");
+        }
+        t.deepEqual(calls, ["give up"]);
+        listen();
+        t.deepEqual(calls, ["give up", "stop"]);
+    }
+});
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -3,11 +3,9 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
-import { FleetError } from "../../model/FleetError.js";
+import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
-import { Step } from "../../model/Step.js";
-import { toError } from "../../model/toError/index.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
 import { GateReply } from "../GateReply.js";
@@ -59,20 +57,14 @@
      * @throws FleetError if the server cannot listen on the port.
      */
     static async create(options: TunnelServerOptions): Promise<TunnelServer> {
-        const server = new WebSocketServer({
+        const listen = (): WebSocketServer => new WebSocketServer({
             host: options.host,
             port: options.port,
             maxPayload: MAX_FRAME_BYTES,
             perMessageDeflate: false,
             verifyClient: ({ req }: { req: { headers: NodeJS.Dict<string | string[]> } }) => req.headers.authorization === options.token,
         });
-        try {
-            await once(server, "listening");
-        }
-        catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: `gate port ${options.port}`, cause }, cause.message);
-        }
+        const server = await listenWithRetry(`${options.host}:${options.port}`, listen, options.onError, options.waits);
         return new TunnelServer(server, options);
     }
 
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -1,3 +1,4 @@
+import { StartWaits } from "../starts/StartWaits/index.js";
 import { GatePort } from "./GatePort.js";
 
 /** Settings and dependencies of `TunnelServer`. */
@@ -9,6 +10,8 @@
     /** Identifies this run of the proxy. */
     readonly gateRun: string;
     readonly gate: GatePort;
-    /** Called with each unexpected error, which affects only the frame that caused it. */
+    /** Called with each unexpected error, which affects only the frame or connection that caused it. */
     readonly onError: (error: Error) => void;
+    /** Waits for a port that is held; without it, that is an error. */
+    readonly waits?: StartWaits;
 }
--- /dev/null
+++ b/test/starts.test.ts
@@ -0,0 +1,75 @@
+import { once } from "node:events";
+import { createServer, type Server } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
+import { isListening } from "../src/http/isListening/index.js";
+import { TEST_PORTS } from "./fixtures/testPorts.js";
+import { TestProcess } from "./fixtures/TestProcess.js";
+import { TestSettings } from "./fixtures/TestSettings.js";
+
+const IP = "127.224.1.1";
+const LISTENING_PORTS = {
+    proxy: ["link", "tunnel", "control", "outbound", "ready", "metrics"],
+    control: ["link", "control", "metrics"],
+} as const;
+
+async function hold(ip: string, port: number): Promise<Server> {
+    const server = createServer((socket) => socket.destroy());
+    server.listen(port, ip);
+    await once(server, "listening");
+    return server;
+}
+
+// Guards against a process that ends, and is started again and again, while an earlier process still closes its ports.
+for (const role of ["proxy", "control"] as const) {
+    for (const port of LISTENING_PORTS[role]) {
+        test.serial(`a ${role} whose ${port} port is held at its start waits for it, says so, and starts once it is free`, async (t) => {
+            const settings = TestSettings.create(role, IP);
+            const holder = await hold(IP, TEST_PORTS[port]);
+            const started = TestProcess.start(role, settings.path);
+            t.teardown(async () => {
+                await started.kill();
+                holder.close();
+                settings.remove();
+            });
+            t.true(await started.waitFor("StartDelayed"), started.text);
+            t.regex(String(started.find("StartDelayed")[0]?.what), new RegExp(`:${TEST_PORTS[port]}$`));
+            await delay(500);
+            t.is(started.find("StartDelayed").length, 1);
+            t.is(started.exit, undefined);
+            // The role doesn't depend on the metrics.
+            t.is(started.find("DaemonStarted").length, port === "metrics" ? 1 : 0);
+            holder.close();
+            t.true(await started.waitFor("DaemonStarted"), started.text);
+            t.true(await started.waitUntil(() => isListening(`${IP}:${TEST_PORTS[port]}`)));
+        });
+    }
+}
+
+for (const role of ["proxy", "control"] as const) {
+    test.serial(`a SIGTERM ends a ${role} that waits for a port, with code 0 and without a wait`, async (t) => {
+        const settings = TestSettings.create(role, IP);
+        const holder = await hold(IP, TEST_PORTS.link);
+        const started = TestProcess.start(role, settings.path);
+        t.teardown(async () => {
+            await started.kill();
+            holder.close();
+            settings.remove();
+        });
+        t.true(await started.waitFor("StartDelayed"), started.text);
+        started.child.kill("SIGTERM");
+        t.deepEqual(await started.waitForExit(1_500), { code: 0, signal: null }, started.text);
+    });
+
+    test.serial(`a SIGTERM in the middle of the start of a ${role} stops it as later ones do`, async (t) => {
+        const settings = TestSettings.create(role, IP);
+        const started = TestProcess.start(role, settings.path);
+        t.teardown(async () => {
+            await started.kill();
+            settings.remove();
+        });
+        await started.waitUntil(() => isListening(`${IP}:${TEST_PORTS.link}`));
+        started.child.kill("SIGTERM");
+        t.deepEqual(await started.waitForExit(), { code: 0, signal: null }, started.text);
+    });
+}
