Wait for settings and a data folder that are not there yet at a start

A process whose settings file was missing, empty or cut in half when it started (the platform writes it), or a control VM whose data folder was refused, ended with code 1 again and again, every 0.2 s; for settings with bare text on standard error only.

Cause: as for ports: whatever was missing at that moment was final.

Evidence: test/starts.test.ts on the code before, with real processes: ended with "ENOENT: no such file or directory", "vm: found nothing", "cannot be parsed: Invalid TOML document: unfinished string", and with "EEXIST: file already exists, mkdir" for a file in the place of the data folder.

Operators are answered 503 meanwhile. What can't heal still ends a control VM, on purpose, with event 109 `start-failed` that names the file.

--- a/src/controllers/QuorumStore/index.ts
+++ b/src/controllers/QuorumStore/index.ts
@@ -5,6 +5,9 @@
 import { QuorumOutput } from "../../decisions/quorum/QuorumOutput.js";
 import { QuorumSnapshot } from "../../decisions/quorum/QuorumSnapshot.js";
 import { QuorumState } from "../../decisions/quorum/QuorumState.js";
+import { FleetError } from "../../model/FleetError.js";
+import { Step } from "../../model/Step.js";
+import { toError } from "../../model/toError/index.js";
 import { Disk } from "../../storage/Disk.js";
 import { RecordLog } from "../../storage/RecordLog/index.js";
 
@@ -13,6 +16,8 @@
 const SNAPSHOT_FILE = "snapshot";
 const LOG_FILE = "log";
 const IDENTITY_BYTES = 6;
+/** `<vm>:<hex>`. */
+const IDENTITY = /^.+:[0-9a-f]+$/s;
 const packr = new Packr({ useRecords: false });
 const unpackr = new Unpackr({ useRecords: false });
 
@@ -42,7 +47,7 @@
      *
      * @param disk - Data folder.
      * @param vm - Name of the VM.
-     * @throws FleetError if the disk fails or the log is corrupt.
+     * @throws FleetError if the disk fails or a file is corrupt.
      */
     static async create(disk: Disk, vm: string): Promise<QuorumStore> {
         const identity = await readIdentity(disk, vm);
@@ -82,7 +87,11 @@
 async function readIdentity(disk: Disk, vm: string): Promise<string> {
     const stored = await disk.read(IDENTITY_FILE);
     if (stored !== undefined) {
-        return stored.toString("utf8");
+        const text = stored.toString("utf8");
+        if (!IDENTITY.test(text)) {
+            throw createCorruptError(IDENTITY_FILE, "it is no identity");
+        }
+        return text;
     }
     const identity = `${vm}:${randomBytes(IDENTITY_BYTES).toString("hex")}`;
     await disk.replace(IDENTITY_FILE, Buffer.from(identity));
@@ -91,7 +100,26 @@
 
 async function readFile<T>(disk: Disk, name: string): Promise<T | undefined> {
     const data = await disk.read(name);
-    return data === undefined ? undefined : unpackr.unpack(data) as T;
+    if (data === undefined) {
+        return undefined;
+    }
+    try {
+        const content: unknown = unpackr.unpack(data);
+        if (typeof content === "object" && content !== null) {
+            return content as T;
+        }
+    }
+    catch (thrown) {
+        throw createCorruptError(name, toError(thrown).message);
+    }
+    throw createCorruptError(name, "it is no record");
+}
+
+function createCorruptError(name: string, problem: string): FleetError {
+    return FleetError.create(
+        { step: Step.Storage, peer: name },
+        `the file is corrupt: ${problem}; restore the data folder or start with an empty one under a new identity`,
+    );
 }
 
 function replayEntries(records: readonly Buffer[]): readonly LogEntry[] {
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -16,6 +16,7 @@
 import { Role } from "../../model/Role.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { isPassingError } from "../../starts/isPassingError/index.js";
 import { StartWaits } from "../../starts/StartWaits/index.js";
 import { FolderDisk } from "../../storage/FolderDisk/index.js";
 import { FleetUpdateRelay } from "../FleetUpdateRelay/index.js";
@@ -62,12 +63,12 @@
      *
      * @param settings - Settings with a `control` table.
      * @param events - Event log.
-     * @param waits - Waits for a port that is held; without it, that is an error.
-     * @throws FleetError if a port is in use or the data folder cannot be used.
+     * @param waits - Waits for a port that is held and a disk that refuses or hangs; without it, a refusal is an error.
+     * @throws FleetError if it cannot listen on a port, or the data folder cannot be used or is corrupt.
      */
     static async create(settings: MeshSettings, events: EventLog, waits?: StartWaits): Promise<ControlPlaneRole> {
         const role = new ControlPlaneRole(settings, events);
-        await role.open();
+        await (waits === undefined ? role.open() : waits.retry(`data folder ${settings.control?.dataFolder ?? ""}`, () => role.open(), isPassingError));
         role.links = await MeshLinks.create(settings, Role.Control, {
             onOpen: () => undefined,
             onMessage: (link, message) => role.handleMessage(link, message),
--- a/test/starts.test.ts
+++ b/test/starts.test.ts
@@ -1,5 +1,7 @@
 import { once } from "node:events";
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, type Server } from "node:net";
+import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import { isListening } from "../src/http/isListening/index.js";
@@ -73,3 +75,62 @@
         t.deepEqual(await started.waitForExit(), { code: 0, signal: null }, started.text);
     });
 }
+
+test.serial("a control VM whose data folder is not there yet says so, answers 503, and starts once it is", async (t) => {
+    const settings = TestSettings.create("control", IP);
+    writeFileSync(settings.dataFolder, "a file in its place");
+    const started = TestProcess.start("control", settings.path);
+    t.teardown(async () => {
+        await started.kill();
+        settings.remove();
+    });
+    t.true(await started.waitFor("StartDelayed"), started.text);
+    t.regex(String(started.find("StartDelayed")[0]?.what), /data folder/);
+    t.is((await fetch(`http://${IP}:${TEST_PORTS.control}/config`)).status, 503);
+    rmSync(settings.dataFolder);
+    t.true(await started.waitFor("DaemonStarted"), started.text);
+});
+
+const CORRUPT_FILES: Readonly<Record<string, Buffer>> = {
+    "identity": Buffer.alloc(0),
+    "hard-state": Buffer.alloc(0),
+    "snapshot": Buffer.from("noise"),
+    // A record with a wrong checksum before an intact one.
+    "log": Buffer.concat([Buffer.from([0, 0, 0, 1, 0, 0, 0, 0, 97]), Buffer.from([0, 0, 0, 1, 0xe8, 0xb7, 0xbe, 0x43, 97])]),
+};
+
+for (const [name, content] of Object.entries(CORRUPT_FILES)) {
+    test.serial(`a control VM whose ${name} is corrupt ends with one line that names it`, async (t) => {
+        const settings = TestSettings.create("control", IP);
+        mkdirSync(settings.dataFolder);
+        writeFileSync(join(settings.dataFolder, name), content);
+        const started = TestProcess.start("control", settings.path);
+        t.teardown(async () => {
+            await started.kill();
+            settings.remove();
+        });
+        t.deepEqual(await started.waitForExit(5_000), { code: 1, signal: null }, started.text);
+        const [line] = started.find("ProcessEnding");
+        t.is(line?.reason, "start-failed");
+        t.true(String(line?.problem).includes(name), started.text);
+    });
+}
+
+for (const content of [undefined, "", "[vm]\nname = \"control"]) {
+    test.serial(`a process whose settings are ${content === undefined ? "missing" : content === "" ? "empty" : "cut"} waits for them`, async (t) => {
+        const settings = TestSettings.create("control", IP);
+        rmSync(settings.path);
+        if (content !== undefined) {
+            writeFileSync(settings.path, content);
+        }
+        const started = TestProcess.start("control", settings.path);
+        t.teardown(async () => {
+            await started.kill();
+            settings.remove();
+        });
+        t.true(await started.waitFor("StartDelayed"), started.text);
+        t.regex(String(started.find("StartDelayed")[0]?.what), /settings/);
+        writeFileSync(settings.path, settings.text);
+        t.true(await started.waitFor("DaemonStarted"), started.text);
+    });
+}
