--- a/src/lifecycle/EndingReporter/index.ts
+++ b/src/lifecycle/EndingReporter/index.ts
@@ -2,6 +2,7 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { MemoryUsage } from "../../memory/MemoryUsage.js";
 import { GaugeSource } from "../../metrics/GaugeSource.js";
+import { toError } from "../../model/toError/index.js";
 import { EndReason } from "../EndReason.js";
 
 /** Writes the last line of a process, and lines about its memory: what it held, by its gauges. */
@@ -40,6 +41,16 @@
     }
 
     private get holders(): readonly string[] {
-        return this.gauges.map(({ name, read }) => `${name}=${read()}`);
+        return this.gauges.map(({ name, read }) => `${name}=${readOrUnknown(read)}`);
+    }
+}
+
+/** Reads a gauge. After an uncaught error a gauge may throw as well; the last line is written all the same. */
+function readOrUnknown(read: () => number): number | string {
+    try {
+        return read();
+    }
+    catch (thrown) {
+        return `(${toError(thrown).message})`;
     }
 }
--- a/src/lifecycle/EndingReporter/test.ts
+++ b/src/lifecycle/EndingReporter/test.ts
@@ -24,3 +24,15 @@
     reporter.recordHighMemory(USAGE);
     t.like(events.find("MemoryHigh")[0], { ...USAGE, holders: ["queued=3"] });
 });
+
+// Guards against a process that ends without its last line.
+test("a gauge that throws does not keep the last line from being written", (t) => {
+    const events = EventLog.create("vm-1", undefined);
+    const reporter = EndingReporter.create(events, () => USAGE);
+    const read = (): number => {
+        throw new Error("broken");
+    };
+    reporter.setGauges([{ name: "callers", help: "", read }, { name: "queued", help: "", read: () => 3 }]);
+    reporter.recordEnding(EndReason.UncaughtErrors);
+    t.like(events.find("ProcessEnding")[0], { holders: ["callers=(broken)", "queued=3"] });
+});
--- a/test/starts.test.ts
+++ b/test/starts.test.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
-import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, constants, mkdirSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
+import { execFileSync } from "node:child_process";
 import { createServer, type Server } from "node:net";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
@@ -76,6 +77,59 @@
     });
 }
 
+/** Returns a descriptor for writing to a pipe that is full and that nobody reads. */
+function openFullPipe(path: string): { readonly fd: number; readonly close: () => void } {
+    execFileSync("mkfifo", [path]);
+    const reader = openSync(path, constants.O_RDWR | constants.O_NONBLOCK);
+    try {
+        for (;;) {
+            writeSync(reader, Buffer.alloc(4_096, "z"));
+        }
+    }
+    catch {
+        const fd = openSync(path, "w");
+        return {
+            fd,
+            close: () => {
+                closeSync(fd);
+                closeSync(reader);
+            },
+        };
+    }
+}
+
+// Guards against a process that stays after its stop: its exit waits for the thread that writes the log.
+for (const role of ["proxy", "control"] as const) {
+    test.serial(`a ${role} whose log nobody reads starts, and is gone soon after it has stopped`, async (t) => {
+        const settings = TestSettings.create(role, IP);
+        const pipe = openFullPipe(join(settings.folder, "stdout"));
+        const started = TestProcess.start(role, settings.path, ["ignore", pipe.fd, "ignore"]);
+        t.teardown(async () => {
+            await started.kill();
+            pipe.close();
+            settings.remove();
+        });
+        t.true(await started.waitUntil(() => isListening(`${IP}:${TEST_PORTS.control}`)));
+        await delay(500);
+        started.child.kill("SIGTERM");
+        t.not(await started.waitForExit(6_000), undefined);
+    });
+
+    test.serial(`a ${role} whose log has lost its reader starts and stops`, async (t) => {
+        const settings = TestSettings.create(role, IP);
+        const started = TestProcess.start(role, settings.path);
+        started.child.stdout?.destroy();
+        started.child.stderr?.destroy();
+        t.teardown(async () => {
+            await started.kill();
+            settings.remove();
+        });
+        t.true(await started.waitUntil(() => isListening(`${IP}:${TEST_PORTS.control}`)));
+        started.child.kill("SIGTERM");
+        t.deepEqual(await started.waitForExit(6_000), { code: 0, signal: null });
+    });
+}
+
 test.serial("a control VM whose data folder is not there yet says so, answers 503, and starts once it is", async (t) => {
     const settings = TestSettings.create("control", IP);
     writeFileSync(settings.dataFolder, "a file in its place");
@@ -91,6 +145,23 @@
     t.true(await started.waitFor("DaemonStarted"), started.text);
 });
 
+test.serial("a control VM whose disk hangs at the start says so, answers 503, and can be stopped", async (t) => {
+    const settings = TestSettings.create("control", IP);
+    mkdirSync(settings.dataFolder);
+    // A read of a pipe that nobody writes hangs as one of a faulty disk does.
+    execFileSync("mkfifo", [join(settings.dataFolder, "identity")]);
+    const started = TestProcess.start("control", settings.path);
+    t.teardown(async () => {
+        await started.kill();
+        settings.remove();
+    });
+    t.true(await started.waitFor("StartDelayed"), started.text);
+    t.is((await fetch(`http://${IP}:${TEST_PORTS.control}/config`)).status, 503);
+    started.child.kill("SIGTERM");
+    t.not(await started.waitForExit(3_000), undefined, started.text);
+    t.is(started.find("ProcessEnding")[0]?.reason, "stopped");
+});
+
 const CORRUPT_FILES: Readonly<Record<string, Buffer>> = {
     "identity": Buffer.alloc(0),
     "hard-state": Buffer.alloc(0),
