Read the memory of a process without ending it when its descriptors are used up

A crowd of idle connections ended a process that had used up its descriptors.

Cause: process.memoryUsage.rss() opens a file, and throws EMFILE while there is no descriptor left. MemoryWatch reads it every second: an uncaught error, the only one that a control VM may have, the 21st within 10 s a proxy. The handler reads the memory again for event 109 and throws as well, so that a control VM ended with code 7 and bare text, without its last line.

Evidence: test/starts.test.ts, 120 connections to a process with 40 descriptors: the control VM ended (code 7, "EMFILE: too many open files, uv_resident_set_memory"), the proxy logged an UnexpectedError every second.

Change: the resident size is undefined while it can't be read; heap and buffers need no descriptor. The gauge is NaN then.

Result: both go on without an UnexpectedError, and answer again when the connections are gone.

--- a/src/memory/MemoryUsage.ts
+++ b/src/memory/MemoryUsage.ts
@@ -6,6 +6,6 @@
     readonly heapLimitBytes: number;
     /** Bytes outside of the heap that its objects hold, such as buffers. */
     readonly externalBytes: number;
-    /** Bytes that the kernel counts for the process. */
-    readonly residentBytes: number;
+    /** Bytes that the kernel counts for the process; undefined while they cannot be read, since that takes a descriptor. */
+    readonly residentBytes: number | undefined;
 }
--- a/src/memory/memoryGauges/index.ts
+++ b/src/memory/memoryGauges/index.ts
@@ -13,6 +13,6 @@
         { name: "heap_used_bytes", help: "Bytes in use on the JavaScript heap", read: () => readMemoryUsage().heapUsedBytes },
         { name: "heap_limit_bytes", help: "Size at which the JavaScript heap is full", read: () => readMemoryUsage().heapLimitBytes },
         { name: "external_bytes", help: "Bytes outside of the heap that its objects hold", read: () => readMemoryUsage().externalBytes },
-        { name: "resident_bytes", help: "Bytes that the kernel counts for the process", read: () => readMemoryUsage().residentBytes },
+        { name: "resident_bytes", help: "Bytes that the kernel counts for the process", read: () => readMemoryUsage().residentBytes ?? Number.NaN },
     ];
 }
--- a/test/starts.test.ts
+++ b/test/starts.test.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import { closeSync, constants, mkdirSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
 import { execFileSync } from "node:child_process";
-import { createServer, type Server } from "node:net";
+import { connect, createServer, type Server } from "node:net";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
@@ -11,6 +11,8 @@
 import { TestSettings } from "./fixtures/TestSettings.js";
 
 const IP = "127.224.1.1";
+/** Number of descriptors of a process that is short of them. */
+const MAX_FDS = 40;
 const LISTENING_PORTS = {
     proxy: ["link", "tunnel", "control", "outbound", "ready", "metrics"],
     control: ["link", "control", "metrics"],
@@ -205,3 +207,24 @@
         t.true(await started.waitFor("DaemonStarted"), started.text);
     });
 }
+
+// Guards against a process that a crowd of connections ends.
+for (const role of ["proxy", "control"] as const) {
+    test.serial(`a ${role} that has used up its descriptors goes on, and answers again once it has some`, async (t) => {
+        const settings = TestSettings.create(role, IP);
+        const started = TestProcess.start(role, settings.path, ["ignore", "pipe", "pipe"], MAX_FDS);
+        t.teardown(async () => {
+            await started.kill();
+            settings.remove();
+        });
+        t.true(await started.waitFor("DaemonStarted"), started.text);
+        const sockets = Array.from({ length: 3 * MAX_FDS }, () => connect(TEST_PORTS.control, IP));
+        sockets.forEach((socket) => socket.on("error", () => undefined));
+        await delay(2_500);
+        sockets.forEach((socket) => socket.destroy());
+        t.is(started.exit, undefined, started.text);
+        const answers = (): Promise<boolean> => fetch(`http://${IP}:${TEST_PORTS.control}/other`).then(({ status }) => status === 404, () => false);
+        t.true(await started.waitUntil(answers), started.text);
+        t.deepEqual(started.find("UnexpectedError"), []);
+    });
+}
