Bound what peers make a process hold through tunnels and links

A peer at the link port, without any key, or at the tunnel port, with the token of the fleet, made a process grow beyond the 350 MB that the platform allows, or stop answering others.

Cause: frames were limited by their size alone (64 and 128 MB), for each connection by itself; pieces, connections and frames that nobody reads had no bound. A fragment pins the read of 64 KB that it came in. What a peer doesn't read was kept without a bound by tunnels, and up to 64 MB for each link, counted without what each frame takes. Connections that never send stayed for minutes, WebSockets without a handshake for ever.

Change: PeerServer (a message is one frame, as all processes send it; 2 s to ask for a WebSocket; bounded numbers, the oldest goes), HandshakeGuard (16 KB and 3 s before the proof of the key), SocketBudget (what is unfinished and what is unread, for a peer and for all, with 512 bytes for each piece; closes the one that exceeds or holds most; its work is settled by resume as for any lost tunnel). Event 108 at each refusal, gauges tunnel_buffered_bytes and link_buffered_bytes. A single frame is always sent, so that no bound keeps a large response for ever.

--- /dev/null
+++ b/src/frames/PeerServerOptions.ts
@@ -0,0 +1,15 @@
+import { RecordRefusal } from "./RecordRefusal.js";
+
+/** Settings of a `PeerServer`. */
+export interface PeerServerOptions {
+    readonly host: string;
+    readonly port: number;
+    /** Name of the setting for the port, used in error messages. */
+    readonly name: string;
+    /** Maximum size of a frame. */
+    readonly maxFrameBytes: number;
+    /** Returns whether a connection with this `Authorization` may open a WebSocket. */
+    readonly isAuthorized: (authorization: string | undefined) => boolean;
+    /** Called each time a connection is closed because of a limit. */
+    readonly recordRefusal: RecordRefusal;
+}
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -1,10 +1,15 @@
-import { once } from "node:events";
-import { WebSocket, WebSocketServer } from "ws";
+import type { Socket } from "node:net";
+import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { HandshakeGuard } from "../../frames/HandshakeGuard/index.js";
+import { PeerServer } from "../../frames/PeerServer/index.js";
+import { RecordRefusal } from "../../frames/RecordRefusal.js";
+import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { ConfigurationVersion } from "../../model/ConfigurationVersion.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { LINK_LIMITS } from "../linkLimits.js";
 import { LinkBytes } from "../LinkBytes.js";
 import { LinkHandler } from "../LinkHandler.js";
 import { LinkSettings } from "../LinkSettings.js";
@@ -19,7 +24,6 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Number of heartbeats whose send times are kept. */
 const MAX_SENT_TIMES = 64;
-const MAX_FRAME_BYTES = 64 * 1_024 * 1_024;
 
 interface LinkHealth {
     sequence: number;
@@ -40,19 +44,20 @@
     private readonly links = new Map<WsLink, LinkHealth>();
     private readonly byVm = new Map<string, WsLink>();
     private readonly pendingConnects = new Map<string, Promise<WsLink | undefined>>();
-    private readonly timer: NodeJS.Timeout;
+    private readonly timer = setInterval(() => this.sendHeartbeats(), HEARTBEAT_INTERVAL_MS);
+    private readonly handshakeGuard: HandshakeGuard;
+    private readonly budget: SocketBudget;
+    private server: PeerServer | undefined;
 
     private constructor(
         private readonly settings: LinkSettings,
-        private readonly server: WebSocketServer,
         private readonly handler: LinkHandler,
         private readonly position: () => ConfigurationVersion,
         private readonly onError: (error: FleetError) => void,
+        private readonly recordRefusal: RecordRefusal,
     ) {
-        this.timer = setInterval(() => this.sendHeartbeats(), HEARTBEAT_INTERVAL_MS);
-        server.on("connection", (socket, request) => {
-            WsLink.create(socket, this.createLinkOptions(true, request.socket.remoteAddress ?? "unknown"));
-        });
+        this.budget = SocketBudget.create("links", LINK_LIMITS, recordRefusal);
+        this.handshakeGuard = HandshakeGuard.create(recordRefusal);
     }
 
     /**
@@ -62,6 +67,7 @@
      * @param handler - Callbacks for link events.
      * @param position - Returns the configuration position to announce to peers.
      * @param onError - Called when a link fails.
+     * @param recordRefusal - Called when a peer is closed because of a limit on what this process holds; without it, `onError` is called.
      * @throws FleetError if the process cannot listen on the port.
      */
     static async create(
@@ -69,21 +75,30 @@
         handler: LinkHandler,
         position: () => ConfigurationVersion,
         onError: (error: FleetError) => void,
+        recordRefusal: RecordRefusal = (holder, held, limit, peer = "unknown") =>
+            onError(FleetError.create({ step: Step.Link, peer }, `${holder}: ${held} of ${limit}`)),
     ): Promise<LinkController> {
-        const server = new WebSocketServer({
-            host: settings.host,
-            port: settings.port,
-            maxPayload: MAX_FRAME_BYTES,
-            perMessageDeflate: false,
-        });
+        const links = new LinkController(settings, handler, position, onError, recordRefusal);
         try {
-            await once(server, "listening");
+            links.server = await PeerServer.create({
+                host: settings.host,
+                port: settings.port,
+                name: "links.port",
+                maxFrameBytes: LINK_LIMITS.maxFrameBytes,
+                isAuthorized: () => true,
+                recordRefusal: links.recordRefusal,
+            }, (webSocket, networkSocket) => links.accept(webSocket, networkSocket));
         }
         catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: `links.port ${settings.port}`, cause }, cause.message);
+            await links.close();
+            throw thrown;
         }
-        return new LinkController(settings, server, handler, position, onError);
+        return links;
+    }
+
+    /** Size of the messages that peers have not read, in bytes. */
+    get bufferedBytes(): number {
+        return this.budget.bufferedBytes;
     }
 
     /** VMs with an open link. */
@@ -141,12 +156,30 @@
     async close(): Promise<void> {
         clearInterval(this.timer);
         [...this.links.keys()].forEach((link) => link.close());
-        this.server.clients.forEach((client) => client.terminate());
-        await new Promise((resolve) => this.server.close(resolve));
+        await this.server?.close();
+    }
+
+    private accept(socket: WebSocket, networkSocket: Socket): void {
+        this.budget.watch(socket, networkSocket);
+        const endGuard = this.handshakeGuard.watch(socket, networkSocket);
+        const options = this.createLinkOptions(true, networkSocket.remoteAddress ?? "unknown");
+        WsLink.create(socket, {
+            ...options,
+            onOpen: (link) => {
+                endGuard();
+                options.onOpen(link);
+            },
+        });
     }
 
     private async open(address: string): Promise<WsLink | undefined> {
-        const socket = new WebSocket(`ws://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false });
+        const socket = new WebSocket(`ws://${address}`, {
+            handshakeTimeout: CONNECT_TIMEOUT_MS,
+            perMessageDeflate: false,
+            maxPayload: LINK_LIMITS.maxFrameBytes,
+            maxFragments: 1,
+        });
+        this.budget.watchOnceOpen(socket);
         return new Promise((resolve) => {
             const options = this.createLinkOptions(false, address);
             const timer = setTimeout(() => {
@@ -176,6 +209,7 @@
             isServer,
             address,
             bytes: this.bytes,
+            budget: this.budget,
             onOpen: (link) => this.addLink(link),
             onMessage: (link, message) => this.handleMessage(link, message),
             onCall: (link, message) => this.handler.onCall(link, message),
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -12,8 +12,6 @@
 import { computeKeyProof } from "../computeKeyProof/index.js";
 import { WsLinkOptions } from "../WsLinkOptions.js";
 
-/** Size of the send buffer above which messages are dropped. */
-const MAX_BUFFERED_BYTES = 64 * 1_024 * 1_024;
 const packr = new Packr({ useRecords: true });
 const unpackr = new Unpackr({ useRecords: true });
 
@@ -61,7 +59,7 @@
         return this.identity;
     }
 
-    /** Sends a message; dropped if the socket is not open or its buffer is full. */
+    /** Sends a message; dropped if the socket is not open. Closes the link if the peer does not read. */
     send(message: Message): void {
         this.sendEnvelope({ message });
     }
@@ -93,10 +91,10 @@
     }
 
     private sendEnvelope(envelope: Envelope): void {
-        if (this.socket.readyState === WebSocket.OPEN && this.socket.bufferedAmount < MAX_BUFFERED_BYTES) {
+        if (this.socket.readyState === WebSocket.OPEN) {
             const data = packr.pack(envelope);
             this.options.bytes.sent += data.length;
-            this.socket.send(data);
+            this.options.budget.send(this.socket, data);
         }
     }
 
--- a/src/links/WsLinkOptions.ts
+++ b/src/links/WsLinkOptions.ts
@@ -1,3 +1,4 @@
+import { SocketBudget } from "../frames/SocketBudget/index.js";
 import { FleetError } from "../model/FleetError.js";
 import { LinkBytes } from "./LinkBytes.js";
 import { Message } from "./Message.js";
@@ -14,6 +15,8 @@
     readonly address: string;
     /** Byte counters shared by all links of the process. */
     readonly bytes: LinkBytes;
+    /** Bounds what the links of the process hold; watches the socket. */
+    readonly budget: SocketBudget;
     readonly onOpen: (link: WsLink) => void;
     readonly onMessage: (link: WsLink, message: Message) => void;
     readonly onCall: (link: WsLink, message: Message) => Promise<Message | undefined>;
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -6,6 +6,7 @@
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
+import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { FleetError } from "../../model/FleetError.js";
@@ -62,6 +63,7 @@
         const { vm, links: { firstPort, fleetKey } } = settings;
         const linkAddress = `${vm.ip}:${firstPort}`;
         const controlAddresses = ControlAddresses.create(linkAddress);
+        const budgetLog = BudgetLog.create(events);
         const started: { mesh?: MeshLinks } = {};
         const links = await LinkController.create(
             {
@@ -86,6 +88,7 @@
             },
             () => ({ term: 0, version: position(), manifestVersion: 0 }),
             (error: FleetError) => events.record(EventNumber.LinkRefused, { error: error.message }),
+            budgetLog.recordRefusal.bind(budgetLog),
         );
         started.mesh = new MeshLinks(links, controlAddresses, ownPeer);
         started.mesh.setSeeds(settings);
@@ -97,6 +100,11 @@
         return this.links.linkedVms;
     }
 
+    /** Size of the messages that linked VMs have not read, in bytes. */
+    get bufferedBytes(): number {
+        return this.links.bufferedBytes;
+    }
+
     /** Sets the seeds of new settings and connects to them. */
     setSeeds(settings: MeshSettings): void {
         const { firstPort, seeds } = settings.links;
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -22,14 +22,17 @@
 import { RequestDispatcher } from "../../callers/RequestDispatcher/index.js";
 import { CallerServer } from "../../callers/CallerServer/index.js";
 import { FleetView } from "../../callers/FleetView/index.js";
+import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
+import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
+import { TUNNEL_LIMITS } from "../../tunnel/tunnelLimits.js";
 import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
 import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
 import { GaugeSource } from "../../metrics/GaugeSource.js";
@@ -77,6 +80,7 @@
         private readonly gate: ServingGate,
         private readonly fleetView: FleetView,
         private readonly dispatcher: RequestDispatcher,
+        private readonly tunnelBudget: SocketBudget,
         private readonly roleReference: { role?: SidecarRole },
     ) {
         const { vm, links } = settings;
@@ -122,11 +126,13 @@
             onPresence: (run, isPresent) => roleReference.role?.handlePresence(run, isPresent),
             onLimitChange: (perSecond) => roleReference.role?.handleLimitChange(perSecond),
         });
+        const budgetLog = BudgetLog.create(events);
+        const tunnelBudget = SocketBudget.create("tunnels", TUNNEL_LIMITS, budgetLog.recordRefusal.bind(budgetLog));
         const fleetView = FleetView.create({
             vm: vm.name,
             failureDomain: vm.failureDomain,
             localGate: gate,
-            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks),
+            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget),
         }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: `${vm.name}-${randomBytes(RUN_ID_BYTES).toString("hex")}`,
@@ -136,7 +142,7 @@
             onStrikesCleared: (fingerprint) => roleReference.role?.sendToControls({ kind: MessageKind.StrikesCleared, fingerprint }),
             callerService: () => roleReference.role?.callerService ?? "",
         }, fleetView, events);
-        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, roleReference);
+        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, tunnelBudget, roleReference);
         await role.start(token, dialect);
         return role;
     }
@@ -156,6 +162,8 @@
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
+            { name: "tunnel_buffered_bytes", help: "Bytes that other proxies have not read", read: () => this.tunnelBudget.bufferedBytes },
+            { name: "link_buffered_bytes", help: "Bytes that control VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
@@ -244,12 +252,15 @@
         const { vm, links, proxy } = this.settings;
         this.fleetView.mergeRecords([this.record]);
         const onError = (error: Error): void => this.events.recordError(error, {});
+        const budgetLog = BudgetLog.create(this.events);
         this.tunnelServer = await TunnelServer.create({
             host: vm.ip,
             port: links.firstPort + 1,
             token,
             gateRun: this.gateRun,
             gate: this.gate,
+            budget: this.tunnelBudget,
+            recordRefusal: budgetLog.recordRefusal.bind(budgetLog),
             onError,
         });
         this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.dispatcher.dispatch(exchange), onError);
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -1,5 +1,6 @@
 import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { toError } from "../../model/toError/index.js";
@@ -69,6 +70,7 @@
         private readonly address: string,
         private readonly token: string,
         private readonly callbacks: TunnelCallbacks,
+        private readonly budget: SocketBudget,
     ) {}
 
     /**
@@ -77,9 +79,10 @@
      * @param address - `host:port` of the gate.
      * @param token - Token that authenticates this process as a member of the fleet.
      * @param callbacks - Functions that it calls.
+     * @param budget - Bounds what the tunnels of this process hold.
      */
-    static create(address: string, token: string, callbacks: TunnelCallbacks): TunnelClient {
-        return new TunnelClient(address, token, callbacks);
+    static create(address: string, token: string, callbacks: TunnelCallbacks, budget: SocketBudget): TunnelClient {
+        return new TunnelClient(address, token, callbacks, budget);
     }
 
     /** False while the gate cannot be connected to, or has sent no frame since it failed to reply to an offer in time. */
@@ -184,6 +187,8 @@
             webSocket = new WebSocket(`ws://${this.address}/`, {
                 handshakeTimeout: CONNECT_TIMEOUT_MS,
                 perMessageDeflate: false,
+                maxPayload: this.budget.maxFrameBytes,
+                maxFragments: 1,
                 headers: { authorization: this.token },
             });
         }
@@ -192,8 +197,10 @@
             this.handleConnectFailure(toError(thrown).message);
             return;
         }
+        this.budget.watchOnceOpen(webSocket);
         const socket = TunnelSocket.create(
             webSocket,
+            this.budget,
             (frame) => this.handleFrame(socket, frame),
             (problem) => this.handleClose(socket, problem),
             (error) => this.callbacks.onError(error),
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { createLoadReport } from "../../../test/fixtures/createLoadReport.js";
+import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { GatePort } from "../GatePort.js";
@@ -11,6 +12,7 @@
 import { Invitation } from "../Invitation.js";
 import { OfferHandle } from "../OfferHandle.js";
 import { TunnelServer } from "../TunnelServer/index.js";
+import { TUNNEL_LIMITS } from "../tunnelLimits.js";
 import { WorkOffer } from "../WorkOffer.js";
 import { TunnelClient } from "./index.js";
 
@@ -18,6 +20,8 @@
 const throwError = (error: Error): void => {
     throw error;
 };
+const failOnRefusal = (holder: string): void => throwError(new Error(holder));
+const createBudget = (): SocketBudget => SocketBudget.create("tunnels", TUNNEL_LIMITS, failOnRefusal);
 const CALLBACKS = { onReachabilityChange: (): void => undefined, onInvitation: (): void => undefined, onError: throwError };
 const RESPONSE: GateReply = { kind: GateReplyKind.Answered, answer: { status: 200, headers: [], body: Buffer.from("ok") }, load: undefined };
 
@@ -88,6 +92,19 @@
     }
 }
 
+function createServerOn(port: number, gate: GatePort): Promise<TunnelServer> {
+    return TunnelServer.create({
+        host: "127.0.0.1",
+        port,
+        token: TOKEN,
+        gateRun: "run-1",
+        gate,
+        budget: createBudget(),
+        recordRefusal: failOnRefusal,
+        onError: throwError,
+    });
+}
+
 interface Fixture {
     readonly gate: FakeGate;
     readonly server: TunnelServer;
@@ -109,11 +126,11 @@
     const { port } = probe.address() as AddressInfo;
     probe.close();
     await once(probe, "close");
-    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate, onError: throwError });
+    const server = await createServerOn(port, gate);
     const tcpProxy = await TcpProxy.create(port);
     const invitations: Invitation[] = [];
     const onInvitation = (invitation: Invitation): unknown => invitations.push(invitation);
-    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation, onError });
+    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation, onError }, createBudget());
     const timer = setInterval(() => client.tick(), 20);
     const replies: GateReply[] = [];
     const offer = (key: string, requestKind: RequestKind): OfferHandle =>
@@ -237,7 +254,7 @@
 
 test("an offer to an unreachable gate is refused as not executed", async (t) => {
     const replies: GateReply[] = [];
-    const client = TunnelClient.create("127.0.0.1:1", TOKEN, CALLBACKS);
+    const client = TunnelClient.create("127.0.0.1:1", TOKEN, CALLBACKS, createBudget());
     client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 4_000 } as WorkOffer, (reply) => replies.push(reply));
     await waitUntil(() => replies.length > 0);
     t.is(replies[0]?.kind, GateReplyKind.Refused);
@@ -248,7 +265,7 @@
 test("a process without the token of the fleet cannot open a tunnel", async (t) => {
     await withTunnel(t, async ({ tcpProxy, gate }) => {
         const replies: GateReply[] = [];
-        const unauthenticated = TunnelClient.create(tcpProxy.address, "another token", CALLBACKS);
+        const unauthenticated = TunnelClient.create(tcpProxy.address, "another token", CALLBACKS, createBudget());
         unauthenticated.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 4_000 } as WorkOffer, (reply) => replies.push(reply));
         await waitUntil(() => replies.length > 0);
         t.is(replies[0]?.kind, GateReplyKind.Refused);
@@ -264,10 +281,11 @@
     probe.close();
     await once(probe, "close");
     const gate = new FakeGate();
-    const server = await TunnelServer.create({ host: "127.0.0.1", port, token: TOKEN, gateRun: "run-1", gate, onError: throwError });
+    const server = await createServerOn(port, gate);
     const tcpProxy = await TcpProxy.create(port);
     const invitations: Invitation[] = [];
-    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation: (invitation) => invitations.push(invitation) });
+    const onInvitation = (invitation: Invitation): unknown => invitations.push(invitation);
+    const client = TunnelClient.create(tcpProxy.address, TOKEN, { ...CALLBACKS, onInvitation }, createBudget());
     const timer = setInterval(() => client.tick(), 20);
     t.teardown(() => {
         clearInterval(timer);
@@ -292,7 +310,7 @@
     server.on("connection", () => {
         attempts += 1;
     });
-    const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, CALLBACKS);
+    const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, CALLBACKS, createBudget());
     const timer = setInterval(() => client.tick(), 20);
     t.teardown(() => {
         clearInterval(timer);
@@ -327,7 +345,7 @@
 // Guards against an odd address in the record of one gate, by which every request of its service failed.
 test("an offer to a gate with an impossible address is refused as not executed, and so is the next one", (t) => {
     for (const address of ["10.0.0.1:99999", "no address"]) {
-        const client = TunnelClient.create(address, TOKEN, CALLBACKS);
+        const client = TunnelClient.create(address, TOKEN, CALLBACKS, createBudget());
         const replies: GateReply[] = [];
         client.open();
         ["1", "2"].forEach((key) => client.offer({ key, requestKind: RequestKind.Once, remainingMs: 1_000 } as WorkOffer, (reply) => replies.push(reply)));
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -1,13 +1,12 @@
 import { once } from "node:events";
-import { WebSocket, WebSocketServer } from "ws";
+import type { Socket } from "node:net";
+import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
-import { FleetError } from "../../model/FleetError.js";
+import { PeerServer } from "../../frames/PeerServer/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
-import { Step } from "../../model/Step.js";
-import { toError } from "../../model/toError/index.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
 import { GateReply } from "../GateReply.js";
@@ -26,7 +25,6 @@
 const CLOSE_TIMEOUT_MS = 300;
 /** Close code of a server that goes away (RFC 6455, section 7.4.1). */
 const GOING_AWAY = 1_001;
-const MAX_FRAME_BYTES = 128 * 1_024 * 1_024;
 
 interface AcceptedOffer {
     readonly offer: WorkOffer;
@@ -45,12 +43,10 @@
 export class TunnelServer {
     private readonly offers = new Map<string, AcceptedOffer>();
     private readonly invitations = ProbeInvitations.create<TunnelSocket>();
-    private readonly cleanupTimer: NodeJS.Timeout;
+    private readonly cleanupTimer = setInterval(() => this.removeExpired(), CLEANUP_INTERVAL_MS);
+    private server: PeerServer | undefined;
 
-    private constructor(private readonly server: WebSocketServer, private readonly options: TunnelServerOptions) {
-        this.cleanupTimer = setInterval(() => this.removeExpired(), CLEANUP_INTERVAL_MS);
-        server.on("connection", (webSocket: WebSocket) => this.handleConnection(webSocket));
-    }
+    private constructor(private readonly options: TunnelServerOptions) {}
 
     /**
      * Starts listening for tunnels.
@@ -59,21 +55,22 @@
      * @throws FleetError if the server cannot listen on the port.
      */
     static async create(options: TunnelServerOptions): Promise<TunnelServer> {
-        const server = new WebSocketServer({
-            host: options.host,
-            port: options.port,
-            maxPayload: MAX_FRAME_BYTES,
-            perMessageDeflate: false,
-            verifyClient: ({ req }: { req: { headers: NodeJS.Dict<string | string[]> } }) => req.headers.authorization === options.token,
-        });
+        const tunnelServer = new TunnelServer(options);
         try {
-            await once(server, "listening");
+            tunnelServer.server = await PeerServer.create({
+                host: options.host,
+                port: options.port,
+                name: "gate port",
+                maxFrameBytes: options.budget.maxFrameBytes,
+                isAuthorized: (authorization) => authorization === options.token,
+                recordRefusal: options.recordRefusal,
+            }, (webSocket, networkSocket) => tunnelServer.handleConnection(webSocket, networkSocket));
         }
         catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: `gate port ${options.port}`, cause }, cause.message);
+            tunnelServer.close();
+            throw thrown;
         }
-        return new TunnelServer(server, options);
+        return tunnelServer;
     }
 
     /** True while entries have an invitation. */
@@ -98,12 +95,12 @@
 
     /** True while replies have not been handed to the operating system. */
     get hasUnsentReplies(): boolean {
-        return [...this.server.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
+        return [...this.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
     }
 
     /** Closes all tunnels after what was sent, so that entries receive it, and resolves when they have closed their ends. */
     async shutDown(): Promise<void> {
-        const clients = [...this.server.clients];
+        const clients = [...this.clients];
         const signal = AbortSignal.timeout(CLOSE_TIMEOUT_MS);
         await Promise.all(clients.map((client) => {
             client.close(GOING_AWAY);
@@ -114,13 +111,18 @@
     /** Closes all tunnels immediately and stops listening. */
     close(): void {
         clearInterval(this.cleanupTimer);
-        this.server.clients.forEach((client) => client.terminate());
-        this.server.close();
+        void this.server?.close();
+    }
+
+    private get clients(): ReadonlySet<WebSocket> {
+        return this.server?.clients ?? new Set();
     }
 
-    private handleConnection(webSocket: WebSocket): void {
+    private handleConnection(webSocket: WebSocket, networkSocket: Socket): void {
+        this.options.budget.watch(webSocket, networkSocket);
         const socket = TunnelSocket.create(
             webSocket,
+            this.options.budget,
             (frame) => this.handleFrame(socket, frame),
             () => this.handleConnectionLoss(socket),
             (error) => this.options.onError(error),
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -1,3 +1,5 @@
+import { RecordRefusal } from "../frames/RecordRefusal.js";
+import { SocketBudget } from "../frames/SocketBudget/index.js";
 import { GatePort } from "./GatePort.js";
 
 /** Settings and dependencies of `TunnelServer`. */
@@ -9,6 +11,10 @@
     /** Identifies this run of the proxy. */
     readonly gateRun: string;
     readonly gate: GatePort;
+    /** Bounds what the tunnels of this process hold. */
+    readonly budget: SocketBudget;
+    /** Called each time something is refused or dropped because of a limit. */
+    readonly recordRefusal: RecordRefusal;
     /** Called with each unexpected error, which affects only the frame that caused it. */
     readonly onError: (error: Error) => void;
 }
--- a/src/tunnel/TunnelSocket/index.ts
+++ b/src/tunnel/TunnelSocket/index.ts
@@ -1,5 +1,6 @@
 import { Packr, Unpackr } from "msgpackr";
 import { WebSocket } from "ws";
+import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { toError } from "../../model/toError/index.js";
 import { Frame } from "../Frame.js";
 
@@ -8,23 +9,25 @@
 
 /** WebSocket that carries frames, encoded as MessagePack. */
 export class TunnelSocket {
-    private constructor(private readonly socket: WebSocket) {}
+    private constructor(private readonly socket: WebSocket, private readonly budget: SocketBudget) {}
 
     /**
      * Wraps a WebSocket.
      *
-     * @param socket - WebSocket that is open or connecting.
+     * @param socket - WebSocket that is open or connecting; watched by the budget.
+     * @param budget - Bounds what the tunnels of this process hold.
      * @param onFrame - Called with each frame.
      * @param onClose - Called once with the reason when the socket is closed.
      * @param onError - Called with the error if a frame cannot be handled; the socket stays open for the others.
      */
     static create(
         socket: WebSocket,
+        budget: SocketBudget,
         onFrame: (frame: Frame) => void,
         onClose: (problem: string) => void,
         onError: (error: Error) => void,
     ): TunnelSocket {
-        const tunnelSocket = new TunnelSocket(socket);
+        const tunnelSocket = new TunnelSocket(socket, budget);
         let problem = "the connection was closed";
         socket.on("message", (data: Buffer) => {
             let frame: Frame;
@@ -55,10 +58,10 @@
         return this.socket.readyState === WebSocket.OPEN;
     }
 
-    /** Sends a frame. Drops it if the socket is not open. */
+    /** Sends a frame. Drops it if the socket is not open; closes the socket if its peer does not read. */
     send(frame: Frame): void {
         if (this.isOpen) {
-            this.socket.send(packr.pack(frame));
+            this.budget.send(this.socket, packr.pack(frame));
         }
     }
 
