Refuse frames that take much more memory than their bytes before they are decoded

Seen by callers: nothing yet from the field. One frame of 8 MB of empty maps, a byte each, from a process with the key or the token of the fleet (a faulty one, or one of another version), ended a proxy and a control VM (SIGABRT, heap out of memory); each restart met the next frame.

Cause: MessagePack turns one byte into an object of up to 250 bytes. The limit counted the bytes of the frame.

Change: estimateDecodedBytes walks over a frame without creating its values, and adds up what they would take; 8 MB are allowed for a frame of a tunnel and 48 MB for one of a link, without binary parts. What the fleet does not send (other extensions, bytes behind the value) is no frame.

--- a/src/frames/SocketBudget/index.ts
+++ b/src/frames/SocketBudget/index.ts
@@ -1,5 +1,8 @@
 import type { Socket } from "node:net";
 import { WebSocket } from "ws";
+import { FleetError } from "../../model/FleetError.js";
+import { Step } from "../../model/Step.js";
+import { estimateDecodedBytes } from "../estimateDecodedBytes/index.js";
 import { RecordRefusal } from "../RecordRefusal.js";
 import { SocketLimits } from "../SocketLimits.js";
 
@@ -110,6 +113,20 @@
         }
     }
 
+    /**
+     * Checks before a frame is decoded that it does not take much more memory than its bytes.
+     *
+     * @param data - Frame in MessagePack.
+     * @throws FleetError if it takes more than the limit.
+     */
+    checkDecodedSize(data: Buffer): void {
+        const sizeBytes = estimateDecodedBytes(data);
+        if (sizeBytes > this.limits.maxDecodedBytes) {
+            this.recordRefusal(`${this.name}: bytes of a decoded frame`, sizeBytes, this.limits.maxDecodedBytes);
+            throw FleetError.create({ step: Step.Link, peer: this.name }, `a frame of ${data.length} bytes would take ${sizeBytes} bytes`);
+        }
+    }
+
     private recordReceived(webSocket: WebSocket, usage: Usage, sizeBytes: number): void {
         if (this.usages.get(webSocket) !== usage) {
             return;
--- a/src/frames/SocketBudget/test.ts
+++ b/src/frames/SocketBudget/test.ts
@@ -11,6 +11,7 @@
     maxReceivingTotalBytes: 150_000,
     maxSendingBytes: 100_000,
     maxSendingTotalBytes: 150_000,
+    maxDecodedBytes: 10_000,
 };
 
 class FakeWebSocket extends EventEmitter {
@@ -105,3 +106,11 @@
     second.emit("message");
     t.is(budget.receivingBytes, 0);
 });
+
+test("a frame that takes more than the limit once it is decoded is refused before", (t) => {
+    const { budget, refusals } = createFixture();
+    t.notThrows(() => budget.checkDecodedSize(Buffer.from([0x91, 0x80])));
+    const hollow = Buffer.concat([Buffer.from([0xdc, 0, 200]), Buffer.alloc(200, 0x80)]);
+    t.throws(() => budget.checkDecodedSize(hollow), { any: true, message: /a frame of 203 bytes/ });
+    t.deepEqual(refusals, ["tunnels: bytes of a decoded frame"]);
+});
--- a/src/frames/SocketLimits.ts
+++ b/src/frames/SocketLimits.ts
@@ -10,4 +10,6 @@
     readonly maxSendingBytes: number;
     /** Maximum size of the frames that all peers together have not read. */
     readonly maxSendingTotalBytes: number;
+    /** Maximum size that a frame may have in memory once it is decoded, without its binary parts. */
+    readonly maxDecodedBytes: number;
 }
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -102,6 +102,7 @@
         this.options.bytes.received += data.length;
         let envelope: Envelope;
         try {
+            this.options.budget.checkDecodedSize(data);
             envelope = unpackr.unpack(data) as Envelope;
             if (!this.isOpen) {
                 this.handleHandshake(envelope.message);
--- a/src/links/linkLimits.ts
+++ b/src/links/linkLimits.ts
@@ -9,4 +9,5 @@
     maxReceivingTotalBytes: 64 * MEBIBYTE,
     maxSendingBytes: 32 * MEBIBYTE,
     maxSendingTotalBytes: 64 * MEBIBYTE,
+    maxDecodedBytes: 48 * MEBIBYTE,
 };
--- a/src/tunnel/TunnelSocket/index.ts
+++ b/src/tunnel/TunnelSocket/index.ts
@@ -32,6 +32,7 @@
         socket.on("message", (data: Buffer) => {
             let frame: Frame;
             try {
+                budget.checkDecodedSize(data);
                 frame = unpackr.unpack(data) as Frame;
             }
             catch (thrown) {
--- a/src/tunnel/tunnelLimits.ts
+++ b/src/tunnel/tunnelLimits.ts
@@ -9,4 +9,5 @@
     maxReceivingTotalBytes: 68 * MEBIBYTE,
     maxSendingBytes: 48 * MEBIBYTE,
     maxSendingTotalBytes: 64 * MEBIBYTE,
+    maxDecodedBytes: 8 * MEBIBYTE,
 };
--- a/test/endlessFrames.test.ts
+++ b/test/endlessFrames.test.ts
@@ -3,11 +3,16 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
-import { Packr } from "msgpackr";
+import { Packr, Unpackr } from "msgpackr";
 import { request } from "undici";
+import { WebSocket } from "ws";
 import { FaultKind } from "../bench/processes/FaultKind.js";
 import { ProcessFleet } from "../bench/processes/ProcessFleet/index.js";
 import { deriveToken } from "../src/http/deriveToken/index.js";
+import { computeKeyProof } from "../src/links/computeKeyProof/index.js";
+import { Envelope } from "../src/links/Envelope.js";
+import { MessageKind } from "../src/links/MessageKind.js";
+import { Role } from "../src/model/Role.js";
 import { FrameKind } from "../src/tunnel/FrameKind.js";
 import { startProcesses } from "./fixtures/startProcesses.js";
 
@@ -48,6 +53,13 @@
     return Buffer.alloc(Math.floor(lengthBytes / piece.length) * piece.length, piece);
 }
 
+/** MessagePack array of empty maps: one byte each on the wire, an object each in memory. */
+function createHollowArray(count: number): Buffer {
+    const head = Buffer.from([0xdd, 0, 0, 0, 0]);
+    head.writeUInt32BE(count, 1);
+    return Buffer.concat([head, Buffer.alloc(count, 0x80)]);
+}
+
 async function openWebSocket(host: string, port: number): Promise<Socket> {
     const socket = connect(port, host);
     socket.on("error", () => undefined);
@@ -67,6 +79,22 @@
     }
 }
 
+/** Opens a link and proves to know the fleet key, like a faulty process of the fleet. */
+async function openLink(host: string): Promise<Socket> {
+    const socket = new WebSocket(`ws://${host}:${LINK_PORT}`, { perMessageDeflate: false });
+    socket.on("error", () => undefined);
+    const unpackr = new Unpackr({ useRecords: true });
+    const packr = new Packr({ useRecords: true });
+    const upgraded = once(socket, "upgrade") as Promise<[{ readonly socket: Socket }]>;
+    const [data] = await once(socket, "message") as [Buffer];
+    const { message } = unpackr.unpack(data) as Envelope;
+    const nonce = message.kind === MessageKind.Challenge ? message.nonce : "";
+    const identity = { vm: "faulty", startedAtMs: 1, failureDomain: "a", roles: [Role.Proxy], linkAddress: `${host}:1` };
+    socket.send(packr.pack({ message: { kind: MessageKind.Hello, identity, nonce: "n", proof: computeKeyProof(FLEET_KEY, nonce, "faulty") } }));
+    await once(socket, "message");
+    return (await upgraded)[0].socket;
+}
+
 interface AttackCase {
     readonly title: string;
     readonly target: "control-0" | "proxy-0";
@@ -139,6 +167,22 @@
             }
         },
     },
+    {
+        title: "a frame on a tunnel that decodes to a hundred times its bytes leaves a proxy up",
+        target: "proxy-0",
+        attack: async (host, untilMs) => {
+            const socket = await openWebSocket(host, TUNNEL_PORT);
+            await sendEndlessly(socket.resume(), createFrame(FIN | BINARY, createHollowArray(8 * MEGABYTE)), untilMs);
+        },
+    },
+    {
+        title: "a frame on a link that decodes to a hundred times its bytes leaves a control VM up",
+        target: "control-0",
+        attack: async (host, untilMs) => {
+            const socket = await openLink(host);
+            await sendEndlessly(socket, createFrame(FIN | BINARY, createHollowArray(8 * MEGABYTE)), untilMs);
+        },
+    },
     {
         title: "connections that never send are closed within seconds",
         target: "control-0",
