Bound the offers and the replies that a gate holds for its tunnels

Seen by callers: uploads on busy routes: a proxy that answers uploads grows by their bodies and their answers for 30 s, and ends when memory is full. Not shown to be the users' case.

Cause: TunnelServer kept the whole offer, with the body of the request, and the whole final reply of each request that must not be repeated for 30 s, by count and bytes without a bound; so also void offers, which a peer may invent by resuming keys without end, and a key that it resumes at each turn. Offers without a final reply had no bound on their bodies.

What is dropped stays true: a resume of a dropped reply is answered as broken, and while a reply may be gone altogether, so is every unknown key; "void" is said only of what cannot have run. A dropped void is safe, as the offer is only granted and nobody confirms it. Offers beyond 4,096, or beyond 64 MB of bodies, are refused as not executed, so that the entry offers them elsewhere.

--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -163,6 +163,7 @@
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
             { name: "tunnel_buffered_bytes", help: "Bytes that other proxies have not read", read: () => this.tunnelBudget.bufferedBytes },
+            { name: "retained_reply_bytes", help: "Bytes of replies kept for lost tunnels", read: () => this.tunnelServer?.retainedReplyBytes ?? 0 },
             { name: "link_buffered_bytes", help: "Bytes that control VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -13,27 +13,34 @@
 import { GateReplyKind } from "../GateReplyKind.js";
 import { Invitation } from "../Invitation.js";
 import { isFinalReply } from "../isFinalReply/index.js";
+import { RetainedReplies } from "../RetainedReplies/index.js";
 import { OfferHandle } from "../OfferHandle.js";
 import { TunnelServerOptions } from "../TunnelServerOptions.js";
 import { TunnelSocket } from "../TunnelSocket/index.js";
 import { WorkOffer } from "../WorkOffer.js";
 
-/** Time for which the final reply to an offer that must not be repeated is kept, in ms; longer than any deadline. */
-const RETENTION_MS = 30_000;
 const CLEANUP_INTERVAL_MS = 2_000;
 /** Time that entries have to close their end of a tunnel, in ms: several round trips. */
 const CLOSE_TIMEOUT_MS = 300;
 /** Close code of a server that goes away (RFC 6455, section 7.4.1). */
 const GOING_AWAY = 1_001;
 
+/** Maximum number of offers without a final reply; far more than a gate queues. */
+const MAX_OFFERS = 4_096;
+/** Maximum size of the bodies of offers without a final reply, in bytes. */
+const MAX_OFFERED_BYTES = 64 * 1_024 * 1_024;
+/** Retry-after of an offer that was refused because there is too much, in ms; about the time of a request. */
+const RETRY_AFTER_MS = 500;
+
 interface AcceptedOffer {
-    readonly offer: WorkOffer;
+    readonly requestKind: RequestKind;
+    /** Size of the body of the request. */
+    readonly lengthBytes: number;
     handle: OfferHandle | undefined;
     /** Connection that replies are sent to, or undefined while there is none. */
     socket: TunnelSocket | undefined;
     hasStarted: boolean;
-    finalReply: GateReply | undefined;
-    endedAtMs: number;
+    hasEnded: boolean;
 }
 
 /**
@@ -41,12 +48,18 @@
  * fails, so that the entry can resume them, and cancels all others.
  */
 export class TunnelServer {
+    /** Offers without a final reply. */
     private readonly offers = new Map<string, AcceptedOffer>();
+    /** Size of the bodies of these offers. */
+    private offeredBytes = 0;
+    private readonly retainedReplies: RetainedReplies;
     private readonly invitations = ProbeInvitations.create<TunnelSocket>();
-    private readonly cleanupTimer = setInterval(() => this.removeExpired(), CLEANUP_INTERVAL_MS);
+    private readonly cleanupTimer = setInterval(() => this.retainedReplies.removeExpired(nowMs()), CLEANUP_INTERVAL_MS);
     private server: PeerServer | undefined;
 
-    private constructor(private readonly options: TunnelServerOptions) {}
+    private constructor(private readonly options: TunnelServerOptions) {
+        this.retainedReplies = RetainedReplies.create(options.recordRefusal);
+    }
 
     /**
      * Starts listening for tunnels.
@@ -93,6 +106,11 @@
         this.invitations.end().forEach((socket) => socket.send({ kind: FrameKind.Invitation, invitation: { load, waitedMs: undefined } }));
     }
 
+    /** Size of the final replies that are kept for entries that have lost their connection, in bytes. */
+    get retainedReplyBytes(): number {
+        return this.retainedReplies.sizeBytes;
+    }
+
     /** True while replies have not been handed to the operating system. */
     get hasUnsentReplies(): boolean {
         return [...this.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
@@ -157,27 +175,55 @@
     }
 
     private handleOffer(socket: TunnelSocket, offer: WorkOffer): void {
-        const existing = this.offers.get(offer.key);
-        if (existing !== undefined) {
-            this.reattach(socket, offer.key, existing);
+        if (this.resume(socket, offer.key)) {
+            return;
+        }
+        const lengthBytes = Buffer.isBuffer(offer.body) ? offer.body.length : 0;
+        if (this.offers.size >= MAX_OFFERS || this.offeredBytes + lengthBytes > MAX_OFFERED_BYTES) {
+            this.refuse(socket, offer.key);
             return;
         }
         this.invitations.recordRequest(socket, offer.requestKind, nowMs());
-        const accepted: AcceptedOffer = { offer, handle: undefined, socket, hasStarted: false, finalReply: undefined, endedAtMs: 0 };
+        const accepted: AcceptedOffer = {
+            requestKind: offer.requestKind,
+            lengthBytes,
+            handle: undefined,
+            socket,
+            hasStarted: false,
+            hasEnded: false,
+        };
         this.offers.set(offer.key, accepted);
+        this.offeredBytes += lengthBytes;
         accepted.handle = this.options.gate.offer({ ...offer, needsGo: true }, (reply) => this.handleReply(offer.key, accepted, reply));
     }
 
+    /** Refuses an offer that there is no room for. It has not run, and the entry can offer it elsewhere. */
+    private refuse(socket: TunnelSocket, key: string): void {
+        const hasManyOffers = this.offers.size >= MAX_OFFERS;
+        this.options.recordRefusal(
+            hasManyOffers ? "offers" : "bytes of offers",
+            hasManyOffers ? this.offers.size : this.offeredBytes,
+            hasManyOffers ? MAX_OFFERS : MAX_OFFERED_BYTES,
+        );
+        const reply: GateReply = {
+            kind: GateReplyKind.Refused,
+            cause: RefusalCause.Busy,
+            retryAfterMs: RETRY_AFTER_MS,
+            reachedEndpoint: false,
+            load: undefined,
+        };
+        socket.send({ kind: FrameKind.Reply, key, reply });
+    }
+
     private handleReply(key: string, accepted: AcceptedOffer, reply: GateReply): void {
-        if (accepted.finalReply !== undefined) {
+        if (accepted.hasEnded) {
             return;
         }
         accepted.hasStarted ||= reply.kind === GateReplyKind.Started;
         if (isFinalReply(reply)) {
-            accepted.finalReply = reply;
-            accepted.endedAtMs = nowMs();
-            if (accepted.offer.requestKind !== RequestKind.Once) {
-                this.offers.delete(key);
+            accepted.hasEnded = true;
+            if (this.removeOffer(key, accepted) && accepted.requestKind === RequestKind.Once) {
+                this.retainedReplies.put(key, reply, nowMs());
             }
         }
         if (reply.kind !== GateReplyKind.Started) {
@@ -186,64 +232,61 @@
     }
 
     private handleResume(socket: TunnelSocket, key: string, gateRun: string): void {
-        const existing = this.offers.get(key);
-        if (existing !== undefined) {
-            this.reattach(socket, key, existing);
+        if (this.resume(socket, key)) {
             return;
         }
         const reply: GateReply = gateRun === this.options.gateRun
-            ? this.voidOffer(key)
+            ? this.retainedReplies.settleUnknown(key, nowMs())
             : { kind: GateReplyKind.Broken, problem: "the gate has restarted since", lostEndpoint: false };
         socket.send({ kind: FrameKind.Reply, key, reply });
     }
 
-    /** Records an unknown offer as void, so that it is refused if it still arrives. */
-    private voidOffer(key: string): GateReply {
-        const finalReply: GateReply = {
-            kind: GateReplyKind.Refused,
-            cause: RefusalCause.Voided,
-            retryAfterMs: 0,
-            reachedEndpoint: false,
-            load: undefined,
-        };
-        const offer = { key, requestKind: RequestKind.Once } as WorkOffer;
-        this.offers.set(key, { offer, handle: undefined, socket: undefined, hasStarted: false, finalReply, endedAtMs: nowMs() });
-        return finalReply;
+    /** Sends the state of an offer over a connection, which is the one for its replies from now on. Returns false if it is unknown. */
+    private resume(socket: TunnelSocket, key: string): boolean {
+        const accepted = this.offers.get(key);
+        if (accepted !== undefined) {
+            accepted.socket = socket;
+            const kind = accepted.hasStarted ? GateReplyKind.Started as const : GateReplyKind.Queued as const;
+            socket.send({ kind: FrameKind.Reply, key, reply: { kind } });
+            return true;
+        }
+        const reply = this.retainedReplies.get(key);
+        if (reply !== undefined) {
+            socket.send({ kind: FrameKind.Reply, key, reply });
+        }
+        return reply !== undefined;
     }
 
-    private reattach(socket: TunnelSocket, key: string, accepted: AcceptedOffer): void {
-        accepted.socket = socket;
-        const reply = accepted.finalReply ?? { kind: accepted.hasStarted ? GateReplyKind.Started as const : GateReplyKind.Queued as const };
-        socket.send({ kind: FrameKind.Reply, key, reply });
+    /** Removes an offer, unless it has been removed before. Returns whether it was there. */
+    private removeOffer(key: string, accepted: AcceptedOffer): boolean {
+        if (this.offers.get(key) !== accepted) {
+            return false;
+        }
+        this.offers.delete(key);
+        this.offeredBytes -= accepted.lengthBytes;
+        return true;
     }
 
     private handleCancel(key: string): void {
         const accepted = this.offers.get(key);
-        if (accepted !== undefined && accepted.finalReply === undefined) {
+        if (accepted !== undefined) {
             accepted.handle?.cancel();
-            this.offers.delete(key);
+            this.removeOffer(key, accepted);
         }
     }
 
     /** Cancels the unfinished offers of a lost connection that have not started or that the entry repeats elsewhere. */
     private handleConnectionLoss(socket: TunnelSocket): void {
         this.invitations.removeEntry(socket);
-        [...this.offers].filter(([, accepted]) => accepted.socket === socket && accepted.finalReply === undefined).forEach(([key, accepted]) => {
+        [...this.offers].filter(([, accepted]) => accepted.socket === socket).forEach(([key, accepted]) => {
             accepted.socket = undefined;
-            if (accepted.offer.requestKind !== RequestKind.Once) {
+            if (accepted.requestKind !== RequestKind.Once) {
                 this.handleCancel(key);
             }
             else if (!accepted.hasStarted) {
-                accepted.handle?.cancel();
-                this.voidOffer(key);
+                this.handleCancel(key);
+                this.retainedReplies.putVoid(key, nowMs());
             }
         });
     }
-
-    private removeExpired(): void {
-        const beforeMs = nowMs() - RETENTION_MS;
-        [...this.offers]
-            .filter(([, accepted]) => accepted.finalReply !== undefined && accepted.endedAtMs < beforeMs)
-            .forEach(([key]) => this.offers.delete(key));
-    }
 }
