Say in the log when no further request may wait at a gate

The bound on waiting requests refused without a word why. Event 108 names it now, at most once a second. Its test drives a gate beyond the bound: 1,024 of 1,100 requests wait, and there is one line.

--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -65,6 +65,16 @@
         return this.running.size;
     }
 
+    /** Maximum number of waiting requests. */
+    get maxWaiting(): number {
+        return MAX_WAITING;
+    }
+
+    /** True while no further request may wait. */
+    get isFull(): boolean {
+        return this.waiting.length >= MAX_WAITING;
+    }
+
     /** Number of requests that wait for a slot. */
     get waitingCount(): number {
         return this.waiting.length;
@@ -241,7 +251,7 @@
         if (this.isBlocked(request, grade, nowMs)) {
             return RefusalCause.Untrusted;
         }
-        if (this.waiting.length >= MAX_WAITING) {
+        if (this.isFull) {
             return RefusalCause.Busy;
         }
         const waitMs = this.expectedWaitMs(request, nowMs);
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -239,6 +239,9 @@
         }
         switch (admission.kind) {
             case AdmissionKind.Refuse:
+                if (admission.cause === RefusalCause.Busy && this.queue.isFull) {
+                    this.budgetLog.recordRefusal("requests that wait at a gate", this.queue.waitingCount, this.queue.maxWaiting);
+                }
                 onReply(this.createRefusal(admission.cause, admission.retryAfterMs, false));
                 return FINISHED_HANDLE;
             case AdmissionKind.Queue:
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -436,3 +436,14 @@
         t.is(gate.responseBufferBytes, 0);
     });
 });
+
+test.serial("a gate refuses requests beyond a number that wait, and says so in one line", async (t) => {
+    await withGate(t, () => undefined, ({ gate, events, offer }) => {
+        const overtaking = { remainingMs: 1_000_000, maxQueueMs: 1_000_000 };
+        const offers = Array.from({ length: 1_100 }, (_value, index) => offer(`key-${index}`, { ...overtaking, targetRemainingMs: 100_000 - index }));
+        t.is(gate.load.queued, 1_024);
+        t.true(offers.at(-1)?.replies.some(({ kind }) => kind === GateReplyKind.Refused));
+        t.deepEqual(events.find("BudgetExceeded").map(({ holder, held }) => [holder, held]), [["requests that wait at a gate", 1_024]]);
+        return Promise.resolve();
+    });
+});
