Send the body of a request to its backend server without a copy

A request was joined with its body into a new buffer, which is held until the backend server has read it: one that does not read its uploads doubled what they take.

The head and the body are written as two pieces with one system call.

--- a/src/backend/BackendConnection/index.ts
+++ b/src/backend/BackendConnection/index.ts
@@ -117,7 +117,9 @@
         this.parser.expectResponse(request.method);
         return new Promise((resolve) => {
             this.resolveExchange = resolve;
-            this.socket.write(encodeRequest(request));
+            this.socket.cork();
+            encodeRequest(request).forEach((piece) => this.socket.write(piece));
+            this.socket.uncork();
         });
     }
 
