Keep only known fields of entries, and report what cannot be encoded

One entry of a control VM with a field that MessagePack can decode and JSON can't encode (an integer beyond 2^53) ended the control VM that got it, by an uncaught error: it compares what it shares with what it has shared before as JSON, in a timer, where nobody handles errors. Only processes that know the fleet key can send such an entry.

The class: whatever is decoded is held with all its fields and sent on by timers. Gate records are passed on in the same way, and MessagePack can decode values that it can't encode (cycles, integers beyond 64 bits).

Unit test of LinkController: sending a cycle threw RangeError "Maximum call stack size exceeded".

Change: ControlAddresses and FleetTable keep the fields that they know. A message that can't be encoded isn't sent and gives event 215, as one that can't be handled.

--- a/src/decisions/fleet/FleetTable/index.ts
+++ b/src/decisions/fleet/FleetTable/index.ts
@@ -1,6 +1,7 @@
 import { gateHash } from "../gateHash/index.js";
 import { GateRecord } from "../GateRecord.js";
 import { isGateRecord } from "../isGateRecord/index.js";
+import { selectRecordFields } from "../selectRecordFields/index.js";
 
 /** Table of the newest record of each proxy's gate. */
 export class FleetTable {
@@ -41,7 +42,7 @@
      * @returns The records that were newer.
      */
     merge(records: readonly unknown[]): readonly GateRecord[] {
-        const newer = records.filter(isGateRecord).filter((record) => this.isNewer(record));
+        const newer = records.filter(isGateRecord).filter((record) => this.isNewer(record)).map(selectRecordFields);
         newer.forEach((record) => {
             this.records.set(record.vm, record);
             this.vms.set(gateHash(record.vm), record.vm);
--- a/src/links/LinkController/test.ts
+++ b/src/links/LinkController/test.ts
@@ -64,3 +64,18 @@
     t.true(peer.linkedVms.has("vm-1"));
     t.deepEqual(problems.map((problem) => /unexpected.*/.exec(problem)?.[0]), ["unexpected", "unexpected call"]);
 });
+
+// Guards against a control VM that one received value ends: it was decoded, but could not be encoded again to be passed on by a timer.
+test("a message that cannot be encoded is reported, and the link stays open", async (t) => {
+    const problems: string[] = [];
+    const [links] = await start(t, "vm-1", { onMessageError: (error) => problems.push(error.message) }, []);
+    const [, address] = await start(t, "vm-2", { onCall: (_link, message) => Promise.resolve(message) }, []);
+    const link = await links.connect(address);
+    const cyclic: Record<string, unknown> = { kind: MessageKind.ReadItems };
+    cyclic.self = cyclic;
+    for (const message of [cyclic, { kind: MessageKind.ReadItems, size: 2n ** 90n }]) {
+        t.notThrows(() => link?.send(message as Message));
+    }
+    t.is(problems.length, 2);
+    t.not(await link?.call({ kind: MessageKind.ReadItems }, 1_000), undefined);
+});
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -94,9 +94,22 @@
 
     private sendEnvelope(envelope: Envelope): void {
         if (this.socket.readyState === WebSocket.OPEN && this.socket.bufferedAmount < MAX_BUFFERED_BYTES) {
-            const data = packr.pack(envelope);
-            this.options.bytes.sent += data.length;
-            this.socket.send(data);
+            const data = this.encode(envelope);
+            if (data !== undefined) {
+                this.options.bytes.sent += data.length;
+                this.socket.send(data);
+            }
+        }
+    }
+
+    /** Encodes an envelope. What cannot be encoded is reported and not sent; most messages are sent by timers, which handle no errors. */
+    private encode(envelope: Envelope): Buffer | undefined {
+        try {
+            return packr.pack(envelope);
+        }
+        catch (thrown) {
+            this.reportMessageError(thrown);
+            return undefined;
         }
     }
 
@@ -124,7 +137,7 @@
         }
     }
 
-    /** Reports a message that could not be handled. Another link would only bring the same message again, so this one stays. */
+    /** Reports a message that could not be handled or encoded. Another link would only bring the same message again, so this one stays. */
     private reportMessageError(thrown: unknown): void {
         const cause = toError(thrown);
         this.options.onMessageError(FleetError.create({ step: Step.Link, peer: this.peerName, cause }, `message not handled: ${cause.message}`));
--- a/src/mesh/ControlAddresses/index.ts
+++ b/src/mesh/ControlAddresses/index.ts
@@ -41,13 +41,18 @@
     /** Records a control VM that has announced itself. */
     recordAnnounced(peer: unknown): void {
         if (isControlPeer(peer)) {
-            this.discovered.set(peer.vm, { peer, atMs: nowMs() });
+            this.recordPeer(peer);
         }
     }
 
     /** Records control VMs reported by another process. A known entry takes precedence, since it may come from the VM itself. */
     recordReported(peers: readonly unknown[]): void {
         const unknownPeers = peers.filter(isControlPeer).filter(({ vm }) => !this.discovered.has(vm));
-        unknownPeers.forEach((peer) => this.discovered.set(peer.vm, { peer, atMs: nowMs() }));
+        unknownPeers.forEach((peer) => this.recordPeer(peer));
+    }
+
+    /** Keeps the fields of a control VM only: any other one could be one that cannot be passed on. */
+    private recordPeer({ vm, linkAddress, identity }: ControlPeer): void {
+        this.discovered.set(vm, { peer: { vm, linkAddress, identity }, atMs: nowMs() });
     }
 }
--- a/src/mesh/ControlAddresses/test.ts
+++ b/src/mesh/ControlAddresses/test.ts
@@ -19,3 +19,11 @@
     addresses.recordAnnounced({ vm: "control-6" });
     t.deepEqual(addresses.peers, [PEER]);
 });
+
+// Guards against a control VM that ends when it passes on what it was sent.
+test("fields that no control VM has are not kept", (t) => {
+    const addresses = ControlAddresses.create("10.0.0.9:7600");
+    addresses.recordReported([{ ...PEER, weight: 2n ** 60n }]);
+    addresses.recordAnnounced({ ...PEER, vm: "control-2", weight: 2n ** 60n });
+    t.deepEqual(addresses.peers, [PEER, { ...PEER, vm: "control-2" }]);
+});
