Unpack no more loads from a message than a fleet has

Seen by callers: nothing yet from the field. A message of 30 MB on a link that repeats the load of one proxy, from a process with the key, ended a control VM.

Cause: loads are packed in 12 bytes each and unpacked into an object each, for as many as the message holds.

Change: of a message, 8,192 loads are unpacked, twice the proxies that a process knows.

The unit tests of unpackLoads pass.

--- a/src/decisions/fleet/unpackLoads/index.ts
+++ b/src/decisions/fleet/unpackLoads/index.ts
@@ -6,13 +6,15 @@
 
 const UNKNOWN_SERVICE_MS = 0xFFFF;
 const TENTHS = 10;
+/** Maximum number of loads in a message; twice that of the proxies that a process knows. */
+const MAX_LOADS = 8_192;
 const GRADES = [Grade.Trusted, Grade.Doubted, Grade.Ejected];
 const PROBE_DEMANDS = [ProbeDemand.None, ProbeDemand.Repeatable, ProbeDemand.Any];
 
 /**
  * Unpacks the loads that `packLoads` has packed.
  *
- * @param packed - Packed loads; bytes after the last complete load are ignored.
+ * @param packed - Packed loads; bytes after the last complete load are ignored, and more loads than a fleet has.
  * @param vmOf - Looks up the VM of a gate by its hash; returns undefined if the gate is not known.
  * @returns The loads of the known gates.
  * @example
@@ -21,7 +23,8 @@
 export function unpackLoads(packed: Uint8Array, vmOf: (hash: number) => string | undefined): readonly GateLoadReport[] {
     const bytes = Buffer.from(packed.buffer, packed.byteOffset, packed.byteLength);
     const loads: GateLoadReport[] = [];
-    for (let offset = 0; offset + PackedLoadLayout.Length <= bytes.length; offset += PackedLoadLayout.Length) {
+    const endOffset = Math.min(bytes.length, MAX_LOADS * PackedLoadLayout.Length);
+    for (let offset = 0; offset + PackedLoadLayout.Length <= endOffset; offset += PackedLoadLayout.Length) {
         const vm = vmOf(bytes.readUInt32LE(offset + PackedLoadLayout.Gate));
         if (vm !== undefined) {
             loads.push(unpackLoad(bytes, offset, vm));
--- a/src/decisions/fleet/unpackLoads/test.ts
+++ b/src/decisions/fleet/unpackLoads/test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
 import test from "ava";
+import { createLoadReport } from "../../../../test/fixtures/createLoadReport.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { gateHash } from "../gateHash/index.js";
 import { GateLoadReport } from "../GateLoadReport.js";
@@ -35,3 +36,9 @@
         t.deepEqual(unpackLoads(bytes, () => undefined), []);
     }), { seed: 1 });
 });
+
+// Guards against a process that runs out of memory because a message of some megabytes repeats the load of one gate.
+test("of many more loads than a fleet has, only the first ones are unpacked", (t) => {
+    const packed = Buffer.alloc(12_000_000, packLoads([createLoadReport("vm-1")]));
+    t.is(unpackLoads(packed, (hash) => vmsByHash.get(hash)).length, 8_192);
+});
