--- a/test/starts.test.ts
+++ b/test/starts.test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { closeSync, constants, mkdirSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
+import { closeSync, constants, mkdirSync, openSync, readFileSync, rmSync, writeFileSync, writeSync } from "node:fs";
 import { execFileSync } from "node:child_process";
 import { connect, createServer, type Server } from "node:net";
 import { join } from "node:path";
@@ -228,3 +228,54 @@
         t.deepEqual(started.find("UnexpectedError"), []);
     });
 }
+
+// Guards against a process that a predecessor, its connections in TIME_WAIT or its unfinished stop keep from starting.
+test.serial("a process that is killed and started again and again, also while its predecessor still stops, starts each time", async (t) => {
+    const settings = TestSettings.create("control", IP);
+    const all: TestProcess[] = [];
+    t.teardown(async () => {
+        await Promise.all(all.map((started) => started.kill()));
+        settings.remove();
+    });
+    for (const signal of ["SIGKILL", "SIGTERM", "SIGKILL", "SIGTERM"] as const) {
+        const started = TestProcess.start("control", settings.path);
+        all.push(started);
+        t.true(await started.waitFor("DaemonStarted"), started.text);
+        await fetch(`http://${IP}:${TEST_PORTS.control}/other`, { headers: { connection: "close" } });
+        started.child.kill(signal);
+    }
+    const last = TestProcess.start("control", settings.path);
+    all.push(last);
+    t.true(await last.waitFor("DaemonStarted"), last.text);
+    t.deepEqual(all.slice(0, -1).map(({ exit }) => exit?.code ?? exit?.signal), ["SIGKILL", 0, "SIGKILL", 0]);
+});
+
+const SIGNAL_ORDERS = [["SIGHUP", "SIGTERM"], ["SIGTERM", "SIGHUP"], ["SIGINT", "SIGTERM"], ["SIGHUP", "SIGHUP", "SIGINT"], ["SIGTERM", "SIGTERM"]] as const;
+
+/** Returns whether a process has its handler of SIGHUP; Node.js itself installs none before, see KNOWN-RED.txt. */
+function handlesSignals(pid: number | undefined): boolean {
+    const caught = /SigCgt:\s*([0-9a-f]+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1] ?? "0";
+    return (BigInt(`0x${caught}`) & 1n) === 1n;
+}
+
+for (const role of ["proxy", "control"] as const) {
+    test.serial(`signals in any order within the first second of a ${role} stop it with code 0`, async (t) => {
+        t.timeout(90_000);
+        for (const [index, order] of SIGNAL_ORDERS.entries()) {
+            const settings = TestSettings.create(role, IP);
+            const started = TestProcess.start(role, settings.path);
+            t.teardown(async () => {
+                await started.kill();
+                settings.remove();
+            });
+            t.true(await started.waitUntil(() => handlesSignals(started.child.pid)));
+            await delay(100 * index);
+            for (const signal of order) {
+                started.child.kill(signal);
+                await delay(20 * index);
+            }
+            t.deepEqual(await started.waitForExit(6_000), { code: 0, signal: null }, `${order.join()} ${started.text}`);
+            t.is(started.find("ProcessEnding")[0]?.reason, "stopped", started.text);
+        }
+    });
+}
