--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -16,6 +16,8 @@
 import { Role } from "../../model/Role.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { isPassingError } from "../../starts/isPassingError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { FolderDisk } from "../../storage/FolderDisk/index.js";
 import { FleetUpdateRelay } from "../FleetUpdateRelay/index.js";
 import { MeshLinks } from "../MeshLinks/index.js";
@@ -61,18 +63,19 @@
      *
      * @param settings - Settings with a `control` table.
      * @param events - Event log.
-     * @throws FleetError if a port is in use or the data folder cannot be used.
+     * @param waits - Waits for a port that is held and a disk that refuses or hangs; without it, a refusal is an error.
+     * @throws FleetError if it cannot listen on a port, or the data folder cannot be used or is corrupt.
      */
-    static async create(settings: MeshSettings, events: EventLog): Promise<ControlPlaneRole> {
+    static async create(settings: MeshSettings, events: EventLog, waits?: StartWaits): Promise<ControlPlaneRole> {
         const role = new ControlPlaneRole(settings, events);
-        await role.open();
+        await (waits === undefined ? role.open() : waits.retry(`data folder ${settings.control?.dataFolder ?? ""}`, () => role.open(), isPassingError));
         role.links = await MeshLinks.create(settings, Role.Control, {
             onOpen: () => undefined,
             onMessage: (link, message) => role.handleMessage(link, message),
             onCall: (_link, message) => role.handleCall(message),
             onClose: (link) => role.updateRelay.unsubscribe(link.peer.vm),
             onMessageError: (error) => events.record(EventNumber.MessageFailed, { error: error.message }),
-        }, () => role.ownPeer, () => role.itemController?.position ?? 0, events);
+        }, () => role.ownPeer, () => role.itemController?.position ?? 0, events, waits);
         role.timers.push(
             setInterval(() => void role.maintainQuorum(), VOTER_CHECK_INTERVAL_MS),
             setInterval(() => role.sendSnapshotOnceCurrent(), SNAPSHOT_CHECK_INTERVAL_MS),
@@ -84,6 +87,7 @@
     get gauges(): readonly GaugeSource[] {
         return [
             { name: "links", help: "VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
+            { name: "link_buffered_bytes", help: "Bytes that linked VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
             { name: "subscribers", help: "Proxies that take their news here", read: () => this.updateRelay.subscriberCount },
             { name: "items", help: "Configuration items applied", read: () => this.itemController?.items.length ?? 0 },
             { name: "position", help: "Position in the log of the latest change applied", read: () => this.itemController?.position ?? 0 },
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -6,10 +6,12 @@
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
+import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Role } from "../../model/Role.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { ControlAddresses } from "../ControlAddresses/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
@@ -49,6 +51,7 @@
      * @param ownPeer - Returns the announcement of this process if it is a control VM.
      * @param position - Returns the log position up to which this process has applied the configuration.
      * @param events - Event log.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if the process cannot listen on the port.
      */
     static async create(
@@ -58,10 +61,12 @@
         ownPeer: () => ControlPeer | undefined,
         position: () => number,
         events: EventLog,
+        waits?: StartWaits,
     ): Promise<MeshLinks> {
         const { vm, links: { firstPort, fleetKey } } = settings;
         const linkAddress = `${vm.ip}:${firstPort}`;
         const controlAddresses = ControlAddresses.create(linkAddress);
+        const budgetLog = BudgetLog.create(events);
         const started: { mesh?: MeshLinks } = {};
         const links = await LinkController.create(
             {
@@ -86,6 +91,8 @@
             },
             () => ({ term: 0, version: position(), manifestVersion: 0 }),
             (error: FleetError) => events.record(EventNumber.LinkRefused, { error: error.message }),
+            budgetLog.recordRefusal.bind(budgetLog),
+            waits,
         );
         started.mesh = new MeshLinks(links, controlAddresses, ownPeer);
         started.mesh.setSeeds(settings);
@@ -97,6 +104,11 @@
         return this.links.linkedVms;
     }
 
+    /** Size of the messages that linked VMs have not read, in bytes. */
+    get bufferedBytes(): number {
+        return this.links.bufferedBytes;
+    }
+
     /** Sets the seeds of new settings and connects to them. */
     setSeeds(settings: MeshSettings): void {
         const { firstPort, seeds } = settings.links;
