Bound the number of requests that run at an endpoint, whatever slots it states

A heartbeat may state up to 65,535 slots. Each running request takes a connection to the endpoint, and a process has 4,100 descriptors on the platform. The new test ran 2,000 of 2,000 requests at once before; now at most 1,024 run, and the rest wait or are refused as busy. Not shown with real processes.

--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -12,6 +12,11 @@
 
 /** Maximum number of waiting requests; each takes memory with its body, and time whenever the queue is searched. */
 const MAX_WAITING = 1_024;
+/**
+ * Maximum number of requests that run, whatever number of slots the endpoint states: each takes a connection, and a process has a
+ * few thousand descriptors.
+ */
+const MAX_RUNNING = 1_024;
 /** Service time assumed before the first answer, in ms: about that of a short request. */
 const INITIAL_SERVICE_MS = 300;
 /** Weight of the latest service time in the moving average. */
@@ -90,9 +95,9 @@
         return this.meanServiceMs;
     }
 
-    /** Changes the number of slots; running requests keep theirs. */
+    /** Changes the number of slots, up to 1,024; running requests keep theirs. */
     setSlots(slots: number): void {
-        this.slotCount = slots;
+        this.slotCount = Math.min(MAX_RUNNING, slots);
     }
 
     /** Forgets what was known about the endpoint, because it has restarted. */
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -257,3 +257,14 @@
     t.true(removed.length > 100 && removed.length < waiting.length, `${removed.length} of ${waiting.length}`);
     t.true(reads < 50 * waiting.length, `${reads} reads`);
 });
+
+// Guards against an endpoint that states more slots than a process has descriptors for connections.
+test("the number of running requests is bounded, whatever number of slots the endpoint states", (t) => {
+    const queue = ServingQueue.create(1);
+    queue.setSlots(65_535);
+    for (let index = 0; index < 2_000; index += 1) {
+        queue.admit(request(String(index)), Grade.Trusted, 0);
+    }
+    t.is(queue.runningCount, 1_024);
+    t.is(queue.usableSlots, 1_024);
+});
