--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -31,6 +31,7 @@
 import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { copyText } from "../../model/copyText/index.js";
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
 import { StartWaits } from "../../starts/StartWaits/index.js";
@@ -197,7 +198,7 @@
         const isKnownService = this.isKnownService(report.service);
         const problem = findReportProblem(report, Date.now()) ?? (isKnownService ? undefined : `unknown service "${report.service}"`);
         if (problem !== undefined) {
-            this.events.record(EventNumber.ReportRefused, { endpoint: report.id.slice(0, MAX_LOGGED_CHARACTERS), problem });
+            this.events.record(EventNumber.ReportRefused, { endpoint: copyText(report.id, MAX_LOGGED_CHARACTERS), problem });
             return isKnownService || this.hasItems ? ReportVerdict.Refused : ReportVerdict.Undecided;
         }
         if (this.endpointTracker.applyReport(report, nowMs())) {
