Bound what callers hold by requests, connections and unread responses

What callers saw: a request with thousands of small header fields was passed on without most of them (Node.js drops fields beyond a number silently); bytes that are no HTTP behind a request were answered 400 in the place of that request's answer, and a CONNECT behind it reset it; a caller that pipelined without end, or many silent connections, or responses that nobody read took memory and descriptors from all others. Cause: limits counted bytes of bodies only. Requests, connections and responses were held by the piece without a bound: Node.js emits all requests of a read at once, and goes on reading while none of them is answered. A caller that stopped reading was waited for without end. Together there may be 2,048 requests; more are refused with 503, and from 4,096 held on a connection that brings more is closed. 503 also beside more than 64 MiB of unread responses, while those are delivered, and beyond 32 MiB of requests, now with their header sections. All header fields are kept; their size limits them, in the parser too. What cannot be read ends its connection after the answers before it. dropInput starts reading again where a connection was paused for the parser; without that the leave of such a caller was never noticed. pending_responses_bytes is a gauge.

--- /dev/null
+++ b/src/callers/CallerHoldings/index.ts
@@ -0,0 +1,120 @@
+import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
+import { BodyResultKind } from "../../http/BodyResultKind.js";
+import { RefusalListener } from "../../http/RefusalListener.js";
+import { PendingRequest } from "../PendingRequest.js";
+
+/** Limit on the bytes of all requests that are held; each body is copied once, in a process of a few hundred megabytes. */
+const MAX_REQUEST_BYTES = 32 * 1_024 * 1_024;
+/** Number of requests without a response that has been handed over from which on new ones are refused. */
+const MAX_REQUESTS = 2_048;
+/** Number of requests, with refused and unread ones, from which on a connection that brings more is closed at once. */
+const MAX_HELD_REQUESTS = 4_096;
+/** Bytes of responses that callers have not read from which on new requests are refused; ready responses are delivered. */
+const MAX_UNREAD_BYTES = 64 * 1_024 * 1_024;
+
+/** Bounds what all callers hold together: requests, their bytes, and responses that they have not read. */
+export class CallerHoldings {
+    /** Budget for the bytes of requests. */
+    readonly requestBudget = ByteBudget.create(MAX_REQUEST_BYTES);
+    private requestCount = 0;
+    /** Requests that were not accepted and are held by Node.js until their connection is closed. */
+    private unreadRequestCount = 0;
+    private unreadResponseBytes = 0;
+
+    private constructor(private readonly onRefusal: RefusalListener) {}
+
+    /**
+     * Creates holdings without requests.
+     *
+     * @param onRefusal - Called with each refusal.
+     */
+    static create(onRefusal: RefusalListener): CallerHoldings {
+        return new CallerHoldings(onRefusal);
+    }
+
+    /** Number of requests whose response has not been handed to the operating system. */
+    get openRequestCount(): number {
+        return this.requestCount;
+    }
+
+    /** Bytes of responses that have not been handed to the operating system. */
+    get unreadBytes(): number {
+        return this.unreadResponseBytes;
+    }
+
+    /** True if not even a refusal can be held. */
+    get isExhausted(): boolean {
+        return this.requestCount + this.unreadRequestCount >= MAX_HELD_REQUESTS;
+    }
+
+    /** Adds a request that is not accepted. */
+    addUnread(): void {
+        this.unreadRequestCount += 1;
+    }
+
+    /** Releases requests that were not accepted. */
+    releaseUnread(count: number): void {
+        this.unreadRequestCount -= count;
+    }
+
+    /** Adds a request, which is held until `release`. */
+    add(): void {
+        this.requestCount += 1;
+    }
+
+    /**
+     * Acquires the bytes of a header section, unless too much is held.
+     *
+     * @param pending - The request.
+     * @param headerBytes - Size of its header section.
+     * @returns False if the request must be refused.
+     */
+    tryAcquire(pending: PendingRequest, headerBytes: number): boolean {
+        const peer = pending.response.req.socket.remoteAddress;
+        if (this.requestCount > MAX_REQUESTS) {
+            this.onRefusal("requests", this.requestCount, MAX_REQUESTS, peer);
+            return false;
+        }
+        if (this.unreadResponseBytes > MAX_UNREAD_BYTES) {
+            this.onRefusal("unread responses", this.unreadResponseBytes, MAX_UNREAD_BYTES, peer);
+            return false;
+        }
+        if (!this.requestBudget.tryAcquire(headerBytes)) {
+            this.recordIncompleteBody(BodyResultKind.BudgetExhausted, pending);
+            return false;
+        }
+        pending.requestBytes += headerBytes;
+        return true;
+    }
+
+    /** Reports that a body was refused because of what is held. */
+    recordIncompleteBody(kind: BodyResultKind, pending: PendingRequest): void {
+        const { bytesRead, remoteAddress } = pending.response.req.socket;
+        if (kind === BodyResultKind.BudgetExhausted) {
+            this.onRefusal("request bodies", this.requestBudget.heldBytes, MAX_REQUEST_BYTES, remoteAddress);
+        }
+        if (kind === BodyResultKind.TooManyPieces) {
+            this.onRefusal("pieces of a request body", bytesRead, bytesRead, remoteAddress);
+        }
+    }
+
+    /** Releases the bytes of a request, which has its response. */
+    releaseRequest(pending: PendingRequest): void {
+        this.requestBudget.release(pending.requestBytes);
+        pending.requestBytes = 0;
+    }
+
+    /** Adds the response to a request; it is held until `release`. */
+    holdResponse(pending: PendingRequest, bytes: number): void {
+        pending.responseBytes += bytes;
+        this.unreadResponseBytes += bytes;
+    }
+
+    /** Releases all that a request holds: its response has been handed over, or its caller is gone. */
+    release(pending: PendingRequest): void {
+        this.releaseRequest(pending);
+        this.unreadResponseBytes -= pending.responseBytes;
+        pending.responseBytes = 0;
+        this.requestCount -= 1;
+    }
+}
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -1,58 +1,50 @@
 import { once } from "node:events";
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
-import { MAX_TIMER_MS } from "../../clock/maxTimerMs.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
-import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
-import { BodyLimits } from "../../http/BodyLimits.js";
+import { awaitsContinue } from "../../http/awaitsContinue/index.js";
 import { BodyResultKind } from "../../http/BodyResultKind.js";
-import { findFramingProblem } from "../../http/findFramingProblem/index.js";
+import { countHeaderBytes } from "../../http/countHeaderBytes/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { hasBody } from "../../http/hasBody/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { readBody } from "../../http/readBody/index.js";
 import { RefusalListener } from "../../http/RefusalListener.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
-import { assertNever } from "../../model/assertNever/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
 import { CallerConnection } from "../CallerConnection/index.js";
+import { CallerConnections } from "../CallerConnections/index.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
+import { CallerHoldings } from "../CallerHoldings/index.js";
+import { CallerLimits } from "../CallerLimits/index.js";
 import { CallerResponse } from "../CallerResponse.js";
+import { findIncompleteBodyStatus } from "../findIncompleteBodyStatus/index.js";
+import { findProblemStatus } from "../findProblemStatus/index.js";
 import { PendingRequest } from "../PendingRequest.js";
 import { writeResponse } from "../writeResponse/index.js";
 
-/** Limits that apply until the configuration sets others. */
-const DEFAULT_MAX_BODY_BYTES = 64 * 1_024 * 1_024;
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
-/** Maximum size of a header section that the HTTP parser accepts, in bytes; the configured limit may be lower. */
-const MAX_HEADER_BYTES = 128 * 1_024;
-/** Limit on the buffered bytes of all bodies; each body is copied once, in a process of a few hundred megabytes. */
-const MAX_BUFFERED_BODY_BYTES = 32 * 1_024 * 1_024;
-/** Maximum time that a body takes, in ms; the longest time that a route may keep a caller waiting. */
-const MAX_BODY_TIME_MS = 600_000;
-/** Retry-after of a request that was refused because the body budget was exhausted, in ms; about the time of a request. */
+/** Retry-after of a request that was refused because too much is held, in ms; about the time of a request. */
 const BUDGET_RETRY_AFTER_MS = 1_000;
+/** Interval at which timeouts of header sections are checked, in ms. */
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+/** What the HTTP parser accepts beyond the limit on a header section, in bytes; the limit itself is checked afterwards. */
+const HEADER_SLACK_BYTES = 1_024;
 const STATUS_BAD_REQUEST = 400;
-const STATUS_REQUEST_TIMEOUT = 408;
-const STATUS_BODY_TOO_LARGE = 413;
-const STATUS_HEADERS_TOO_LARGE = 431;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 
 /**
  * HTTP/1.1 server for callers. Reads complete requests, including pipelined ones, writes responses in the order of the
- * requests, and reports callers that disconnect. Bounds the memory for bodies and refuses requests that exceed it.
+ * requests, and reports callers that disconnect. Bounds what callers hold and refuses requests that exceed it.
  */
 export class CallerServer {
-    private readonly connections = new Map<Socket, CallerConnection>();
-    private limits: LimitsItem | undefined;
-    private readonly bodyBudget = ByteBudget.create(MAX_BUFFERED_BODY_BYTES);
+    private readonly connections: CallerConnections;
+    private readonly holdings: CallerHoldings;
+    private limits = CallerLimits.create(undefined);
     private isDraining = false;
 
     private constructor(
@@ -62,13 +54,26 @@
         private readonly onError: (error: Error) => void,
         private readonly onRefusal: RefusalListener,
     ) {
+        this.holdings = CallerHoldings.create(onRefusal);
+        this.connections = CallerConnections.create(server, {
+            onRelease: (pending) => this.holdings.release(pending),
+            onUnreadReleased: (count) => this.holdings.releaseUnread(count),
+            onDisconnect: (pending) => {
+                pending.isSettled = true;
+                pending.onDisconnect?.();
+            },
+            onUnreadable: (pending) => this.respond(pending, pending.response.req, this.createOwnResponse(STATUS_BAD_REQUEST, pending.response.req)),
+            onRefusal,
+        });
         server.requestTimeout = 0;
-        server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS;
-        server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
+        // The size of the header section limits the fields; fields beyond a number of them would be dropped silently.
+        server.maxHeadersCount = 0;
+        this.applyLimits();
         // The server would destroy connections whose responses are complete but not yet sent.
-        server.closeIdleConnections = () => this.closeIdle();
-        server.on("connection", (socket: Socket) => this.handleConnection(socket));
-        server.on("request", (request: IncomingMessage, response: ServerResponse) => void this.handleRequest(request, response));
+        server.closeIdleConnections = () => this.connections.closeIdle();
+        for (const name of ["request", "checkContinue", "checkExpectation"]) {
+            server.on(name, (request: IncomingMessage, response: ServerResponse) => void this.handleRequest(request, response));
+        }
     }
 
     /**
@@ -88,7 +93,7 @@
         onError: (error: Error) => void,
         onRefusal: RefusalListener = () => undefined,
     ): Promise<CallerServer> {
-        const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1_000 });
+        const server = createServer({ noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS });
         const [host, port] = address.split(":");
         server.listen(Number(port), host);
         try {
@@ -103,24 +108,28 @@
 
     /** Number of requests whose response has not been handed to the operating system. */
     get openRequestCount(): number {
-        return [...this.connections.values()].reduce((sum, { pendingCount }) => sum + pendingCount, 0);
+        return this.holdings.openRequestCount;
     }
 
-    /** Bytes of request bodies that are held. */
-    get heldBodyBytes(): number {
-        return this.bodyBudget.heldBytes;
+    /** Bytes of requests that are held. */
+    get heldRequestBytes(): number {
+        return this.holdings.requestBudget.heldBytes;
+    }
+
+    /** Bytes of responses that callers have not read. */
+    get unreadResponseBytes(): number {
+        return this.holdings.unreadBytes;
     }
 
     /** Number of open connections, including those that are closed for writing only. */
     get connectionCount(): number {
-        return this.connections.size;
+        return this.connections.count;
     }
 
     /** Sets the limits of the configuration. */
     setLimits(limits: LimitsItem | undefined): void {
-        this.limits = limits;
-        this.server.keepAliveTimeout = this.idleTimeoutMs;
-        this.server.headersTimeout = Math.min(MAX_TIMER_MS, limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS);
+        this.limits = CallerLimits.create(limits);
+        this.applyLimits();
     }
 
     /** Closes each connection after its last pending response. */
@@ -135,7 +144,7 @@
 
     /** Closes connections without a pending request. */
     closeIdle(): void {
-        [...this.connections.values()].filter(({ pendingCount }) => pendingCount === 0).forEach((connection) => connection.close());
+        this.connections.closeIdle();
     }
 
     /** Stops listening and closes all connections immediately. */
@@ -144,24 +153,23 @@
         this.server.closeAllConnections();
     }
 
-    private handleConnection(socket: Socket): void {
-        this.connections.set(socket, CallerConnection.create(socket, (unsettled) => {
-            this.connections.delete(socket);
-            unsettled.forEach((pending) => {
-                pending.isSettled = true;
-                this.releaseBody(pending);
-                pending.onDisconnect?.();
-            });
-        }));
+    private applyLimits(): void {
+        const { idleTimeoutMs, headerTimeoutMs, unreadTimeoutMs, maxHeaderBytes } = this.limits;
+        this.server.keepAliveTimeout = idleTimeoutMs;
+        this.server.headersTimeout = headerTimeoutMs;
+        this.server.timeout = unreadTimeoutMs;
+        // Node.js reads it with each new connection; its types know it as an option only.
+        Object.assign(this.server, { maxHeaderSize: maxHeaderBytes + HEADER_SLACK_BYTES });
     }
 
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const connection = this.connections.get(request.socket);
-        if (connection?.acceptsRequests !== true) {
+        const connection = this.connections.find(request.socket);
+        if (connection === undefined || !this.accepts(connection, request)) {
             request.resume();
             return;
         }
-        const pending: PendingRequest = { response, isSettled: false, bodyBytes: 0, onDisconnect: undefined };
+        const pending: PendingRequest = { response, isSettled: false, requestBytes: 0, responseBytes: 0, onDisconnect: undefined };
+        this.holdings.add();
         connection.add(pending);
         const headers = pairHeaders(request.rawHeaders);
         const respond = (callerResponse: CallerResponse): void => this.respond(pending, request, callerResponse);
@@ -170,8 +178,27 @@
         }
         catch (thrown) {
             this.onError(toError(thrown));
-            respond(this.createFailure(headers));
+            respond(this.createOwnResponse(STATUS_BAD_GATEWAY, request));
+        }
+    }
+
+    /** Returns whether a request is accepted, and closes its connection if it brings too many. */
+    private accepts(connection: CallerConnection, request: IncomingMessage): boolean {
+        const { pendingCount, isFull } = connection;
+        if (this.holdings.isExhausted && pendingCount > 0) {
+            this.onRefusal("pipelined requests of all callers", this.holdings.openRequestCount, pendingCount, request.socket.remoteAddress);
+            connection.destroy();
+        }
+        else if (isFull && connection.acceptsRequests) {
+            this.onRefusal("pipelined requests", pendingCount, pendingCount, request.socket.remoteAddress);
+            connection.closeAfterPending();
         }
+        if (connection.acceptsRequests) {
+            return true;
+        }
+        connection.addUnread();
+        this.holdings.addUnread();
+        return false;
     }
 
     private async readRequest(
@@ -182,27 +209,34 @@
     ): Promise<void> {
         const arrivedAtMs = nowMs();
         const metadata = this.dialect.readMetadata(headers);
-        const problemStatus = this.findProblemStatus(request, headers);
+        const problemStatus = findProblemStatus(request, headers, this.limits.maxHeaderBytes);
         if (problemStatus !== undefined) {
-            respond({
-                status: problemStatus,
-                headers: this.dialect.ownResponseHeaders(metadata.requestId, undefined),
-                body: Buffer.alloc(0),
-            });
+            respond(this.createOwnResponse(problemStatus, request));
+            return;
+        }
+        if (!this.holdings.tryAcquire(pending, countHeaderBytes(request))) {
+            respond(this.createOwnResponse(STATUS_UNAVAILABLE, request));
             return;
         }
-        const result = await readBody(request, this.bodyLimits(metadata.patienceMs), this.bodyBudget);
+        const bodyLimits = this.limits.bodyLimits(metadata.patienceMs);
+        if (awaitsContinue(request) && Number(request.headers["content-length"] ?? 0) <= bodyLimits.maxBytes) {
+            pending.response.writeContinue();
+        }
+        const result = await readBody(request, bodyLimits, this.holdings.requestBudget);
         if (result.kind !== BodyResultKind.Complete) {
-            this.refuseIncompleteBody(result.kind, request, metadata.requestId, respond);
+            this.holdings.recordIncompleteBody(result.kind, pending);
+            const status = findIncompleteBodyStatus(result.kind);
+            if (status !== undefined) {
+                respond(this.createOwnResponse(status, request));
+            }
             return;
         }
         const { body } = result;
-        pending.bodyBytes = body.length;
+        pending.requestBytes += body.length;
         if (pending.isSettled) {
-            this.releaseBody(pending);
+            this.holdings.releaseRequest(pending);
             return;
         }
-        const announcesBody = request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
         this.onRequest({
             request: {
                 method: request.method ?? "GET",
@@ -210,7 +244,7 @@
                 host: findHeader(headers, "host") ?? "",
                 headers: this.dialect.forwardedHeaders(withoutConnectionHeaders(headers)),
                 body,
-                hasBody: announcesBody,
+                hasBody: request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined,
                 arrivedAtMs,
                 ...metadata,
             },
@@ -221,73 +255,11 @@
         });
     }
 
-    /** Returns the status with which a request is refused before its body is read, or undefined if its header section is fine. */
-    private findProblemStatus(request: IncomingMessage, headers: HeaderList): number | undefined {
-        if (this.hasTooLargeHeaders(request)) {
-            return STATUS_HEADERS_TOO_LARGE;
-        }
-        // The parser of Node.js accepts transfer codings before the chunks, which would be lost when the body is forwarded.
-        return findFramingProblem(headers, request.httpVersionMinor > 0) === undefined ? undefined : STATUS_BAD_REQUEST;
-    }
-
-    private hasTooLargeHeaders(request: IncomingMessage): boolean {
-        const bytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, (request.url ?? "").length);
-        return bytes > (this.limits?.maxHeaderBytes ?? MAX_HEADER_BYTES);
-    }
-
-    private bodyLimits(patienceMs: number | undefined): BodyLimits {
-        return {
-            maxBytes: this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-            idleTimeoutMs: this.idleTimeoutMs,
-            totalTimeoutMs: Math.min(patienceMs ?? MAX_BODY_TIME_MS, MAX_BODY_TIME_MS),
-        };
-    }
-
-    private get idleTimeoutMs(): number {
-        return Math.min(MAX_TIMER_MS, this.limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS);
-    }
-
-    /** Refuses a request whose body could not be read; it has not been executed. */
-    private refuseIncompleteBody(
-        kind: Exclude<BodyResultKind, BodyResultKind.Complete>,
-        request: IncomingMessage,
-        requestId: string,
-        respond: (response: CallerResponse) => void,
-    ): void {
-        const refuse = (status: number, retryAfterMs: number | undefined): void =>
-            respond({ status, headers: this.dialect.ownResponseHeaders(requestId, retryAfterMs), body: Buffer.alloc(0) });
-        switch (kind) {
-            case BodyResultKind.TooLarge:
-                refuse(STATUS_BODY_TOO_LARGE, undefined);
-                return;
-            case BodyResultKind.TooManyPieces:
-                this.onRefusal("pieces of a request body", request.socket.bytesRead, MAX_BUFFERED_BODY_BYTES, request.socket.remoteAddress);
-                refuse(STATUS_BODY_TOO_LARGE, undefined);
-                return;
-            case BodyResultKind.BudgetExhausted:
-                this.onRefusal("request bodies", this.bodyBudget.heldBytes, MAX_BUFFERED_BODY_BYTES, request.socket.remoteAddress);
-                refuse(STATUS_UNAVAILABLE, BUDGET_RETRY_AFTER_MS);
-                return;
-            case BodyResultKind.Stalled:
-                refuse(STATUS_REQUEST_TIMEOUT, undefined);
-                return;
-            case BodyResultKind.Aborted:
-                // The close event of the caller's connection settles the request.
-                return;
-            default:
-                assertNever(kind);
-        }
-    }
-
-    private releaseBody(pending: PendingRequest): void {
-        this.bodyBudget.release(pending.bodyBytes);
-        pending.bodyBytes = 0;
-    }
-
-    /** Response to a request that may have run and whose outcome cannot be passed on. */
-    private createFailure(requestHeaders: HeaderList): CallerResponse {
-        const { requestId } = this.dialect.readMetadata(requestHeaders);
-        return { status: STATUS_BAD_GATEWAY, headers: this.dialect.ownResponseHeaders(requestId, undefined), body: Buffer.alloc(0) };
+    /** Response that no endpoint has made. */
+    private createOwnResponse(status: number, request: IncomingMessage): CallerResponse {
+        const { requestId } = this.dialect.readMetadata(pairHeaders(request.rawHeaders));
+        const retryAfterMs = status === STATUS_UNAVAILABLE ? BUDGET_RETRY_AFTER_MS : undefined;
+        return { status, headers: this.dialect.ownResponseHeaders(requestId, retryAfterMs), body: Buffer.alloc(0) };
     }
 
     private respond(pending: PendingRequest, request: IncomingMessage, callerResponse: CallerResponse): void {
@@ -295,10 +267,11 @@
             return;
         }
         pending.isSettled = true;
-        this.releaseBody(pending);
+        this.holdings.releaseRequest(pending);
+        this.holdings.holdResponse(pending, callerResponse.body.length);
         const { response } = pending;
-        const connection = this.connections.get(request.socket);
-        const shouldClose = this.isDraining && (connection?.pendingCount ?? 0) <= 1;
+        const connection = this.connections.find(request.socket);
+        const shouldClose = connection?.isLast(pending) === true || (this.isDraining && (connection?.pendingCount ?? 0) <= 1);
         response.sendDate = false;
         // The rest of an unread body may be endless, so the connection cannot be reused.
         response.shouldKeepAlive &&= !shouldClose && (request.complete || !hasBody(request));
@@ -316,7 +289,7 @@
                 response.destroy();
                 return;
             }
-            writeResponse(response, method, this.createFailure(pairHeaders(request.rawHeaders)));
+            writeResponse(response, method, this.createOwnResponse(STATUS_BAD_GATEWAY, request));
         }
     }
 }
--- a/src/callers/PendingRequest.ts
+++ b/src/callers/PendingRequest.ts
@@ -5,7 +5,9 @@
     readonly response: ServerResponse;
     /** True once a response was chosen, or the caller has disconnected. */
     isSettled: boolean;
-    /** Bytes of its body that are reserved in the budget. */
-    bodyBytes: number;
+    /** Bytes of its header section and body that are reserved in the budget. */
+    requestBytes: number;
+    /** Bytes of its response that are held. */
+    responseBytes: number;
     onDisconnect: (() => void) | undefined;
 }
--- a/src/http/ServerGuard/index.ts
+++ b/src/http/ServerGuard/index.ts
@@ -4,10 +4,10 @@
 import { answerClientError } from "../answerClientError/index.js";
 import { closeInOrder } from "../closeInOrder/index.js";
 import { dropInput } from "../dropInput/index.js";
+import { refuseConnect } from "../refuseConnect/index.js";
 import { RefusalListener } from "../RefusalListener.js";
 import { ServerLimits } from "../ServerLimits.js";
 
-const STATUS_METHOD_NOT_ALLOWED = 405;
 const STATUS_EXPECTATION_FAILED = 417;
 const STATUS_UNAVAILABLE = 503;
 /** Time after which a refused client may come again, in seconds. */
@@ -51,7 +51,7 @@
         server.on("connection", (socket: Socket) => guard.handleConnection(socket));
         server.on("request", (request, response) => guard.handleRequest(request, response));
         server.on("checkExpectation", (request, response) => guard.handleExpectation(request, response));
-        server.on("connect", (_request, socket) => refuseConnect(socket));
+        server.on("connect", (_request, socket) => guard.handleConnect(socket));
         server.on("clientError", (error, socket) => guard.handleClientError(error, socket));
         return guard;
     }
@@ -84,7 +84,7 @@
     /** Closes the oldest connection without a request, or the newest one if all have requests. */
     private evictConnection(newest: Socket): void {
         this.onRefusal("connections", this.connections.size, this.limits.maxConnections, newest.remoteAddress);
-        const [idle] = [...this.connections].find(([, { pending }]) => pending.size === 0) ?? [newest];
+        const [idle] = [...this.connections].find(([{ destroyed }, { pending }]) => pending.size === 0 && !destroyed) ?? [newest];
         idle.destroy();
     }
 
@@ -145,6 +145,15 @@
         response.once("finish", () => closeInOrder(request.socket));
     }
 
+    private handleConnect(socket: Duplex): void {
+        const connection = this.connections.get(socket);
+        if (connection === undefined || connection.pending.size === 0) {
+            refuseConnect(socket);
+            return;
+        }
+        endConnection(connection, socket);
+    }
+
     private handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.connections.get(socket);
         const pending = [...connection?.pending ?? []];
@@ -162,8 +171,3 @@
     connection.isEnding = true;
     dropInput(socket);
 }
-
-function refuseConnect(socket: Duplex): void {
-    socket.write(`HTTP/1.1 ${STATUS_METHOD_NOT_ALLOWED} Method Not Allowed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
-    closeInOrder(socket);
-}
--- a/src/http/dropInput/index.ts
+++ b/src/http/dropInput/index.ts
@@ -13,4 +13,6 @@
     // With the first such listener, Node.js takes the connection back from its HTTP parser.
     socket.on("data", () => undefined);
     socket.resume();
+    // A connection that was paused for the parser stays so without it: only this starts reading again.
+    socket._read(0);
 }
--- a/src/http/withoutConnectionHeaders/index.ts
+++ b/src/http/withoutConnectionHeaders/index.ts
@@ -1,5 +1,5 @@
 import { HeaderList } from "../../model/HeaderList.js";
-import { findHeader } from "../findHeader/index.js";
+import { findHeaders } from "../findHeaders/index.js";
 
 const HOP_BY_HOP = new Set([
     "connection",
@@ -24,6 +24,6 @@
  * withoutConnectionHeaders([["Connection", "close"], ["Accept", "*"]]); // [["Accept", "*"]]
  */
 export function withoutConnectionHeaders(headers: HeaderList): HeaderList {
-    const connectionNames = (findHeader(headers, "connection") ?? "").toLowerCase().split(",").map((name) => name.trim());
-    return headers.filter(([name]) => !HOP_BY_HOP.has(name.toLowerCase()) && !connectionNames.includes(name.toLowerCase()));
+    const connectionNames = new Set(findHeaders(headers, "connection").join(",").toLowerCase().split(",").map((name) => name.trim()));
+    return headers.filter(([name]) => !HOP_BY_HOP.has(name.toLowerCase()) && !connectionNames.has(name.toLowerCase()));
 }
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -159,7 +159,8 @@
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
-            { name: "request_body_bytes", help: "Bytes of request bodies that are held", read: () => this.callerServer?.heldBodyBytes ?? 0 },
+            { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
+            { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
