Bound the bodies of announcements and of operators' calls to the daemon

What a client could do: the body of `PUT /endpoints/<id>` and of `POST /apply` was read without any limit, whatever its size. Cause: readBody of h3 collects a request until it ends. Besides, Node.js drops header fields beyond a number of them silently (listenHttp). Evidence: a server with the former reading and a heap of 120 MB, one sender of one-byte chunks: after 4 s and 495,616 chunks no answer, 103 MB of heap, 283 MB resident. There was no test of these bodies.

--- a/src/gate/createAnnounceApp/index.ts
+++ b/src/gate/createAnnounceApp/index.ts
@@ -1,12 +1,15 @@
 import type { RequestListener } from "node:http";
-import { getRouterParam, H3, readBody } from "h3";
+import { getRouterParam, H3 } from "h3";
 import { toNodeHandler } from "h3/node";
 import { describeIssues } from "../../validation/describeIssues/index.js";
 import { createHttpError } from "../../http/createHttpError/index.js";
+import { readJson } from "../../http/readJson/index.js";
 import { toError } from "../../model/toError/index.js";
 import { announcementSchema } from "../announcementSchema.js";
 import { EndpointController } from "../EndpointController/index.js";
 
+/** Maximum size of an announcement, in bytes; it takes less than a kilobyte. */
+const MAX_BODY_BYTES = 16_384;
 const STATUS_UNPROCESSABLE = 422;
 const STATUS_NOT_FOUND = 404;
 
@@ -23,7 +26,7 @@
     const app = new H3();
     app.put("/endpoints/:id", async (event) => {
         const id = getRouterParam(event, "id") ?? "";
-        const body: unknown = await readBody(event);
+        const body: unknown = await readJson(event, MAX_BODY_BYTES);
         const checked = announcementSchema.safeParse(body);
         if (!checked.success) {
             throw createHttpError(STATUS_UNPROCESSABLE, describeIssues(checked.error, body).join("; "));
--- a/src/http/listenHttp/index.ts
+++ b/src/http/listenHttp/index.ts
@@ -25,6 +25,8 @@
     server.headersTimeout = HEADERS_TIMEOUT_MS;
     server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
     server.requestTimeout = 0;
+    // The size of the header section limits the fields; fields beyond a number of them would be dropped silently.
+    server.maxHeadersCount = 0;
     server.listen(port, host);
     try {
         await once(server, "listening");
--- a/src/operators/createOperatorApp/index.ts
+++ b/src/operators/createOperatorApp/index.ts
@@ -1,14 +1,17 @@
 import { timingSafeEqual } from "node:crypto";
 import type { RequestListener } from "node:http";
-import { getQuery, H3, readBody } from "h3";
+import { getQuery, H3 } from "h3";
 import { toNodeHandler } from "h3/node";
 import { describeIssues } from "../../validation/describeIssues/index.js";
 import { createHttpError } from "../../http/createHttpError/index.js";
+import { readJson } from "../../http/readJson/index.js";
 import { toError } from "../../model/toError/index.js";
 import { applyBodySchema } from "../applyBodySchema.js";
 import { ControlHandlers } from "../ControlHandlers.js";
 import { OperatorHandlers } from "../OperatorHandlers.js";
 
+/** Maximum size of a manifest with its envelope, in bytes. */
+const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNPROCESSABLE = 422;
@@ -47,7 +50,7 @@
     app.post("/control/remove", (event) => runControlAction(() => requireControl(handlers).changeVoters(String(getQuery(event)["vm"] ?? ""), false)));
     app.post("/apply", async (event) => {
         const control = requireControl(handlers);
-        const body: unknown = await readBody(event);
+        const body: unknown = await readJson(event, MAX_BODY_BYTES);
         const checked = applyBodySchema.safeParse(body);
         if (!checked.success) {
             throw createHttpError(STATUS_UNPROCESSABLE, describeIssues(checked.error, body).join("; "));
