--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -171,7 +171,8 @@
             { name: "retained_reply_bytes", help: "Bytes of replies kept for lost tunnels", read: () => this.tunnelServer?.retainedReplyBytes ?? 0 },
             { name: "link_buffered_bytes", help: "Bytes that control VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
-            { name: "request_body_bytes", help: "Bytes of request bodies that are held", read: () => this.callerServer?.heldBodyBytes ?? 0 },
+            { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
+            { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
