--- a/src/decisions/fleet/FleetTable/index.ts
+++ b/src/decisions/fleet/FleetTable/index.ts
@@ -3,11 +3,15 @@
 import { isGateRecord } from "../isGateRecord/index.js";
 import { selectRecordFields } from "../selectRecordFields/index.js";
 
+/** Maximum number of proxies, several times those of a large fleet. */
+const MAX_PROXIES = 4_096;
+
 /** Table of the newest record of each proxy's gate. */
 export class FleetTable {
     private readonly records = new Map<string, GateRecord>();
     /** VMs by the hash of their gate. */
     private readonly vms = new Map<number, string>();
+    private refusedCount = 0;
 
     private constructor() {}
 
@@ -26,6 +30,11 @@
         return this.records.size;
     }
 
+    /** Number of records for which there was no room. */
+    get refusals(): number {
+        return this.refusedCount;
+    }
+
     /** Looks up the record of a VM. */
     find(vm: string): GateRecord | undefined {
         return this.records.get(vm);
@@ -37,17 +46,35 @@
     }
 
     /**
-     * Stores the records that are newer than those in the table. Skips what is no record, so that it is not passed on either.
+     * Stores the records that are newer than those in the table. Skips what is no record, so that it is not passed on either. Once
+     * the table is full, a further proxy takes the place of one that has stopped, or is skipped if all run.
      *
      * @returns The records that were newer.
      */
     merge(records: readonly unknown[]): readonly GateRecord[] {
-        const newer = records.filter(isGateRecord).filter((record) => this.isNewer(record)).map(selectRecordFields);
-        newer.forEach((record) => {
+        return records.filter(isGateRecord).filter((record) => this.isNewer(record)).map(selectRecordFields).filter((record) => {
+            if (!this.makeRoom(record)) {
+                this.refusedCount += 1;
+                return false;
+            }
             this.records.set(record.vm, record);
             this.vms.set(gateHash(record.vm), record.vm);
+            return true;
         });
-        return newer;
+    }
+
+    /** Returns whether there is room for a record; removes a closed record if the table is full. */
+    private makeRoom({ vm }: GateRecord): boolean {
+        if (this.records.has(vm) || this.records.size < MAX_PROXIES) {
+            return true;
+        }
+        const closed = this.all.find(({ isOpen }) => !isOpen);
+        if (closed === undefined) {
+            return false;
+        }
+        this.records.delete(closed.vm);
+        this.vms.delete(gateHash(closed.vm));
+        return true;
     }
 
     private isNewer(record: GateRecord): boolean {
--- a/src/decisions/fleet/FleetTable/test.ts
+++ b/src/decisions/fleet/FleetTable/test.ts
@@ -48,3 +48,26 @@
     t.deepEqual(table.merge([RECORD]), []);
     t.deepEqual(table.find("vm-1"), newer);
 });
+
+// Guards against a process that grows with each name that one faulty process invents.
+test("a full table takes no further proxies, but new records of those that it has", (t) => {
+    const table = FleetTable.create();
+    const records = Array.from({ length: 10_000 }, (_value, index) => ({ ...RECORD, vm: `invented-${index}` }));
+    t.is(table.merge(records).length, 4_096);
+    t.is(table.size, 4_096);
+    t.is(table.refusals, 5_904);
+    const [newer] = records.map((record) => ({ ...record, sequence: 2 }));
+    t.deepEqual(table.merge([newer]), [newer]);
+});
+
+// Guards against a long run in which replaced proxies fill the table, so that new ones get no requests.
+test("in a full table a further proxy takes the place of one that has stopped", (t) => {
+    const table = FleetTable.create();
+    const records = Array.from({ length: 4_096 }, (_value, index) => ({ ...RECORD, vm: `vm-${index}`, isOpen: index !== 7 }));
+    table.merge(records);
+    const added = { ...RECORD, vm: "added" };
+    t.deepEqual(table.merge([added, { ...RECORD, vm: "another" }]), [added]);
+    t.is(table.find("vm-7"), undefined);
+    t.is(table.size, 4_096);
+    t.is(table.refusals, 1);
+});
--- a/src/tunnel/TunnelServer/test.ts
+++ b/src/tunnel/TunnelServer/test.ts
@@ -1,10 +1,10 @@
 import { once } from "node:events";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
+import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { Packr, Unpackr } from "msgpackr";
 import { WebSocket } from "ws";
 import { findFreePorts } from "../../../bench/findFreePorts/index.js";
+import { collectGarbage } from "../../../test/fixtures/collectGarbage.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { Frame } from "../Frame.js";
@@ -16,6 +16,8 @@
 import { TunnelServer } from "./index.js";
 
 const MEGABYTE = 1_024 * 1_024;
+const MAX_HELD_MEGABYTES = 40;
+const MAX_ROUNDS = 20;
 const packr = new Packr({ useRecords: false });
 const unpackr = new Unpackr({ useRecords: false });
 
@@ -74,20 +76,26 @@
 
 // Guards against a process that runs out of memory because it keeps the bodies of uploads, and of their answers, for 30 s.
 test("of offers that have ended, neither the bodies nor those of old replies stay in memory", async (t) => {
-    setFlagsFromString("--expose_gc");
-    const collect = runInNewContext("gc") as () => void;
     const { send, waitForReply } = await start(t, () => Buffer.alloc(MEGABYTE));
-    collect();
+    collectGarbage();
     const beforeBytes = process.memoryUsage().arrayBuffers;
     for (let index = 0; index < 60; index += 1) {
         send(createOffer(`${index}`, 2 * MEGABYTE));
         send({ kind: FrameKind.Confirm, key: `${index}` });
         await waitForReply(`${index}`, ({ kind }) => kind === GateReplyKind.Answered);
     }
-    collect();
-    const heldMegabytes = (process.memoryUsage().arrayBuffers - beforeBytes) / MEGABYTE;
+    const measure = (): number => {
+        collectGarbage();
+        return (process.memoryUsage().arrayBuffers - beforeBytes) / MEGABYTE;
+    };
+    // The last replies may still be in the hands of the operating system.
+    let heldMegabytes = measure();
+    for (let round = 0; round < MAX_ROUNDS && heldMegabytes >= MAX_HELD_MEGABYTES; round += 1) {
+        await delay(100);
+        heldMegabytes = measure();
+    }
     t.log(`${heldMegabytes.toFixed(0)} MB held`);
-    t.true(heldMegabytes < 40, `${heldMegabytes.toFixed(0)} MB held`);
+    t.true(heldMegabytes < MAX_HELD_MEGABYTES, `${heldMegabytes.toFixed(0)} MB held`);
     send({ kind: FrameKind.Resume, key: "0", gateRun: "run-1" });
     t.is((await waitForReply("0", () => true)).kind, GateReplyKind.Broken);
     send({ kind: FrameKind.Resume, key: "59", gateRun: "run-1" });
