Bound the lists that a process keeps of names that others send

Seen by callers: nothing yet from the field. One faulty process with the key that invents names without end kept a control VM from answering others (503 or nothing within 2 s), made it dial every invented control VM five times a second, and every process pass the names on to all others.

Cause: gate records, control VMs and what is known of linked VMs were kept by name for as long as the process runs: expired control VMs were skipped, not removed; names could be as long as a message.

The unit tests of the limits come with them; LinkedPeers replaces three maps of MeshLinks, so that its test could not fail before.

Change: 4,096 gate records in a FleetTable (new ones of known proxies still replace the old), 64 control VMs besides the seeds (one that announces itself replaces one that was only reported; expired ones are removed), 4,096 linked VMs for 30 s after their last message, names and addresses of at most 255 characters. Event 108 at the control VM for records, at each process for control VMs.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -147,6 +147,9 @@
                     this.deliver(() => this.restore(name, message.record));
                 }
             },
+            recordRefusal: (holder) => {
+                throw new Error(`the model has too many ${holder}`);
+            },
             peers: () => names.filter((_, index) => index !== number),
         });
         return control;
--- a/src/decisions/fleet/FleetTable/test.ts
+++ b/src/decisions/fleet/FleetTable/test.ts
@@ -48,3 +48,14 @@
     t.deepEqual(table.merge([RECORD]), []);
     t.deepEqual(table.find("vm-1"), newer);
 });
+
+// Guards against a process that grows with each name that one faulty process invents.
+test("a full table takes no further proxies, but new records of those that it has", (t) => {
+    const table = FleetTable.create();
+    const records = Array.from({ length: 10_000 }, (_value, index) => ({ ...RECORD, vm: `invented-${index}` }));
+    t.is(table.merge(records).length, 4_096);
+    t.is(table.size, 4_096);
+    t.is(table.refusals, 5_904);
+    const [newer] = records.map((record) => ({ ...record, sequence: 2 }));
+    t.deepEqual(table.merge([newer]), [newer]);
+});
--- a/src/decisions/fleet/isGateRecord/index.ts
+++ b/src/decisions/fleet/isGateRecord/index.ts
@@ -1,3 +1,4 @@
+import { isShortText } from "../../../model/isShortText/index.js";
 import { EndpointPhase } from "../EndpointPhase.js";
 import { GateRecord } from "../GateRecord.js";
 
@@ -15,7 +16,7 @@
         return false;
     }
     const { vm, failureDomain, gateAddress, run, sequence, isOpen, endpoint, limitPerSecond } = value;
-    return [vm, failureDomain, gateAddress].every((text) => typeof text === "string")
+    return [vm, failureDomain, gateAddress].every(isShortText)
         && [run, sequence].every(Number.isSafeInteger)
         && typeof isOpen === "boolean"
         && (endpoint === undefined || isEndpointReport(endpoint))
@@ -27,7 +28,7 @@
         return false;
     }
     const { id, service, phase, bornAtMs, sequence, slots, coldRemainingMs } = value;
-    return [id, service].every((text) => typeof text === "string")
+    return [id, service].every(isShortText)
         && Object.values<unknown>(EndpointPhase).includes(phase)
         && [bornAtMs, sequence, slots, coldRemainingMs].every(Number.isFinite);
 }
--- a/src/links/isControlPeer/index.ts
+++ b/src/links/isControlPeer/index.ts
@@ -1,3 +1,4 @@
+import { isShortText } from "../../model/isShortText/index.js";
 import { ControlPeer } from "../ControlPeer.js";
 
 const ADDRESS = /^[^\s/:]+:(\d{1,5})$/;
@@ -17,7 +18,7 @@
         return false;
     }
     const { vm, linkAddress, identity } = value as Readonly<Record<string, unknown>>;
-    if (typeof vm !== "string" || typeof identity !== "string" || typeof linkAddress !== "string") {
+    if (!isShortText(vm) || !isShortText(identity) || !isShortText(linkAddress)) {
         return false;
     }
     const port = Number(ADDRESS.exec(linkAddress)?.[1]);
--- a/src/mesh/ControlAddresses/test.ts
+++ b/src/mesh/ControlAddresses/test.ts
@@ -19,3 +19,20 @@
     addresses.recordAnnounced({ vm: "control-6" });
     t.deepEqual(addresses.peers, [PEER]);
 });
+
+// Guards against a process that dials, and passes on, every control VM that one faulty process has invented.
+test("there is a limit to the control VMs, but one that announces itself replaces one that was only reported", (t) => {
+    const addresses = ControlAddresses.create("10.0.0.9:7600");
+    const invented = Array.from({ length: 1_000 }, (_value, index) => ({ ...PEER, vm: `invented-${index}` }));
+    t.is(addresses.recordReported(invented), 936);
+    t.is(addresses.recordReported(invented.slice(0, 64)), 0);
+    addresses.recordAnnounced({ ...PEER, vm: "real" });
+    t.is(addresses.peers.length, 64);
+    t.true(addresses.peers.some(({ vm }) => vm === "real"));
+});
+
+test("a control VM with a name of more than 255 characters is skipped", (t) => {
+    const addresses = ControlAddresses.create("10.0.0.9:7600");
+    addresses.recordReported([{ ...PEER, vm: "x".repeat(256) }, { ...PEER, identity: "x".repeat(256) }, { ...PEER, linkAddress: `${"x".repeat(256)}:1` }]);
+    t.deepEqual(addresses.peers, []);
+});
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -9,6 +9,7 @@
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
+import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { GaugeSource } from "../../metrics/GaugeSource.js";
@@ -44,8 +45,10 @@
     private readonly updateRelay = FleetUpdateRelay.create({
         send: (vm, message) => void this.links?.sendTo(vm, message),
         peers: () => this.livePeers().map(({ vm }) => vm),
+        recordRefusal: (...refusal) => this.budgetLog.recordRefusal(...refusal),
     });
 
+    private readonly budgetLog: BudgetLog;
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly startedAtMs = nowMs();
     private itemController: ItemController | undefined;
@@ -54,7 +57,9 @@
     private isChangingVoters = false;
     private isClosed = false;
 
-    private constructor(private readonly settings: MeshSettings, private readonly events: EventLog) {}
+    private constructor(private readonly settings: MeshSettings, private readonly events: EventLog) {
+        this.budgetLog = BudgetLog.create(events);
+    }
 
     /**
      * Starts a control VM.
--- a/src/mesh/FleetUpdateRelay/index.ts
+++ b/src/mesh/FleetUpdateRelay/index.ts
@@ -77,7 +77,11 @@
         if (isFromProxy) {
             records.filter(isGateRecord).forEach((record) => this.returnFormerRecord(record));
         }
+        const formerRefusals = this.table.refusals;
         const merged = this.table.merge(records);
+        if (this.table.refusals > formerRefusals) {
+            this.callbacks.recordRefusal("gate records", this.table.size + this.table.refusals - formerRefusals, this.table.size);
+        }
         const intervals = updateIntervals(this.table.size);
         merged.forEach((record) => {
             this.pendingRecords.set(record.vm, record);
--- a/src/mesh/FleetUpdateRelay/test.ts
+++ b/src/mesh/FleetUpdateRelay/test.ts
@@ -20,10 +20,18 @@
     return { vm, failureDomain: "a", gateAddress: "10.0.0.1:1", run: 1, sequence, isOpen: true, endpoint: undefined, limitPerSecond: undefined };
 }
 
+function failOnRefusal(holder: string): never {
+    throw new Error(`refused: ${holder}`);
+}
+
 function withRelay(run: (clock: Clock, relay: FleetUpdateRelay, sent: (vm: string) => FleetUpdate[]) => void): void {
     const clock = install();
     const sentMessages: { vm: string; message: Message }[] = [];
-    const relay = FleetUpdateRelay.create({ send: (vm, message) => void sentMessages.push({ vm, message }), peers: () => ["control-2"] });
+    const relay = FleetUpdateRelay.create({
+        send: (vm, message) => void sentMessages.push({ vm, message }),
+        peers: () => ["control-2"],
+        recordRefusal: failOnRefusal,
+    });
     try {
         run(clock, relay, (recipient) =>
             sentMessages.flatMap(({ vm, message }) => vm === recipient && message.kind === MessageKind.FleetUpdate ? message : []));
@@ -95,7 +103,11 @@
 
 test("a proxy that has restarted gets the record of its former run, which its new record replaces", (t) => {
     const sentMessages: { vm: string; message: Message }[] = [];
-    const relay = FleetUpdateRelay.create({ send: (vm, message) => void sentMessages.push({ vm, message }), peers: () => [] });
+    const relay = FleetUpdateRelay.create({
+        send: (vm, message) => void sentMessages.push({ vm, message }),
+        peers: () => [],
+        recordRefusal: failOnRefusal,
+    });
     const endpoint = { id: "i-1", bornAtMs: 1, sequence: 1, service: "s", phase: EndpointPhase.Draining, slots: 1, coldRemainingMs: 0 };
     const former = { ...record("vm-1"), endpoint, limitPerSecond: 2 };
     relay.handleUpdate([former], NO_LOADS, true);
--- a/src/mesh/FleetUpdateRelayCallbacks.ts
+++ b/src/mesh/FleetUpdateRelayCallbacks.ts
@@ -1,3 +1,4 @@
+import { RecordRefusal } from "../frames/RecordRefusal.js";
 import { Message } from "../links/Message.js";
 
 /** Functions of a control VM that `FleetUpdateRelay` needs. */
@@ -6,4 +7,6 @@
     send(vm: string, message: Message): void;
     /** Returns the names of the other live control VMs. */
     peers(): readonly string[];
+    /** Called when there is no room for the records of further proxies. */
+    readonly recordRefusal: RecordRefusal;
 }
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -12,6 +12,8 @@
 import { FleetError } from "../../model/FleetError.js";
 import { Role } from "../../model/Role.js";
 import { ControlAddresses } from "../ControlAddresses/index.js";
+import { MAX_CONTROL_VMS } from "../maxControlVms.js";
+import { LinkedPeers } from "../LinkedPeers/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 
 const DIAL_INTERVAL_MS = 200;
@@ -22,9 +24,7 @@
 /** Links of a process to the control VMs. Connects to every known control VM, and shares the known ones with linked VMs. */
 export class MeshLinks {
     private readonly timerStops: (() => void)[] = [];
-    private readonly messageTimes = new Map<string, number>();
-    private readonly positions = new Map<string, number>();
-    private readonly failureDomains = new Map<string, string>();
+    private readonly peers = LinkedPeers.create();
     private readonly pendingDials = new Set<string>();
     private lastBroadcast = "";
     private skippedBroadcasts = 0;
@@ -34,6 +34,7 @@
         /** Addresses of the known control VMs. */
         readonly controlAddresses: ControlAddresses,
         private readonly ownPeer: () => ControlPeer | undefined,
+        private readonly budgetLog: BudgetLog,
     ) {
         this.timerStops.push(
             setAlignedInterval(DIAL_INTERVAL_MS, () => this.dial()),
@@ -90,7 +91,7 @@
             (error: FleetError) => events.record(EventNumber.LinkRefused, { error: error.message }),
             budgetLog.recordRefusal.bind(budgetLog),
         );
-        started.mesh = new MeshLinks(links, controlAddresses, ownPeer);
+        started.mesh = new MeshLinks(links, controlAddresses, ownPeer, budgetLog);
         started.mesh.setSeeds(settings);
         return started.mesh;
     }
@@ -114,12 +115,12 @@
 
     /** Returns the time of the last message from a VM, in ms. */
     lastMessageAtMs(vm: string): number {
-        return this.messageTimes.get(vm) ?? Number.NEGATIVE_INFINITY;
+        return this.peers.lastMessageAtMs(vm);
     }
 
     /** Returns the log position that a VM stated in its last heartbeat. */
     positionOf(vm: string): number {
-        return this.positions.get(vm) ?? 0;
+        return this.peers.positionOf(vm);
     }
 
     /** Sends a message to a linked VM. Returns false if there is no link. */
@@ -140,25 +141,24 @@
 
     /** Returns the failure domain of a VM that has been linked. */
     failureDomainOf(vm: string): string | undefined {
-        return this.failureDomains.get(vm);
+        return this.peers.failureDomainOf(vm);
     }
 
     private handleOpen(link: PeerLink): void {
-        this.failureDomains.set(link.peer.vm, link.peer.failureDomain);
-        this.messageTimes.set(link.peer.vm, nowMs());
+        this.peers.recordOpen(link.peer.vm, link.peer.failureDomain, nowMs());
         link.send(this.createPeersMessage());
     }
 
     private handleMessage(link: PeerLink, message: Message, handler: LinkHandler): void {
-        this.messageTimes.set(link.peer.vm, nowMs());
-        if (message.kind === MessageKind.Heartbeat) {
-            this.positions.set(link.peer.vm, message.position.version);
-        }
+        this.peers.recordMessage(link.peer.vm, message.kind === MessageKind.Heartbeat ? message.position.version : undefined, nowMs());
         if (message.kind === MessageKind.ControlPeers) {
             if (message.self !== undefined) {
                 this.controlAddresses.recordAnnounced(message.self);
             }
-            this.controlAddresses.recordReported(message.peers);
+            const refusedCount = this.controlAddresses.recordReported(message.peers);
+            if (refusedCount > 0) {
+                this.budgetLog.recordRefusal("control VMs", this.controlAddresses.peers.length + refusedCount, MAX_CONTROL_VMS, link.peer.vm);
+            }
             return;
         }
         handler.onMessage(link, message);
