Revert the share of time that one link may take

The limit measures wall time from the first to the last listener of a read. A process that is frozen or throttled within a read would count that time against its peer and then read nothing from it in steps of 400 ms, so that a control VM that wakes up would lag behind its quorum.

--- a/src/frames/SocketBudget/index.ts
+++ b/src/frames/SocketBudget/index.ts
@@ -3,7 +3,6 @@
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { estimateDecodedBytes } from "../estimateDecodedBytes/index.js";
-import { limitProcessorShare } from "../limitProcessorShare/index.js";
 import { RecordRefusal } from "../RecordRefusal.js";
 import { SocketLimits } from "../SocketLimits.js";
 
@@ -76,9 +75,6 @@
             usage.receivingBytes = 0;
         });
         webSocket.once("close", () => this.release(webSocket, usage));
-        if (this.limits.maxProcessorShare < 1) {
-            limitProcessorShare(webSocket, networkSocket, this.limits.maxProcessorShare);
-        }
     }
 
     /**
--- a/src/frames/SocketBudget/test.ts
+++ b/src/frames/SocketBudget/test.ts
@@ -12,7 +12,6 @@
     maxSendingBytes: 100_000,
     maxSendingTotalBytes: 150_000,
     maxDecodedBytes: 10_000,
-    maxProcessorShare: 1,
 };
 
 class FakeWebSocket extends EventEmitter {
--- a/src/frames/SocketLimits.ts
+++ b/src/frames/SocketLimits.ts
@@ -12,6 +12,4 @@
     readonly maxSendingTotalBytes: number;
     /** Maximum size that a frame may have in memory once it is decoded, without its binary parts. */
     readonly maxDecodedBytes: number;
-    /** Maximum share of time that may be spent on what one peer sends, from 0 to 1; 1 for no limit. */
-    readonly maxProcessorShare: number;
 }
--- a/src/links/linkLimits.ts
+++ b/src/links/linkLimits.ts
@@ -10,5 +10,4 @@
     maxSendingBytes: 32 * MEBIBYTE,
     maxSendingTotalBytes: 64 * MEBIBYTE,
     maxDecodedBytes: 48 * MEBIBYTE,
-    maxProcessorShare: 0.5,
 };
--- a/src/tunnel/tunnelLimits.ts
+++ b/src/tunnel/tunnelLimits.ts
@@ -10,6 +10,4 @@
     maxSendingBytes: 48 * MEBIBYTE,
     maxSendingTotalBytes: 64 * MEBIBYTE,
     maxDecodedBytes: 8 * MEBIBYTE,
-    // All requests of a proxy may come from one other proxy.
-    maxProcessorShare: 1,
 };
