Count the requests ahead of each in a function of its own

No change of behaviour: the tests of the queue, unchanged, pass, and countAhead and hasPrecedence have their own.

--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -7,6 +7,8 @@
 import { ProbeScheduler } from "../../outliers/ProbeScheduler/index.js";
 import { Admission } from "../Admission.js";
 import { AdmissionKind } from "../AdmissionKind.js";
+import { countAhead } from "../countAhead/index.js";
+import { hasPrecedence } from "../hasPrecedence/index.js";
 import { isBlockedByGrade } from "../isBlockedByGrade/index.js";
 import { ServingRequest } from "../ServingRequest.js";
 
@@ -228,10 +230,10 @@
 
     /** Removes and returns the waiting requests that are expected to miss their deadline because others have overtaken them. */
     removeOverdue(nowMs: number): readonly ServingRequest[] {
-        const overdue = this.findOverdue(nowMs);
-        const removed = this.waiting.filter((waiting) => overdue.has(waiting));
+        const ahead = countAhead(this.waiting);
+        const overdue = new Set(this.waiting.filter((waiting) => this.isOverdue(waiting, ahead.get(waiting) ?? 0, nowMs)));
         this.waiting = this.waiting.filter((waiting) => !overdue.has(waiting));
-        return removed;
+        return [...overdue];
     }
 
     /** Starts waiting requests while there are free slots and the limit allows it, and returns them. */
@@ -274,24 +276,6 @@
         return demand === ProbeDemand.None || (demand === ProbeDemand.Repeatable && request.requestKind === RequestKind.Once);
     }
 
-    /** Finds overdue requests in one pass over the queue: the last of several equal requests tells how many are ahead of each. */
-    private findOverdue(nowMs: number): ReadonlySet<ServingRequest> {
-        const lastFirst = [...this.waiting].sort((left, right) => right.priority - left.priority || right.targetAtMs - left.targetAtMs);
-        const overdue = new Set<ServingRequest>();
-        let ahead = 0;
-        let next: ServingRequest | undefined;
-        for (const [index, request] of lastFirst.entries()) {
-            if (next === undefined || !hasPrecedence(next, request)) {
-                ahead = lastFirst.length - 1 - index;
-            }
-            if (this.isOverdue(request, ahead, nowMs)) {
-                overdue.add(request);
-            }
-            next = request;
-        }
-        return overdue;
-    }
-
     /** True if not even half of the mean service time is expected to fit before the deadline. */
     private isOverdue(request: ServingRequest, ahead: number, nowMs: number): boolean {
         return nowMs + this.waitAheadMs(request, ahead, nowMs) + this.meanServiceMs / 2 >= request.deadlineAtMs;
@@ -310,8 +294,3 @@
         return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request, nowMs)));
     }
 }
-
-/** Checks whether a request is ahead of another in the queue, by priority and then by target. */
-function hasPrecedence(left: Pick<ServingRequest, "priority" | "targetAtMs">, right: Pick<ServingRequest, "priority" | "targetAtMs">): boolean {
-    return left.priority < right.priority || (left.priority === right.priority && left.targetAtMs <= right.targetAtMs);
-}
