--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
@@ -7,14 +6,14 @@
 import { countHeaderBytes } from "../../http/countHeaderBytes/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { hasBody } from "../../http/hasBody/index.js";
+import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { readBody } from "../../http/readBody/index.js";
 import { RefusalListener } from "../../http/RefusalListener.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
-import { FleetError } from "../../model/FleetError.js";
 import { HeaderList } from "../../model/HeaderList.js";
-import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { CallerConnection } from "../CallerConnection/index.js";
 import { CallerConnections } from "../CallerConnections/index.js";
 import { CallerDialect } from "../CallerDialect.js";
@@ -82,8 +81,9 @@
      * @param address - `host:port`.
      * @param dialect - Conventions for requests and responses.
      * @param onRequest - Called with each request.
-     * @param onError - Called with each unexpected error, which fails only its own request.
+     * @param onError - Called with each unexpected error, which fails only its own request or connection.
      * @param onRefusal - Called when a limit on what callers hold refuses more.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if the server cannot listen on the address.
      */
     static async create(
@@ -92,17 +92,11 @@
         onRequest: (exchange: CallerExchange) => void,
         onError: (error: Error) => void,
         onRefusal: RefusalListener = () => undefined,
+        waits?: StartWaits,
     ): Promise<CallerServer> {
         const server = createServer({ noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS });
         const [host, port] = address.split(":");
-        server.listen(Number(port), host);
-        try {
-            await once(server, "listening");
-        }
-        catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
-        }
+        await listenWithRetry(address, () => server.listen(Number(port), host), onError, waits);
         return new CallerServer(server, dialect, onRequest, onError, onRefusal);
     }
 
--- a/src/http/serveText/index.ts
+++ b/src/http/serveText/index.ts
@@ -1,9 +1,8 @@
-import { once } from "node:events";
 import { createServer, type Server } from "node:http";
-import { FleetError } from "../../model/FleetError.js";
-import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { hasBody } from "../hasBody/index.js";
+import { listenWithRetry } from "../listenWithRetry/index.js";
 import { RefusalListener } from "../RefusalListener.js";
 import { ServerGuard } from "../ServerGuard/index.js";
 import { ServerLimits } from "../ServerLimits.js";
@@ -38,8 +37,9 @@
  *
  * @param address - `host:port`.
  * @param text - Path, media type and renderer of the document.
- * @param onError - Called with each error of the renderer.
+ * @param onError - Called with each error of the renderer, and when a connection cannot be accepted.
  * @param onRefusal - Called when a limit on what the readers hold refuses more.
+ * @param waits - Waits for a port that is held; without it, that is an error.
  * @returns The listening server.
  * @throws FleetError if the server cannot listen on the address.
  * @example
@@ -50,6 +50,7 @@
     text: ServedText,
     onError: (error: Error) => void,
     onRefusal: RefusalListener = () => undefined,
+    waits?: StartWaits,
 ): Promise<Server> {
     const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS });
     ServerGuard.create(server, LIMITS, (request, response) => {
@@ -67,13 +68,5 @@
         });
     }, (holder, ...rest) => onRefusal(`metrics ${holder}`, ...rest));
     const [host, port] = address.split(":");
-    server.listen(Number(port), host);
-    try {
-        await once(server, "listening");
-    }
-    catch (thrown) {
-        const cause = toError(thrown);
-        throw FleetError.create({ step: Step.Listen, peer: address, cause }, cause.message);
-    }
-    return server;
+    return listenWithRetry(address, () => server.listen(Number(port), host), onError, waits);
 }
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -23,6 +23,7 @@
 import { CallerExchange } from "../../callers/CallerExchange.js";
 import { CallerServer } from "../../callers/CallerServer/index.js";
 import { FleetView } from "../../callers/FleetView/index.js";
+import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
@@ -32,6 +33,8 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
+import { TUNNEL_LIMITS } from "../../tunnel/tunnelLimits.js";
 import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
 import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
 import { GaugeSource } from "../../metrics/GaugeSource.js";
@@ -79,6 +82,7 @@
         private readonly gate: ServingGate,
         private readonly fleetView: FleetView,
         private readonly dispatcher: RequestDispatcher,
+        private readonly tunnelBudget: SocketBudget,
         private readonly roleReference: { role?: SidecarRole },
     ) {
         const { vm, links } = settings;
@@ -103,9 +107,10 @@
      * @param settings - Settings with a `proxy` table.
      * @param dialect - Conventions for messages of callers and backend servers.
      * @param events - Event log.
-     * @throws FleetError if a port is in use.
+     * @param waits - Waits for ports that are held; without it, that is an error.
+     * @throws FleetError if it cannot listen on a port.
      */
-    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog): Promise<SidecarRole> {
+    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog, waits?: StartWaits): Promise<SidecarRole> {
         const { vm, links, terms, proxy } = settings;
         const roleReference: { role?: SidecarRole } = {};
         const token = deriveToken(links.fleetKey);
@@ -124,11 +129,13 @@
             onPresence: (run, isPresent) => roleReference.role?.handlePresence(run, isPresent),
             onLimitChange: (perSecond) => roleReference.role?.handleLimitChange(perSecond),
         });
+        const budgetLog = BudgetLog.create(events);
+        const tunnelBudget = SocketBudget.create("tunnels", TUNNEL_LIMITS, budgetLog.recordRefusal.bind(budgetLog));
         const fleetView = FleetView.create({
             vm: vm.name,
             failureDomain: vm.failureDomain,
             localGate: gate,
-            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks),
+            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget),
         }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: `${vm.name}-${randomBytes(RUN_ID_BYTES).toString("hex")}`,
@@ -138,8 +145,8 @@
             onStrikesCleared: (fingerprint) => roleReference.role?.sendToControls({ kind: MessageKind.StrikesCleared, fingerprint }),
             callerService: () => roleReference.role?.callerService ?? "",
         }, fleetView, events);
-        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, roleReference);
-        await role.start(token, dialect);
+        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, tunnelBudget, roleReference);
+        await role.start(token, dialect, waits);
         return role;
     }
 
@@ -156,8 +163,12 @@
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
+            { name: "tunnel_buffered_bytes", help: "Bytes that other proxies have not read", read: () => this.tunnelBudget.bufferedBytes },
+            { name: "retained_reply_bytes", help: "Bytes of replies kept for lost tunnels", read: () => this.tunnelServer?.retainedReplyBytes ?? 0 },
+            { name: "link_buffered_bytes", help: "Bytes that control VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
             { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
             { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
@@ -245,29 +256,32 @@
         return isAnswering || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
     }
 
-    private async start(token: string, dialect: MeshDialect): Promise<void> {
+    private async start(token: string, dialect: MeshDialect, waits: StartWaits | undefined): Promise<void> {
         const { vm, links, proxy } = this.settings;
         this.fleetView.mergeRecords([this.record]);
         const onError = (error: Error): void => this.events.recordError(error, {});
+        const budgetLog = BudgetLog.create(this.events);
+        const recordRefusal = budgetLog.recordRefusal.bind(budgetLog);
         this.tunnelServer = await TunnelServer.create({
             host: vm.ip,
             port: links.firstPort + 1,
             token,
             gateRun: this.gateRun,
             gate: this.gate,
+            budget: this.tunnelBudget,
+            recordRefusal,
             onError,
+            waits,
         });
-        const budgetLog = BudgetLog.create(this.events);
-        const onRefusal = budgetLog.recordRefusal.bind(budgetLog);
         const dispatch = (exchange: CallerExchange): void => this.dispatcher.dispatch(exchange);
-        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, onRefusal);
+        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, recordRefusal, waits);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
             onMessage: (_link, message) => this.handleMessage(message),
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.handleLinkClose(link),
             onMessageError: (error) => this.events.record(EventNumber.MessageFailed, { error: error.message }),
-        }, () => undefined, () => 0, this.events);
+        }, () => undefined, () => 0, this.events, waits);
         this.timerStops.push(
             setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()),
             setAlignedInterval(INVITATION_INTERVAL_MS, () => this.inviteEntries()),
