Compact the log of a control VM also by the size of its changes

Seen by callers: nothing yet from the field. A control VM keeps up to 1,000 changes in memory and in its log, however large each is: a configuration of some hundred kilobytes that an operator sends again and again until it is accepted fills its heap (160 MB) after some hundred times. It would also no longer fit into one message to a control VM that lags.

Cause: the log was compacted by the number of its entries alone.

--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -19,6 +19,8 @@
 const TICK_MS = 50;
 /** Number of applied entries after the snapshot that triggers a new snapshot. */
 const COMPACTION_THRESHOLD_ENTRIES = 1_000;
+/** Size of the documents in applied entries after the snapshot that triggers a new snapshot, in characters. */
+const COMPACTION_THRESHOLD_CHARACTERS = 8 * 1_024 * 1_024;
 
 interface PendingCommit {
     readonly term: number;
@@ -34,6 +36,8 @@
     private queue: Promise<void> = Promise.resolve();
     private failure: FleetError | undefined;
     private wasLeader = false;
+    /** Size of the documents in applied entries since the last compaction, in characters. */
+    private uncompactedCharacters = 0;
 
     private constructor(
         private readonly store: QuorumStore,
@@ -215,6 +219,7 @@
             this.callbacks.applyChange(entry.change);
         }
         if (entry.kind === EntryKind.Items) {
+            this.uncompactedCharacters += entry.changes.reduce((sum, { document }) => sum + document.length, 0);
             this.callbacks.applyItems(entry.proposal, entry.changes, entry.index);
         }
         const pending = this.pendingCommits.get(entry.index);
@@ -230,7 +235,9 @@
     }
 
     private async compact(): Promise<void> {
-        if (this.machine.uncompactedEntryCount >= COMPACTION_THRESHOLD_ENTRIES) {
+        const isLarge = this.uncompactedCharacters >= COMPACTION_THRESHOLD_CHARACTERS;
+        if (isLarge || this.machine.uncompactedEntryCount >= COMPACTION_THRESHOLD_ENTRIES) {
+            this.uncompactedCharacters = 0;
             const position = this.machine.appliedPosition();
             const snapshot: QuorumSnapshot = { ...this.callbacks.createSnapshot(), ...position };
             await this.processOutput(this.machine.step({ kind: QuorumEventKind.Compact, snapshot }, nowMs()));
