--- a/src/frames/HandshakeGuard/test.ts
+++ b/src/frames/HandshakeGuard/test.ts
@@ -22,6 +22,7 @@
         maxFrameBytes: 1_000_000,
         isAuthorized: () => true,
         recordRefusal: () => undefined,
+        onError: () => undefined,
     }, (webSocket, networkSocket) => {
         webSocket.on("error", () => undefined);
         const endGuard = guard.watch(webSocket, networkSocket);
--- a/src/frames/PeerServer/index.ts
+++ b/src/frames/PeerServer/index.ts
@@ -1,11 +1,8 @@
-import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
-import { FleetError } from "../../model/FleetError.js";
-import { Step } from "../../model/Step.js";
-import { toError } from "../../model/toError/index.js";
+import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { PeerServerOptions } from "../PeerServerOptions.js";
 import { RecordRefusal } from "../RecordRefusal.js";
 
@@ -62,14 +59,8 @@
             verifyClient: ({ req }: { req: IncomingMessage }) => options.isAuthorized(req.headers.authorization),
         });
         const peerServer = new PeerServer(server, webSocketServer, options.recordRefusal, onConnection);
-        server.listen(options.port, options.host);
-        try {
-            await once(server, "listening");
-        }
-        catch (thrown) {
-            const cause = toError(thrown);
-            throw FleetError.create({ step: Step.Listen, peer: `${options.name} ${options.port}`, cause }, cause.message);
-        }
+        const { host, port, name, onError, waits } = options;
+        await listenWithRetry(`${name} ${host}:${port}`, () => server.listen(port, host), onError, waits);
         return peerServer;
     }
 
--- a/src/frames/PeerServer/test.ts
+++ b/src/frames/PeerServer/test.ts
@@ -15,6 +15,7 @@
         maxFrameBytes: 10_000,
         isAuthorized: (authorization) => authorization === "token",
         recordRefusal: () => undefined,
+        onError: () => undefined,
     }, (webSocket) => webSocket.on("error", () => undefined).on("message", (data: Buffer) => messages.push(data)));
     t.teardown(() => server.close());
     return { port, server, messages };
--- a/src/frames/PeerServerOptions.ts
+++ b/src/frames/PeerServerOptions.ts
@@ -1,3 +1,4 @@
+import { StartWaits } from "../starts/StartWaits/index.js";
 import { RecordRefusal } from "./RecordRefusal.js";
 
 /** Settings of a `PeerServer`. */
@@ -12,4 +13,8 @@
     readonly isAuthorized: (authorization: string | undefined) => boolean;
     /** Called each time a connection is closed because of a limit. */
     readonly recordRefusal: RecordRefusal;
+    /** Called when a connection cannot be accepted. */
+    readonly onError: (error: Error) => void;
+    /** Waits for a port that is held; without it, that is an error. */
+    readonly waits?: StartWaits;
 }
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -9,6 +9,7 @@
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { LINK_LIMITS } from "../linkLimits.js";
 import { LinkBytes } from "../LinkBytes.js";
 import { LinkHandler } from "../LinkHandler.js";
@@ -68,6 +69,7 @@
      * @param position - Returns the configuration position to announce to peers.
      * @param onError - Called when a link fails.
      * @param recordRefusal - Called when a peer is closed because of a limit on what this process holds; without it, `onError` is called.
+     * @param waits - Waits for a port that is held; without it, that is an error.
      * @throws FleetError if the process cannot listen on the port.
      */
     static async create(
@@ -77,7 +79,9 @@
         onError: (error: FleetError) => void,
         recordRefusal: RecordRefusal = (holder, held, limit, peer = "unknown") =>
             onError(FleetError.create({ step: Step.Link, peer }, `${holder}: ${held} of ${limit}`)),
+        waits?: StartWaits,
     ): Promise<LinkController> {
+        const peer = `${settings.host}:${settings.port}`;
         const links = new LinkController(settings, handler, position, onError, recordRefusal);
         try {
             links.server = await PeerServer.create({
@@ -87,6 +91,8 @@
                 maxFrameBytes: LINK_LIMITS.maxFrameBytes,
                 isAuthorized: () => true,
                 recordRefusal: links.recordRefusal,
+                onError: (cause) => onError(FleetError.create({ step: Step.Link, peer, cause }, cause.message)),
+                waits,
             }, (webSocket, networkSocket) => links.accept(webSocket, networkSocket));
         }
         catch (thrown) {
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -20,6 +20,7 @@
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { RequestDispatcher } from "../../callers/RequestDispatcher/index.js";
+import { CallerExchange } from "../../callers/CallerExchange.js";
 import { CallerServer } from "../../callers/CallerServer/index.js";
 import { FleetView } from "../../callers/FleetView/index.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
@@ -32,6 +33,7 @@
 import { EventNumber } from "../../logs/EventNumber.js";
 import { Role } from "../../model/Role.js";
 import { ServingGate } from "../../serving/ServingGate/index.js";
+import { StartWaits } from "../../starts/StartWaits/index.js";
 import { TUNNEL_LIMITS } from "../../tunnel/tunnelLimits.js";
 import { TunnelClient } from "../../tunnel/TunnelClient/index.js";
 import { TunnelServer } from "../../tunnel/TunnelServer/index.js";
@@ -105,9 +107,10 @@
      * @param settings - Settings with a `proxy` table.
      * @param dialect - Conventions for messages of callers and backend servers.
      * @param events - Event log.
-     * @throws FleetError if a port is in use.
+     * @param waits - Waits for ports that are held; without it, that is an error.
+     * @throws FleetError if it cannot listen on a port.
      */
-    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog): Promise<SidecarRole> {
+    static async create(settings: MeshSettings, dialect: MeshDialect, events: EventLog, waits?: StartWaits): Promise<SidecarRole> {
         const { vm, links, terms, proxy } = settings;
         const roleReference: { role?: SidecarRole } = {};
         const token = deriveToken(links.fleetKey);
@@ -143,7 +146,7 @@
             callerService: () => roleReference.role?.callerService ?? "",
         }, fleetView, events);
         const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, tunnelBudget, roleReference);
-        await role.start(token, dialect);
+        await role.start(token, dialect, waits);
         return role;
     }
 
@@ -160,12 +163,15 @@
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
             { name: "tunnel_buffered_bytes", help: "Bytes that other proxies have not read", read: () => this.tunnelBudget.bufferedBytes },
             { name: "retained_reply_bytes", help: "Bytes of replies kept for lost tunnels", read: () => this.tunnelServer?.retainedReplyBytes ?? 0 },
             { name: "link_buffered_bytes", help: "Bytes that control VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
+            { name: "request_body_bytes", help: "Bytes of request bodies that are held", read: () => this.callerServer?.heldBodyBytes ?? 0 },
+            { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
     }
@@ -249,11 +255,12 @@
         return isAnswering || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
     }
 
-    private async start(token: string, dialect: MeshDialect): Promise<void> {
+    private async start(token: string, dialect: MeshDialect, waits: StartWaits | undefined): Promise<void> {
         const { vm, links, proxy } = this.settings;
         this.fleetView.mergeRecords([this.record]);
         const onError = (error: Error): void => this.events.recordError(error, {});
         const budgetLog = BudgetLog.create(this.events);
+        const recordRefusal = budgetLog.recordRefusal.bind(budgetLog);
         this.tunnelServer = await TunnelServer.create({
             host: vm.ip,
             port: links.firstPort + 1,
@@ -261,17 +268,19 @@
             gateRun: this.gateRun,
             gate: this.gate,
             budget: this.tunnelBudget,
-            recordRefusal: budgetLog.recordRefusal.bind(budgetLog),
+            recordRefusal,
             onError,
+            waits,
         });
-        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, (exchange) => this.dispatcher.dispatch(exchange), onError);
+        const dispatch = (exchange: CallerExchange): void => this.dispatcher.dispatch(exchange);
+        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, recordRefusal, waits);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
             onMessage: (_link, message) => this.handleMessage(message),
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.handleLinkClose(link),
             onMessageError: (error) => this.events.record(EventNumber.MessageFailed, { error: error.message }),
-        }, () => undefined, () => 0, this.events);
+        }, () => undefined, () => 0, this.events, waits);
         this.timerStops.push(
             setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()),
             setAlignedInterval(INVITATION_INTERVAL_MS, () => this.inviteEntries()),
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -77,6 +77,8 @@
                 maxFrameBytes: options.budget.maxFrameBytes,
                 isAuthorized: (authorization) => authorization === options.token,
                 recordRefusal: options.recordRefusal,
+                onError: options.onError,
+                waits: options.waits,
             }, (webSocket, networkSocket) => tunnelServer.handleConnection(webSocket, networkSocket));
         }
         catch (thrown) {
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -1,5 +1,6 @@
 import { RecordRefusal } from "../frames/RecordRefusal.js";
 import { SocketBudget } from "../frames/SocketBudget/index.js";
+import { StartWaits } from "../starts/StartWaits/index.js";
 import { GatePort } from "./GatePort.js";
 
 /** Settings and dependencies of `TunnelServer`. */
@@ -15,6 +16,8 @@
     readonly budget: SocketBudget;
     /** Called each time something is refused or dropped because of a limit. */
     readonly recordRefusal: RecordRefusal;
-    /** Called with each unexpected error, which affects only the frame that caused it. */
+    /** Called with each unexpected error, which affects only the frame or connection that caused it. */
     readonly onError: (error: Error) => void;
+    /** Waits for a port that is held; without it, that is an error. */
+    readonly waits?: StartWaits;
 }
