Do not count a flood of proper requests as starvation by an abuse

Such a flood still runs, and all other checks hold beside it, but STARVED looks at no request within a second of one.

--- a/bench/processes/AbuseRecord.ts
+++ b/bench/processes/AbuseRecord.ts
@@ -6,4 +6,6 @@
     /** What was sent, for reports. */
     readonly description: string;
     endedAtMs: number;
+    /** True if it consists of proper requests, which may use up what the endpoints can run. */
+    readonly isLoad?: boolean;
 }
--- a/bench/processes/findStarvation/index.ts
+++ b/bench/processes/findStarvation/index.ts
@@ -21,7 +21,8 @@
 }
 
 /**
- * Finds machines whose ordinary callers were not served while faulty peers abused them, and nothing else disturbed the fleet.
+ * Finds machines whose ordinary callers were not served while faulty peers abused them, and neither signals nor a flood of proper
+ * requests disturbed the fleet.
  *
  * @param records - What the run has recorded.
  * @returns One line for each machine that failed more than a tenth of at least 50 requests.
@@ -29,7 +30,9 @@
  * findStarvation({ attempts, refusals, abuses, calms, proxyCount: 6 }); // ["STARVED proxy-1 failed 40 of 100 requests during ..."]
  */
 export function findStarvation({ attempts, refusals, abuses, calms, proxyCount }: StarvationRecords): readonly string[] {
-    const isCalm = (fromMs: number, untilMs: number): boolean => calms.some((calm) => calm.fromMs <= fromMs && untilMs <= calm.untilMs);
+    const loads = abuses.filter(({ isLoad }) => isLoad === true);
+    const isCalm = (fromMs: number, untilMs: number): boolean => calms.some((calm) => calm.fromMs <= fromMs && untilMs <= calm.untilMs)
+        && !loads.some(({ startedAtMs, endedAtMs }) => startedAtMs <= untilMs && fromMs <= endedAtMs + AFTERMATH_MS);
     return Array.from({ length: proxyCount }, (_value, vm) => vm).flatMap((vm) => {
         const own = abuses.filter(({ process, startedAtMs, endedAtMs }) => process === `proxy-${vm}`
             && calms.some(({ fromMs, untilMs }) => startedAtMs < untilMs && endedAtMs + AFTERMATH_MS > fromMs));
