Limit the rate of messages that are read from one link

Limits counted bytes and fragments, but each message costs processor time, and one that cannot be handled an error with its stack and a line of log (13,000 lines in 3 s).

At most 500 messages a second and 2,000 at once are read from a link, then reading pauses; no message is lost. Five unhandled messages a second are reported for each link. The test of the reports fails before (1,000 reports).

--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -2,6 +2,7 @@
 import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { HandshakeGuard } from "../../frames/HandshakeGuard/index.js";
+import { limitMessageRate } from "../../frames/limitMessageRate/index.js";
 import { PeerServer } from "../../frames/PeerServer/index.js";
 import { RecordRefusal } from "../../frames/RecordRefusal.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
@@ -23,6 +24,8 @@
 /** Time after which a link is closed if no message was received or no own heartbeat was acknowledged, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 3_500;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Rate of messages that is read from one peer; many times that of a control VM whose configuration changes all the time. */
+const MESSAGE_RATE = { perSecond: 500, burst: 2_000 };
 /** Number of heartbeats whose send times are kept. */
 const MAX_SENT_TIMES = 64;
 
@@ -167,6 +170,7 @@
 
     private accept(socket: WebSocket, networkSocket: Socket): void {
         this.budget.watch(socket, networkSocket);
+        this.limitRate(socket, networkSocket.remoteAddress ?? "unknown");
         const endGuard = this.handshakeGuard.watch(socket, networkSocket);
         const options = this.createLinkOptions(true, networkSocket.remoteAddress ?? "unknown");
         WsLink.create(socket, {
@@ -186,6 +190,7 @@
             maxFragments: 1,
         });
         this.budget.watchOnceOpen(socket);
+        this.limitRate(socket, address);
         return new Promise((resolve) => {
             const options = this.createLinkOptions(false, address);
             const timer = setTimeout(() => {
@@ -208,6 +213,10 @@
         });
     }
 
+    private limitRate(socket: WebSocket, peer: string): void {
+        limitMessageRate(socket, MESSAGE_RATE, () => this.recordRefusal("messages per second of a link", MESSAGE_RATE.perSecond, MESSAGE_RATE.perSecond, peer));
+    }
+
     private createLinkOptions(isServer: boolean, address: string): WsLinkOptions {
         return {
             identity: this.settings.identity,
--- a/src/links/LinkController/test.ts
+++ b/src/links/LinkController/test.ts
@@ -79,3 +79,32 @@
     t.is(problems.length, 2);
     t.not(await link?.call({ kind: MessageKind.ReadItems }, 1_000), undefined);
 });
+
+// Guards against a process that writes nothing but lines about one peer, and serves nobody meanwhile.
+test("of many messages that cannot be handled only a few a second are reported, and later ones are received", async (t) => {
+    const problems: string[] = [];
+    let lastReceived = false;
+    const [, address] = await start(t, "vm-1", {
+        onMessage: (_link, message) => {
+            if (message.kind === MessageKind.StrikesCleared) {
+                lastReceived = true;
+            }
+            if (message.kind === MessageKind.Strike) {
+                throw new Error("unexpected");
+            }
+        },
+        onMessageError: (error) => problems.push(error.message),
+    }, []);
+    const [peer] = await start(t, "vm-2", {}, []);
+    const link = await peer.connect(address);
+    const startedAtMs = performance.now();
+    for (let count = 0; count < 1_000; count += 1) {
+        link?.send({ kind: MessageKind.Strike, fingerprint: "f", loss: "l" });
+    }
+    link?.send({ kind: MessageKind.StrikesCleared, fingerprint: "f" });
+    while (!lastReceived) {
+        await delay(10);
+    }
+    const seconds = Math.ceil((performance.now() - startedAtMs) / 1_000);
+    t.true(problems.length > 0 && problems.length <= 5 + 5 * seconds, `${problems.length} reports in ${seconds} s`);
+});
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -1,6 +1,8 @@
 import { randomUUID, timingSafeEqual } from "node:crypto";
 import { Packr, Unpackr } from "msgpackr";
 import { WebSocket } from "ws";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { TokenBucket } from "../../decisions/limits/TokenBucket/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { toError } from "../../model/toError/index.js";
@@ -12,6 +14,8 @@
 import { computeKeyProof } from "../computeKeyProof/index.js";
 import { WsLinkOptions } from "../WsLinkOptions.js";
 
+/** Maximum number of messages of one link per second that are reported as not handled. */
+const ERROR_REPORTS_PER_SECOND = 5;
 const packr = new Packr({ useRecords: true });
 const unpackr = new Unpackr({ useRecords: true });
 
@@ -23,6 +27,7 @@
 /** A link over a WebSocket. It authenticates both ends, then transfers messages, calls and replies. */
 export class WsLink implements PeerLink {
     private readonly nonce = randomUUID();
+    private readonly errorReports = TokenBucket.create(ERROR_REPORTS_PER_SECOND, ERROR_REPORTS_PER_SECOND, nowMs());
     private readonly pendingCalls = new Map<number, PendingCall>();
     private identity: PeerIdentity | undefined;
     private nextCallNumber = 1;
@@ -138,6 +143,9 @@
 
     /** Reports a message that could not be handled or encoded. Another link would only bring the same message again, so this one stays. */
     private reportMessageError(thrown: unknown): void {
+        if (this.errorReports.take(nowMs()) > 0) {
+            return;
+        }
         const cause = toError(thrown);
         this.options.onMessageError(FleetError.create({ step: Step.Link, peer: this.peerName, cause }, `message not handled: ${cause.message}`));
     }
