--- a/src/callers/CallerConnectionsCallbacks.ts
+++ b/src/callers/CallerConnectionsCallbacks.ts
@@ -1,4 +1,4 @@
-import { RefusalListener } from "../http/RefusalListener.js";
+import { RefusalListener } from "../logs/RefusalListener.js";
 import { PendingRequest } from "./PendingRequest.js";
 
 /** Functions that `CallerConnections` calls back. */
--- a/src/callers/CallerHoldings/index.ts
+++ b/src/callers/CallerHoldings/index.ts
@@ -1,6 +1,6 @@
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { BodyResultKind } from "../../http/BodyResultKind.js";
-import { RefusalListener } from "../../http/RefusalListener.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { PendingRequest } from "../PendingRequest.js";
 
 /** Limit on the bytes of all requests that are held; each body is copied once, in a process of a few hundred megabytes. */
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -9,7 +9,7 @@
 import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { readBody } from "../../http/readBody/index.js";
-import { RefusalListener } from "../../http/RefusalListener.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { toError } from "../../model/toError/index.js";
--- a/src/frames/HandshakeGuard/index.ts
+++ b/src/frames/HandshakeGuard/index.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import { WebSocket } from "ws";
-import { RecordRefusal } from "../RecordRefusal.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 
 /** Time within which a peer must prove that it belongs to the fleet, in ms: several round trips, with margin for a busy process. */
 const HANDSHAKE_TIMEOUT_MS = 3_000;
@@ -13,14 +13,14 @@
 export class HandshakeGuard {
     private readonly pending = new Set<WebSocket>();
 
-    private constructor(private readonly recordRefusal: RecordRefusal) {}
+    private constructor(private readonly recordRefusal: RefusalListener) {}
 
     /**
      * Creates a guard without WebSockets.
      *
      * @param recordRefusal - Called each time a WebSocket is closed because of a limit.
      */
-    static create(recordRefusal: RecordRefusal): HandshakeGuard {
+    static create(recordRefusal: RefusalListener): HandshakeGuard {
         return new HandshakeGuard(recordRefusal);
     }
 
--- a/src/frames/PeerServer/index.ts
+++ b/src/frames/PeerServer/index.ts
@@ -4,7 +4,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { PeerServerOptions } from "../PeerServerOptions.js";
-import { RecordRefusal } from "../RecordRefusal.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 
 /** Time within which a connection must ask for a WebSocket, in ms. */
 const UPGRADE_TIMEOUT_MS = 2_000;
@@ -28,7 +28,7 @@
     private constructor(
         private readonly server: Server,
         private readonly webSocketServer: WebSocketServer,
-        private readonly recordRefusal: RecordRefusal,
+        private readonly recordRefusal: RefusalListener,
         private readonly onConnection: (webSocket: WebSocket, networkSocket: Socket) => void,
     ) {
         server.on("connection", (socket) => this.addPending(socket));
--- a/src/frames/PeerServerOptions.ts
+++ b/src/frames/PeerServerOptions.ts
@@ -1,5 +1,5 @@
 import { StartWaits } from "../starts/StartWaits/index.js";
-import { RecordRefusal } from "./RecordRefusal.js";
+import { RefusalListener } from "../logs/RefusalListener.js";
 
 /** Settings of a `PeerServer`. */
 export interface PeerServerOptions {
@@ -12,7 +12,7 @@
     /** Returns whether a connection with this `Authorization` may open a WebSocket. */
     readonly isAuthorized: (authorization: string | undefined) => boolean;
     /** Called each time a connection is closed because of a limit. */
-    readonly recordRefusal: RecordRefusal;
+    readonly recordRefusal: RefusalListener;
     /** Called when a connection cannot be accepted. */
     readonly onError: (error: Error) => void;
     /** Waits for a port that is held; without it, that is an error. */
--- a/src/frames/SocketBudget/index.ts
+++ b/src/frames/SocketBudget/index.ts
@@ -3,7 +3,7 @@
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { estimateDecodedBytes } from "../estimateDecodedBytes/index.js";
-import { RecordRefusal } from "../RecordRefusal.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { SocketLimits } from "../SocketLimits.js";
 
 /** Memory that a piece of a frame takes besides its bytes, in bytes: the buffer, its backing store and its place in a list. */
@@ -31,7 +31,7 @@
     private constructor(
         private readonly name: string,
         private readonly limits: SocketLimits,
-        private readonly recordRefusal: RecordRefusal,
+        private readonly recordRefusal: RefusalListener,
     ) {}
 
     /**
@@ -41,7 +41,7 @@
      * @param limits - Limits of each peer and of all.
      * @param recordRefusal - Called each time a peer is closed or a frame refused because of a limit.
      */
-    static create(name: string, limits: SocketLimits, recordRefusal: RecordRefusal): SocketBudget {
+    static create(name: string, limits: SocketLimits, recordRefusal: RefusalListener): SocketBudget {
         return new SocketBudget(name, limits, recordRefusal);
     }
 
--- a/src/http/ServerGuard/index.ts
+++ b/src/http/ServerGuard/index.ts
@@ -5,7 +5,7 @@
 import { closeInOrder } from "../closeInOrder/index.js";
 import { dropInput } from "../dropInput/index.js";
 import { refuseConnect } from "../refuseConnect/index.js";
-import { RefusalListener } from "../RefusalListener.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { ServerLimits } from "../ServerLimits.js";
 
 const STATUS_EXPECTATION_FAILED = 417;
--- a/src/http/serveText/index.ts
+++ b/src/http/serveText/index.ts
@@ -3,7 +3,7 @@
 import { StartWaits } from "../../starts/StartWaits/index.js";
 import { hasBody } from "../hasBody/index.js";
 import { listenWithRetry } from "../listenWithRetry/index.js";
-import { RefusalListener } from "../RefusalListener.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { ServerGuard } from "../ServerGuard/index.js";
 import { ServerLimits } from "../ServerLimits.js";
 
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -4,7 +4,7 @@
 import { HandshakeGuard } from "../../frames/HandshakeGuard/index.js";
 import { limitMessageRate } from "../../frames/limitMessageRate/index.js";
 import { PeerServer } from "../../frames/PeerServer/index.js";
-import { RecordRefusal } from "../../frames/RecordRefusal.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { ConfigurationVersion } from "../../model/ConfigurationVersion.js";
 import { FleetError } from "../../model/FleetError.js";
@@ -58,7 +58,7 @@
         private readonly handler: LinkHandler,
         private readonly position: () => ConfigurationVersion,
         private readonly onError: (error: FleetError) => void,
-        private readonly recordRefusal: RecordRefusal,
+        private readonly recordRefusal: RefusalListener,
     ) {
         this.budget = SocketBudget.create("links", LINK_LIMITS, recordRefusal);
         this.handshakeGuard = HandshakeGuard.create(recordRefusal);
@@ -80,7 +80,7 @@
         handler: LinkHandler,
         position: () => ConfigurationVersion,
         onError: (error: FleetError) => void,
-        recordRefusal: RecordRefusal = (holder, held, limit, peer = "unknown") =>
+        recordRefusal: RefusalListener = (holder, held, limit, peer = "unknown") =>
             onError(FleetError.create({ step: Step.Link, peer }, `${holder}: ${held} of ${limit}`)),
         waits?: StartWaits,
     ): Promise<LinkController> {
--- a/src/mesh/FleetUpdateRelayCallbacks.ts
+++ b/src/mesh/FleetUpdateRelayCallbacks.ts
@@ -1,4 +1,4 @@
-import { RecordRefusal } from "../frames/RecordRefusal.js";
+import { RefusalListener } from "../logs/RefusalListener.js";
 import { Message } from "../links/Message.js";
 
 /** Functions of a control VM that `FleetUpdateRelay` needs. */
@@ -8,5 +8,5 @@
     /** Returns the names of the other live control VMs. */
     peers(): readonly string[];
     /** Called when there is no room for the records of further proxies. */
-    readonly recordRefusal: RecordRefusal;
+    readonly recordRefusal: RefusalListener;
 }
--- a/src/tunnel/RetainedReplies/index.ts
+++ b/src/tunnel/RetainedReplies/index.ts
@@ -1,4 +1,4 @@
-import { RecordRefusal } from "../../frames/RecordRefusal.js";
+import { RefusalListener } from "../../logs/RefusalListener.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { GateReply } from "../GateReply.js";
 import { GateReplyKind } from "../GateReplyKind.js";
@@ -43,14 +43,14 @@
     private uncertainUntilMs = Number.NEGATIVE_INFINITY;
     private totalBytes = 0;
 
-    private constructor(private readonly recordRefusal: RecordRefusal) {}
+    private constructor(private readonly recordRefusal: RefusalListener) {}
 
     /**
      * Creates an empty store.
      *
      * @param recordRefusal - Called each time a reply is dropped before its time.
      */
-    static create(recordRefusal: RecordRefusal): RetainedReplies {
+    static create(recordRefusal: RefusalListener): RetainedReplies {
         return new RetainedReplies(recordRefusal);
     }
 
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -1,4 +1,4 @@
-import { RecordRefusal } from "../frames/RecordRefusal.js";
+import { RefusalListener } from "../logs/RefusalListener.js";
 import { SocketBudget } from "../frames/SocketBudget/index.js";
 import { StartWaits } from "../starts/StartWaits/index.js";
 import { GatePort } from "./GatePort.js";
@@ -15,7 +15,7 @@
     /** Bounds what the tunnels of this process hold. */
     readonly budget: SocketBudget;
     /** Called each time something is refused or dropped because of a limit. */
-    readonly recordRefusal: RecordRefusal;
+    readonly recordRefusal: RefusalListener;
     /** Called with each unexpected error, which affects only the frame or connection that caused it. */
     readonly onError: (error: Error) => void;
     /** Waits for a port that is held; without it, that is an error. */
