Count header fields by the memory that they take

Found by the review: 350 to 600 connections, each with a header section of 14 KB in 1,922 short fields before a body that does not come, ended a proxy (8.5 MB in all, out of memory within 2 s). Each field takes about 200 bytes besides its characters, and only these were counted. The same held for header fields of responses behind a slow one, and of offers on tunnels (out of memory after about 500 offers).

Each field counts 256 bytes more now, in the budget for requests of callers until the response has been handed over, for unread responses, and for the offers of a gate.

--- a/src/callers/CallerHoldings/index.ts
+++ b/src/callers/CallerHoldings/index.ts
@@ -66,7 +66,7 @@
      * Acquires the bytes of a header section, unless too much is held.
      *
      * @param pending - The request.
-     * @param headerBytes - Size of its header section.
+     * @param headerBytes - Memory of its header section.
      * @returns False if the request must be refused.
      */
     tryAcquire(pending: PendingRequest, headerBytes: number): boolean {
@@ -83,7 +83,7 @@
             this.recordIncompleteBody(BodyResultKind.BudgetExhausted, pending);
             return false;
         }
-        pending.requestBytes += headerBytes;
+        pending.headerBytes += headerBytes;
         return true;
     }
 
@@ -98,10 +98,10 @@
         }
     }
 
-    /** Releases the bytes of a request, which has its response. */
-    releaseRequest(pending: PendingRequest): void {
-        this.requestBudget.release(pending.requestBytes);
-        pending.requestBytes = 0;
+    /** Releases the body of a request, which has its response. Node.js keeps the header section as long as the response. */
+    releaseBody(pending: PendingRequest): void {
+        this.requestBudget.release(pending.bodyBytes);
+        pending.bodyBytes = 0;
     }
 
     /** Adds the response to a request; it is held until `release`. */
@@ -112,7 +112,9 @@
 
     /** Releases all that a request holds: its response has been handed over, or its caller is gone. */
     release(pending: PendingRequest): void {
-        this.releaseRequest(pending);
+        this.releaseBody(pending);
+        this.requestBudget.release(pending.headerBytes);
+        pending.headerBytes = 0;
         this.unreadResponseBytes -= pending.responseBytes;
         pending.responseBytes = 0;
         this.requestCount -= 1;
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -3,7 +3,7 @@
 import { LimitsItem } from "../../decisions/items/LimitsItem.js";
 import { awaitsContinue } from "../../http/awaitsContinue/index.js";
 import { BodyResultKind } from "../../http/BodyResultKind.js";
-import { countHeaderBytes } from "../../http/countHeaderBytes/index.js";
+import { estimateHeaderBytes } from "../../http/estimateHeaderBytes/index.js";
 import { findHeader } from "../../http/findHeader/index.js";
 import { hasBody } from "../../http/hasBody/index.js";
 import { listenWithRetry } from "../../http/listenWithRetry/index.js";
@@ -162,7 +162,7 @@
             request.resume();
             return;
         }
-        const pending: PendingRequest = { response, isSettled: false, requestBytes: 0, responseBytes: 0, onDisconnect: undefined };
+        const pending: PendingRequest = { response, isSettled: false, headerBytes: 0, bodyBytes: 0, responseBytes: 0, onDisconnect: undefined };
         this.holdings.add();
         connection.add(pending);
         const headers = pairHeaders(request.rawHeaders);
@@ -208,7 +208,7 @@
             respond(this.createOwnResponse(problemStatus, request));
             return;
         }
-        if (!this.holdings.tryAcquire(pending, countHeaderBytes(request))) {
+        if (!this.holdings.tryAcquire(pending, estimateHeaderBytes(headers))) {
             respond(this.createOwnResponse(STATUS_UNAVAILABLE, request));
             return;
         }
@@ -226,9 +226,9 @@
             return;
         }
         const { body } = result;
-        pending.requestBytes += body.length;
+        pending.bodyBytes += body.length;
         if (pending.isSettled) {
-            this.holdings.releaseRequest(pending);
+            this.holdings.releaseBody(pending);
             return;
         }
         this.onRequest({
@@ -261,8 +261,8 @@
             return;
         }
         pending.isSettled = true;
-        this.holdings.releaseRequest(pending);
-        this.holdings.holdResponse(pending, callerResponse.body.length);
+        this.holdings.releaseBody(pending);
+        this.holdings.holdResponse(pending, callerResponse.body.length + estimateHeaderBytes(callerResponse.headers));
         const { response } = pending;
         const connection = this.connections.find(request.socket);
         const shouldClose = connection?.isLast(pending) === true || (this.isDraining && (connection?.pendingCount ?? 0) <= 1);
--- a/src/callers/PendingRequest.ts
+++ b/src/callers/PendingRequest.ts
@@ -5,8 +5,10 @@
     readonly response: ServerResponse;
     /** True once a response was chosen, or the caller has disconnected. */
     isSettled: boolean;
-    /** Bytes of its header section and body that are reserved in the budget. */
-    requestBytes: number;
+    /** Memory of its header section that is reserved in the budget until the response has been handed over. */
+    headerBytes: number;
+    /** Bytes of its body that are reserved in the budget until its response is chosen. */
+    bodyBytes: number;
     /** Bytes of its response that are held. */
     responseBytes: number;
     onDisconnect: (() => void) | undefined;
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -5,6 +5,7 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
 import { PeerServer } from "../../frames/PeerServer/index.js";
+import { estimateHeaderBytes } from "../../http/estimateHeaderBytes/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { Frame } from "../Frame.js";
@@ -180,7 +181,8 @@
         if (this.resume(socket, offer.key)) {
             return;
         }
-        const lengthBytes = Buffer.isBuffer(offer.body) ? offer.body.length : 0;
+        const bodyBytes = Buffer.isBuffer(offer.body) ? offer.body.length : 0;
+        const lengthBytes = bodyBytes + (Array.isArray(offer.headers) ? estimateHeaderBytes(offer.headers) : 0);
         if (this.offers.size >= MAX_OFFERS || this.offeredBytes + lengthBytes > MAX_OFFERED_BYTES) {
             this.refuse(socket, offer.key);
             return;
