--- a/src/http/ServerGuard/index.ts
+++ b/src/http/ServerGuard/index.ts
@@ -10,6 +10,8 @@
 
 const STATUS_EXPECTATION_FAILED = 417;
 const STATUS_UNAVAILABLE = 503;
+/** Time without a byte in either direction after which a connection is closed, in ms; longer than any request takes to handle. */
+const IDLE_TIMEOUT_MS = 10_000;
 /** Time after which a refused client may come again, in seconds. */
 const RETRY_AFTER_S = "1";
 
@@ -46,6 +48,8 @@
         server.headersTimeout = limits.headersTimeoutMs;
         server.requestTimeout = limits.requestTimeoutMs;
         server.keepAliveTimeout = limits.keepAliveTimeoutMs;
+        // Destroys connections on which nothing moves, such as those of clients that do not read their response.
+        server.timeout = IDLE_TIMEOUT_MS;
         // The size of the header section limits the fields; fields beyond a number of them would be dropped silently.
         server.maxHeadersCount = 0;
         server.on("connection", (socket: Socket) => guard.handleConnection(socket));
