--- a/src/frames/HandshakeGuard/index.ts
+++ b/src/frames/HandshakeGuard/index.ts
@@ -7,7 +7,7 @@
 /** Maximum number of bytes that a peer may send before; a handshake has a few hundred. */
 const MAX_HANDSHAKE_BYTES = 16 * 1_024;
 /** Maximum number of WebSockets before the end of their handshake; more than the processes of a large fleet. */
-const MAX_PENDING_HANDSHAKES = 1_024;
+const MAX_PENDING_HANDSHAKES = 4_096;
 
 /** Bounds what WebSockets may send, how long they may take and how many they may be before their peers have proved who they are. */
 export class HandshakeGuard {
--- a/src/frames/PeerServer/index.ts
+++ b/src/frames/PeerServer/index.ts
@@ -11,9 +11,9 @@
 /** Interval of checks for connections that have not asked in time, in ms. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Maximum size of the head of a request, in bytes. */
-const MAX_HEADER_BYTES = 8 * 1_024;
+const MAX_HEADER_BYTES = 2 * 1_024;
 /** Maximum number of connections that have not asked for a WebSocket; more than the processes of a large fleet. */
-const MAX_PENDING_CONNECTIONS = 1_024;
+const MAX_PENDING_CONNECTIONS = 4_096;
 /** Maximum number of WebSockets; several times the processes of a large fleet. */
 const MAX_WEB_SOCKETS = 4_096;
 const STATUS_UPGRADE_REQUIRED = 426;
