--- a/src/lifecycle/endProcess/index.ts
+++ b/src/lifecycle/endProcess/index.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { EndingProcess } from "../EndingProcess.js";
 
 /** Time left for the last log lines to be written, in ms; longer than lines are collected before they are written. */
 const MIN_DELAY_MS = 150;
@@ -9,14 +10,6 @@
 /** Kinds of requests that occupy a thread until the operating system has answered: of files, and of name look-ups. */
 const THREAD_REQUESTS = /^(FSReq|FileHandleClose|GetAddrInfo)/;
 
-/** The part of the process object that ends it. */
-export interface EndingProcess {
-    readonly pid: number;
-    getActiveResourcesInfo(): readonly string[];
-    exit(code: number): unknown;
-    kill(pid: number, signal: NodeJS.Signals): unknown;
-}
-
 /**
  * Ends the process once its last log lines are written. `exit` waits for the threads that read and write files, and so for ever
  * if a disk hangs or nobody reads the log; the process kills itself then.
