Identify the callers of organisations by their keys

Cause: the configuration of a deployment with tenants was refused as a whole (400, "expected routes, services or limits"), so that nothing came into force there and no request was served. Change: organisations are configuration items with keys, a priority and a rate. Where there is one, a request needs a key of an organisation unless its route is exempt, gets 401 otherwise, and reaches the endpoint with the name of the organisation instead of the key. Offers and the queue of a gate know the organisation. A change by which two organisations would hold one key is refused with 400. Without organisations no request reads a key and header fields are passed on as before.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -48,8 +48,9 @@
 };
 
 const CALLER_DIALECT: CallerDialect = {
-    readMetadata: () => ({ requestId: "", patienceMs: undefined }),
+    readMetadata: () => ({ requestId: "", apiKey: undefined, patienceMs: undefined }),
     forwardedHeaders: (headers) => headers,
+    identifiedHeaders: (headers) => headers,
     ownResponseHeaders: () => [],
     isGenuine: () => true,
     readStatement,
@@ -307,6 +308,7 @@
                 body: Buffer.alloc(0),
                 hasBody: false,
                 requestId: `${this.requestCount}`,
+                apiKey: undefined,
                 patienceMs: undefined,
                 arrivedAtMs: nowMs(),
             },
--- a/bench/fleetModel/createRoutes/index.ts
+++ b/bench/fleetModel/createRoutes/index.ts
@@ -31,6 +31,7 @@
             targetLatencyMs: TARGET_LATENCY_MS,
             priority: 1,
             maxAttempts: MAX_ATTEMPTS,
+            isKeyExempt: false,
             services: [{ service: name, weight: 1 }],
         },
     }));
--- a/src/callers/CallerRequest.ts
+++ b/src/callers/CallerRequest.ts
@@ -10,6 +10,8 @@
     readonly body: Buffer;
     readonly hasBody: boolean;
     readonly requestId: string;
+    /** Key of the caller's organisation, or undefined if it has none. */
+    readonly apiKey: string | undefined;
     /** Time that the caller waits, or undefined if it is not stated. */
     readonly patienceMs: number | undefined;
     readonly arrivedAtMs: number;
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -10,8 +10,9 @@
 import { CallerServer } from "./index.js";
 
 const DIALECT: CallerDialect = {
-    readMetadata: (headers) => ({ requestId: headers.find(([name]) => name === "Id")?.[1] ?? "", patienceMs: undefined }),
+    readMetadata: (headers) => ({ requestId: headers.find(([name]) => name === "Id")?.[1] ?? "", apiKey: undefined, patienceMs: undefined }),
     forwardedHeaders: (headers) => headers,
+    identifiedHeaders: (headers) => headers,
     ownResponseHeaders: () => [],
     readStatement: () => SILENT_STATEMENT,
     isGenuine: () => true,
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -7,6 +7,7 @@
 import { DispatchFailure } from "../../decisions/dispatch/DispatchFailure.js";
 import { DispatchMachine } from "../../decisions/dispatch/DispatchMachine/index.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { OrganisationItem } from "../../decisions/items/OrganisationItem.js";
 import { pickService } from "../../decisions/items/pickService/index.js";
 import { RouteItem } from "../../decisions/items/RouteItem.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
@@ -14,6 +15,7 @@
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { assertNever } from "../../model/assertNever/index.js";
+import { HeaderList } from "../../model/HeaderList.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { toError } from "../../model/toError/index.js";
@@ -32,10 +34,15 @@
 const QUARANTINE_STRIKES = 3;
 /** Lowest status code that counts as a failure. */
 const MIN_FAILED_STATUS = 500;
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_SERVICE_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
+/** Challenge of a response to a request without a valid key (RFC 9110, section 11.6.1). */
+const CHALLENGE: HeaderList = [["WWW-Authenticate", "Bearer"]];
+/** Priority of requests without an organisation: calls that running requests wait for. */
+const HIGHEST_PRIORITY = 0;
 const PORT_SUFFIX = /:\d+$/;
 
 /** Request in progress. */
@@ -43,6 +50,10 @@
     readonly exchange: CallerExchange;
     readonly route: RouteItem;
     readonly service: string;
+    /** Organisation of the caller, or undefined if the request needs none. */
+    readonly organisation: OrganisationItem | undefined;
+    /** Header fields that are forwarded to the endpoint. */
+    readonly headers: HeaderList;
     readonly stateMachine: DispatchMachine;
     readonly fingerprint: string;
     readonly callOfRepeatShare: number;
@@ -154,6 +165,11 @@
             this.respondDirectly(exchange, STATUS_NOT_FOUND, undefined);
             return;
         }
+        const organisation = this.findOrganisation(this.routeTable, exchange);
+        if (this.routeTable.hasOrganisations && !route.isKeyExempt && organisation === undefined) {
+            this.refuseUnauthorized(exchange);
+            return;
+        }
         const service = pickService(route.services, Math.random);
         if (service === undefined) {
             this.refuse(exchange, RefusalCause.NoEndpoint, DEFAULT_RETRY_AFTER_MS);
@@ -164,10 +180,34 @@
             this.refuse(exchange, RefusalCause.Quarantined, DEFAULT_RETRY_AFTER_MS);
             return;
         }
-        this.start(exchange, route, service, fingerprint);
+        this.start(exchange, route, service, organisation, fingerprint);
+    }
+
+    /** Finds the organisation that holds the key of a request, also if its route needs none. */
+    private findOrganisation(routeTable: RouteTable, { request }: CallerExchange): OrganisationItem | undefined {
+        return request.apiKey === undefined ? undefined : routeTable.findOrganisation(request.apiKey);
+    }
+
+    private refuseUnauthorized(exchange: CallerExchange): void {
+        const { requestId, apiKey } = exchange.request;
+        this.events.record(EventNumber.RequestUnauthorized, { requestId, problem: apiKey === undefined ? "no key" : "unknown key" });
+        const headers = [...this.options.dialect.ownResponseHeaders(requestId, undefined), ...CHALLENGE];
+        exchange.respond({ status: STATUS_UNAUTHORIZED, headers, body: Buffer.alloc(0) });
+    }
+
+    private forwardedHeaders({ request }: CallerExchange, organisation: OrganisationItem | undefined): HeaderList {
+        return this.routeTable?.hasOrganisations === true
+            ? this.options.dialect.identifiedHeaders(request.headers, organisation?.name)
+            : request.headers;
     }
 
-    private start(exchange: CallerExchange, route: RouteItem, service: string, fingerprint: string): void {
+    private start(
+        exchange: CallerExchange,
+        route: RouteItem,
+        service: string,
+        organisation: OrganisationItem | undefined,
+        fingerprint: string,
+    ): void {
         const { arrivedAtMs, patienceMs } = exchange.request;
         const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
         const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.meanServiceMs(service));
@@ -183,6 +223,8 @@
             exchange,
             route,
             service,
+            organisation,
+            headers: this.forwardedHeaders(exchange, organisation),
             stateMachine,
             fingerprint,
             callOfRepeatShare: this.options.callOfRepeatShare(),
@@ -292,9 +334,11 @@
             endpointId: endpoint?.id ?? "",
             requestKind: active.route.requestKind,
             priority: active.route.priority,
+            organisation: active.organisation?.name ?? "",
+            organisationPriority: active.organisation?.priority ?? HIGHEST_PRIORITY,
             method: request.method,
             path: request.path,
-            headers: request.headers,
+            headers: active.headers,
             body: request.body,
             hasBody: request.hasBody,
             remainingMs: active.deadlineAtMs - atMs,
--- a/src/callers/RequestDispatcher/test.ts
+++ b/src/callers/RequestDispatcher/test.ts
@@ -9,7 +9,9 @@
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { HeaderList } from "../../model/HeaderList.js";
 import { RequestKind } from "../../model/RequestKind.js";
+import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GateReply } from "../../tunnel/GateReply.js";
 import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
 import { CallerDialect } from "../CallerDialect.js";
@@ -30,22 +32,34 @@
     targetLatencyMs: 30_000,
     priority: 1,
     maxAttempts: 1,
+    isKeyExempt: false,
     services: [{ service: "s", weight: 1 }],
 };
 
 const DIALECT: CallerDialect = {
-    readMetadata: () => ({ requestId: "", patienceMs: undefined }),
+    readMetadata: () => ({ requestId: "", apiKey: undefined, patienceMs: undefined }),
     forwardedHeaders: (headers) => headers,
+    identifiedHeaders: (headers) => headers,
     ownResponseHeaders: () => [],
     readStatement: () => SILENT_STATEMENT,
     isGenuine: () => true,
 };
 
-/** Sends a request through a dispatcher whose only gate answers at once, and returns the responses and the logged errors. */
-function dispatch(dialect: Partial<CallerDialect>): { readonly responses: readonly CallerResponse[]; readonly errorCount: number } {
+const ORGANISATION: Item = { kind: ItemKind.Organisation, name: "org-1", apiKeys: ["k-1"], priority: 3, ratePerSecond: 0, burst: 0 };
+
+interface Outcome {
+    readonly responses: readonly CallerResponse[];
+    readonly offers: readonly WorkOffer[];
+    readonly errorCount: number;
+}
+
+/** Sends a request through a dispatcher whose only gate answers at once; returns the responses, the offers and the logged errors. */
+function dispatch(dialect: Partial<CallerDialect>, items: readonly Item[] = [ROUTE], apiKey?: string): Outcome {
     const events = EventLog.create(VM, undefined);
+    const offers: WorkOffer[] = [];
     const localGate = {
-        offer: (_offer: unknown, onReply: (reply: GateReply) => void) => {
+        offer: (offer: WorkOffer, onReply: (reply: GateReply) => void) => {
+            offers.push(offer);
             onReply({ kind: GateReplyKind.Started });
             onReply(ANSWER);
             return { cancel: () => undefined, confirm: () => undefined };
@@ -66,7 +80,7 @@
         callOfRepeatShare: () => 0,
         callerService: () => "c",
     }, fleetView, events);
-    dispatcher.setRouteTable(RouteTable.create([{ key: itemKey(ItemKind.Route, "r"), version: 1, document: "", content: ROUTE }]));
+    dispatcher.setRouteTable(RouteTable.create(items.map((content) => ({ key: itemKey(content.kind, content.name), version: 1, document: "", content }))));
     const responses: CallerResponse[] = [];
     const exchange: CallerExchange = {
         request: {
@@ -77,6 +91,7 @@
             body: Buffer.alloc(0),
             hasBody: false,
             requestId: "1",
+            apiKey,
             patienceMs: undefined,
             arrivedAtMs: nowMs(),
         },
@@ -86,7 +101,7 @@
     dispatcher.dispatch(exchange);
     const errorCount = events.find("unexpected").filter(({ event }) => event === EventNumber.UnexpectedError).length;
     fleetView.close();
-    return { responses, errorCount };
+    return { responses, offers, errorCount };
 }
 
 const failUnexpectedly = (): never => {
@@ -109,3 +124,33 @@
     t.deepEqual(responses.map(({ status }) => status), [502]);
     t.is(errorCount, 1);
 });
+
+test("a request with a key of an organisation runs for it", (t) => {
+    const identifiedHeaders = (_headers: unknown, organisation: string | undefined): HeaderList => [["Tenant", organisation ?? ""]];
+    const { responses, offers } = dispatch({ identifiedHeaders }, [ROUTE, ORGANISATION], "k-1");
+    t.deepEqual(responses.map(({ status }) => status), [200]);
+    t.deepEqual(offers.map(({ organisation, organisationPriority, headers }) => [organisation, organisationPriority, headers]), [
+        ["org-1", 3, [["Tenant", "org-1"]]],
+    ]);
+});
+
+for (const apiKey of ["unknown", "", undefined]) {
+    test(`a request whose key is ${apiKey ?? "absent"} gets 401 and reaches no gate`, (t) => {
+        const { responses, offers } = dispatch({}, [ROUTE, ORGANISATION], apiKey);
+        t.deepEqual(responses.map(({ status, headers }) => [status, headers]), [[401, [["WWW-Authenticate", "Bearer"]]]]);
+        t.is(offers.length, 0);
+    });
+}
+
+test("a request on an exempt route needs no key", (t) => {
+    const { responses, offers } = dispatch({}, [{ ...ROUTE, isKeyExempt: true }, ORGANISATION], "unknown");
+    t.deepEqual(responses.map(({ status }) => status), [200]);
+    t.deepEqual(offers.map(({ organisation, organisationPriority }) => [organisation, organisationPriority]), [["", 0]]);
+});
+
+// Guards against a change for deployments without organisations, whose endpoints get all header fields of their callers.
+test("without organisations a request needs no key and keeps its header fields", (t) => {
+    const { responses, offers } = dispatch({ identifiedHeaders: failUnexpectedly }, [ROUTE]);
+    t.deepEqual(responses.map(({ status }) => status), [200]);
+    t.deepEqual(offers.map(({ headers }) => headers), [[]]);
+});
--- a/src/decisions/items/ItemKind.ts
+++ b/src/decisions/items/ItemKind.ts
@@ -2,5 +2,6 @@
 export enum ItemKind {
     Route = "route",
     Service = "service",
+    Organisation = "organisation",
     Limits = "limits",
 }
--- a/src/decisions/items/ItemOutcome.ts
+++ b/src/decisions/items/ItemOutcome.ts
@@ -6,4 +6,6 @@
     /** An item already has different content under the same version. */
     | { readonly kind: ItemOutcomeKind.Conflict; readonly key: string; readonly version: number }
     /** A route names a service that does not exist. */
-    | { readonly kind: ItemOutcomeKind.UnknownService; readonly key: string; readonly service: string };
+    | { readonly kind: ItemOutcomeKind.UnknownService; readonly key: string; readonly service: string }
+    /** A key would belong to two organisations. */
+    | { readonly kind: ItemOutcomeKind.SharedKey; readonly key: string; readonly other: string };
--- a/src/decisions/items/ItemOutcomeKind.ts
+++ b/src/decisions/items/ItemOutcomeKind.ts
@@ -3,4 +3,5 @@
     Accepted = "accepted",
     Conflict = "conflict",
     UnknownService = "unknown-service",
+    SharedKey = "shared-key",
 }
--- a/src/decisions/items/ItemStore/index.ts
+++ b/src/decisions/items/ItemStore/index.ts
@@ -49,7 +49,14 @@
 
     /** Returns the outcome that `apply` would have, without applying the change. */
     validate(changes: readonly VersionedItem[]): ItemOutcome {
-        return this.findConflict(changes) ?? this.findUnknownService(changes) ?? { kind: ItemOutcomeKind.Accepted };
+        const conflict = this.findConflict(changes);
+        if (conflict !== undefined) {
+            return conflict;
+        }
+        const merged = ItemStore.create();
+        merged.merge(this.all);
+        const changedKeys = new Set(merged.merge(changes).map(({ key }) => key));
+        return merged.findUnknownService(changedKeys) ?? merged.findSharedKey(changedKeys) ?? { kind: ItemOutcomeKind.Accepted };
     }
 
     /**
@@ -81,16 +88,13 @@
         return undefined;
     }
 
-    /** Finds a route that would name an unknown service because the change brings the route or removes the service. */
-    private findUnknownService(changes: readonly VersionedItem[]): ItemOutcome | undefined {
-        const merged = ItemStore.create();
-        merged.merge(this.all);
-        const changedKeys = new Set(merged.merge(changes).map(({ key }) => key));
-        for (const { key, content } of merged.all) {
+    /** Finds a route that names an unknown service because a change has brought the route or removed the service. */
+    private findUnknownService(changedKeys: ReadonlySet<string>): ItemOutcome | undefined {
+        for (const { key, content } of this.items.values()) {
             if (content?.kind === ItemKind.Route) {
                 const unknown = content.services.find(({ service }) => {
                     const serviceKey = itemKey(ItemKind.Service, service);
-                    return !merged.hasContent(serviceKey) && (changedKeys.has(key) || changedKeys.has(serviceKey));
+                    return !this.hasContent(serviceKey) && (changedKeys.has(key) || changedKeys.has(serviceKey));
                 });
                 if (unknown !== undefined) {
                     return { kind: ItemOutcomeKind.UnknownService, key, service: unknown.service };
@@ -100,6 +104,23 @@
         return undefined;
     }
 
+    /** Finds a key that belongs to two organisations of which a change has brought at least one. */
+    private findSharedKey(changedKeys: ReadonlySet<string>): ItemOutcome | undefined {
+        const holders = new Map<string, string>();
+        for (const { key, content } of this.items.values()) {
+            if (content?.kind === ItemKind.Organisation) {
+                for (const apiKey of content.apiKeys) {
+                    const other = holders.get(apiKey);
+                    if (other !== undefined && other !== key && (changedKeys.has(key) || changedKeys.has(other))) {
+                        return { kind: ItemOutcomeKind.SharedKey, key, other };
+                    }
+                    holders.set(apiKey, key);
+                }
+            }
+        }
+        return undefined;
+    }
+
     private versionOf(key: string): number {
         return this.items.get(key)?.version ?? Number.NEGATIVE_INFINITY;
     }
--- a/src/decisions/items/ItemStore/test.ts
+++ b/src/decisions/items/ItemStore/test.ts
@@ -21,6 +21,7 @@
         targetLatencyMs: 500,
         priority: 1,
         maxAttempts: 2,
+        isKeyExempt: false,
         services: [{ service: target, weight: 1 }],
     };
     return { key: `route/${name}`, version, content, document };
@@ -99,3 +100,33 @@
     t.is(store.apply([{ key: "service/s", version: 2, content: undefined, document: "" }]).kind, ItemOutcomeKind.Accepted);
     t.true(store.hasContent("service/s"));
 });
+
+function organisation(name: string, version: number, apiKeys: readonly string[]): VersionedItem {
+    const content = { kind: ItemKind.Organisation as const, name, apiKeys, priority: 1, ratePerSecond: 0, burst: 0 };
+    return { key: `organisation/${name}`, version, content, document: `${name} ${apiKeys.join()}` };
+}
+
+// Guards against requests that are counted for, and shown to the endpoint as, another organisation than their caller's.
+test("a change is refused as a whole if a key would belong to two organisations", (t) => {
+    const store = ItemStore.create();
+    store.apply([organisation("a", 1, ["k-1", "k-2"])]);
+    const outcome = store.apply([service("s", 2), organisation("b", 2, ["k-2"])]);
+    t.deepEqual(outcome, { kind: ItemOutcomeKind.SharedKey, key: "organisation/b", other: "organisation/a" });
+    t.false(store.hasContent("service/s"));
+    t.is(store.apply([organisation("c", 2, ["k-3"]), organisation("d", 2, ["k-3"])]).kind, ItemOutcomeKind.SharedKey);
+});
+
+test("a key may move to another organisation in one change, and to any once its holder is removed", (t) => {
+    const store = ItemStore.create();
+    store.apply([organisation("a", 1, ["k-1"])]);
+    t.is(store.apply([organisation("b", 2, ["k-1"]), organisation("a", 2, [])]).kind, ItemOutcomeKind.Accepted);
+    t.is(store.apply([{ ...organisation("b", 3, []), content: undefined }]).kind, ItemOutcomeKind.Accepted);
+    t.is(store.apply([organisation("c", 4, ["k-1", "k-1"])]).kind, ItemOutcomeKind.Accepted);
+});
+
+// Guards against changes that are refused for what was in force before them.
+test("an organisation is compared by its newest version, wherever it stands in the change", (t) => {
+    const store = ItemStore.create();
+    store.apply([organisation("a", 5, [])]);
+    t.is(store.apply([organisation("a", 4, ["k-1"]), organisation("b", 1, ["k-1"])]).kind, ItemOutcomeKind.Accepted);
+});
--- a/src/decisions/items/RouteTable/index.ts
+++ b/src/decisions/items/RouteTable/index.ts
@@ -1,6 +1,7 @@
 import { Item } from "../Item.js";
 import { ItemKind } from "../ItemKind.js";
 import { LimitsItem } from "../LimitsItem.js";
+import { OrganisationItem } from "../OrganisationItem.js";
 import { RouteItem } from "../RouteItem.js";
 import { ServiceItem } from "../ServiceItem.js";
 import { VersionedItem } from "../VersionedItem.js";
@@ -9,6 +10,9 @@
 export class RouteTable {
     private readonly routesByHost = new Map<string, RouteItem[]>();
     private readonly services = new Map<string, ServiceItem>();
+    private readonly organisationsByKey = new Map<string, OrganisationItem>();
+    /** True if the configuration holds organisations, so that requests need a key. */
+    readonly hasOrganisations: boolean;
     /** Limits on callers, or undefined if none are set. */
     readonly limits: LimitsItem | undefined;
 
@@ -16,6 +20,7 @@
         const contents = items.flatMap(({ content }) => content === undefined ? [] : [content]);
         contents.forEach((content) => this.index(content));
         this.routesByHost.forEach((routes) => routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
+        this.hasOrganisations = contents.some(({ kind }) => kind === ItemKind.Organisation);
         this.limits = contents.find((content) => content.kind === ItemKind.Limits);
     }
 
@@ -34,6 +39,11 @@
         return this.services.get(name);
     }
 
+    /** Finds the organisation that holds a key. */
+    findOrganisation(apiKey: string): OrganisationItem | undefined {
+        return this.organisationsByKey.get(apiKey);
+    }
+
     private index(content: Item): void {
         if (content.kind === ItemKind.Route) {
             const host = content.host.toLowerCase();
@@ -42,5 +52,8 @@
         if (content.kind === ItemKind.Service) {
             this.services.set(content.name, content);
         }
+        if (content.kind === ItemKind.Organisation) {
+            content.apiKeys.forEach((apiKey) => this.organisationsByKey.set(apiKey, content));
+        }
     }
 }
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -14,6 +14,8 @@
         key,
         requestKind: RequestKind.Once,
         priority: 1,
+        organisation: "",
+        organisationPriority: 0,
         deadlineAtMs: 10_000,
         targetAtMs: 5_000,
         maxQueueMs: 5_000,
--- a/src/decisions/serving/ServingRequest.ts
+++ b/src/decisions/serving/ServingRequest.ts
@@ -7,6 +7,10 @@
     readonly requestKind: RequestKind;
     /** Priority of its route; 0 is the highest. */
     readonly priority: number;
+    /** Organisation of the caller; empty for none. */
+    readonly organisation: string;
+    /** Priority of the organisation, before that of the route; 0 is the highest. */
+    readonly organisationPriority: number;
     /** Deadline by the gate's clock; no one waits for the answer after it. */
     readonly deadlineAtMs: number;
     /** Time by the gate's clock by which the latency target is met. */
--- a/src/decisions/serving/countAhead/test.ts
+++ b/src/decisions/serving/countAhead/test.ts
@@ -5,7 +5,8 @@
 
 function request(priority: number, targetAtMs: number): ServingRequest {
     const times = { deadlineAtMs: 10_000, maxQueueMs: 5_000 };
-    return { key: `${priority}-${targetAtMs}`, requestKind: RequestKind.Once, priority, targetAtMs, ...times, isTrial: false, isLastResort: false };
+    const organisation = { organisation: "", organisationPriority: 0 };
+    return { key: `${priority}-${targetAtMs}`, requestKind: RequestKind.Once, priority, targetAtMs, ...organisation, ...times, isTrial: false, isLastResort: false };
 }
 
 test("those of a higher priority, of an earlier target and equal ones are ahead of a request", (t) => {
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -31,6 +31,7 @@
     EndpointReinstated = 407,
     EndpointDraining = 410,
     EndpointDrained = 411,
+    RequestUnauthorized = 506,
     RequestRefused = 500,
     AttemptRetried = 501,
     AttemptSettled = 502,
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -585,6 +585,8 @@
         key: offer.key,
         requestKind: offer.requestKind,
         priority: offer.priority,
+        organisation: offer.organisation,
+        organisationPriority: offer.organisationPriority,
         deadlineAtMs: atMs + offer.remainingMs,
         targetAtMs: atMs + offer.targetRemainingMs,
         maxQueueMs: offer.maxQueueMs,
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -49,6 +49,8 @@
     endpointId: "i-1",
     requestKind: RequestKind.Repeatable,
     priority: 1,
+    organisation: "",
+    organisationPriority: 0,
     method: "GET",
     path: "/",
     headers: [],
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -15,6 +15,10 @@
     readonly requestKind: RequestKind;
     /** Priority of the route; 0 is the highest. */
     readonly priority: number;
+    /** Organisation of the caller; empty for none. */
+    readonly organisation: string;
+    /** Priority of the organisation, before that of the route; 0 is the highest, and that of requests without an organisation. */
+    readonly organisationPriority: number;
     readonly method: string;
     /** Path and query. */
     readonly path: string;
--- a/test/callerLimits.test.ts
+++ b/test/callerLimits.test.ts
@@ -12,9 +12,11 @@
 const DIALECT: CallerDialect = {
     readMetadata: (headers) => ({
         requestId: headers.find(([name]) => name === "Id")?.[1] ?? "",
+        apiKey: undefined,
         patienceMs: Number(headers.find(([name]) => name === "Patience")?.[1] ?? 60_000),
     }),
     forwardedHeaders: (headers) => headers,
+    identifiedHeaders: (headers) => headers,
     ownResponseHeaders: () => [],
     readStatement: () => SILENT_STATEMENT,
     isGenuine: () => true,
