Refuse status lines that are no status lines

Cause: http-parser-js takes the first three digits of a status and ignores the characters after them. 200200, 200.5 and "200," reached the caller as 200, and 1000 counted as an interim response, after which the caller waited for another one until its deadline. undici accepts 600 to 999, and a status in a frame of a tunnel was not checked. Change: ResponseParser checks each status line, and the received part of one, before the library reads it: three digits from 100 to 599, then a space or the end of the line. ConnectionPool and the command line refuse a status outside of 200 to 599; TunnelClient reports such a reply as broken. isServerDown and the checks of an endpoint read no status of their own: they only connect, or use the same parser. In faultyBackend a fleet of real roles got 200 for 200200 before; now each of the 32 status texts, in one and in two pieces, gets 502 within 2 s of a deadline of 2.5 s and runs once, and a repeatable request gets its response from the second endpoint. The fixture startFleet can start a second gate; without it, it is as before.

--- a/src/backend/ResponseParser/index.ts
+++ b/src/backend/ResponseParser/index.ts
@@ -7,17 +7,20 @@
 import { isBodiless } from "../../http/isBodiless/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
+import { quoteExcerpt } from "../../model/quoteExcerpt/index.js";
 import { ParsedResponse } from "../ParsedResponse.js";
 import { ResponseLimitError } from "../ResponseLimitError.js";
 import { ResponseLimitKind } from "../ResponseLimitKind.js";
 import { ResponseLimits } from "../ResponseLimits.js";
 import { ResponseMeter } from "../ResponseMeter/index.js";
 
-const MIN_STATUS = 100;
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 599;
 const MAJOR_VERSION = 1;
+/** A status line up to the end of its status: three digits from 100 to 599. The library takes the first three of any number of digits. */
+const STATUS_LINE = /^HTTP\/\d\.\d [1-5]\d\d(?: |$)/;
+/** A valid status line, which completes an incomplete one in order to check it. */
+const STATUS_LINE_SAMPLE = "HTTP/1.1 200 ";
 const CHUNK_SIZE_LINE = /^[0-9a-fA-F]{1,8}(;.*)?$/;
 /** Memory that a header field takes beside its characters, in bytes. */
 const FIELD_OVERHEAD_BYTES = 128;
@@ -147,7 +150,7 @@
         if (versionMajor !== MAJOR_VERSION) {
             throw new Error(`unsupported version HTTP/${versionMajor}.${versionMinor}`);
         }
-        if (statusCode < MIN_STATUS || statusCode > MAX_STATUS || statusCode === STATUS_SWITCHING_PROTOCOLS) {
+        if (statusCode === STATUS_SWITCHING_PROTOCOLS) {
             throw new Error(`unexpected status code ${statusCode}`);
         }
         const problem = findFieldProblem(this.headers) ?? findFramingProblem(this.headers, versionMinor > 0);
@@ -192,7 +195,8 @@
 
     /**
      * Limits lines, and makes malformed ones an error. The library would take a malformed chunk size for that of the last chunk,
-     * and would skip a malformed line of a header section, which may be the one that frames the body.
+     * the status 200200 for 200, and 1000 for an interim response, after which another one is waited for. It would also skip a
+     * malformed line of a header section, which may be the one that frames the body.
      */
     private checkLines(): void {
         const { internals } = this;
@@ -200,6 +204,9 @@
         const parseHeader = internals.parseHeader.bind(internals);
         internals.consumeLine = (): string | undefined => {
             const line = consumeLine();
+            if (internals.state === "RESPONSE_LINE") {
+                checkStatusLine(line, internals.line);
+            }
             if (line === undefined) {
                 this.joinLineParts();
             }
@@ -232,3 +239,11 @@
         }
     }
 }
+
+/** Throws an error if a line, or the received part of an incomplete one, cannot be a status line. */
+function checkStatusLine(line: string | undefined, part: string): void {
+    const completed = line ?? part.replace(/\r$/, "") + STATUS_LINE_SAMPLE.slice(part.length);
+    if (!STATUS_LINE.test(completed)) {
+        throw new Error(`malformed status line ${quoteExcerpt(line ?? part)}`);
+    }
+}
--- a/src/backend/ResponseParser/test.ts
+++ b/src/backend/ResponseParser/test.ts
@@ -105,6 +105,61 @@
     t.deepEqual(parse(interim + encode(["Content-Length: 16"], BODY)).map(({ status, body }) => [status, body.toString()]), [[200, BODY]]);
 });
 
+const READABLE_STATUSES = ["200", "204", "304", "404", "599"];
+
+READABLE_STATUSES.forEach((status) => {
+    [`HTTP/1.1 ${status} Reason`, `HTTP/1.1 ${status} `, `HTTP/1.1 ${status}`, `HTTP/1.0 ${status} Reason`].forEach((line) => {
+        test(`a response with the status line ${JSON.stringify(line)} is read`, (t) => {
+            const text = encode(["Content-Length: 0", "Connection: keep-alive"], "", line);
+            t.deepEqual(parse(text).map((response) => String(response.status)), [status]);
+            t.deepEqual(parse(text, "GET", 1).map((response) => String(response.status)), [status]);
+        });
+    });
+});
+
+const UNREADABLE_STATUSES
+    = "000|001|099|0|600|999|-20|2x0||2 0|200200|1000|100000|20|+200|200.5| 200|\t200|2000|0200|200,".split("|");
+/** How the rest of a line may follow its status. */
+const REASONS = ["", " ", " OK", " 200 OK"];
+
+// Guards against a success that the endpoint did not state (200200), and against a wait until the deadline (1000, 001).
+UNREADABLE_STATUSES.forEach((status) => {
+    REASONS.filter((reason) => status !== "" || !reason.includes("200")).forEach((reason) => {
+        const text = encode(["Content-Length: 16"], BODY, `HTTP/1.1 ${status}${reason}`);
+        [text.length, 1, 2, 3, 5, 9, 11].forEach((pieceBytes) => {
+            test(`a response with the status ${JSON.stringify(status + reason)} is rejected, in reads of ${pieceBytes} bytes`, (t) => {
+                t.throws(() => parse(text, "GET", pieceBytes));
+            });
+        });
+    });
+});
+
+const UNREADABLE_LINES = ["HTTP/1.1200 OK", "HTTP/1.1  200 OK", "HTTP/11 200 OK", "HTTP/1. 200 OK", "http/1.1 200 OK", "ICY 200 OK", "200 OK", "", " "];
+
+UNREADABLE_LINES.forEach((line) => {
+    test(`a response with the first line ${JSON.stringify(line)} is rejected`, (t) => {
+        t.throws(() => parse(encode(["Content-Length: 16"], BODY, line)));
+        t.throws(() => parse(encode(["Content-Length: 16"], BODY, line), "GET", 1));
+    });
+});
+
+// Guards against a caller that waits for the end of a line that is wrong already.
+["HTTP/1.1 1000", "HTTP/1.1 200200", "HTTP/1.1 0", "HTTP/1.1 2x", "HTTP/1.1 6", "SSH-2.0-server"].forEach((text) => {
+    test(`a status line that begins with ${JSON.stringify(text)} is rejected before its end`, (t) => {
+        t.throws(() => parse(text));
+        t.throws(() => parse(text, "GET", 1));
+    });
+});
+
+test("a status line that is not at its end is not rejected", (t) => {
+    const line = "HTTP/1.1 200 OK\r";
+    Array.from(line).forEach((_character, index) => t.deepEqual(parse(line.slice(0, index + 1)), []));
+});
+
+test("an unreadable status line after an interim response is rejected", (t) => {
+    t.throws(() => parse(encode([], "", "HTTP/1.1 103 Early Hints") + encode(["Content-Length: 16"], BODY, "HTTP/1.1 200200 OK")));
+});
+
 const MEGABYTE = 1_024 * 1_024;
 /** Limits that hold a response by its bytes alone. */
 const WIDE_LIMITS = { maxBodyBytes: MEGABYTE, maxHeadBytes: MEGABYTE, maxFields: 1_000, maxSmallChunks: MEGABYTE, minMeanChunkBytes: 16 };
--- a/src/cli/callOperatorApi/index.ts
+++ b/src/cli/callOperatorApi/index.ts
@@ -1,4 +1,5 @@
 import { request } from "undici";
+import { isFinalStatus } from "../../http/isFinalStatus/index.js";
 import { toError } from "../../model/toError/index.js";
 import { CommandError } from "../CommandError.js";
 import { ExitCode } from "../ExitCode.js";
@@ -12,7 +13,7 @@
  *
  * @param operatorRequest - Address, method, path, token and body.
  * @returns The parsed JSON response.
- * @throws CommandError with exit code Unreachable if the process cannot be reached, Refused for an error status.
+ * @throws CommandError with exit code Unreachable if the process cannot be reached or its response is invalid, Refused for an error status.
  * @example
  * const status = await callOperatorApi<DaemonStatus>({ address: "127.0.0.1:7000", method: "GET", path: "/status" });
  */
@@ -35,6 +36,9 @@
     catch (thrown) {
         throw CommandError.create(ExitCode.Unreachable, `${operatorRequest.address}: ${toError(thrown).message}`);
     }
+    if (!isFinalStatus(status)) {
+        throw CommandError.create(ExitCode.Unreachable, `${operatorRequest.address}: invalid status ${status}`);
+    }
     if (status >= FIRST_ERROR_STATUS) {
         throw CommandError.create(ExitCode.Refused, `${operatorRequest.address}: ${parseErrorMessage(text)}`);
     }
--- a/src/http/ConnectionPool/index.ts
+++ b/src/http/ConnectionPool/index.ts
@@ -2,6 +2,7 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
+import { isFinalStatus } from "../isFinalStatus/index.js";
 import { PooledRequest } from "../PooledRequest.js";
 import { PooledResponse } from "../PooledResponse.js";
 
@@ -47,7 +48,7 @@
     /**
      * Sends a request and waits for the header section of its response.
      *
-     * @throws FleetError if all connections are busy, or an error of undici if the connection fails.
+     * @throws FleetError if all connections are busy, or an error of undici if the connection fails or its response is invalid.
      */
     async request(request: PooledRequest): Promise<PooledResponse> {
         const connection = this.acquire(request.needsLiveConnection);
@@ -61,6 +62,10 @@
                 body: request.body ?? null,
                 signal: request.signal,
             });
+            if (!isFinalStatus(response.statusCode)) {
+                response.body.once("error", () => undefined);
+                throw new Error(`invalid status ${response.statusCode}`);
+            }
             connection.lastResponseAtMs = nowMs();
             response.body.once("end", () => this.release(connection));
             response.body.once("close", () => this.releaseOrDrop(connection));
--- a/src/http/ConnectionPool/test.ts
+++ b/src/http/ConnectionPool/test.ts
@@ -1,6 +1,7 @@
 import { EventEmitter, once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import test from "ava";
+import { UNREADABLE_STATUSES } from "../../../test/fixtures/unreadableStatuses.js";
 import { collectBody } from "../collectBody/index.js";
 import { PooledRequest } from "../PooledRequest.js";
 import { ConnectionPool } from "./index.js";
@@ -74,3 +75,38 @@
     await t.throwsAsync(pool.request(request()), { code: "ECONNREFUSED" });
     pool.close();
 });
+
+// Guards against an answer with a status that cannot be passed on, and against a wait for the response after an "interim" one: the
+// pool sets no timeout for it.
+UNREADABLE_STATUSES.forEach((status) => {
+    test(`a response with the status ${JSON.stringify(status)} fails at once, and its connection is not used again`, async (t) => {
+        const server = createServer((socket) => {
+            socket.on("error", () => undefined);
+            socket.on("data", () => socket.write(RESPONSE.replace("200 OK", status).slice(0, -1)));
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const pool = ConnectionPool.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, 4);
+        const signal = new EventEmitter();
+        const timer = setTimeout(() => signal.emit("abort"), 5_000);
+        const error = await t.throwsAsync(pool.request(request(signal)));
+        t.not(error.name, "AbortError");
+        t.is(pool.size, 0);
+        clearTimeout(timer);
+        pool.close();
+        server.close();
+    });
+});
+
+test("an interim response is skipped", async (t) => {
+    const server = createServer((socket) => {
+        socket.on("error", () => undefined);
+        socket.on("data", () => socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${RESPONSE}`));
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const pool = ConnectionPool.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, 4);
+    t.is((await pool.request(request())).status, 200);
+    pool.close();
+    server.close();
+});
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -1,6 +1,7 @@
 import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
+import { isFinalStatus } from "../../http/isFinalStatus/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { toError } from "../../model/toError/index.js";
@@ -259,6 +260,10 @@
         if (isFinalReply(reply)) {
             this.outstanding.delete(key);
         }
+        if (reply.kind === GateReplyKind.Answered && !isFinalStatus(reply.answer.status)) {
+            outstanding.onReply({ kind: GateReplyKind.Broken, problem: "the gate sent an invalid status", lostEndpoint: false });
+            return;
+        }
         outstanding.onReply(reply);
     }
 
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -187,6 +187,20 @@
     });
 });
 
+// Guards against callers that get no answer or an invented one: such a status cannot be written, or ends as another one.
+test("a reply with a status that no final response has is reported as broken", async (t) => {
+    const statuses: unknown[] = [0, 99, 103, 600, 1_000, 200.5, -200, "200", undefined, null];
+    await withTunnel(t, async ({ gate, replies, offer }) => {
+        for (const [index, status] of statuses.entries()) {
+            offer(String(index), RequestKind.Once);
+            await waitUntil(() => gate.started.length > index);
+            gate.replies.get(String(index))?.({ ...RESPONSE, answer: { status: status as number, headers: [], body: Buffer.alloc(0) } });
+            await waitUntil(() => replies.length === 2 * (index + 1));
+        }
+        t.deepEqual(kindsOf(replies), statuses.flatMap(() => [GateReplyKind.Started, GateReplyKind.Broken]));
+    });
+});
+
 test("an offer on a connection that stopped responding is refused as not executed, and never starts", async (t) => {
     await withTunnel(t, async ({ gate, tcpProxy, replies, offer }) => {
         offer("1", RequestKind.Once);
--- a/test/faultyBackend.test.ts
+++ b/test/faultyBackend.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import { startFleet, type StartedFleet } from "./fixtures/startFleet.js";
+import { UNREADABLE_STATUSES } from "./fixtures/unreadableStatuses.js";
 
 const GRACE_MS = 6_000;
 const REQUEST_ID = /attempt-id: (\S+)/i;
@@ -22,7 +23,11 @@
 }
 
 /** Runs a fleet in front of a backend server whose handler gets the id of the request, and its number on its connection. */
-async function withFleet(onRequest: (socket: Socket, id: string, number: number) => void, run: (fixture: Fixture) => Promise<void>): Promise<void> {
+async function withFleet(
+    onRequest: (socket: Socket, id: string, number: number) => void,
+    run: (fixture: Fixture) => Promise<void>,
+    hasSecondGate = false,
+): Promise<void> {
     const arrivals: string[] = [];
     const server = createServer({ allowHalfOpen: false }, (socket) => {
         let count = 0;
@@ -36,7 +41,7 @@
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
-    const fleet = await startFleet((server.address() as AddressInfo).port, GRACE_MS);
+    const fleet = await startFleet((server.address() as AddressInfo).port, GRACE_MS, hasSecondGate);
     try {
         await run({ ...fleet, arrivals, call: (kind, id, agent) => call(fleet.callerAddress, kind, id, agent) });
     }
@@ -144,6 +149,57 @@
     t.deepEqual(results, UNREADABLE_LENGTHS.map((length) => ({ length, status: 502, body: "" })));
 });
 
+/** A response whose status line has a given text in place of its status and its reason. */
+function misstated(id: string, statusIndex: number): string {
+    return success(id, "done").replace("200 OK", UNREADABLE_STATUSES[statusIndex] ?? "");
+}
+
+// Guards against a success that no endpoint stated, and against callers that wait until their deadline of 2.5 s for the rest of a
+// response that is wrong already.
+test.serial("a response with an unreadable status gets its caller 502 at once", async (t) => {
+    await withFleet((socket, id) => {
+        const [kind, index, pieces] = id.split("-");
+        const text = kind === "whole" ? success(id, "done") : misstated(id, Number(index));
+        if (pieces === "2") {
+            // The first piece ends within the status.
+            socket.write(text.slice(0, 11));
+            setTimeout(() => socket.write(text.slice(11)), 20);
+            return;
+        }
+        socket.write(text);
+    }, async ({ arrivals, call: send }) => {
+        for (const [index, status] of UNREADABLE_STATUSES.entries()) {
+            for (const pieces of [1, 2]) {
+                const id = `misstated-${index}-${pieces}`;
+                const startedAtMs = Date.now();
+                const result = await send("once", id);
+                t.deepEqual({ status: result.status, body: result.body }, { status: 502, body: "" }, status);
+                t.true(Date.now() - startedAtMs < 2_000, status);
+                t.is(arrivals.filter((arrival) => arrival === id).length, 1);
+                t.is((await send("repeatable", `whole-${index}`)).body, "done");
+            }
+        }
+    });
+});
+
+test.serial("a request that may be repeated is sent to another endpoint after a response with an unreadable status", async (t) => {
+    const seen = new Set<string>();
+    await withFleet((socket, id) => {
+        const isFirst = !seen.has(id);
+        seen.add(id);
+        socket.write(isFirst && id.startsWith("misstated") ? misstated(id, Number(id.split("-")[1])) : success(id, "done"));
+    }, async ({ arrivals, call: send }) => {
+        for (const [index, status] of UNREADABLE_STATUSES.entries()) {
+            const id = `misstated-${index}`;
+            const result = await send("repeatable", id);
+            t.deepEqual({ status: result.status, body: result.body }, { status: 200, body: "done" }, status);
+            t.is(arrivals.filter((arrival) => arrival === id).length, 2, status);
+            // A response of each endpoint that is right, so that neither is taken for faulty.
+            await Promise.all([1, 2, 3, 4].map((number) => send("repeatable", `whole-${index}-${number}`)));
+        }
+    }, true);
+});
+
 const UNWRITABLE_FIELDS = ["X-Node: a\x01b", "X-Node: a\x00b", "X(Node): a"];
 
 // Guards against callers that get no answer until they give up: Node.js refuses to write such a field.
