--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -11,6 +11,7 @@
 import { pickService } from "../../decisions/items/pickService/index.js";
 import { RouteItem } from "../../decisions/items/RouteItem.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
+import { QuotaDecisionKind } from "../../decisions/quotas/QuotaDecisionKind.js";
 import { QuarantineTracker } from "../../decisions/quarantine/QuarantineTracker/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -24,6 +25,7 @@
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
 import { CallerExchange } from "../CallerExchange.js";
 import { FleetView } from "../FleetView/index.js";
+import { QuotaPort } from "../QuotaPort.js";
 import { RequestDispatcherOptions } from "../RequestDispatcherOptions.js";
 
 /** Retry-after of requests that are refused before they are offered to a gate, in ms. */
@@ -36,6 +38,7 @@
 const MIN_FAILED_STATUS = 500;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
+const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_SERVICE_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -45,17 +48,23 @@
 const HIGHEST_PRIORITY = 0;
 const PORT_SUFFIX = /:\d+$/;
 
-/** Request in progress. */
-interface ActiveRequest {
+/** Request with a key that has passed, and whose service is chosen. */
+interface IdentifiedRequest {
     readonly exchange: CallerExchange;
     readonly route: RouteItem;
     readonly service: string;
     /** Organisation of the caller, or undefined if the request needs none. */
     readonly organisation: OrganisationItem | undefined;
+    readonly fingerprint: string;
+}
+
+/** Request in progress. */
+interface ActiveRequest extends IdentifiedRequest {
+    /** Time until which the token of its organisation may be used if it does not run, in ms; undefined without a token. */
+    readonly tokenExpiresAtMs: number | undefined;
     /** Header fields that are forwarded to the endpoint. */
     readonly headers: HeaderList;
     readonly stateMachine: DispatchMachine;
-    readonly fingerprint: string;
     readonly callOfRepeatShare: number;
     readonly deadlineAtMs: number;
     readonly targetAtMs: number;
@@ -84,6 +93,8 @@
     private routeTable: RouteTable | undefined;
     private offersMade = 0;
     private readonly activeRequests = new Set<ActiveRequest>();
+    /** Requests that wait for a token of their organisation. */
+    private readonly waitingExchanges = new Set<CallerExchange>();
     private stopAtMs = Number.POSITIVE_INFINITY;
     private failureAtMs = Number.NEGATIVE_INFINITY;
     private isRefusingAll = false;
@@ -107,7 +118,7 @@
 
     /** Number of requests in progress. */
     get activeCount(): number {
-        return this.activeRequests.size;
+        return this.activeRequests.size + this.waitingExchanges.size;
     }
 
     /** Time at which a repeatable request of this entry last failed, in ms. */
@@ -141,6 +152,8 @@
 
     /** Responds to all callers now, with a refusal if their request has not been executed. */
     finishAll(): void {
+        this.waitingExchanges.forEach((exchange) => this.refuse(exchange, RefusalCause.Stopping, DEFAULT_RETRY_AFTER_MS));
+        this.waitingExchanges.clear();
         [...this.activeRequests].forEach((active) => this.applyEvent(active, { kind: DispatchEventKind.Stop }));
     }
 
@@ -180,7 +193,33 @@
             this.refuse(exchange, RefusalCause.Quarantined, DEFAULT_RETRY_AFTER_MS);
             return;
         }
-        this.start(exchange, route, service, organisation, fingerprint);
+        const identified = { exchange, route, service, organisation, fingerprint };
+        const { quota } = this.options;
+        if (quota === undefined || organisation === undefined || route.isKeyExempt || organisation.ratePerSecond <= 0) {
+            this.start(identified, undefined);
+            return;
+        }
+        this.startWithinQuota(identified, organisation, quota);
+    }
+
+    /** Starts a request once it has a token of its organisation, unless the caller has gone or the process has stopped by then. */
+    private startWithinQuota(identified: IdentifiedRequest, organisation: OrganisationItem, quota: QuotaPort): void {
+        const { exchange } = identified;
+        this.waitingExchanges.add(exchange);
+        exchange.onDisconnect(() => this.waitingExchanges.delete(exchange));
+        quota.acquire(organisation, deadlineOf(identified), (decision) => {
+            const isWaiting = this.waitingExchanges.delete(exchange);
+            if (decision.kind === QuotaDecisionKind.Granted) {
+                if (isWaiting) {
+                    this.start(identified, decision.expiresAtMs);
+                    return;
+                }
+                quota.giveBack(organisation.name, decision.expiresAtMs);
+            }
+            else if (isWaiting) {
+                this.refuse(exchange, RefusalCause.Quota, decision.retryAfterMs, organisation.name);
+            }
+        });
     }
 
     /** Finds the organisation that holds the key of a request, also if its route needs none. */
@@ -201,15 +240,10 @@
             : request.headers;
     }
 
-    private start(
-        exchange: CallerExchange,
-        route: RouteItem,
-        service: string,
-        organisation: OrganisationItem | undefined,
-        fingerprint: string,
-    ): void {
-        const { arrivedAtMs, patienceMs } = exchange.request;
-        const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
+    private start(identified: IdentifiedRequest, tokenExpiresAtMs: number | undefined): void {
+        const { exchange, route, service, organisation } = identified;
+        const { arrivedAtMs } = exchange.request;
+        const deadlineAtMs = deadlineOf(identified);
         const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.meanServiceMs(service));
         const stateMachine = DispatchMachine.create(
             { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
@@ -220,13 +254,10 @@
             },
         );
         const active: ActiveRequest = {
-            exchange,
-            route,
-            service,
-            organisation,
+            ...identified,
+            tokenExpiresAtMs,
             headers: this.forwardedHeaders(exchange, organisation),
             stateMachine,
-            fingerprint,
             callOfRepeatShare: this.options.callOfRepeatShare(),
             deadlineAtMs,
             targetAtMs,
@@ -299,6 +330,7 @@
                 return;
             case DispatchEffectKind.Refuse:
                 this.recordFailure(active, true);
+                this.giveBackToken(active);
                 this.refuse(active.exchange, effect.cause, effect.retryAfterMs);
                 return;
             case DispatchEffectKind.Fail:
@@ -310,6 +342,12 @@
         }
     }
 
+    private giveBackToken({ organisation, tokenExpiresAtMs }: ActiveRequest): void {
+        if (organisation !== undefined && tokenExpiresAtMs !== undefined) {
+            this.options.quota?.giveBack(organisation.name, tokenExpiresAtMs);
+        }
+    }
+
     private recordFailure(active: ActiveRequest, isFailure: boolean): void {
         if (isFailure && active.route.requestKind === RequestKind.Repeatable) {
             this.failureAtMs = nowMs();
@@ -425,10 +463,10 @@
         this.respondDirectly(exchange, failure === DispatchFailure.TimedOut ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY, undefined);
     }
 
-    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number): void {
+    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number, organisation?: string): void {
         const { requestId, arrivedAtMs } = exchange.request;
-        this.events.record(EventNumber.RequestRefused, { requestId, cause, retryAfterMs, tookMs: Math.round(nowMs() - arrivedAtMs) });
-        this.respondDirectly(exchange, STATUS_SERVICE_UNAVAILABLE, retryAfterMs);
+        this.events.record(EventNumber.RequestRefused, { requestId, cause, organisation, retryAfterMs, tookMs: Math.round(nowMs() - arrivedAtMs) });
+        this.respondDirectly(exchange, cause === RefusalCause.Quota ? STATUS_TOO_MANY_REQUESTS : STATUS_SERVICE_UNAVAILABLE, retryAfterMs);
     }
 
     private respondDirectly(exchange: CallerExchange, status: number, retryAfterMs: number | undefined): void {
@@ -447,3 +485,8 @@
         active.timers.add(timer);
     }
 }
+
+function deadlineOf({ exchange, route }: IdentifiedRequest): number {
+    const { arrivedAtMs, patienceMs } = exchange.request;
+    return arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
+}
--- a/src/callers/RequestDispatcher/test.ts
+++ b/src/callers/RequestDispatcher/test.ts
@@ -7,9 +7,12 @@
 import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { itemKey } from "../../decisions/items/itemKey/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
+import { QuotaDecision } from "../../decisions/quotas/QuotaDecision.js";
+import { QuotaDecisionKind } from "../../decisions/quotas/QuotaDecisionKind.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { HeaderList } from "../../model/HeaderList.js";
+import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GateReply } from "../../tunnel/GateReply.js";
@@ -18,6 +21,7 @@
 import { CallerExchange } from "../CallerExchange.js";
 import { CallerResponse } from "../CallerResponse.js";
 import { FleetView } from "../FleetView/index.js";
+import { QuotaPort } from "../QuotaPort.js";
 import { RequestDispatcher } from "./index.js";
 
 const VM = "vm-1";
@@ -53,15 +57,23 @@
     readonly errorCount: number;
 }
 
+/** What a test changes about the dispatcher and its only gate. */
+interface Setup {
+    readonly quota?: QuotaPort;
+    /** Replies of the gate to an offer. */
+    readonly replies?: readonly GateReply[];
+    /** Called once the request has been handed over. */
+    readonly then?: (dispatcher: RequestDispatcher, disconnect: () => void) => void;
+}
+
 /** Sends a request through a dispatcher whose only gate answers at once; returns the responses, the offers and the logged errors. */
-function dispatch(dialect: Partial<CallerDialect>, items: readonly Item[] = [ROUTE], apiKey?: string): Outcome {
+function dispatch(dialect: Partial<CallerDialect>, items: readonly Item[] = [ROUTE], apiKey?: string, setup: Setup = {}): Outcome {
     const events = EventLog.create(VM, undefined);
     const offers: WorkOffer[] = [];
     const localGate = {
         offer: (offer: WorkOffer, onReply: (reply: GateReply) => void) => {
             offers.push(offer);
-            onReply({ kind: GateReplyKind.Started });
-            onReply(ANSWER);
+            (setup.replies ?? [{ kind: GateReplyKind.Started }, ANSWER]).forEach((reply) => onReply(reply));
             return { cancel: () => undefined, confirm: () => undefined };
         },
     };
@@ -79,9 +91,11 @@
         onStrikesCleared: () => undefined,
         callOfRepeatShare: () => 0,
         callerService: () => "c",
+        quota: setup.quota,
     }, fleetView, events);
     dispatcher.setRouteTable(RouteTable.create(items.map((content) => ({ key: itemKey(content.kind, content.name), version: 1, document: "", content }))));
     const responses: CallerResponse[] = [];
+    let disconnect = (): void => undefined;
     const exchange: CallerExchange = {
         request: {
             method: "POST",
@@ -96,9 +110,12 @@
             arrivedAtMs: nowMs(),
         },
         respond: (response) => responses.push(response),
-        onDisconnect: () => undefined,
+        onDisconnect: (listener) => {
+            disconnect = listener;
+        },
     };
     dispatcher.dispatch(exchange);
+    setup.then?.(dispatcher, disconnect);
     const errorCount = events.find("unexpected").filter(({ event }) => event === EventNumber.UnexpectedError).length;
     fleetView.close();
     return { responses, offers, errorCount };
@@ -154,3 +171,109 @@
     t.deepEqual(responses.map(({ status }) => status), [200]);
     t.deepEqual(offers.map(({ headers }) => headers), [[]]);
 });
+
+const LIMITED: Item = { ...ORGANISATION, ratePerSecond: 10, burst: 10 };
+const GRANTED: QuotaDecision = { kind: QuotaDecisionKind.Granted, expiresAtMs: 7 };
+const REFUSED: QuotaDecision = { kind: QuotaDecisionKind.Refused, retryAfterMs: 1_234 };
+
+class TestQuota implements QuotaPort {
+    readonly asked: string[] = [];
+    readonly returned: [string, number][] = [];
+    readonly waiting: ((decision: QuotaDecision) => void)[] = [];
+
+    constructor(private readonly decision?: QuotaDecision) {}
+
+    acquire(organisation: { readonly name: string }, _deadlineAtMs: number, onDecision: (decision: QuotaDecision) => void): void {
+        this.asked.push(organisation.name);
+        if (this.decision === undefined) {
+            this.waiting.push(onDecision);
+        }
+        else {
+            onDecision(this.decision);
+        }
+    }
+
+    giveBack(organisation: string, expiresAtMs: number): void {
+        this.returned.push([organisation, expiresAtMs]);
+    }
+}
+
+test("a request within the quota of its organisation runs and keeps its token", (t) => {
+    const quota = new TestQuota(GRANTED);
+    const { responses, offers } = dispatch({}, [ROUTE, LIMITED], "k-1", { quota });
+    t.deepEqual([responses.map(({ status }) => status), offers.length, quota.asked, quota.returned], [[200], 1, ["org-1"], []]);
+});
+
+test("a request above the quota gets 429 with the time to return, and reaches no gate", (t) => {
+    const ownResponseHeaders = (_requestId: string, retryAfterMs: number | undefined): HeaderList => [["Retry-After", String(retryAfterMs)]];
+    const { responses, offers } = dispatch({ ownResponseHeaders }, [ROUTE, LIMITED], "k-1", { quota: new TestQuota(REFUSED) });
+    t.deepEqual(responses.map(({ status, headers }) => [status, headers]), [[429, [["Retry-After", "1234"]]]]);
+    t.is(offers.length, 0);
+});
+
+// Guards against limits on calls that running requests wait for, and on organisations without a limit.
+for (const [name, route, organisation] of [
+    ["on an exempt route", { ...ROUTE, isKeyExempt: true }, LIMITED],
+    ["of an organisation without a limit", ROUTE, ORGANISATION],
+] as const) {
+    test(`a request ${name} needs no token`, (t) => {
+        const quota = new TestQuota(REFUSED);
+        t.deepEqual(dispatch({}, [route, organisation], "k-1", { quota }).responses.map(({ status }) => status), [200]);
+        t.deepEqual(quota.asked, []);
+    });
+}
+
+test("a request that is refused and has not run returns its token", (t) => {
+    const quota = new TestQuota(GRANTED);
+    const refusal: GateReply = { kind: GateReplyKind.Refused, cause: RefusalCause.Busy, reachedEndpoint: false, retryAfterMs: 100, load: undefined };
+    const { responses } = dispatch({}, [ROUTE, LIMITED], "k-1", { quota, replies: [refusal] });
+    t.deepEqual(responses.map(({ status }) => status), [503]);
+    t.deepEqual(quota.returned, [["org-1", 7]]);
+});
+
+test("a request whose outcome is unknown does not return its token", (t) => {
+    const quota = new TestQuota(GRANTED);
+    const broken: GateReply = { kind: GateReplyKind.Broken, problem: "lost", lostEndpoint: false };
+    const { responses } = dispatch({}, [ROUTE, LIMITED], "k-1", { quota, replies: [{ kind: GateReplyKind.Started }, broken] });
+    t.deepEqual([responses.map(({ status }) => status), quota.returned], [[502], []]);
+});
+
+test("a request starts once its token has come", (t) => {
+    const quota = new TestQuota();
+    const { responses, offers } = dispatch({}, [ROUTE, LIMITED], "k-1", {
+        quota,
+        then: (dispatcher) => {
+            t.is(dispatcher.activeCount, 1);
+            quota.waiting.forEach((decide) => decide(GRANTED));
+            t.is(dispatcher.activeCount, 0);
+        },
+    });
+    t.deepEqual([responses.map(({ status }) => status), offers.length], [[200], 1]);
+});
+
+// Guards against a request that runs for a caller that has gone, and against the loss of its token.
+test("a token that comes after the caller has disconnected is returned", (t) => {
+    const quota = new TestQuota();
+    const { responses, offers } = dispatch({}, [ROUTE, LIMITED], "k-1", {
+        quota,
+        then: (dispatcher, disconnect) => {
+            disconnect();
+            t.is(dispatcher.activeCount, 0);
+            quota.waiting.forEach((decide) => decide(GRANTED));
+        },
+    });
+    t.deepEqual([responses.length, offers.length, quota.returned], [0, 0, [["org-1", 7]]]);
+});
+
+// Guards against callers without an answer, and against work that starts after the process has said that it has not run.
+test("a request that waits for its token when the process stops gets 503 and does not start", (t) => {
+    const quota = new TestQuota();
+    const { responses, offers } = dispatch({}, [ROUTE, LIMITED], "k-1", {
+        quota,
+        then: (dispatcher) => {
+            dispatcher.finishAll();
+            quota.waiting.forEach((decide) => decide(GRANTED));
+        },
+    });
+    t.deepEqual([responses.map(({ status }) => status), offers.length, quota.returned], [[503], 0, [["org-1", 7]]]);
+});
--- a/src/callers/RequestDispatcherOptions.ts
+++ b/src/callers/RequestDispatcherOptions.ts
@@ -1,4 +1,5 @@
 import { CallerDialect } from "./CallerDialect.js";
+import { QuotaPort } from "./QuotaPort.js";
 
 /** Settings and dependencies of `RequestDispatcher`. */
 export interface RequestDispatcherOptions {
@@ -13,4 +14,6 @@
     callOfRepeatShare(): number;
     /** Returns the service that runs on this VM. */
     callerService(): string;
+    /** Quotas of organisations; without it, no request is limited. */
+    readonly quota?: QuotaPort;
 }
--- a/src/decisions/limits/TokenBucket/index.ts
+++ b/src/decisions/limits/TokenBucket/index.ts
@@ -41,6 +41,18 @@
         return waitMs;
     }
 
+    /**
+     * Takes as many whole tokens as are available, up to a number.
+     *
+     * @returns The number of tokens taken.
+     */
+    takeUpTo(count: number, nowMs: number): number {
+        this.refill(nowMs);
+        const taken = Math.min(count, Math.floor(this.tokens + EPSILON));
+        this.tokens -= taken;
+        return taken;
+    }
+
     /** Takes one token even if none is available; later ones are then available later. */
     takeAhead(nowMs: number): void {
         this.refill(nowMs);
--- /dev/null
+++ b/src/decisions/quotas/QuotaDecisionKind.ts
@@ -0,0 +1,5 @@
+/** Kinds of `QuotaDecision`. */
+export enum QuotaDecisionKind {
+    Granted = "granted",
+    Refused = "refused",
+}
--- /dev/null
+++ b/src/decisions/quotas/QuotaStock/index.ts
@@ -0,0 +1,370 @@
+import { OrganisationItem } from "../../items/OrganisationItem.js";
+import { controlOrder } from "../controlOrder/index.js";
+import { LocalQuota } from "../LocalQuota/index.js";
+import { quotaBounds } from "../quotaBounds/index.js";
+import { QuotaBounds } from "../QuotaBounds.js";
+import { QuotaControl } from "../QuotaControl.js";
+import { QuotaDecisionKind } from "../QuotaDecisionKind.js";
+import { QuotaEffect } from "../QuotaEffect.js";
+import { QuotaEffectKind } from "../QuotaEffectKind.js";
+import { QuotaGrant } from "../QuotaGrant.js";
+import { QuotaRequest } from "../QuotaRequest.js";
+import { QuotaStockOptions } from "../QuotaStockOptions.js";
+import { QuotaView } from "../QuotaView.js";
+
+/** Time after which a control VM that has not replied counts as out of contact, in ms. */
+const REPLY_TIMEOUT_MS = 150;
+/** Time for which such a control VM is not asked, in ms. */
+const SILENCE_MS = 1_000;
+/** Maximum time that a request waits for its decision, in ms. */
+const MAX_ASKING_MS = 400;
+/** Time after which a reply is not expected any more, in ms; a link that is silent for less is still open. */
+const MAX_REPLY_MS = 4_000;
+/** Time of the recent rate of an organisation for which tokens are fetched ahead, in ms. */
+const PREFETCH_MS = 250;
+/** Time constant of the recent rate, in ms. */
+const RATE_WINDOW_MS = 2_000;
+/** Minimum and maximum of the stated time to return, in ms. Beyond the maximum too few callers return to plan for them. */
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 10_000;
+/** Part of the limit that this proxy is expected to get at least. One whose callers are all refused knows no better. */
+const MIN_EXPECTED_SHARE = 0.1;
+/** Time without a refusal after which the refusals of an organisation count as ended, in ms. */
+const REFUSALS_END_MS = 5_000;
+const MS_PER_SECOND = 1_000;
+
+interface Token {
+    readonly expiresAtMs: number;
+}
+
+interface WaitingRequest {
+    readonly request: number;
+    readonly giveUpAtMs: number;
+}
+
+interface SentAsk {
+    readonly count: number;
+    readonly sentAtMs: number;
+}
+
+/** State of one organisation. */
+interface Account {
+    organisation: OrganisationItem;
+    bounds: QuotaBounds;
+    /** Tokens in the order of their expiry. */
+    tokens: Token[];
+    waiting: WaitingRequest[];
+    /** Control VM that is being asked. */
+    asked: string | undefined;
+    /** Asks without a reply, by control VM, in the order in which they were sent and are replied to. */
+    readonly sentAsks: Map<string, SentAsk[]>;
+    /** Time until which each control VM has no token, in ms. */
+    readonly emptyUntilMs: Map<string, number>;
+    readonly local: LocalQuota;
+    /** Decaying number of granted requests. */
+    recentGrants: number;
+    recentAtMs: number;
+    /** Time at which the latest of the refused callers was told to return, in ms. */
+    promisedAtMs: number;
+    refusedAtMs: number | undefined;
+    refusals: number;
+}
+
+/**
+ * Tokens that a proxy holds for the requests of each organisation. A request takes one token; without one, control VMs are asked
+ * in turn, and the request is refused once all of them have none. Tokens are leased, so that an unused one does not add to a
+ * later window.
+ *
+ * Designed for 104 proxies that share limits of a few requests per second, of which one organisation exceeds its limit eightfold.
+ */
+export class QuotaStock {
+    private readonly accounts = new Map<string, Account>();
+    /** Time until which control VMs that did not reply are not asked, in ms. */
+    private readonly silentUntilMs = new Map<string, number>();
+    private hasBeenInContact = false;
+    private hasContact = true;
+    private localTotal = 0;
+
+    private constructor(private readonly options: QuotaStockOptions) {}
+
+    /**
+     * Creates an empty stock.
+     *
+     * @param options - Settings.
+     */
+    static create(options: QuotaStockOptions): QuotaStock {
+        return new QuotaStock(options);
+    }
+
+    /** Number of tokens held, including expired ones that have not been dropped yet. */
+    get tokenCount(): number {
+        return [...this.accounts.values()].reduce((total, { tokens }) => total + tokens.length, 0);
+    }
+
+    /** Number of requests that wait for their decision. */
+    get waitingCount(): number {
+        return [...this.accounts.values()].reduce((total, { waiting }) => total + waiting.length, 0);
+    }
+
+    /** Number of requests granted without contact with a control VM. */
+    get localCount(): number {
+        return this.localTotal;
+    }
+
+    /** Time of the next event of `advance`, in ms, or undefined if none is due. */
+    get wakeAtMs(): number | undefined {
+        const times = [...this.accounts.values()].flatMap((account) => [
+            ...account.waiting.map(({ giveUpAtMs }) => giveUpAtMs),
+            ...this.replyDueAtMs(account),
+            ...account.refusedAtMs === undefined ? [] : [account.refusedAtMs + REFUSALS_END_MS],
+        ]);
+        return times.length === 0 ? undefined : Math.min(...times);
+    }
+
+    /**
+     * Takes a token for a request.
+     *
+     * @param request - The request.
+     * @param view - What is known about the fleet.
+     * @param nowMs - Current time.
+     * @returns The actions to carry out; among them the decision, unless control VMs have to be asked.
+     */
+    acquire({ request, organisation, deadlineAtMs }: QuotaRequest, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        const account = this.getOrCreate(organisation);
+        account.waiting.push({ request, giveUpAtMs: Math.min(deadlineAtMs, nowMs + MAX_ASKING_MS) });
+        return this.advanceAccount(account, view, nowMs);
+    }
+
+    /** Applies the reply of a control VM. */
+    applyGrants(controlVm: string, grants: readonly QuotaGrant[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        return grants.flatMap((grant) => {
+            const account = this.accounts.get(grant.organisation);
+            const ask = account?.sentAsks.get(controlVm)?.shift();
+            if (account === undefined || ask === undefined) {
+                return [];
+            }
+            account.asked = account.asked === controlVm && account.sentAsks.get(controlVm)?.length === 0 ? undefined : account.asked;
+            account.emptyUntilMs.set(controlVm, nowMs + grant.waitMs);
+            // Counted from the ask: this process may have been paused before it read the reply.
+            this.addTokens(account, Math.min(grant.count, ask.count), ask.sentAtMs + account.bounds.leaseMs);
+            return this.advanceAccount(account, view, nowMs);
+        });
+    }
+
+    /** Handles the passing of time, and changes of the control VMs that can be reached. */
+    advance(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        return [...this.accounts.values()].flatMap((account) => [
+            ...this.advanceAccount(account, view, nowMs),
+            ...this.endRefusals(account, nowMs),
+        ]);
+    }
+
+    /**
+     * Returns the token of a request that has not run. It keeps its expiry, since otherwise tokens could be saved up for as long as
+     * all requests are refused.
+     */
+    giveBack(organisation: string, expiresAtMs: number): void {
+        const account = this.accounts.get(organisation);
+        if (account !== undefined) {
+            this.addTokens(account, 1, expiresAtMs);
+        }
+    }
+
+    /** Forgets what a control VM was asked, because its link is closed. */
+    removeControl(controlVm: string): void {
+        this.silentUntilMs.delete(controlVm);
+        this.accounts.forEach((account) => {
+            account.sentAsks.delete(controlVm);
+            account.emptyUntilMs.delete(controlVm);
+            account.asked = account.asked === controlVm ? undefined : account.asked;
+        });
+    }
+
+    /** Drops the state of organisations that are no longer in force, and applies changed limits. */
+    setOrganisations(organisations: readonly OrganisationItem[]): readonly QuotaEffect[] {
+        const withLimit = organisations.filter(({ ratePerSecond }) => ratePerSecond > 0);
+        const limited = new Map(withLimit.map((organisation) => [organisation.name, organisation]));
+        return [...this.accounts.values()].flatMap((account) => {
+            const { organisation: { name } } = account;
+            const current = limited.get(name);
+            if (current !== undefined) {
+                this.setOrganisation(account, current);
+                return [];
+            }
+            this.accounts.delete(name);
+            return [...account.waiting.map(({ request }) => this.refuse(request, 0)), ...this.endRefusals(account, Number.POSITIVE_INFINITY)];
+        });
+    }
+
+    private getOrCreate(organisation: OrganisationItem): Account {
+        const existing = this.accounts.get(organisation.name);
+        if (existing !== undefined) {
+            this.setOrganisation(existing, organisation);
+            return existing;
+        }
+        const created: Account = {
+            organisation,
+            bounds: quotaBounds(organisation, this.options.terms),
+            tokens: [],
+            waiting: [],
+            asked: undefined,
+            sentAsks: new Map(),
+            emptyUntilMs: new Map(),
+            local: LocalQuota.create(this.options.random),
+            recentGrants: 0,
+            recentAtMs: 0,
+            promisedAtMs: Number.NEGATIVE_INFINITY,
+            refusedAtMs: undefined,
+            refusals: 0,
+        };
+        this.accounts.set(organisation.name, created);
+        return created;
+    }
+
+    private setOrganisation(account: Account, organisation: OrganisationItem): void {
+        const { ratePerSecond, burst } = account.organisation;
+        if (ratePerSecond !== organisation.ratePerSecond || burst !== organisation.burst) {
+            account.bounds = quotaBounds(organisation, this.options.terms);
+            // A raised limit may have tokens at once.
+            account.emptyUntilMs.clear();
+        }
+        account.organisation = organisation;
+    }
+
+    private addTokens(account: Account, count: number, expiresAtMs: number): void {
+        for (let added = 0; added < count; added += 1) {
+            account.tokens.push({ expiresAtMs });
+        }
+        account.tokens.sort((left, right) => left.expiresAtMs - right.expiresAtMs);
+    }
+
+    private advanceAccount(account: Account, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        this.recordSilence(account, nowMs);
+        account.tokens = account.tokens.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
+        const granted = account.waiting.splice(0, account.tokens.length);
+        const used = account.tokens.splice(0, granted.length);
+        const grants = granted.map(({ request }, index) => this.grant(account, request, used[index]?.expiresAtMs ?? nowMs, nowMs));
+        return account.waiting.length === 0 ? grants : [...grants, ...this.serveWaiting(account, view, nowMs)];
+    }
+
+    /** Asks the next control VM for the tokens of the requests that wait, or decides on them without it. */
+    private serveWaiting(account: Account, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        const reachable = view.controls.filter(({ vm }) => (this.silentUntilMs.get(vm) ?? 0) <= nowMs);
+        const contact = this.recordContact(reachable.length > 0);
+        if (account.asked !== undefined && view.controls.every(({ vm }) => vm !== account.asked)) {
+            account.asked = undefined;
+        }
+        const late = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs <= nowMs);
+        account.waiting = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs > nowMs);
+        const lateDecisions = late.map((waiting) => this.decideLocally(account, waiting, view, nowMs));
+        if (account.waiting.length === 0 || account.asked !== undefined) {
+            return [...contact, ...lateDecisions.flat()];
+        }
+        if (reachable.length === 0) {
+            const decisions = account.waiting.splice(0).map((waiting) => this.decideLocally(account, waiting, view, nowMs));
+            return [...contact, ...lateDecisions.flat(), ...decisions.flat()];
+        }
+        const target = this.chooseControl(account, reachable, nowMs);
+        const next = target === undefined ? this.refuseWaiting(account, reachable, nowMs) : [this.ask(account, target, nowMs)];
+        return [...contact, ...lateDecisions.flat(), ...next];
+    }
+
+    private chooseControl(account: Account, reachable: readonly QuotaControl[], nowMs: number): string | undefined {
+        const ready = reachable.filter(({ vm }) => (account.emptyUntilMs.get(vm) ?? 0) <= nowMs);
+        return controlOrder(ready, this.options, account.organisation.name)[0]?.vm;
+    }
+
+    private ask(account: Account, controlVm: string, nowMs: number): QuotaEffect {
+        const horizonMs = Math.min(PREFETCH_MS, account.bounds.leaseMs / 2);
+        const ahead = Math.floor(this.recentPerSecond(account, nowMs) * horizonMs / MS_PER_SECOND);
+        const count = account.waiting.length + ahead;
+        account.asked = controlVm;
+        const unanswered = (account.sentAsks.get(controlVm) ?? []).filter(({ sentAtMs }) => sentAtMs > nowMs - MAX_REPLY_MS);
+        account.sentAsks.set(controlVm, [...unanswered, { count, sentAtMs: nowMs }]);
+        return { kind: QuotaEffectKind.Ask, controlVm, organisation: account.organisation.name, count };
+    }
+
+    /** Counts a control VM that has not replied in time as out of contact. A later reply still brings its tokens. */
+    private recordSilence(account: Account, nowMs: number): void {
+        const { asked } = account;
+        if (asked !== undefined && this.replyDueAtMs(account).some((dueAtMs) => dueAtMs <= nowMs)) {
+            this.silentUntilMs.set(asked, nowMs + SILENCE_MS);
+            account.asked = undefined;
+        }
+    }
+
+    private replyDueAtMs({ asked, sentAsks }: Account): readonly number[] {
+        const latest = asked === undefined ? undefined : sentAsks.get(asked)?.at(-1);
+        return latest === undefined ? [] : [latest.sentAtMs + REPLY_TIMEOUT_MS];
+    }
+
+    private recordContact(hasContact: boolean): readonly QuotaEffect[] {
+        this.hasBeenInContact ||= hasContact;
+        if (this.hasContact === hasContact) {
+            return [];
+        }
+        this.hasContact = hasContact;
+        return [{ kind: QuotaEffectKind.ContactChanged, hasContact, localGrants: this.localTotal }];
+    }
+
+    /** Decides on a request for which no control VM can be asked. After a restart, there is no token before the first contact. */
+    private decideLocally(account: Account, waiting: WaitingRequest, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        const waitMs = this.hasBeenInContact ? account.local.take(account.bounds, view.proxyCount, nowMs) : SILENCE_MS;
+        if (waitMs === 0) {
+            this.localTotal += 1;
+            return [this.grant(account, waiting.request, nowMs, nowMs)];
+        }
+        // Contact may return by then, which is more likely than a token of this proxy.
+        return this.refuseWith(account, waiting, Math.min(waitMs, SILENCE_MS), nowMs);
+    }
+
+    private refuseWaiting(account: Account, reachable: readonly QuotaControl[], nowMs: number): readonly QuotaEffect[] {
+        const earliestAtMs = Math.min(...reachable.map(({ vm }) => account.emptyUntilMs.get(vm) ?? nowMs));
+        const { ratePerSecond } = account.organisation;
+        const perSecond = Math.min(ratePerSecond, Math.max(ratePerSecond * MIN_EXPECTED_SHARE, this.recentPerSecond(account, nowMs)));
+        return account.waiting.splice(0).flatMap((waiting) => {
+            const dueAtMs = Math.max(earliestAtMs, account.promisedAtMs + MS_PER_SECOND / perSecond);
+            account.promisedAtMs = Math.min(dueAtMs, nowMs + MAX_RETRY_AFTER_MS);
+            return this.refuseWith(account, waiting, dueAtMs - nowMs, nowMs);
+        });
+    }
+
+    private refuseWith(account: Account, waiting: WaitingRequest, waitMs: number, nowMs: number): readonly QuotaEffect[] {
+        const isFirst = account.refusedAtMs === undefined;
+        account.refusedAtMs = nowMs;
+        account.refusals += 1;
+        const start: QuotaEffect = {
+            kind: QuotaEffectKind.RefusalsChanged,
+            organisation: account.organisation.name,
+            isRefusing: true,
+            refusals: account.refusals,
+        };
+        const refusal = this.refuse(waiting.request, waitMs);
+        return isFirst ? [start, refusal] : [refusal];
+    }
+
+    private refuse(request: number, waitMs: number): QuotaEffect {
+        const retryAfterMs = Math.ceil(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)));
+        return { kind: QuotaEffectKind.Decide, request, decision: { kind: QuotaDecisionKind.Refused, retryAfterMs } };
+    }
+
+    private endRefusals(account: Account, nowMs: number): readonly QuotaEffect[] {
+        if (account.refusedAtMs === undefined || nowMs < account.refusedAtMs + REFUSALS_END_MS) {
+            return [];
+        }
+        const { refusals, organisation: { name } } = account;
+        account.refusedAtMs = undefined;
+        account.refusals = 0;
+        return [{ kind: QuotaEffectKind.RefusalsChanged, organisation: name, isRefusing: false, refusals }];
+    }
+
+    private grant(account: Account, request: number, expiresAtMs: number, nowMs: number): QuotaEffect {
+        account.recentGrants = this.recentPerSecond(account, nowMs) * RATE_WINDOW_MS / MS_PER_SECOND + 1;
+        account.recentAtMs = nowMs;
+        return { kind: QuotaEffectKind.Decide, request, decision: { kind: QuotaDecisionKind.Granted, expiresAtMs } };
+    }
+
+    private recentPerSecond({ recentGrants, recentAtMs }: Account, nowMs: number): number {
+        return recentGrants * Math.exp((recentAtMs - nowMs) / RATE_WINDOW_MS) * MS_PER_SECOND / RATE_WINDOW_MS;
+    }
+}
--- /dev/null
+++ b/src/decisions/quotas/QuotaStock/test.ts
@@ -0,0 +1,231 @@
+import test from "ava";
+import { ItemKind } from "../../items/ItemKind.js";
+import { OrganisationItem } from "../../items/OrganisationItem.js";
+import { controlOrder } from "../controlOrder/index.js";
+import { QuotaDecisionKind } from "../QuotaDecisionKind.js";
+import { QuotaEffect } from "../QuotaEffect.js";
+import { QuotaEffectKind } from "../QuotaEffectKind.js";
+import { QuotaView } from "../QuotaView.js";
+import { QuotaStock } from "./index.js";
+
+const PROXY = { vm: "vm-1", failureDomain: "a" };
+const ORGANISATION: OrganisationItem = { kind: ItemKind.Organisation, name: "org-1", apiKeys: [], priority: 0, ratePerSecond: 10, burst: 10 };
+const CONTROLS = ["c-1", "c-2", "c-3"].map((vm) => ({ vm, failureDomain: "b" }));
+const [FIRST = "", SECOND = "", THIRD = ""] = controlOrder(CONTROLS, PROXY, "org-1").map(({ vm }) => vm);
+const VIEW: QuotaView = { controls: CONTROLS, proxyCount: 104 };
+const NO_CONTACT: QuotaView = { controls: [], proxyCount: 104 };
+const DEADLINE_MS = 1_000_000;
+
+function createStock(random: () => number = () => 0): QuotaStock {
+    return QuotaStock.create({ ...PROXY, terms: { windowMs: 5_000, overshoot: 0.1, slack: 20 }, random });
+}
+
+function acquire(stock: QuotaStock, request: number, nowMs: number, view = VIEW, organisation = ORGANISATION): readonly string[] {
+    return describe(stock.acquire({ request, organisation, deadlineAtMs: DEADLINE_MS }, view, nowMs));
+}
+
+function reply(stock: QuotaStock, controlVm: string, count: number, waitMs: number, nowMs: number, view = VIEW): readonly string[] {
+    return describe(stock.applyGrants(controlVm, [{ organisation: "org-1", count, waitMs }], view, nowMs));
+}
+
+/** Describes effects in short: `ask c-1 2`, `grant 1`, `refuse 1 500`. */
+function describe(effects: readonly QuotaEffect[]): readonly string[] {
+    return effects.flatMap((effect) => {
+        switch (effect.kind) {
+            case QuotaEffectKind.Ask:
+                return [`ask ${effect.controlVm} ${effect.count}`];
+            case QuotaEffectKind.Decide:
+                return effect.decision.kind === QuotaDecisionKind.Granted
+                    ? [`grant ${effect.request}`]
+                    : [`refuse ${effect.request} ${effect.decision.retryAfterMs}`];
+            case QuotaEffectKind.ContactChanged:
+                return [effect.hasContact ? "contact" : "no contact"];
+            case QuotaEffectKind.RefusalsChanged:
+                return [effect.isRefusing ? "refusals start" : `refusals end after ${effect.refusals}`];
+        }
+    });
+}
+
+test("a request without a token waits until a control VM grants one", (t) => {
+    const stock = createStock();
+    t.deepEqual(acquire(stock, 1, 0), [`ask ${FIRST} 1`]);
+    t.deepEqual(reply(stock, FIRST, 1, 0, 5), ["grant 1"]);
+    t.is(stock.wakeAtMs, undefined);
+});
+
+// Load: many requests of one organisation at once. Guards against one message for each of them.
+test("requests that come while a control VM is asked share the next ask", (t) => {
+    const stock = createStock();
+    t.deepEqual([1, 2, 3].map((request) => acquire(stock, request, 0).length), [1, 0, 0]);
+    t.deepEqual(reply(stock, FIRST, 1, 0, 5), ["grant 1", `ask ${FIRST} 2`]);
+    t.deepEqual(reply(stock, FIRST, 2, 0, 10), ["grant 2", "grant 3"]);
+});
+
+// Load: eight times the limit. Guards against refusals while another control VM still has tokens, and against asks that are in vain.
+test("a request is refused once all control VMs are empty, and the next ones at once, with times to return one after the other", (t) => {
+    const stock = createStock();
+    t.deepEqual(acquire(stock, 1, 0), [`ask ${FIRST} 1`]);
+    t.deepEqual(reply(stock, FIRST, 0, 400, 5), [`ask ${SECOND} 1`]);
+    t.deepEqual(reply(stock, SECOND, 0, 300, 10), [`ask ${THIRD} 1`]);
+    t.deepEqual(reply(stock, THIRD, 0, 500, 15), ["refusals start", "refuse 1 295"]);
+    t.deepEqual(acquire(stock, 2, 20), ["refuse 2 1290"]);
+    t.deepEqual(acquire(stock, 3, 311), [`ask ${SECOND} 1`]);
+});
+
+// Guards against a stated time that has no room for the callers that were told to come back before.
+test("at a proxy that gets most of the tokens, the times to return are as far apart as its tokens", (t) => {
+    const stock = createStock();
+    for (let request = 0; request < 20; request += 1) {
+        acquire(stock, request, 0);
+        reply(stock, FIRST, 1, 0, 0);
+    }
+    acquire(stock, 20, 0);
+    CONTROLS.forEach(() => [FIRST, SECOND, THIRD].forEach((vm) => reply(stock, vm, 0, 100, 0)));
+    t.deepEqual([21, 22, 23].flatMap((request) => acquire(stock, request, 0)), ["refuse 21 200", "refuse 22 300", "refuse 23 400"]);
+});
+
+test("control VMs of the own failure domain are asked first", (t) => {
+    const controls = [...CONTROLS, { vm: "near", failureDomain: "a" }];
+    t.deepEqual(acquire(createStock(), 1, 0, { controls, proxyCount: 104 }), ["ask near 1"]);
+});
+
+// Guards against a request that hangs because a control VM was killed or paused.
+test("a control VM that does not reply within 150 ms is left out for 1 s, and the next one is asked", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    t.is(stock.wakeAtMs, 150);
+    t.deepEqual(describe(stock.advance(VIEW, 150)), [`ask ${SECOND} 1`]);
+    t.deepEqual(reply(stock, SECOND, 1, 0, 160), ["grant 1"]);
+    t.deepEqual(acquire(stock, 2, 1_149), [`ask ${SECOND} 1`]);
+    t.deepEqual(reply(stock, SECOND, 1, 0, 1_149), ["grant 2"]);
+    t.deepEqual(acquire(stock, 3, 1_150), [`ask ${FIRST} 1`]);
+});
+
+test("the tokens of a late reply are used while they are valid", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    stock.advance(VIEW, 150);
+    t.deepEqual(reply(stock, FIRST, 1, 0, 160), ["grant 1"]);
+    reply(stock, SECOND, 1, 0, 170);
+    t.deepEqual(acquire(stock, 2, 800), ["grant 2"]);
+});
+
+// Guards against a pause of the proxy after which it uses the tokens of a window that has passed.
+for (const [askedAtMs, repliedAtMs, usedAtMs, isUsed] of [[0, 10, 600, true], [0, 10, 1_001, false], [0, 5_000, 5_000, false]] as const) {
+    test(`a token that was asked for at ${askedAtMs} ms and read at ${repliedAtMs} ms ${isUsed ? "is" : "is not"} used at ${usedAtMs} ms`, (t) => {
+        const stock = createStock();
+        acquire(stock, 1, askedAtMs);
+        stock.advance(NO_CONTACT, 400);
+        reply(stock, FIRST, 1, 0, repliedAtMs, NO_CONTACT);
+        t.is(acquire(stock, 2, usedAtMs)[0] === "grant 2", isUsed);
+    });
+}
+
+test("a request waits 400 ms at most", (t) => {
+    const stock = createStock(() => 0.5);
+    acquire(stock, 1, 0);
+    stock.advance(VIEW, 150);
+    stock.advance(VIEW, 300);
+    t.is(stock.wakeAtMs, 400);
+    t.deepEqual(describe(stock.advance(VIEW, 400)).filter((effect) => effect.startsWith("refuse")).length, 1);
+    t.is(stock.waitingCount, 0);
+});
+
+test("a request waits no longer than its deadline", (t) => {
+    const stock = createStock();
+    stock.acquire({ request: 1, organisation: ORGANISATION, deadlineAtMs: 100 }, VIEW, 0);
+    t.is(stock.wakeAtMs, 100);
+    stock.advance(VIEW, 100);
+    t.is(stock.waitingCount, 0);
+});
+
+test("the closed link of a control VM does not keep a request waiting", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    stock.removeControl(FIRST);
+    const view = { ...VIEW, controls: CONTROLS.filter(({ vm }) => vm !== FIRST) };
+    t.deepEqual(describe(stock.advance(view, 10)), [`ask ${SECOND} 1`]);
+});
+
+// Guards against tokens that are saved up while endpoints refuse all requests, and then run at once.
+test("a token that is given back keeps its expiry", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    reply(stock, FIRST, 1, 0, 5);
+    stock.giveBack("org-1", 900);
+    t.deepEqual(acquire(stock, 2, 899), ["grant 2"]);
+    stock.giveBack("org-1", 900);
+    t.deepEqual(acquire(stock, 3, 900), [`ask ${FIRST} 1`]);
+});
+
+// Load: a proxy with 40 requests a second of one organisation. Guards against a message for each request.
+test("a proxy with a high rate fetches tokens ahead", (t) => {
+    const stock = createStock();
+    const large = { ...ORGANISATION, ratePerSecond: 100, burst: 100 };
+    let asks = 0;
+    for (let request = 0; request < 200; request += 1) {
+        const asked = acquire(stock, request, request * 25, VIEW, large).find((effect) => effect.startsWith("ask"));
+        if (asked !== undefined) {
+            asks += 1;
+            reply(stock, FIRST, Number(asked.split(" ")[2]), 0, request * 25);
+        }
+    }
+    t.true(asks < 100, `${asks} asks for 200 requests`);
+});
+
+// Load: proxies that are cut off from all control VMs. Guards against refusing all, and against granting the full limit at each.
+test("without contact, a proxy grants its part of the permitted excess", (t) => {
+    const stock = createStock(() => 0.5);
+    acquire(stock, 1, 0);
+    reply(stock, FIRST, 1, 0, 5);
+    const grants: number[] = [];
+    for (let atMs = 10; atMs < 600_000; atMs += 100) {
+        if (acquire(stock, 2, atMs, NO_CONTACT).includes("grant 2")) {
+            grants.push(atMs);
+        }
+    }
+    // 0.45 x 26 tokens in two windows of all 104 proxies: one in 88.9 s at each.
+    t.is(grants.length, 7);
+    t.is(stock.localCount, 7);
+});
+
+// Guards against a proxy that restarts again and again and has a token each time.
+test("before its first contact, a proxy grants nothing", (t) => {
+    const stock = createStock();
+    t.deepEqual(acquire(stock, 1, 0, NO_CONTACT), ["no contact", "refusals start", "refuse 1 1000"]);
+});
+
+test("the end of refusals and of an outage is told once", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0, NO_CONTACT);
+    t.is(stock.wakeAtMs, 5_000);
+    t.deepEqual(describe(stock.advance(VIEW, 5_000)), ["refusals end after 1"]);
+    t.is(stock.wakeAtMs, undefined);
+    t.deepEqual(acquire(stock, 2, 5_001), ["contact", `ask ${FIRST} 1`]);
+});
+
+test("requests of an organisation that is removed do not wait", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    t.deepEqual(describe(stock.setOrganisations([])), ["refuse 1 50"]);
+    t.deepEqual(reply(stock, FIRST, 1, 0, 5), []);
+    t.is(stock.tokenCount, 0);
+});
+
+test("a raised limit is asked for at once", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    [FIRST, SECOND, THIRD].forEach((vm) => reply(stock, vm, 0, 5_000, 5));
+    t.deepEqual(acquire(stock, 2, 20).length, 1);
+    stock.setOrganisations([{ ...ORGANISATION, ratePerSecond: 100 }]);
+    t.deepEqual(acquire(stock, 3, 30, VIEW, { ...ORGANISATION, ratePerSecond: 100 }), [`ask ${FIRST} 1`]);
+});
+
+// Guards against a control VM of a hostile or broken process that grants what was not asked for.
+test("grants that were not asked for are ignored", (t) => {
+    const stock = createStock();
+    t.deepEqual(reply(stock, FIRST, 100, 0, 0), []);
+    acquire(stock, 1, 0);
+    reply(stock, FIRST, 100, 0, 0);
+    t.is(stock.tokenCount, 0);
+});
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -10,6 +10,8 @@
 import { VersionedItem } from "../decisions/items/VersionedItem.js";
 import { MemberStamp } from "../decisions/membership/MemberStamp.js";
 import { Suspicion } from "../decisions/membership/Suspicion.js";
+import { QuotaAsk } from "../decisions/quotas/QuotaAsk.js";
+import { QuotaGrant } from "../decisions/quotas/QuotaGrant.js";
 import { QuorumMessage } from "../decisions/quorum/QuorumMessage.js";
 import { SettleResult } from "../model/SettleResult.js";
 import { ConfigurationVersion } from "../model/ConfigurationVersion.js";
@@ -91,5 +93,9 @@
     | { readonly kind: MessageKind.ItemsDecided; readonly outcome: ItemOutcome | undefined; readonly problem: string }
     | { readonly kind: MessageKind.ReadItems }
     | { readonly kind: MessageKind.ItemsRead; readonly items: readonly VersionedItem[] | undefined; readonly problem: string }
+    /** A proxy asks a control VM for tokens of organisations. */
+    | { readonly kind: MessageKind.QuotaRequest; readonly asks: readonly QuotaAsk[] }
+    /** Reply to `QuotaRequest`; replies on a link come in the order of the requests. */
+    | { readonly kind: MessageKind.QuotaGrant; readonly grants: readonly QuotaGrant[] }
     /** `entries` is undefined while the replying witness does not have all its claims itself. */
     | { readonly kind: MessageKind.ClaimsCopy; readonly entries: readonly ClaimEntry[] | undefined };
--- a/src/links/MessageKind.ts
+++ b/src/links/MessageKind.ts
@@ -32,4 +32,6 @@
     ItemsDecided = "items-decided",
     ReadItems = "read-items",
     ItemsRead = "items-read",
+    QuotaRequest = "quota-request",
+    QuotaGrant = "quota-grant",
 }
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -23,6 +23,7 @@
 import { FleetUpdateRelay } from "../FleetUpdateRelay/index.js";
 import { MeshLinks } from "../MeshLinks/index.js";
 import { MeshSettings } from "../MeshSettings.js";
+import { QuotaGranter } from "../QuotaGranter/index.js";
 
 /** Timeout of a call to the leader, in ms; callers try another VM after 1 s. */
 const LEADER_TIMEOUT_MS = 900;
@@ -51,6 +52,7 @@
     });
 
     private readonly budgetLog: BudgetLog;
+    private readonly quotaGranter = QuotaGranter.create(() => this.countControls());
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly startedAtMs = nowMs();
     private itemController: ItemController | undefined;
@@ -98,6 +100,7 @@
             { name: "position", help: "Position in the log of the latest change applied", read: () => this.itemController?.position ?? 0 },
             { name: "voters", help: "Control VMs that vote", read: () => this.itemController?.quorum.voters.length ?? 0 },
             { name: "leads", help: "1 if this VM leads", read: () => Number(this.itemController?.quorum.isReady ?? false) },
+            ...this.quotaGranter.gauges,
         ];
     }
 
@@ -159,6 +162,7 @@
             learners: () => this.livePeers().map(({ identity }) => identity),
             onItems: (items) => this.broadcastItems(items),
         }, this.events);
+        this.applyQuotas();
     }
 
     /** Reopens the data folder after a disk failure, and retries until the disk works. */
@@ -196,6 +200,20 @@
         return links.controlAddresses.peers.filter(({ vm }) => links.linkedVms.has(vm) && links.lastMessageAtMs(vm) >= sinceMs);
     }
 
+    /** Applies the limits in force. While the items are being read from disk, the former limits stay. */
+    private applyQuotas(): void {
+        if (this.itemController !== undefined) {
+            this.quotaGranter.setItems(this.itemController.items);
+        }
+    }
+
+    /** Number of control VMs among which quotas are divided: at least as many as the fleet needs, so that the shares never exceed the whole. */
+    private countControls(): number {
+        const { vm, terms } = this.settings;
+        const others = this.links?.controlAddresses.peers.filter((peer) => peer.vm !== vm.name).length ?? 0;
+        return Math.max(2 * terms.toleratedLosses + 1, others + 1);
+    }
+
     private requireItemController(): ItemController {
         if (this.itemController === undefined || this.itemController.quorum.hasFailed) {
             throw this.createError("the disk of this control VM has failed");
@@ -235,6 +253,9 @@
             case MessageKind.Subscribe:
                 this.handleSubscribe(link, message.wants, message.wantsLoads);
                 return;
+            case MessageKind.QuotaRequest:
+                link.send(this.quotaGranter.handleRequest(message.asks));
+                return;
             default:
         }
     }
@@ -283,6 +304,7 @@
         if (items.length === 0) {
             return;
         }
+        this.applyQuotas();
         const position = this.itemController?.position ?? 0;
         this.updateRelay.sendToSubscribers({ kind: MessageKind.ItemUpdate, items: items.map(withoutDocument), isComplete: false, position });
     }
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -19,6 +19,8 @@
 import { ItemStore } from "../../decisions/items/ItemStore/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
+import { LaggingControls } from "../../decisions/quotas/LaggingControls/index.js";
+import { QuotaView } from "../../decisions/quotas/QuotaView.js";
 import { RequestDispatcher } from "../../callers/RequestDispatcher/index.js";
 import { CallerExchange } from "../../callers/CallerExchange.js";
 import { CallerServer } from "../../callers/CallerServer/index.js";
@@ -43,6 +45,7 @@
 import { MeshDialect } from "../MeshDialect.js";
 import { MeshLinks } from "../MeshLinks/index.js";
 import { MeshSettings } from "../MeshSettings.js";
+import { QuotaClient } from "../QuotaClient/index.js";
 
 /** Time without a message after which a subscription moves to another control VM, in ms: two heartbeats and a round trip. */
 const CONTROL_TIMEOUT_MS = 2_200;
@@ -66,6 +69,7 @@
     private readonly endpointTracker = EndpointTracker.create();
     private readonly itemStore = ItemStore.create();
     private readonly updateSources: UpdateSources;
+    private readonly laggingControls = LaggingControls.create();
     private readonly loadReporter: LoadReporter;
     private readonly timerStops: (() => void)[] = [];
     private record: GateRecord;
@@ -83,6 +87,7 @@
         private readonly gate: ServingGate,
         private readonly fleetView: FleetView,
         private readonly dispatcher: RequestDispatcher,
+        private readonly quotaClient: QuotaClient,
         private readonly tunnelBudget: SocketBudget,
         private readonly roleReference: { role?: SidecarRole },
     ) {
@@ -138,6 +143,19 @@
             localGate: gate,
             openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget),
         }, events);
+        const quotaClient = QuotaClient.create(
+            {
+                vm: vm.name,
+                failureDomain: vm.failureDomain,
+                terms: { windowMs: terms.quotaWindow, overshoot: terms.quotaOvershoot, slack: terms.quotaSlack },
+                random: Math.random,
+            },
+            {
+                view: () => roleReference.role?.quotaView ?? { controls: [], proxyCount: 1 },
+                send: (to, message) => roleReference.role?.links?.sendTo(to, message) ?? false,
+            },
+            events,
+        );
         const dispatcher = RequestDispatcher.create({
             entryRun: `${vm.name}-${randomBytes(RUN_ID_BYTES).toString("hex")}`,
             dialect,
@@ -145,8 +163,9 @@
             onStrike: (fingerprint, lossId) => roleReference.role?.sendToControls({ kind: MessageKind.Strike, fingerprint, loss: lossId }),
             onStrikesCleared: (fingerprint) => roleReference.role?.sendToControls({ kind: MessageKind.StrikesCleared, fingerprint }),
             callerService: () => roleReference.role?.callerService ?? "",
+            quota: quotaClient,
         }, fleetView, events);
-        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, tunnelBudget, roleReference);
+        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, quotaClient, tunnelBudget, roleReference);
         await role.start(token, dialect, waits);
         return role;
     }
@@ -174,6 +193,7 @@
             { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
             { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
+            ...this.quotaClient.gauges,
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
     }
@@ -278,7 +298,7 @@
         this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, recordRefusal, waits);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
-            onMessage: (_link, message) => this.handleMessage(message),
+            onMessage: (link, message) => this.handleMessage(link, message),
             onCall: () => Promise.resolve(undefined),
             onClose: (link) => this.handleLinkClose(link),
             onMessageError: (error) => this.events.record(EventNumber.MessageFailed, { error: error.message }),
@@ -292,6 +312,7 @@
     private close(): void {
         this.timerStops.forEach((stop) => stop());
         this.loadReporter.close();
+        this.quotaClient.close();
         this.callerServer?.close();
         this.tunnelServer?.close();
         this.fleetView.close();
@@ -308,10 +329,13 @@
         if (this.updateSources.removeSource(link.peer.vm)) {
             this.events.record(EventNumber.ControlLost, { peer: link.peer.vm, left: this.updateSources.count });
         }
+        if (this.links?.linkedVms.has(link.peer.vm) !== true) {
+            this.quotaClient.handleLinkClose(link.peer.vm);
+        }
         this.reviewSubscriptions();
     }
 
-    private handleMessage(message: Message): void {
+    private handleMessage(link: PeerLink, message: Message): void {
         switch (message.kind) {
             case MessageKind.FleetUpdate:
                 this.applyFleetUpdate(message.records, message.loads);
@@ -329,6 +353,9 @@
                 this.updateSources.advancePosition(message.position);
                 this.applyItems(message.items, message.isComplete);
                 return;
+            case MessageKind.QuotaGrant:
+                this.quotaClient.handleGrants(link.peer.vm, message.grants);
+                return;
             default:
         }
     }
@@ -383,6 +410,7 @@
             const routeTable = RouteTable.create(this.itemStore.all);
             this.dispatcher.setRouteTable(routeTable);
             this.callerServer?.setLimits(routeTable.limits);
+            this.quotaClient.setItems(this.itemStore.all);
             this.events.record(EventNumber.ItemsInForce, { news: changed.length, items: this.itemStore.size });
         }
     }
@@ -463,12 +491,27 @@
         this.links?.linkedVms.forEach((vm) => this.links?.sendTo(vm, message));
     }
 
-    private reviewSubscriptions(): void {
+    /** Control VMs that can be asked for tokens of organisations, and the number of proxies that may ask. */
+    private get quotaView(): QuotaView {
+        const controls = this.liveVms.filter((vm) => !this.laggingControls.isLagging(vm, nowMs()));
+        return {
+            controls: controls.map((vm) => ({ vm, failureDomain: this.links?.failureDomainOf(vm) ?? "" })),
+            proxyCount: Math.max(1, this.fleetView.gateCount),
+        };
+    }
+
+    private get liveVms(): readonly string[] {
         const { links } = this;
+        return links === undefined ? [] : [...links.linkedVms].filter((vm) => nowMs() - links.lastMessageAtMs(vm) < CONTROL_TIMEOUT_MS);
+    }
+
+    private reviewSubscriptions(): void {
+        const { links, liveVms } = this;
         if (links === undefined) {
             return;
         }
-        const liveVms = [...links.linkedVms].filter((vm) => nowMs() - links.lastMessageAtMs(vm) < CONTROL_TIMEOUT_MS);
+        const positions = new Map(liveVms.map((vm) => [vm, links.positionOf(vm)]));
+        this.laggingControls.update(positions, Math.max(this.updateSources.latestPosition, ...positions.values()), nowMs());
         const liveControls = liveVms.map((vm) => ({ vm, failureDomain: links.failureDomainOf(vm) ?? "", position: links.positionOf(vm) }));
         const { toSubscribe, toUnsubscribe, loadSource } = this.updateSources.selectSources(liveControls, nowMs());
         toUnsubscribe.forEach((vm) => links.sendTo(vm, { kind: MessageKind.Subscribe, wants: false, wantsLoads: false }));
--- a/src/mesh/meshSettingsSchema.ts
+++ b/src/mesh/meshSettingsSchema.ts
@@ -11,6 +11,10 @@
     return milliseconds;
 });
 
+const DEFAULT_QUOTA_WINDOW_MS = 5_000;
+const DEFAULT_QUOTA_OVERSHOOT = 0.1;
+const DEFAULT_QUOTA_SLACK = 20;
+
 /** Schema of the settings of a proxy or a control VM. Unknown fields are ignored. */
 export const meshSettingsSchema = z.object({
     vm: z.object({
@@ -50,5 +54,11 @@
         retryRatio: z.number().nonnegative(),
         retryWindow: durationMs,
         retrySlack: z.number().nonnegative(),
+        /** Window in which the requests of an organisation are counted, in ms. */
+        quotaWindow: durationMs.refine((milliseconds) => milliseconds > 0, "above 0").default(DEFAULT_QUOTA_WINDOW_MS),
+        /** Share of its quota by which an organisation may exceed it while processes fail. */
+        quotaOvershoot: z.number().nonnegative().default(DEFAULT_QUOTA_OVERSHOOT),
+        /** Requests in a window by which an organisation may exceed its quota beyond that. */
+        quotaSlack: z.number().nonnegative().default(DEFAULT_QUOTA_SLACK),
     }),
 }).refine((settings) => settings.proxy !== undefined || settings.control !== undefined, "one of the tables proxy and control is needed");
--- a/src/metrics/EventMetrics/index.ts
+++ b/src/metrics/EventMetrics/index.ts
@@ -1,11 +1,12 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { EventNumber } from "../../logs/EventNumber.js";
 import { LogFields } from "../../logs/LogFields.js";
+import { RefusalCause } from "../../model/RefusalCause.js";
 import { GaugeSource } from "../GaugeSource.js";
 
-/** Number of services with their own series; all others share the label `other`. */
-const MAX_SERVICES = 64;
-const OTHER_SERVICES = "other";
+/** Number of services, and of organisations, with their own series; all others share the label `other`. */
+const MAX_NAMES = 64;
+const OTHER_NAMES = "other";
 /** Lowest status that counts as a failure of the endpoint. */
 const MIN_FAILED_STATUS = 500;
 const MS_PER_SECOND = 1_000;
@@ -16,9 +17,11 @@
 export class EventMetrics {
     private readonly registry = new Registry();
     private readonly services = new Set<string>();
+    private readonly organisations = new Set<string>();
     private readonly events: Counter<"event">;
     private readonly requests: Counter<"service" | "outcome">;
     private readonly refusals: Counter<"cause">;
+    private readonly quotaRefusals: Counter<"organisation">;
     private readonly latency: Histogram<"service" | "outcome">;
 
     private constructor() {
@@ -31,6 +34,12 @@
             registers,
         });
         this.refusals = new Counter({ name: "gypsumpulley_refusals_total", help: "Refused requests by cause", labelNames: ["cause"], registers });
+        this.quotaRefusals = new Counter({
+            name: "gypsumpulley_quota_refusals_total",
+            help: "Requests above the quota of their organisation",
+            labelNames: ["organisation"],
+            registers,
+        });
         this.latency = new Histogram({
             name: "gypsumpulley_request_seconds",
             help: "Time from a request's arrival to its answer",
@@ -62,6 +71,9 @@
                 return;
             case EventNumber.RequestRefused:
                 this.refusals.inc({ cause: String(fields.cause) });
+                if (fields.cause === RefusalCause.Quota) {
+                    this.quotaRefusals.inc({ organisation: labelOf(String(fields.organisation), this.organisations) });
+                }
                 return;
             default:
         }
@@ -83,15 +95,16 @@
     }
 
     private countRequest(fields: LogFields, outcome: string): void {
-        const labels = { service: this.getServiceLabel(String(fields.service)), outcome };
+        const labels = { service: labelOf(String(fields.service), this.services), outcome };
         this.requests.inc(labels);
         this.latency.observe(labels, Number(fields.tookMs) / MS_PER_SECOND);
     }
+}
 
-    private getServiceLabel(service: string): string {
-        if (this.services.size < MAX_SERVICES) {
-            this.services.add(service);
-        }
-        return this.services.has(service) ? service : OTHER_SERVICES;
+/** Returns the label of a name; the first names have series of their own. */
+function labelOf(name: string, named: Set<string>): string {
+    if (named.size < MAX_NAMES) {
+        named.add(name);
     }
+    return named.has(name) ? name : OTHER_NAMES;
 }
--- a/src/metrics/EventMetrics/test.ts
+++ b/src/metrics/EventMetrics/test.ts
@@ -41,3 +41,15 @@
     t.is(lines.length, 65);
     t.true(lines.some((line) => line === "gypsumpulley_requests_total{service=\"other\",outcome=\"answered\"} 936"));
 });
+
+// Load: 86 organisations, and more above their quota. Guards against a series for each of any number of names.
+test("refusals above a quota are counted by organisation, with a bounded number of series", async (t) => {
+    const metrics = EventMetrics.create();
+    for (let organisation = 0; organisation < 1_000; organisation += 1) {
+        metrics.observe(EventNumber.RequestRefused, { cause: "quota", organisation: `o-${organisation}` });
+    }
+    metrics.observe(EventNumber.RequestRefused, { cause: "busy" });
+    const lines = (await metrics.render()).split("\n").filter((line) => line.startsWith("gypsumpulley_quota_refusals_total"));
+    t.is(lines.length, 65);
+    t.true(lines.includes("gypsumpulley_quota_refusals_total{organisation=\"other\"} 936"));
+});
--- a/src/model/RefusalCause.ts
+++ b/src/model/RefusalCause.ts
@@ -24,6 +24,8 @@
     RetryBudget = "retry-budget",
     /** The request has crashed backend servers. */
     Quarantined = "quarantined",
+    /** The organisation of the caller is above its quota. */
+    Quota = "quota",
     /** The process is stopping. */
     Stopping = "stopping",
 }
