--- a/test/faultyBackend.test.ts
+++ b/test/faultyBackend.test.ts
@@ -41,7 +41,7 @@
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
-    const fleet = await startFleet((server.address() as AddressInfo).port, GRACE_MS, hasSecondGate);
+    const fleet = await startFleet((server.address() as AddressInfo).port, GRACE_MS, { hasSecondGate });
     try {
         await run({ ...fleet, arrivals, call: (kind, id, agent) => call(fleet.callerAddress, kind, id, agent) });
     }
