Send heartbeats and invitations between failure domains in fewer bytes

Field names were most of a heartbeat (98 bytes), and each invitation carried a load report of 190 bytes to entries of any domain. Change: heartbeats are lists of numbers and invitations carry the packed load, both only to processes that state that they read them, so that a fleet with two versions goes on working. A gate invites entries of its own failure domain first; the rounds still reach all others.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -1,3 +1,4 @@
+import { Packr } from "msgpackr";
 import { EndpointStatement } from "../../../src/backend/EndpointStatement.js";
 import { nowMs } from "../../../src/clock/nowMs/index.js";
 import { CallerDialect } from "../../../src/callers/CallerDialect.js";
@@ -11,6 +12,8 @@
 import { packLoads } from "../../../src/decisions/fleet/packLoads/index.js";
 import { RouteTable } from "../../../src/decisions/items/RouteTable/index.js";
 import { findHeader } from "../../../src/http/findHeader/index.js";
+import { packHeartbeat } from "../../../src/links/packHeartbeat/index.js";
+import { Message } from "../../../src/links/Message.js";
 import { MessageKind } from "../../../src/links/MessageKind.js";
 import { HeaderList } from "../../../src/model/HeaderList.js";
 import { RequestKind } from "../../../src/model/RequestKind.js";
@@ -19,9 +22,14 @@
 import { LoadReporter } from "../../../src/mesh/LoadReporter/index.js";
 import { EndpointDialect } from "../../../src/serving/EndpointDialect.js";
 import { ServingGate } from "../../../src/serving/ServingGate/index.js";
+import { Frame } from "../../../src/tunnel/Frame.js";
+import { FrameKind } from "../../../src/tunnel/FrameKind.js";
+import { GateReply } from "../../../src/tunnel/GateReply.js";
+import { GateReplyKind } from "../../../src/tunnel/GateReplyKind.js";
 import { GateTunnel } from "../../../src/tunnel/GateTunnel.js";
 import { Invitation } from "../../../src/tunnel/Invitation.js";
 import { TunnelCallbacks } from "../../../src/tunnel/TunnelCallbacks.js";
+import { WorkOffer } from "../../../src/tunnel/WorkOffer.js";
 import { createRandom } from "../../soak/createRandom/index.js";
 import { createRoutes } from "../createRoutes/index.js";
 import { FleetModelOptions } from "../FleetModelOptions.js";
@@ -37,6 +45,14 @@
 /** Interval at which gates invite entries, in ms. */
 const INVITATION_INTERVAL_MS = 200;
 const MS_PER_S = 1_000;
+/** Period with which the demand of the failure domains swings, in ms. */
+const SWING_PERIOD_MS = 13_000;
+/** Ratio of the largest request body to the mean. */
+const MAX_BODY_FACTOR = 6;
+/** Header of a WebSocket frame, in bytes. */
+const FRAME_HEADER_BYTES = 4;
+const framePackr = new Packr({ useRecords: false });
+const linkPackr = new Packr({ useRecords: true });
 
 const ENDPOINT_DIALECT: EndpointDialect = {
     requestHeaders: ({ key }) => [[ModelHeaderName.Entry, key.split("/")[0] ?? ""]],
@@ -62,16 +78,26 @@
  */
 export class FleetModel {
     private readonly random: () => number;
+    private readonly arrivalRandom: () => number;
     private readonly vms = new Map<string, ModelVm>();
     private readonly controls: FleetUpdateRelay[] = [];
     private readonly nextArrivalAtMs = new Map<ModelService, number>();
+    private heartbeatTimer: NodeJS.Timeout | undefined;
     private invitationTimer: NodeJS.Timeout | undefined;
+    /** Bytes of messages between different failure domains, by kind. */
+    readonly crossBytes = new Map<string, number>();
+    /** Number of offers to gates in another failure domain than the entry's, by service. */
+    readonly crossOffers = new Map<string, number>();
+    private readonly latenciesMs = new Map<string, number[]>();
+    private readonly timely = new Map<string, number>();
+    private readonly bodies = new Map<ModelService, Buffer>();
     private requestCount = 0;
     private answeredCount = 0;
     private failureCount = 0;
 
     private constructor(private readonly options: FleetModelOptions) {
         this.random = createRandom(options.seed);
+        this.arrivalRandom = options.arrivalSeed === undefined ? this.random : createRandom(options.arrivalSeed);
     }
 
     /** Creates a fleet in which every gate is known to every entry. */
@@ -84,6 +110,7 @@
         model.vms.forEach(({ fleetView }) => fleetView.mergeRecords(records));
         model.controls.forEach((control) => control.handleUpdate(records, packLoads([]), true));
         model.vms.forEach(({ name, control }) => control.subscribe(name, true));
+        model.heartbeatTimer = setInterval(() => model.meterHeartbeats(), MS_PER_S);
         model.invitationTimer = setInterval(() => model.vms.forEach((vm) => model.inviteEntries(vm)), INVITATION_INTERVAL_MS);
         return model;
     }
@@ -93,6 +120,16 @@
         return { requests: this.requestCount, answered: this.answeredCount, failures: this.failureCount };
     }
 
+    /** Times of the answers of a service that were no failures, in ms. */
+    latenciesOf(service: string): readonly number[] {
+        return this.latenciesMs.get(service) ?? [];
+    }
+
+    /** Number of requests of a service that were answered within their latency target without failure. */
+    timelyCount(service: string): number {
+        return this.timely.get(service) ?? 0;
+    }
+
     /** Returns the backend servers of a service. */
     backendsOf(service: string): readonly ModelBackend[] {
         return [...this.vms.values()].filter((vm) => vm.service.name === service).map(({ backend }) => backend);
@@ -104,7 +141,7 @@
             let atMs = this.nextArrivalAtMs.get(service) ?? nowMs();
             while (atMs <= nowMs()) {
                 this.sendRequest(service);
-                atMs += -Math.log(1 - this.random()) * MS_PER_S / service.requestsPerSecond;
+                atMs += -Math.log(1 - this.arrivalRandom()) * MS_PER_S / service.requestsPerSecond;
             }
             this.nextArrivalAtMs.set(service, atMs);
         });
@@ -125,6 +162,7 @@
     /** Stops all timers of the fleet. */
     close(): void {
         clearInterval(this.invitationTimer);
+        clearInterval(this.heartbeatTimer);
         this.controls.forEach((control) => control.close());
         this.vms.forEach(({ gate, fleetView, loadReporter }) => {
             loadReporter.close();
@@ -137,6 +175,11 @@
         const names = Array.from({ length: this.options.controlCount }, (_, index) => `control-${index}`);
         const control: FleetUpdateRelay = FleetUpdateRelay.create({
             send: (name, message) => {
+                const domain = this.vms.get(name)?.record.failureDomain ?? this.domainOfControl(names.indexOf(name));
+                if (message.kind === MessageKind.FleetUpdate) {
+                    const kind = `${message.records.length > 0 ? "records" : "loads"} to ${this.vms.has(name) ? "proxies" : "control"}`;
+                    this.meterMessage(kind, this.domainOfControl(number), domain, message);
+                }
                 if (message.kind === MessageKind.FleetUpdate) {
                     this.deliver(() => {
                         this.vms.get(name)?.fleetView.mergeRecords(message.records);
@@ -156,15 +199,53 @@
         return control;
     }
 
+    private domainOfControl(number: number): string {
+        return `domain-${number % this.options.failureDomainCount}`;
+    }
+
+    /** Counts the heartbeats of the links, which the model does not send: one in each direction of each link. */
+    private meterHeartbeats(): void {
+        const position = { term: 0, version: this.requestCount, manifestVersion: 0 };
+        const heartbeat = { kind: MessageKind.Heartbeat as const, sequence: this.requestCount, heard: this.requestCount, position };
+        const lengthBytes = linkPackr.pack(packHeartbeat(heartbeat)).length;
+        const domains = [...this.vms.values()].map(({ record }) => record.failureDomain);
+        this.controls.forEach((_control, number) => domains.filter((domain) => domain !== this.domainOfControl(number)).forEach(() => {
+            this.addCrossBytes("link heartbeats", lengthBytes);
+            this.addCrossBytes("link heartbeats", lengthBytes);
+        }));
+    }
+
+    private meterMessage(kind: string, from: string, to: string, message: Message): void {
+        if (from !== to) {
+            this.addCrossBytes(kind, linkPackr.pack({ message }).length);
+        }
+    }
+
+    private meterFrame(kind: string, from: string, to: string, frame: Frame): void {
+        if (from !== to) {
+            this.addCrossBytes(kind, framePackr.pack(frame).length);
+        }
+    }
+
+    private addCrossBytes(kind: string, lengthBytes: number): void {
+        this.crossBytes.set(kind, (this.crossBytes.get(kind) ?? 0) + lengthBytes + FRAME_HEADER_BYTES);
+    }
+
     private createVms(service: ModelService): readonly GateRecord[] {
         return Array.from({ length: service.endpointCount }, (_, index) => {
             const name = `${service.name}-${index}`;
             const limitPerSecond = index < (service.limit?.endpointCount ?? 0) ? service.limit?.perSecond : undefined;
-            return this.createVm(name, service, index % this.options.failureDomainCount, limitPerSecond);
+            return this.createVm(name, service, index, limitPerSecond);
         });
     }
 
-    private createVm(name: string, service: ModelService, domain: number, limitPerSecond: number | undefined): GateRecord {
+    private domainOf({ endpointsByDomain }: ModelService, index: number): number {
+        const domains = endpointsByDomain?.flatMap((count, domain) => new Array<number>(count).fill(domain));
+        return domains?.[index] ?? index % this.options.failureDomainCount;
+    }
+
+    private createVm(name: string, service: ModelService, index: number, limitPerSecond: number | undefined): GateRecord {
+        const domain = this.domainOf(service, index);
         const failureDomain = `domain-${domain}`;
         const endpoint = {
             id: name,
@@ -176,7 +257,7 @@
             coldRemainingMs: 0,
         };
         const events = EventLog.create(name, undefined);
-        const backend = ModelBackend.create(service, this.random);
+        const backend = ModelBackend.create(service, this.random, service.slowness?.[index % service.slowness.length]);
         backend.limitPerSecond = limitPerSecond;
         const createGate = (): ServingGate => ServingGate.create({
             vm: name,
@@ -199,7 +280,7 @@
             vm: name,
             failureDomain,
             localGate: { offer: (offer, onReply) => vm.gate.offer(offer, onReply) },
-            openTunnel: (gateAddress, callbacks) => this.openTunnel(gateAddress, callbacks),
+            openTunnel: (gateAddress, callbacks) => this.openTunnel(gateAddress, failureDomain, callbacks),
         }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: name,
@@ -246,9 +327,17 @@
         this.deliver(() => control.handleUpdate([record], packLoads([]), true));
     }
 
-    private openTunnel(gateAddress: string, callbacks: TunnelCallbacks): GateTunnel {
+    private openTunnel(gateAddress: string, entryDomain: string, callbacks: TunnelCallbacks): GateTunnel {
         const vm = this.vms.get(gateAddress);
-        vm?.invitations.addEntry(callbacks);
+        const gateDomain = vm?.record.failureDomain ?? "";
+        const metered: TunnelCallbacks = {
+            ...callbacks,
+            onInvitation: (invitation) => {
+                this.meterFrame("invitations", gateDomain, entryDomain, this.createInvitationFrame(invitation));
+                callbacks.onInvitation(invitation);
+            },
+        };
+        vm?.invitations.addEntry(metered, gateDomain === entryDomain);
         return {
             isReachable: true,
             isWaiting: false,
@@ -257,15 +346,49 @@
             resetBackoff: () => undefined,
             close: () => undefined,
             offer: (offer, onReply) => {
+                this.meterOffer(offer, entryDomain, gateDomain);
                 this.deliver(() => {
-                    vm?.invitations.recordRequest(callbacks, offer.requestKind, nowMs());
-                    vm?.gate.offer(offer, (reply) => this.deliver(() => onReply(reply)));
+                    vm?.invitations.recordRequest(metered, offer.requestKind, nowMs());
+                    vm?.gate.offer(offer, (reply) => {
+                        this.meterReply(offer, reply, gateDomain, entryDomain);
+                        this.deliver(() => onReply(reply));
+                    });
                 });
                 return { cancel: () => undefined, confirm: () => undefined };
             },
         };
     }
 
+    private createInvitationFrame({ load, waitedMs }: Invitation): Frame {
+        return { kind: FrameKind.PackedInvitation, load: packLoads([load]), waitedMs: waitedMs === undefined ? undefined : Math.round(waitedMs) };
+    }
+
+    private meterOffer(offer: WorkOffer, from: string, to: string): void {
+        if (from !== to) {
+            this.meterFrame("offers", from, to, { kind: FrameKind.Offer, offer: { ...offer, body: Buffer.alloc(0) } });
+            this.addCrossBytes("request bodies", offer.body.length);
+            this.crossOffers.set(offer.service, (this.crossOffers.get(offer.service) ?? 0) + 1);
+        }
+    }
+
+    /** Counts a reply; a start of a request is granted and then confirmed on a real tunnel. */
+    private meterReply({ key }: WorkOffer, reply: GateReply, from: string, to: string): void {
+        if (from === to) {
+            return;
+        }
+        if (reply.kind === GateReplyKind.Answered) {
+            this.addCrossBytes("response bodies", reply.answer.body.length);
+            this.meterFrame("replies", from, to, { kind: FrameKind.Reply, key, reply: { ...reply, answer: { ...reply.answer, body: Buffer.alloc(0) } } });
+        }
+        else if (reply.kind === GateReplyKind.Started) {
+            this.meterFrame("replies", from, to, { kind: FrameKind.Reply, key, reply: { kind: GateReplyKind.Granted } });
+            this.meterFrame("offers", to, from, { kind: FrameKind.Confirm, key });
+        }
+        else {
+            this.meterFrame(reply.kind === GateReplyKind.Refused ? "refusals" : "replies", from, to, { kind: FrameKind.Reply, key, reply });
+        }
+    }
+
     private inviteEntries({ gate, fleetView, invitations }: ModelVm): void {
         const { invitation } = gate;
         if (invitation !== undefined) {
@@ -295,30 +418,65 @@
     }
 
     private sendRequest(service: ModelService): void {
-        const entries = [...this.vms.values()];
-        const entry = entries[Math.floor(this.random() * entries.length)];
-        const requestKind = this.random() < service.repeatableShare ? RequestKind.Repeatable : RequestKind.Once;
+        const entry = this.chooseEntry(service);
+        const requestKind = this.arrivalRandom() < service.repeatableShare ? RequestKind.Repeatable : RequestKind.Once;
+        const isShort = service.shortShare !== undefined && this.arrivalRandom() < service.shortShare;
+        const body = this.createBody(service);
+        const arrivedAtMs = nowMs();
         this.requestCount += 1;
         entry?.dispatcher.dispatch({
             request: {
                 method: "GET",
-                path: `/${service.name}/${requestKind}/${this.requestCount}`,
+                path: `/${service.name}/${requestKind}/${isShort ? "short/" : ""}${this.requestCount}`,
                 host: MODEL_HOST,
                 headers: [],
-                body: Buffer.alloc(0),
-                hasBody: false,
+                body,
+                hasBody: body.length > 0,
                 requestId: `${this.requestCount}`,
                 apiKey: undefined,
                 patienceMs: undefined,
-                arrivedAtMs: nowMs(),
+                arrivedAtMs,
             },
             respond: ({ status }) => {
                 this.answeredCount += 1;
-                this.failureCount += status >= MIN_FAILED_STATUS ? 1 : 0;
+                if (status >= MIN_FAILED_STATUS) {
+                    this.failureCount += 1;
+                    return;
+                }
+                const latencies = this.latenciesMs.get(service.name) ?? [];
+                latencies.push(nowMs() - arrivedAtMs);
+                this.latenciesMs.set(service.name, latencies);
+                const isTimely = service.targetLatencyMs === undefined || nowMs() - arrivedAtMs <= service.targetLatencyMs;
+                this.timely.set(service.name, (this.timely.get(service.name) ?? 0) + (isTimely ? 1 : 0));
             },
             onDisconnect: () => undefined,
         });
     }
+
+    /** Chooses the entry of a request: any one with the same probability, or with the demand of its failure domain at this time. */
+    private chooseEntry({ demandSwing }: ModelService): ModelVm | undefined {
+        const entries = [...this.vms.values()];
+        let entry = entries[Math.floor(this.arrivalRandom() * entries.length)];
+        while (demandSwing !== undefined && entry !== undefined) {
+            const domain = Number(entry.record.failureDomain.split("-")[1]) / this.options.failureDomainCount;
+            const demand = 1 + demandSwing * Math.sin(2 * Math.PI * (nowMs() / SWING_PERIOD_MS + domain));
+            if (this.arrivalRandom() * (1 + demandSwing) < demand) {
+                return entry;
+            }
+            entry = entries[Math.floor(this.arrivalRandom() * entries.length)];
+        }
+        return entry;
+    }
+
+    private createBody(service: ModelService): Buffer {
+        const { bodyBytes } = service;
+        if (bodyBytes === undefined) {
+            return Buffer.alloc(0);
+        }
+        const largest = this.bodies.get(service) ?? Buffer.alloc(MAX_BODY_FACTOR * bodyBytes);
+        this.bodies.set(service, largest);
+        return largest.subarray(0, Math.min(largest.length, Math.round(-Math.log(1 - this.arrivalRandom()) * bodyBytes)));
+    }
 }
 
 function readStatement(headers: HeaderList): EndpointStatement {
--- a/bench/fleetModel/FleetModelOptions.ts
+++ b/bench/fleetModel/FleetModelOptions.ts
@@ -9,4 +9,6 @@
     readonly oneWayDelayMs: number;
     /** Seed of all random choices. */
     readonly seed: number;
+    /** Seed of the requests, so that they are the same whatever the fleet does; undefined to draw them with all other choices. */
+    readonly arrivalSeed?: number;
 }
--- a/bench/fleetModel/ModelBackend/index.ts
+++ b/bench/fleetModel/ModelBackend/index.ts
@@ -18,6 +18,11 @@
 /** Time after which a failed request is answered, in ms. */
 const FAILURE_MS = 20;
 const MAX_WORK_DEVIATION = 0.3;
+/** Share of the slots from which an endpoint counts as nearly full. */
+const NEARLY_FULL = 0.75;
+/** Part of the path of a short call, and its share of the usual time. */
+const SHORT_PATH = "/short/";
+const SHORT_FACTOR = 0.2;
 const STATUS_OK = 200;
 const STATUS_INTERNAL_SERVER_ERROR = 500;
 
@@ -36,34 +41,61 @@
     /** Requests per second that it says in its answers it accepts, or undefined. */
     limitPerSecond: number | undefined;
 
-    private constructor(private readonly service: ModelService, private readonly phaseMs: number, private readonly random: () => number) {}
+    private runningCount = 0;
+    private readonly body: Buffer;
+
+    private constructor(
+        private readonly service: ModelService,
+        private readonly phaseMs: number,
+        private readonly slowness: number,
+        private readonly random: () => number,
+    ) {
+        this.body = Buffer.alloc(service.responseBytes ?? 0);
+    }
 
     /**
      * Creates a backend server.
      *
      * @param service - Service that it belongs to.
      * @param random - Source of numbers in [0, 1).
+     * @param slowness - Factor on the time that a request runs.
      */
-    static create(service: ModelService, random: () => number): ModelBackend {
-        return new ModelBackend(service, random() * FAILURE_PERIOD_MS, random);
+    static create(service: ModelService, random: () => number, slowness = 1): ModelBackend {
+        return new ModelBackend(service, random() * FAILURE_PERIOD_MS, slowness, random);
     }
 
-    send({ headers }: BackendRequest): BackendExchange {
+    send({ headers, path }: BackendRequest): BackendExchange {
         const entry = findHeader(headers, ModelHeaderName.Entry) ?? "";
         this.arrivalsAtMs.push(nowMs());
         this.arrivedFrom.push(entry);
         const isFailing = (nowMs() + this.phaseMs) % FAILURE_PERIOD_MS < this.service.failingShare * FAILURE_PERIOD_MS;
         const fails = this.random() < (isFailing ? FAILED_SHARE : BACKGROUND_FAILED_SHARE);
-        const workMs = this.service.workMs * (1 + MAX_WORK_DEVIATION * (2 * this.random() - 1));
+        this.runningCount += 1;
+        const workMs = this.service.workMs * (1 + MAX_WORK_DEVIATION * (2 * this.random() - 1)) * this.slownessNow
+            * (path.includes(SHORT_PATH) ? SHORT_FACTOR : 1);
         const status = fails ? STATUS_INTERNAL_SERVER_ERROR : STATUS_OK;
         let timer: NodeJS.Timeout | undefined;
         const result = new Promise<BackendResult>((resolve) => {
             timer = setTimeout(
-                () => resolve({ kind: BackendResultKind.Answered, answer: this.createAnswer(status, entry) }),
+                () => {
+                    this.runningCount -= 1;
+                    resolve({ kind: BackendResultKind.Answered, answer: this.createAnswer(status, entry) });
+                },
                 fails ? FAILURE_MS : workMs,
             );
         });
-        return { result, cancel: () => clearTimeout(timer) };
+        return {
+            result,
+            cancel: () => {
+                clearTimeout(timer);
+                this.runningCount -= 1;
+            },
+        };
+    }
+
+    private get slownessNow(): number {
+        const { slots, fullSlowness } = this.service;
+        return this.slowness * (this.runningCount > NEARLY_FULL * slots ? fullSlowness ?? 1 : 1);
     }
 
     private createAnswer(status: number, entry: string): BackendResponse {
@@ -75,7 +107,7 @@
             headers.push([ModelHeaderName.Leaving, "1"]);
             this.toldLeavingAtMs.set(entry, this.toldLeavingAtMs.get(entry) ?? nowMs());
         }
-        return { status, headers, body: Buffer.alloc(0) };
+        return { status, headers, body: this.body };
     }
 
     closeUnusable(): void {}
--- a/bench/fleetModel/ModelService.ts
+++ b/bench/fleetModel/ModelService.ts
@@ -15,4 +15,18 @@
     readonly failingShare: number;
     /** Limit that some of its endpoints name in their answers; undefined if none does. */
     readonly limit?: ModelLimit;
+    /** Number of endpoints in each failure domain; undefined to spread them evenly. */
+    readonly endpointsByDomain?: readonly number[];
+    /** Factors on the time that a request runs, which its endpoints have in turn; undefined if all are equally fast. */
+    readonly slowness?: readonly number[];
+    /** Mean size of a request body; single ones are up to six times as large. */
+    readonly bodyBytes?: number;
+    readonly responseBytes?: number;
+    readonly targetLatencyMs?: number;
+    /** Share by which the demand of each failure domain swings, with a period of 13 s. */
+    readonly demandSwing?: number;
+    /** Share of the requests that are short calls, which run for a fifth of the time. */
+    readonly shortShare?: number;
+    /** Factor on the time that a request runs while an endpoint has more than three quarters of its slots busy. */
+    readonly fullSlowness?: number;
 }
--- a/bench/fleetModel/createRoutes/index.ts
+++ b/bench/fleetModel/createRoutes/index.ts
@@ -16,7 +16,7 @@
  * @example
  * createRoutes(service).length; // 2
  */
-export function createRoutes({ name }: ModelService): readonly VersionedItem[] {
+export function createRoutes({ name, targetLatencyMs }: ModelService): readonly VersionedItem[] {
     return [RequestKind.Repeatable, RequestKind.Once].map((requestKind) => ({
         key: `route/${name}-${requestKind}`,
         version: 1,
@@ -28,7 +28,7 @@
             pathPrefix: `/${name}/${requestKind}/`,
             requestKind,
             timeoutMs: TIMEOUT_MS,
-            targetLatencyMs: TARGET_LATENCY_MS,
+            targetLatencyMs: targetLatencyMs ?? TARGET_LATENCY_MS,
             priority: 1,
             maxAttempts: MAX_ATTEMPTS,
             isKeyExempt: false,
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -273,7 +273,8 @@
                 this.events.record(isReachable ? EventNumber.PathRegained : EventNumber.PathLost, { peer: vm, problem });
                 this.scheduleTick();
             },
-            onInvitation: (invitation) => this.applyInvitation(invitation),
+            // A packed load does not name the VM; a gate speaks for itself only in any case.
+            onInvitation: ({ load, waitedMs }) => this.applyInvitation({ load: { ...load, vm }, waitedMs }),
             onError: (error) => this.events.recordError(error, { peer: vm }),
         });
         this.tunnels.set(vm, created);
--- a/src/decisions/outliers/ProbeInvitations/index.ts
+++ b/src/decisions/outliers/ProbeInvitations/index.ts
@@ -15,7 +15,8 @@
 /**
  * Chooses the entries that a gate invites to send its endpoint a request. Few are invited first, as one request is enough,
  * and more in each round in which none has come. While only repeatable requests are accepted, entries that have sent such
- * requests are invited, if there are any.
+ * requests are invited, if there are any. Entries in the failure domain of the gate come first, since both the invitation and
+ * the request that follows would otherwise cross between failure domains; the rounds grow beyond them if they send nothing.
  *
  * Designed for fleets of any size: the endpoint's gate alone sees the requests of all entries, and load reports take longer
  * the larger the fleet is.
@@ -23,6 +24,8 @@
 export class ProbeInvitations<Entry> {
     /** Connected entries, the one that was invited longest ago first, with the time of their latest repeatable request. */
     private readonly entries = new Map<Entry, number>();
+    /** Entries in another failure domain than the gate. */
+    private readonly remote = new Set<Entry>();
     private invited: readonly Entry[] = [];
     private rounds = 0;
 
@@ -38,14 +41,23 @@
         return this.invited.length > 0;
     }
 
-    /** Adds an entry that has connected. */
-    addEntry(entry: Entry): void {
+    /**
+     * Adds an entry that has connected.
+     *
+     * @param entry - The entry.
+     * @param isLocal - False if it is in another failure domain than the gate.
+     */
+    addEntry(entry: Entry, isLocal = true): void {
+        if (!isLocal) {
+            this.remote.add(entry);
+        }
         this.entries.set(entry, Number.NEGATIVE_INFINITY);
     }
 
     /** Removes an entry whose connection is closed. */
     removeEntry(entry: Entry): void {
         this.entries.delete(entry);
+        this.remote.delete(entry);
     }
 
     /** Records a request of an entry. */
@@ -65,7 +77,9 @@
     startRound(demand: ProbeDemand, nowMs: number): readonly Entry[] {
         const connected = [...this.entries.keys()];
         const suitable = demand === ProbeDemand.Any ? [] : connected.filter((entry) => this.sendsRepeatable(entry, nowMs));
-        this.invited = (suitable.length > 0 ? suitable : connected).slice(0, this.roundSize);
+        const invitable = suitable.length > 0 ? suitable : connected;
+        const nearestFirst = [...invitable.filter((entry) => !this.remote.has(entry)), ...invitable.filter((entry) => this.remote.has(entry))];
+        this.invited = nearestFirst.slice(0, this.roundSize);
         this.invited.forEach((entry) => this.moveToEnd(entry));
         this.rounds += 1;
         return this.invited;
--- a/src/decisions/outliers/ProbeInvitations/test.ts
+++ b/src/decisions/outliers/ProbeInvitations/test.ts
@@ -36,6 +36,21 @@
     t.deepEqual(invitations.startRound(ProbeDemand.Repeatable, 20_000), [1, 2, 3]);
 });
 
+// Guards against invitations between failure domains: they took more bytes than the loads of all gates.
+test("entries in the failure domain of the gate are invited first, and the others in later rounds if no request comes", (t) => {
+    const invitations = ProbeInvitations.create<number>();
+    Array.from({ length: 12 }, (_, number) => invitations.addEntry(number, number % 2 === 1));
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 0), [1, 3, 5, 7]);
+    t.deepEqual(invitations.startRound(ProbeDemand.Any, 200), [9, 11, 1, 3, 5, 7, 0, 2]);
+    t.is(invitations.startRound(ProbeDemand.Any, 400).length, 12);
+    invitations.end();
+    invitations.recordRequest(4, RequestKind.Repeatable, 500);
+    t.deepEqual(invitations.startRound(ProbeDemand.Repeatable, 600), [4]);
+    invitations.removeEntry(4);
+    invitations.addEntry(4);
+    t.true(invitations.startRound(ProbeDemand.Any, 800).includes(4));
+});
+
 test("an entry whose connection is closed is not invited", (t) => {
     const invitations = create([1, 2]);
     invitations.removeEntry(1);
--- a/src/frames/PeerServer/index.ts
+++ b/src/frames/PeerServer/index.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
@@ -29,7 +29,7 @@
         private readonly server: Server,
         private readonly webSocketServer: WebSocketServer,
         private readonly recordRefusal: RefusalListener,
-        private readonly onConnection: (webSocket: WebSocket, networkSocket: Socket) => void,
+        private readonly onConnection: (webSocket: WebSocket, networkSocket: Socket, headers: IncomingHttpHeaders) => void,
     ) {
         server.on("connection", (socket) => this.addPending(socket));
         server.on("upgrade", (request, socket, head) => this.handleUpgrade(request, socket, head));
@@ -39,10 +39,13 @@
      * Starts listening.
      *
      * @param options - Address, and limits of frames.
-     * @param onConnection - Called with each WebSocket and its connection once it is open.
+     * @param onConnection - Called with each WebSocket, its connection and the header of its request once it is open.
      * @throws FleetError if the process cannot listen on the port.
      */
-    static async create(options: PeerServerOptions, onConnection: (webSocket: WebSocket, networkSocket: Socket) => void): Promise<PeerServer> {
+    static async create(
+        options: PeerServerOptions,
+        onConnection: (webSocket: WebSocket, networkSocket: Socket, headers: IncomingHttpHeaders) => void,
+    ): Promise<PeerServer> {
         const server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
             headersTimeout: UPGRADE_TIMEOUT_MS,
@@ -94,6 +97,6 @@
             this.recordRefusal("open WebSockets", this.clients.size, MAX_WEB_SOCKETS, request.socket.remoteAddress);
             return;
         }
-        this.webSocketServer.handleUpgrade(request, socket, head, (webSocket) => this.onConnection(webSocket, request.socket));
+        this.webSocketServer.handleUpgrade(request, socket, head, (webSocket) => this.onConnection(webSocket, request.socket, request.headers));
     }
 }
--- a/src/links/PeerIdentity.ts
+++ b/src/links/PeerIdentity.ts
@@ -8,4 +8,6 @@
     readonly roles: readonly Role[];
     /** `host:port` at which the process accepts links. */
     readonly linkAddress: string;
+    /** True if the process reads packed heartbeats; absent in processes of earlier versions. */
+    readonly readsPackedHeartbeats?: boolean;
 }
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -11,6 +11,8 @@
 import { Message } from "../Message.js";
 import { MessageKind } from "../MessageKind.js";
 import { PeerIdentity } from "../PeerIdentity.js";
+import { packHeartbeat } from "../packHeartbeat/index.js";
+import { unpackHeartbeat } from "../unpackHeartbeat/index.js";
 import { computeKeyProof } from "../computeKeyProof/index.js";
 import { WsLinkOptions } from "../WsLinkOptions.js";
 
@@ -108,7 +110,7 @@
     /** Encodes an envelope. What cannot be encoded is reported and not sent; most messages are sent by timers, which handle no errors. */
     private encode(envelope: Envelope): Buffer | undefined {
         try {
-            return packr.pack(envelope);
+            return packr.pack(this.compact(envelope));
         }
         catch (thrown) {
             this.reportMessageError(thrown);
@@ -116,12 +118,23 @@
         }
     }
 
+    /** Packs a heartbeat if the peer reads packed ones. */
+    private compact(envelope: Envelope): Envelope | readonly number[] {
+        const { message } = envelope;
+        return message.kind === MessageKind.Heartbeat && this.identity?.readsPackedHeartbeats === true ? packHeartbeat(message) : envelope;
+    }
+
+    private decode(data: Buffer): Envelope {
+        const content = unpackr.unpack(data) as Envelope | readonly unknown[];
+        return Array.isArray(content) ? { message: unpackHeartbeat(content, this.peerName) } : content as Envelope;
+    }
+
     private handleFrame(data: Buffer): void {
         this.options.bytes.received += data.length;
         let envelope: Envelope;
         try {
             this.options.budget.checkDecodedSize(data);
-            envelope = unpackr.unpack(data) as Envelope;
+            envelope = this.decode(data);
             if (!this.isOpen) {
                 this.handleHandshake(envelope.message);
                 return;
@@ -170,7 +183,8 @@
     }
 
     private handleHandshake(message: Message): void {
-        const { identity, fleetKey } = this.options;
+        const { fleetKey } = this.options;
+        const identity: PeerIdentity = { ...this.options.identity, readsPackedHeartbeats: true };
         switch (message.kind) {
             case MessageKind.Challenge:
                 this.send({ kind: MessageKind.Hello, identity, nonce: this.nonce, proof: computeKeyProof(fleetKey, message.nonce, identity.vm) });
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -136,7 +136,7 @@
             vm: vm.name,
             failureDomain: vm.failureDomain,
             localGate: gate,
-            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget),
+            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget, vm.failureDomain),
         }, events);
         const dispatcher = RequestDispatcher.create({
             entryRun: `${vm.name}-${randomBytes(RUN_ID_BYTES).toString("hex")}`,
@@ -269,6 +269,7 @@
             token,
             gateRun: this.gateRun,
             gate: this.gate,
+            failureDomain: vm.failureDomain,
             budget: this.tunnelBudget,
             recordRefusal,
             onError,
--- a/src/tunnel/Frame.ts
+++ b/src/tunnel/Frame.ts
@@ -12,5 +12,7 @@
     | { readonly kind: FrameKind.Cancel; readonly key: string }
     | { readonly kind: FrameKind.Reply; readonly key: string; readonly reply: GateReply }
     | { readonly kind: FrameKind.Invitation; readonly invitation: Invitation }
+    /** `load` is encoded by `packLoads`. */
+    | { readonly kind: FrameKind.PackedInvitation; readonly load: Uint8Array; readonly waitedMs: number | undefined }
     | { readonly kind: FrameKind.Ping }
     | { readonly kind: FrameKind.Pong };
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -11,6 +11,8 @@
     Reply = "r",
     /** Asks the entry for a request for the endpoint, or withdraws that. */
     Invitation = "i",
+    /** The same with a packed load, for an entry that has stated its failure domain. */
+    PackedInvitation = "j",
     Ping = "p",
     Pong = "q",
 }
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -1,9 +1,11 @@
 import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { unpackLoads } from "../../decisions/fleet/unpackLoads/index.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { toError } from "../../model/toError/index.js";
+import { FAILURE_DOMAIN_HEADER } from "../failureDomainHeader.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
 import { GateReply } from "../GateReply.js";
@@ -71,6 +73,7 @@
         private readonly token: string,
         private readonly callbacks: TunnelCallbacks,
         private readonly budget: SocketBudget,
+        private readonly failureDomain: string | undefined,
     ) {}
 
     /**
@@ -80,9 +83,10 @@
      * @param token - Token that authenticates this process as a member of the fleet.
      * @param callbacks - Functions that it calls.
      * @param budget - Bounds what the tunnels of this process hold.
+     * @param failureDomain - Failure domain of this process, by which the gate chooses whom to invite; undefined to state none.
      */
-    static create(address: string, token: string, callbacks: TunnelCallbacks, budget: SocketBudget): TunnelClient {
-        return new TunnelClient(address, token, callbacks, budget);
+    static create(address: string, token: string, callbacks: TunnelCallbacks, budget: SocketBudget, failureDomain?: string): TunnelClient {
+        return new TunnelClient(address, token, callbacks, budget, failureDomain);
     }
 
     /** False while the gate cannot be connected to, or has sent no frame since it failed to reply to an offer in time. */
@@ -189,7 +193,10 @@
                 perMessageDeflate: false,
                 maxPayload: this.budget.maxFrameBytes,
                 maxFragments: 1,
-                headers: { authorization: this.token },
+                headers: {
+                    authorization: this.token,
+                    ...this.failureDomain === undefined ? {} : { [FAILURE_DOMAIN_HEADER]: encodeURIComponent(this.failureDomain) },
+                },
             });
         }
         catch (thrown) {
@@ -223,6 +230,9 @@
         else if (frame.kind === FrameKind.Invitation) {
             this.callbacks.onInvitation(frame.invitation);
         }
+        else if (frame.kind === FrameKind.PackedInvitation) {
+            unpackLoads(frame.load, () => this.address).forEach((load) => this.callbacks.onInvitation({ load, waitedMs: frame.waitedMs }));
+        }
     }
 
     private handleWelcome(gateRun: string): void {
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -98,6 +98,7 @@
         port,
         token: TOKEN,
         gateRun: "run-1",
+        failureDomain: "zone ä",
         gate,
         budget: createBudget(),
         recordRefusal: failOnRefusal,
@@ -274,6 +275,38 @@
     });
 });
 
+// Guards against an invitation that reaches its entry with other values than the gate's, or no entry at all.
+test("an entry that states its failure domain gets packed invitations, and one of another version gets them as before", async (t) => {
+    const probe = createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const { port } = probe.address() as AddressInfo;
+    probe.close();
+    await once(probe, "close");
+    const server = await createServerOn(port, new FakeGate());
+    const address = `127.0.0.1:${port}`;
+    const received = [["zone ä"], ["other"], []].map(([failureDomain]) => {
+        const invitations: Invitation[] = [];
+        const onInvitation = (invitation: Invitation): unknown => invitations.push(invitation);
+        const client = TunnelClient.create(address, TOKEN, { ...CALLBACKS, onInvitation }, createBudget(), failureDomain);
+        t.teardown(() => client.close());
+        client.open();
+        return invitations;
+    });
+    t.teardown(() => server.close());
+    const load = createLoadReport("vm-1", { running: 3, serviceMs: 812, suspicion: 0.5 });
+    await waitUntil(() => {
+        server.invite({ load, waitedMs: 700.4 });
+        return received.every((invitations) => invitations.length > 0);
+    });
+    const [local, remote, unstated] = received.map((invitations) => invitations[0]);
+    t.deepEqual(local, { load: { ...load, vm: address }, waitedMs: 700 });
+    t.deepEqual(remote, { load: { ...load, vm: address }, waitedMs: 700 });
+    t.deepEqual(unstated, { load, waitedMs: 700.4 });
+    server.withdrawInvitations(load);
+    await waitUntil(() => received.every((invitations) => invitations.at(-1)?.waitedMs === undefined));
+    t.deepEqual(received.map((invitations) => invitations.at(-1)?.waitedMs), [undefined, undefined, undefined]);
+});
+
 test("a connection is pinged only once a response is overdue", async (t) => {
     const probe = createServer().listen(0, "127.0.0.1");
     await once(probe, "listening");
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -1,13 +1,16 @@
 import { once } from "node:events";
+import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { WebSocket } from "ws";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
+import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
 import { PeerServer } from "../../frames/PeerServer/index.js";
 import { estimateHeaderBytes } from "../../http/estimateHeaderBytes/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
+import { FAILURE_DOMAIN_HEADER } from "../failureDomainHeader.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
 import { GateReply } from "../GateReply.js";
@@ -55,6 +58,8 @@
     private offeredBytes = 0;
     private readonly retainedReplies: RetainedReplies;
     private readonly invitations = ProbeInvitations.create<TunnelSocket>();
+    /** Tunnels of entries that have stated their failure domain, and so read packed invitations. */
+    private readonly packedSockets = new WeakSet<TunnelSocket>();
     private readonly cleanupTimer = setInterval(() => this.retainedReplies.removeExpired(nowMs()), CLEANUP_INTERVAL_MS);
     private server: PeerServer | undefined;
 
@@ -80,7 +85,7 @@
                 recordRefusal: options.recordRefusal,
                 onError: options.onError,
                 waits: options.waits,
-            }, (webSocket, networkSocket) => tunnelServer.handleConnection(webSocket, networkSocket));
+            }, (...connection) => tunnelServer.handleConnection(...connection));
         }
         catch (thrown) {
             tunnelServer.close();
@@ -97,7 +102,7 @@
     /** Invites some of the connected entries to send the endpoint a request. */
     invite(invitation: Invitation): void {
         const sockets = this.invitations.startRound(invitation.load.trialWish, nowMs());
-        sockets.forEach((socket) => socket.send({ kind: FrameKind.Invitation, invitation }));
+        this.sendInvitation(sockets, invitation);
     }
 
     /**
@@ -106,7 +111,7 @@
      * @param load - Current load of the gate.
      */
     withdrawInvitations(load: GateLoadReport): void {
-        this.invitations.end().forEach((socket) => socket.send({ kind: FrameKind.Invitation, invitation: { load, waitedMs: undefined } }));
+        this.sendInvitation(this.invitations.end(), { load, waitedMs: undefined });
     }
 
     /** Size of the final replies that are kept for entries that have lost their connection, in bytes. */
@@ -139,7 +144,17 @@
         return this.server?.clients ?? new Set();
     }
 
-    private handleConnection(webSocket: WebSocket, networkSocket: Socket): void {
+    private sendInvitation(sockets: readonly TunnelSocket[], invitation: Invitation): void {
+        const { load, waitedMs } = invitation;
+        const packed: Frame = {
+            kind: FrameKind.PackedInvitation,
+            load: packLoads([load]),
+            waitedMs: waitedMs === undefined ? undefined : Math.round(waitedMs),
+        };
+        sockets.forEach((socket) => socket.send(this.packedSockets.has(socket) ? packed : { kind: FrameKind.Invitation, invitation }));
+    }
+
+    private handleConnection(webSocket: WebSocket, networkSocket: Socket, headers: IncomingHttpHeaders): void {
         this.options.budget.watch(webSocket, networkSocket);
         const socket = TunnelSocket.create(
             webSocket,
@@ -148,7 +163,11 @@
             () => this.handleConnectionLoss(socket),
             (error) => this.options.onError(error),
         );
-        this.invitations.addEntry(socket);
+        const failureDomain = headers[FAILURE_DOMAIN_HEADER];
+        if (failureDomain !== undefined) {
+            this.packedSockets.add(socket);
+        }
+        this.invitations.addEntry(socket, failureDomain === undefined || failureDomain === encodeURIComponent(this.options.failureDomain));
         socket.send({ kind: FrameKind.Welcome, gateRun: this.options.gateRun });
     }
 
@@ -172,6 +191,7 @@
             case FrameKind.Welcome:
             case FrameKind.Reply:
             case FrameKind.Invitation:
+            case FrameKind.PackedInvitation:
             case FrameKind.Pong:
                 return;
         }
--- a/src/tunnel/TunnelServer/test.ts
+++ b/src/tunnel/TunnelServer/test.ts
@@ -37,6 +37,7 @@
         port,
         token: "token",
         gateRun: "run-1",
+        failureDomain: "a",
         gate: {
             offer: (offer, onReply) => {
                 onReply({ kind: GateReplyKind.Granted });
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -12,6 +12,8 @@
     /** Identifies this run of the proxy. */
     readonly gateRun: string;
     readonly gate: GatePort;
+    /** Failure domain of the gate. */
+    readonly failureDomain: string;
     /** Bounds what the tunnels of this process hold. */
     readonly budget: SocketBudget;
     /** Called each time something is refused or dropped because of a limit. */
