--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -142,7 +142,7 @@
             vm: vm.name,
             failureDomain: vm.failureDomain,
             localGate: gate,
-            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget),
+            openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget, vm.failureDomain),
         }, events);
         const quotaClient = QuotaClient.create(
             {
@@ -290,6 +290,7 @@
             token,
             gateRun: this.gateRun,
             gate: this.gate,
+            failureDomain: vm.failureDomain,
             budget: this.tunnelBudget,
             recordRefusal,
             onError,
