Let calls of running requests wait longer and spread the return of refused callers

Cause: a call that a running request waits for was refused once its own latency target could not be met, which wasted the work of its parent; callers that were refused together were told the same time to return.

--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { CallerKind } from "../../decisions/dispatch/CallerKind.js";
 import { DispatchEffect } from "../../decisions/dispatch/DispatchEffect.js";
 import { DispatchEffectKind } from "../../decisions/dispatch/DispatchEffectKind.js";
 import { DispatchEvent } from "../../decisions/dispatch/DispatchEvent.js";
@@ -212,10 +213,11 @@
         const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
         const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.meanServiceMs(service));
         const stateMachine = DispatchMachine.create(
-            { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
+            { requestKind: route.requestKind, callerKind: this.callerKindOf(organisation), maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
                 rank: (refused) => this.fleetView.rankCandidates(service, route.requestKind, exchange.request.body.length, refused),
                 shouldProbe: () => Math.random() < PROBE_SHARE,
+                random: () => Math.random(),
                 serviceMs: this.fleetView.meanServiceMs(service),
             },
         );
@@ -241,6 +243,13 @@
         this.applyEvent(active, { kind: DispatchEventKind.Begin });
     }
 
+    private callerKindOf(organisation: OrganisationItem | undefined): CallerKind {
+        if (organisation !== undefined) {
+            return CallerKind.Organisation;
+        }
+        return this.routeTable?.hasOrganisations === true ? CallerKind.RunningRequest : CallerKind.Unknown;
+    }
+
     private applyEvent(active: ActiveRequest, event: DispatchEvent): void {
         if (active.stateMachine.isFinished || active.hasFailed) {
             return;
@@ -299,7 +308,7 @@
                 return;
             case DispatchEffectKind.Refuse:
                 this.recordFailure(active, true);
-                this.refuse(active.exchange, effect.cause, effect.retryAfterMs);
+                this.refuse(active.exchange, effect.cause, effect.retryAfterMs, active.organisation);
                 return;
             case DispatchEffectKind.Fail:
                 this.recordFailure(active, true);
@@ -401,6 +410,7 @@
         this.events.record(EventNumber.RequestAnswered, {
             requestId: exchange.request.requestId,
             service: active.service,
+            organisation: active.organisation?.name,
             status: answer.status,
             peer: active.vmsByAttempt.get(attempt),
             offers: active.stateMachine.offerCount,
@@ -415,6 +425,7 @@
         this.events.record(EventNumber.RequestFailed, {
             requestId: exchange.request.requestId,
             service: active.service,
+            organisation: active.organisation?.name,
             failure,
             problem,
             peers: [...active.vmsByAttempt.values()],
@@ -425,9 +436,10 @@
         this.respondDirectly(exchange, failure === DispatchFailure.TimedOut ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY, undefined);
     }
 
-    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number): void {
+    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number, organisation?: OrganisationItem): void {
         const { requestId, arrivedAtMs } = exchange.request;
-        this.events.record(EventNumber.RequestRefused, { requestId, cause, retryAfterMs, tookMs: Math.round(nowMs() - arrivedAtMs) });
+        const tookMs = Math.round(nowMs() - arrivedAtMs);
+        this.events.record(EventNumber.RequestRefused, { requestId, organisation: organisation?.name, cause, retryAfterMs, tookMs });
         this.respondDirectly(exchange, STATUS_SERVICE_UNAVAILABLE, retryAfterMs);
     }
 
--- a/src/decisions/dispatch/DispatchDependencies.ts
+++ b/src/decisions/dispatch/DispatchDependencies.ts
@@ -10,6 +10,8 @@
     rank(refused: ReadonlySet<string>): readonly PlacementCandidate[];
     /** Decides at random whether this request may be sent as a probe. */
     shouldProbe(): boolean;
+    /** Returns a random number from 0 up to, but not including, 1. */
+    random(): number;
     /** Mean time that an endpoint of the service takes for a request, in ms. */
     readonly serviceMs: number;
 }
--- a/src/decisions/dispatch/DispatchMachine/index.ts
+++ b/src/decisions/dispatch/DispatchMachine/index.ts
@@ -10,6 +10,8 @@
 import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
 import { isBlockedByGrade } from "../../serving/isBlockedByGrade/index.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
+import { CallerKind } from "../CallerKind.js";
+import { chooseMaxQueueMs } from "../chooseMaxQueueMs/index.js";
 import { DispatchEffect } from "../DispatchEffect.js";
 import { DispatchEffectKind } from "../DispatchEffectKind.js";
 import { DispatchEvent } from "../DispatchEvent.js";
@@ -25,8 +27,6 @@
 const MAX_OFFERS = 12;
 /** Maximum number of gates that are offered the request for their queue. */
 const MAX_QUEUE_OFFERS = 4;
-/** Expected queue wait that is accepted even if the latency target is missed, in ms: about the time until the next slot is free. */
-const TOLERATED_LATE_QUEUE_MS = 150;
 /** Time after the start of a repeatable request at which it is hedged, as a multiple of the mean service time. */
 const HEDGE_DELAY_FACTOR = 3;
 /** Minimum hedge delay, in ms: nested calls of a running request delay its answer by about this much. */
@@ -37,6 +37,8 @@
 const MIN_FAILED_STATUS = 500;
 /** Minimum retry-after time of a refusal, in ms. */
 const MIN_RETRY_AFTER_MS = 100;
+/** Largest addition to the retry-after time, as a share of it, so that callers that were refused together do not return together. */
+const RETRY_AFTER_JITTER = 0.5;
 
 /** One offer of the request to one gate. */
 interface Attempt {
@@ -258,7 +260,7 @@
         nowMs: number,
     ): readonly DispatchEffect[] {
         const best = allowed[0] ?? all[0];
-        const maxQueueMs = Math.max(TOLERATED_LATE_QUEUE_MS, this.maxTimelyQueueMs(nowMs));
+        const maxQueueMs = chooseMaxQueueMs(this.plan, nowMs, this.ports.serviceMs);
         if (best !== undefined && this.offers < MAX_OFFERS && this.queueOffers < MAX_QUEUE_OFFERS) {
             this.queueOffers += 1;
             return [this.offer(best, { maxQueueMs, isTrial: false, isLastResort: allowed.length === 0 })];
@@ -327,7 +329,10 @@
         if (this.hasPossiblyRun) {
             return { kind: DispatchEffectKind.Fail, failure: DispatchFailure.OutcomeUnknown, problem: this.lastProblem };
         }
-        const retryAfterMs = Number.isFinite(this.retryAfterMs) ? Math.max(MIN_RETRY_AFTER_MS, this.retryAfterMs) : MIN_RETRY_AFTER_MS;
+        const expectedMs = Number.isFinite(this.retryAfterMs) ? Math.max(MIN_RETRY_AFTER_MS, this.retryAfterMs) : MIN_RETRY_AFTER_MS;
+        const retryAfterMs = this.plan.callerKind === CallerKind.Unknown
+            ? expectedMs
+            : Math.round(expectedMs * (1 + RETRY_AFTER_JITTER * this.ports.random()));
         return { kind: DispatchEffectKind.Refuse, cause: this.lastCause, retryAfterMs };
     }
 
--- a/src/decisions/dispatch/DispatchMachine/test.ts
+++ b/src/decisions/dispatch/DispatchMachine/test.ts
@@ -8,6 +8,7 @@
 import { Grade } from "../../fleet/Grade.js";
 import { PlacementCandidate } from "../../placement/PlacementCandidate.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
+import { CallerKind } from "../CallerKind.js";
 import { DispatchEffect } from "../DispatchEffect.js";
 import { DispatchEffectKind } from "../DispatchEffectKind.js";
 import { DispatchEventKind } from "../DispatchEventKind.js";
@@ -38,10 +39,16 @@
     };
 }
 
-function create(requestKind: RequestKind, overrides: Partial<DispatchDependencies> = {}, maxAttempts = 3): DispatchMachine {
-    return DispatchMachine.create({ requestKind, maxAttempts, deadlineAtMs: 4_000, targetAtMs: 1_500 }, {
+function create(
+    requestKind: RequestKind,
+    overrides: Partial<DispatchDependencies> = {},
+    maxAttempts = 3,
+    callerKind = CallerKind.Unknown,
+): DispatchMachine {
+    return DispatchMachine.create({ requestKind, callerKind, maxAttempts, deadlineAtMs: 4_000, targetAtMs: 1_500 }, {
         rank: () => [candidate("a"), candidate("b"), candidate("c")],
         shouldProbe: () => true,
+        random: () => 0.5,
         serviceMs: SERVICE_MS,
         ...overrides,
     });
@@ -172,6 +179,22 @@
     t.deepEqual(effects, [{ kind: DispatchEffectKind.Refuse, cause: RefusalCause.Busy, retryAfterMs: 200 }]);
 });
 
+// Guards against callers that were refused together and return together.
+test("the retry-after time of a refusal is spread for callers with an organisation, and is never less than the time until there is room", (t) => {
+    const retryAfterMs = (callerKind: CallerKind, random: number): number | undefined => {
+        const machine = create(RequestKind.Once, { random: () => random }, 3, callerKind);
+        begin(machine);
+        let [effect]: readonly DispatchEffect[] = [];
+        for (let attempt = 1; attempt < 10 && !machine.isFinished; attempt += 1) {
+            [effect] = reply(machine, attempt, refused());
+        }
+        return effect?.kind === DispatchEffectKind.Refuse ? effect.retryAfterMs : undefined;
+    };
+    t.is(retryAfterMs(CallerKind.Organisation, 0), 200);
+    t.is(retryAfterMs(CallerKind.Organisation, 0.5), 250);
+    t.is(retryAfterMs(CallerKind.Unknown, 0.5), 200);
+});
+
 test("a request is offered to a queue only after offers for free slots were refused", (t) => {
     const machine = create(RequestKind.Once);
     const offers = [begin(machine)];
