Give organisations their turns at an overloaded endpoint

Cause: within a priority the sender of most requests took everything, lower priorities starved, and a request that others overtook was held until close to its deadline. It admits what is expected to start in time, allowing for those that will overtake, and displaces at once what no longer can. Displaced requests are counted by cause (event 533), request times by organisation. Without organisations the order stays.

--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -10,7 +10,10 @@
 import { countAhead } from "../countAhead/index.js";
 import { hasPrecedence } from "../hasPrecedence/index.js";
 import { isBlockedByGrade } from "../isBlockedByGrade/index.js";
+import { OrganisationTurns } from "../OrganisationTurns/index.js";
+import { PlaceInQueue } from "../PlaceInQueue.js";
 import { ServingRequest } from "../ServingRequest.js";
+import { WaitBounds } from "../WaitBounds/index.js";
 
 /** Maximum number of waiting requests; each takes memory with its body, and time whenever the queue is searched. */
 const MAX_WAITING = 1_024;
@@ -25,10 +28,20 @@
 const SERVICE_TIME_WEIGHT = 0.1;
 /** Minimum retry-after time of a refusal, in ms; less than an entry needs to offer a request to the gates in turn. */
 const MIN_RETRY_AFTER_MS = 50;
+/** Delay of a start against the one expected at admission that does not displace a request, in ms: about the time between two starts. */
+const TOLERATED_DELAY_MS = 150;
+/** Lowest share of the starts that is expected to remain for a request that others overtake. */
+const MIN_REMAINING_SHARE = 0.05;
+/** Place of the next request to start. */
+const NEXT_PLACE: PlaceInQueue = { byUrgency: 0, byTurn: 0, overtakingShare: 0 };
 
 interface RunningRequest {
     readonly startedAtMs: number;
     readonly priority: number;
+    readonly organisation: string;
+    readonly organisationPriority: number;
+    /** Reverts its use by its organisation, if it was not sent to the endpoint after all. */
+    readonly withdrawUse: () => void;
 }
 
 /**
@@ -39,6 +52,9 @@
  * those that cannot, and earlier targets go first: nested calls that a running request waits for have short targets and
  * go before new requests. An admitted request stays until it is expected to miss its deadline.
  *
+ * Requests of organisations are ordered by `OrganisationTurns`, after those without one. One that another has overtaken, so that it
+ * can no longer start in time, is displaced at once. Without organisations none of this applies.
+ *
  * Designed for many independent entries that place requests by load reports up to half a second old, and for surges above
  * the endpoint's capacity.
  */
@@ -48,6 +64,10 @@
     private meanServiceMs = INITIAL_SERVICE_MS;
     private hasMeasured = false;
     private slotCount: number;
+    private turns = OrganisationTurns.create();
+    private waitBounds = WaitBounds.create();
+    /** Latest start of waiting requests with which they are served in time. */
+    private readonly latestStarts = new WeakMap<ServingRequest, number>();
 
     private constructor(slots: number, private probeScheduler: ProbeScheduler, private limiter: EndpointLimiter) {
         this.slotCount = slots;
@@ -106,6 +126,8 @@
     resetEndpoint(limiter: EndpointLimiter): void {
         this.probeScheduler = ProbeScheduler.create();
         this.limiter = limiter;
+        this.turns = OrganisationTurns.create();
+        this.waitBounds = WaitBounds.create();
     }
 
     /** Number of requests that run at the same time by slots and limit. */
@@ -142,8 +164,13 @@
      * Estimates how long a request would wait for a slot and for the limit, in ms. Slots that run requests of a higher
      * priority are left out, as they are likely to go to other requests of that priority.
      */
-    expectedWaitMs(request: Pick<ServingRequest, "priority" | "targetAtMs">, nowMs: number): number {
-        const ahead = this.waiting.filter((waiting) => waiting !== request && hasPrecedence(waiting, request)).length;
+    expectedWaitMs(request: ServingRequest, nowMs: number): number {
+        if (request.organisation !== "") {
+            const others = this.waiting.filter((waiting) => waiting !== request);
+            return this.turnWaitMs(this.findPlaces([...others, request], nowMs).get(request), nowMs);
+        }
+        const ahead = this.waiting.filter((waiting) =>
+            waiting !== request && waiting.organisation === "" && hasPrecedence(waiting, request)).length;
         return this.waitAheadMs(request, ahead, nowMs);
     }
 
@@ -155,21 +182,41 @@
         if (this.running.size + this.waiting.length < this.slotCount) {
             return 0;
         }
-        const higher = [...this.running.values()].filter((running) => running.priority < priority).length;
+        const higher = [...this.running.values()].filter((running) => running.organisation === "" && running.priority < priority).length;
         return (ahead + 1) * this.meanServiceMs / Math.max(1, this.slotCount - higher);
     }
 
+    /** Estimates the wait of a request of an organisation from its place, by urgency or by turn, whichever comes first. */
+    private turnWaitMs(place: PlaceInQueue | undefined, nowMs: number): number {
+        const { byUrgency, byTurn, overtakingShare } = place ?? NEXT_PLACE;
+        const limitWaitMs = this.limiter.waitMs(Math.floor(Math.min(byUrgency, byTurn)), nowMs);
+        if (this.running.size + this.waiting.length < this.slotCount) {
+            return limitWaitMs;
+        }
+        const startsAhead = Math.min((byUrgency + 1) / Math.max(MIN_REMAINING_SHARE, 1 - overtakingShare), byTurn + 1);
+        return Math.max(startsAhead * this.meanServiceMs / Math.max(1, this.slotCount), limitWaitMs);
+    }
+
+    private findPlaces(waiting: readonly ServingRequest[], nowMs: number): ReadonlyMap<ServingRequest, PlaceInQueue> {
+        return this.turns.findPlaces(waiting, nowMs, this.meanServiceMs);
+    }
+
     private canStart(nowMs: number): boolean {
         return this.running.size < this.slotCount && this.limiter.waitMs(0, nowMs) === 0;
     }
 
     /**
      * Decides on an offered request and records the decision. A started request occupies a slot until `finish` is called;
-     * after a request was queued, `startNext` must be called.
+     * after a request was queued, `startNext` must be called, and then `removeDisplaced`.
      */
     admit(request: ServingRequest, grade: Grade, nowMs: number): Admission {
+        if (request.organisation !== "") {
+            this.turns.recordArrival(request, this.waiting, nowMs);
+            this.waitBounds.record(request, nowMs);
+        }
         const refusal = this.findRefusal(request, grade, nowMs);
         if (refusal !== undefined) {
+            this.turns.recordRefusal(request);
             return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request, nowMs) };
         }
         this.probeScheduler.recordRequest(grade, nowMs);
@@ -178,9 +225,48 @@
             return { kind: AdmissionKind.Start };
         }
         this.waiting.push(request);
+        this.latestStarts.set(request, nowMs + Math.max(TOLERATED_DELAY_MS, request.maxQueueMs));
         return { kind: AdmissionKind.Queue };
     }
 
+    /**
+     * Removes and returns the waiting requests of organisations that others have overtaken, so that they are no longer expected to start
+     * in time: the least urgent one of the most served organisation first. They have not run.
+     */
+    removeDisplaced(nowMs: number): readonly ServingRequest[] {
+        const displaced: ServingRequest[] = [];
+        for (let next = this.findDisplaced(nowMs); next !== undefined; next = this.findDisplaced(nowMs)) {
+            const removed = next;
+            this.waiting = this.waiting.filter((waiting) => waiting !== removed);
+            this.turns.recordRefusal(removed);
+            displaced.push(removed);
+        }
+        return displaced;
+    }
+
+    /** Returns the time after which the queue is expected to have room for a refused request, in ms. */
+    roomDelayMs(request: ServingRequest, nowMs: number): number {
+        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request, nowMs) - this.waitBoundMs(request, nowMs)));
+    }
+
+    private findDisplaced(nowMs: number): ServingRequest | undefined {
+        if (!this.hasOrganisationsWaiting) {
+            return undefined;
+        }
+        const places = this.findPlaces(this.waiting, nowMs);
+        const order = this.turns.order(this.waiting, nowMs, this.meanServiceMs);
+        if (this.waiting.length > MAX_WAITING) {
+            return order.at(-1);
+        }
+        const intervalMs = this.meanServiceMs / Math.max(1, this.slotCount);
+        return order.findLast((request, index) => index > 0
+            && nowMs + this.turnWaitMs(places.get(request), nowMs) > (this.latestStarts.get(request) ?? nowMs) + intervalMs);
+    }
+
+    private get hasOrganisationsWaiting(): boolean {
+        return this.waiting.some(({ organisation }) => organisation !== "");
+    }
+
     /**
      * Frees the slot of a request.
      *
@@ -201,8 +287,11 @@
 
     /** Frees the slot of a request that was not sent to the endpoint after all, which so has used nothing of its limit. */
     release(key: string): void {
-        if (this.running.delete(key)) {
+        const running = this.running.get(key);
+        if (running !== undefined) {
+            this.running.delete(key);
             this.limiter.withdrawSend();
+            running.withdrawUse();
         }
     }
 
@@ -230,9 +319,16 @@
 
     /** Removes and returns the waiting requests that are expected to miss their deadline because others have overtaken them. */
     removeOverdue(nowMs: number): readonly ServingRequest[] {
-        const ahead = countAhead(this.waiting);
-        const overdue = new Set(this.waiting.filter((waiting) => this.isOverdue(waiting, ahead.get(waiting) ?? 0, nowMs)));
+        const calls = this.waiting.filter(({ organisation }) => organisation === "");
+        const ahead = countAhead(calls);
+        const places = calls.length < this.waiting.length ? this.findPlaces(this.waiting, nowMs) : undefined;
+        const overdue = new Set(this.waiting.filter((waiting) => {
+            const place = places?.get(waiting);
+            const waitMs = place === undefined ? this.waitAheadMs(waiting, ahead.get(waiting) ?? 0, nowMs) : this.turnWaitMs(place, nowMs);
+            return this.isOverdue(waiting, waitMs, nowMs);
+        }));
         this.waiting = this.waiting.filter((waiting) => !overdue.has(waiting));
+        overdue.forEach((request) => this.turns.recordRefusal(request));
         return [...overdue];
     }
 
@@ -240,7 +336,10 @@
     startNext(nowMs: number): readonly ServingRequest[] {
         const started: ServingRequest[] = [];
         while (this.waiting.length > 0 && this.canStart(nowMs)) {
-            const next = this.waiting.reduce((best, candidate) => this.shouldStartBefore(candidate, best, nowMs) ? candidate : best);
+            const next = this.chooseNext(nowMs);
+            if (next === undefined) {
+                break;
+            }
             this.waiting = this.waiting.filter((waiting) => waiting !== next);
             this.start(next, nowMs);
             started.push(next);
@@ -248,9 +347,18 @@
         return started;
     }
 
+    private chooseNext(nowMs: number): ServingRequest | undefined {
+        const [firstCall, ...calls] = this.waiting.filter(({ organisation }) => organisation === "");
+        return firstCall === undefined
+            ? this.turns.takeNext(this.waiting, nowMs, this.meanServiceMs)
+            : calls.reduce((best, candidate) => this.shouldStartBefore(candidate, best, nowMs) ? candidate : best, firstCall);
+    }
+
     private start(request: ServingRequest, nowMs: number): void {
         assertInvariant(!this.running.has(request.key), "a request occupies one slot", request.key);
-        this.running.set(request.key, { startedAtMs: nowMs, priority: request.priority });
+        const { priority, organisation, organisationPriority } = request;
+        const withdrawUse = this.turns.recordStart(request, nowMs);
+        this.running.set(request.key, { startedAtMs: nowMs, priority, organisation, organisationPriority, withdrawUse });
         this.limiter.recordSend(nowMs);
     }
 
@@ -258,14 +366,24 @@
         if (this.isBlocked(request, grade, nowMs)) {
             return RefusalCause.Untrusted;
         }
-        if (this.isFull) {
+        if (this.isFull && !this.canDisplaceLast(request, nowMs)) {
             return RefusalCause.Busy;
         }
         const waitMs = this.expectedWaitMs(request, nowMs);
         if (nowMs + waitMs >= request.deadlineAtMs) {
             return RefusalCause.Deadline;
         }
-        return waitMs > request.maxQueueMs ? RefusalCause.Busy : undefined;
+        return waitMs > this.waitBoundMs(request, nowMs) ? RefusalCause.Busy : undefined;
+    }
+
+    /** True if a request of an organisation waits that would start after the given one. */
+    private canDisplaceLast(request: ServingRequest, nowMs: number): boolean {
+        const last = this.turns.order([...this.waiting, request], nowMs, this.meanServiceMs).at(-1);
+        return last !== undefined && last !== request;
+    }
+
+    private waitBoundMs(request: ServingRequest, nowMs: number): number {
+        return request.organisation === "" ? request.maxQueueMs : this.waitBounds.boundMs(request, nowMs);
     }
 
     private isBlocked(request: ServingRequest, grade: Grade, nowMs: number): boolean {
@@ -277,8 +395,8 @@
     }
 
     /** True if not even half of the mean service time is expected to fit before the deadline. */
-    private isOverdue(request: ServingRequest, ahead: number, nowMs: number): boolean {
-        return nowMs + this.waitAheadMs(request, ahead, nowMs) + this.meanServiceMs / 2 >= request.deadlineAtMs;
+    private isOverdue(request: ServingRequest, waitMs: number, nowMs: number): boolean {
+        return nowMs + waitMs + this.meanServiceMs / 2 >= request.deadlineAtMs;
     }
 
     private shouldStartBefore(left: ServingRequest, right: ServingRequest, nowMs: number): boolean {
@@ -291,6 +409,8 @@
     }
 
     private retryAfterMs(request: ServingRequest, nowMs: number): number {
-        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request, nowMs)));
+        return request.organisation === ""
+            ? Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request, nowMs)))
+            : this.roomDelayMs(request, nowMs);
     }
 }
--- a/src/decisions/serving/ServingQueue/test.ts
+++ b/src/decisions/serving/ServingQueue/test.ts
@@ -270,3 +270,118 @@
     t.is(queue.runningCount, 1_024);
     t.is(queue.usableSlots, 1_024);
 });
+
+/** Fills one slot and the queue behind it with requests of one organisation, as far as they are admitted. */
+function fillWith(queue: ServingQueue, organisation: string, overrides: Partial<ServingRequest> = {}): readonly string[] {
+    queue.admit(request("running", { organisation, ...overrides }), Grade.Trusted, 0);
+    return Array.from({ length: 10 }, (_value, index) => `${organisation}${index}`).filter((key) =>
+        queue.admit(request(key, { organisation, maxQueueMs: 1_700, ...overrides }), Grade.Trusted, 0).kind === AdmissionKind.Queue);
+}
+
+// Load: one organisation has filled the queue when others come. Guards against a heavy sender that crowds out the others.
+test("a request of a less served organisation displaces the last one of the most served organisation", (t) => {
+    const queue = ServingQueue.create(1);
+    const waiting = fillWith(queue, "a");
+    const before = queue.waitingCount;
+    t.is(queue.admit(request("b", { organisation: "b", maxQueueMs: 1_700 }), Grade.Trusted, 0).kind, AdmissionKind.Queue);
+    t.is(queue.admit(request("c", { organisation: "c", maxQueueMs: 1_700 }), Grade.Trusted, 0).kind, AdmissionKind.Queue);
+    t.is(queue.admit(request("d", { organisation: "d", maxQueueMs: 1_700 }), Grade.Trusted, 0).kind, AdmissionKind.Queue);
+    t.deepEqual(queue.startNext(0), []);
+    const displaced = keys(queue.removeDisplaced(0));
+    t.true(displaced.length > 0 && displaced.length <= 3 && displaced[0] === waiting.at(-1), displaced.join(" "));
+    t.true(queue.waitingCount <= before + 2);
+    t.is(queue.admit(request("late", { organisation: "a", maxQueueMs: 1_700 }), Grade.Trusted, 0).kind, AdmissionKind.Refuse);
+});
+
+// Failure: the entry was told that the request has not run, and offers it elsewhere.
+test("a displaced request never starts at this gate", (t) => {
+    const queue = ServingQueue.create(1);
+    fillWith(queue, "a");
+    queue.admit(request("urgent1", { organisation: "b", priority: 0 }), Grade.Trusted, 0);
+    queue.admit(request("urgent2", { organisation: "c", priority: 0 }), Grade.Trusted, 0);
+    queue.admit(request("urgent3", { organisation: "d", priority: 0 }), Grade.Trusted, 0);
+    const displaced = keys(queue.removeDisplaced(0));
+    t.true(displaced.length > 0);
+    const started: string[] = [];
+    for (let last = "running", atMs = 10; last !== ""; atMs += 10) {
+        queue.finish(last, atMs, false);
+        last = keys(queue.startNext(atMs))[0] ?? "";
+        started.push(last);
+    }
+    t.deepEqual(started.filter((key) => displaced.includes(key)), []);
+});
+
+test("a call without an organisation starts before requests of organisations and is not displaced", (t) => {
+    const queue = ServingQueue.create(1);
+    fillWith(queue, "a", { priority: 0 });
+    queue.admit(request("call", { priority: 2, maxQueueMs: 400 }), Grade.Trusted, 0);
+    for (let index = 0; index < 10; index += 1) {
+        queue.admit(request(`b${index}`, { organisation: "b", priority: 0 }), Grade.Trusted, 0);
+    }
+    t.false(keys(queue.removeDisplaced(0)).includes("call"));
+    queue.finish("running", 10, false);
+    t.deepEqual(keys(queue.startNext(10)), ["call"]);
+});
+
+// Failure: the entry cancels a request that waits, or does not confirm its slot. Guards against an organisation that pays for what has not run.
+test("a request that was cancelled or not confirmed leaves no use behind", (t) => {
+    const order = (cancelsFirst: boolean): readonly string[] => {
+        const queue = ServingQueue.create(1);
+        queue.admit(request("running"), Grade.Trusted, 0);
+        if (cancelsFirst) {
+            queue.admit(request("cancelled", { organisation: "a" }), Grade.Trusted, 0);
+            queue.removeWaiting("cancelled");
+            queue.admit(request("unconfirmed", { organisation: "a" }), Grade.Trusted, 0);
+            queue.finish("running", 1, false);
+            t.deepEqual(keys(queue.startNext(1)), ["unconfirmed"]);
+            queue.release("unconfirmed");
+            queue.admit(request("running"), Grade.Trusted, 2);
+        }
+        queue.admit(request("a", { organisation: "a", targetAtMs: 4_000 }), Grade.Trusted, 2);
+        queue.admit(request("b", { organisation: "b" }), Grade.Trusted, 2);
+        queue.finish("running", 3, false);
+        return keys(queue.startNext(3));
+    };
+    t.deepEqual(order(false), ["a"]);
+    t.deepEqual(order(true), ["a"]);
+});
+
+// Failure: the endpoint restarts while a request of its earlier run is reverted.
+test("an endpoint that restarts resets what is known of its use", (t) => {
+    const queue = ServingQueue.create(1);
+    queue.admit(request("a1", { organisation: "a" }), Grade.Trusted, 0);
+    queue.finish("a1", 10, true);
+    queue.admit(request("a2", { organisation: "a" }), Grade.Trusted, 10);
+    queue.resetEndpoint(EndpointLimiter.create());
+    queue.admit(request("b1", { organisation: "b" }), Grade.Trusted, 20);
+    queue.admit(request("a3", { organisation: "a", targetAtMs: 4_000 }), Grade.Trusted, 20);
+    queue.release("a2");
+    t.deepEqual(keys(queue.startNext(20)), ["a3"]);
+});
+
+// Guards against a deployment without organisations that orders its requests in another way than before.
+test("without organisations nothing is displaced and the order is by priority, then by those in time, then by target", (t) => {
+    let random = 7;
+    const next = (bound: number): number => {
+        random = random * 48_271 % 2_147_483_647;
+        return random % bound;
+    };
+    const queue = ServingQueue.create(1);
+    queue.admit(request("running", { priority: 0 }), Grade.Trusted, 0);
+    const waiting = Array.from({ length: 200 }, (_value, index) =>
+        request(String(index), { priority: next(3), targetAtMs: next(10_000), deadlineAtMs: 1_000_000, maxQueueMs: Number.POSITIVE_INFINITY }));
+    waiting.forEach((one) => {
+        t.is(queue.admit(one, Grade.Trusted, 0).kind, AdmissionKind.Queue);
+    });
+    t.deepEqual(queue.removeDisplaced(5_000), []);
+    const isLate = ({ targetAtMs }: ServingRequest): number => Number(5_000 + queue.serviceMs > targetAtMs);
+    const expected = [...waiting].sort((left, right) =>
+        left.priority - right.priority || isLate(left) - isLate(right) || left.targetAtMs - right.targetAtMs);
+    const started: string[] = [];
+    for (let last = "running"; started.length < waiting.length;) {
+        queue.finish(last, 5_000, false);
+        last = keys(queue.startNext(5_000))[0] ?? "";
+        started.push(last);
+    }
+    t.deepEqual(started, keys(expected));
+});
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -70,5 +70,6 @@
     BackendBroken = 530,
     RequestAnswered = 531,
     RequestFailed = 532,
+    RequestDisplaced = 533,
     RequestStruck = 521,
 }
--- a/src/metrics/EventMetrics/index.ts
+++ b/src/metrics/EventMetrics/index.ts
@@ -5,21 +5,28 @@
 
 /** Number of services with their own series; all others share the label `other`. */
 const MAX_SERVICES = 64;
-const OTHER_SERVICES = "other";
+/** Number of organisations with their own series; all others share the label `other`. */
+const MAX_ORGANISATIONS = 64;
+const OTHER = "other";
 /** Lowest status that counts as a failure of the endpoint. */
 const MIN_FAILED_STATUS = 500;
 const MS_PER_SECOND = 1_000;
 /** Upper bounds of the latency buckets, in s: about two per doubling, up to the longest deadlines. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 1.6, 2.4, 3.2, 4.8, 6.4, 12.8];
+/** The same by organisation: fewer, since there are more series. */
+const ORGANISATION_BUCKETS_S = [0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
 /** Derives Prometheus metrics from log events. The number of series is bounded. */
 export class EventMetrics {
     private readonly registry = new Registry();
     private readonly services = new Set<string>();
+    private readonly organisations = new Set<string>();
     private readonly events: Counter<"event">;
     private readonly requests: Counter<"service" | "outcome">;
     private readonly refusals: Counter<"cause">;
     private readonly latency: Histogram<"service" | "outcome">;
+    private readonly organisationLatency: Histogram<"organisation" | "outcome">;
+    private readonly displacements: Counter<"cause">;
 
     private constructor() {
         const registers = [this.registry];
@@ -38,6 +45,19 @@
             buckets: LATENCY_BUCKETS_S,
             registers,
         });
+        this.organisationLatency = new Histogram({
+            name: "gypsumpulley_organisation_request_seconds",
+            help: "Time from the arrival of a request of an organisation to its answer or refusal",
+            labelNames: ["organisation", "outcome"],
+            buckets: ORGANISATION_BUCKETS_S,
+            registers,
+        });
+        this.displacements = new Counter({
+            name: "gypsumpulley_displaced_total",
+            help: "Waiting requests of organisations that the gate of this VM refused, by cause",
+            labelNames: ["cause"],
+            registers,
+        });
     }
 
     /** Creates metrics with all counters at zero. */
@@ -62,6 +82,10 @@
                 return;
             case EventNumber.RequestRefused:
                 this.refusals.inc({ cause: String(fields.cause) });
+                this.countForOrganisation(fields, "refused");
+                return;
+            case EventNumber.RequestDisplaced:
+                this.displacements.inc({ cause: String(fields.cause) });
                 return;
             default:
         }
@@ -83,15 +107,24 @@
     }
 
     private countRequest(fields: LogFields, outcome: string): void {
-        const labels = { service: this.getServiceLabel(String(fields.service)), outcome };
+        const labels = { service: getLabel(this.services, String(fields.service), MAX_SERVICES), outcome };
         this.requests.inc(labels);
         this.latency.observe(labels, Number(fields.tookMs) / MS_PER_SECOND);
+        this.countForOrganisation(fields, outcome === "answered" ? outcome : "failed");
     }
 
-    private getServiceLabel(service: string): string {
-        if (this.services.size < MAX_SERVICES) {
-            this.services.add(service);
+    private countForOrganisation({ organisation, tookMs }: LogFields, outcome: string): void {
+        if (typeof organisation === "string") {
+            const labels = { organisation: getLabel(this.organisations, organisation, MAX_ORGANISATIONS), outcome };
+            this.organisationLatency.observe(labels, Number(tookMs) / MS_PER_SECOND);
         }
-        return this.services.has(service) ? service : OTHER_SERVICES;
     }
 }
+
+/** Returns the label of a name: its own for the first ones, for all others the same. */
+function getLabel(known: Set<string>, name: string, maxCount: number): string {
+    if (known.size < maxCount) {
+        known.add(name);
+    }
+    return known.has(name) ? name : OTHER;
+}
--- a/src/metrics/EventMetrics/test.ts
+++ b/src/metrics/EventMetrics/test.ts
@@ -24,6 +24,37 @@
     t.true(text.includes("gypsumpulley_events_total{event=\"PathLost\"} 1"));
 });
 
+test("request times are counted by organisation, whatever became of the request, and only with one", async (t) => {
+    const metrics = EventMetrics.create();
+    metrics.observe(EventNumber.RequestAnswered, { service: "a", organisation: "o", status: 200, tookMs: 120 });
+    metrics.observe(EventNumber.RequestAnswered, { service: "a", organisation: "o", status: 500, tookMs: 120 });
+    metrics.observe(EventNumber.RequestFailed, { service: "a", organisation: "o", failure: "timed-out", tookMs: 3_000 });
+    metrics.observe(EventNumber.RequestRefused, { organisation: "o", cause: "busy", tookMs: 40 });
+    metrics.observe(EventNumber.RequestAnswered, { service: "a", status: 200, tookMs: 120 });
+    const counts = (await metrics.render()).split("\n").filter((line) => line.startsWith("gypsumpulley_organisation_request_seconds_count"));
+    t.deepEqual(counts.sort(), [
+        "gypsumpulley_organisation_request_seconds_count{organisation=\"o\",outcome=\"answered\"} 1",
+        "gypsumpulley_organisation_request_seconds_count{organisation=\"o\",outcome=\"failed\"} 2",
+        "gypsumpulley_organisation_request_seconds_count{organisation=\"o\",outcome=\"refused\"} 1",
+    ]);
+});
+
+test("the number of series is bounded for any number of organisations", async (t) => {
+    const metrics = EventMetrics.create();
+    for (let organisation = 0; organisation < 1_000; organisation += 1) {
+        metrics.observe(EventNumber.RequestRefused, { organisation: `o-${organisation}`, cause: "busy", tookMs: 1 });
+    }
+    const lines = (await metrics.render()).split("\n").filter((line) => line.startsWith("gypsumpulley_organisation_request_seconds_count"));
+    t.is(lines.length, 65);
+    t.true(lines.includes("gypsumpulley_organisation_request_seconds_count{organisation=\"other\",outcome=\"refused\"} 936"));
+});
+
+test("displaced requests are counted by cause", async (t) => {
+    const metrics = EventMetrics.create();
+    metrics.observe(EventNumber.RequestDisplaced, { cause: "overtaken", organisation: "o", waitedMs: 5 });
+    t.true((await metrics.render()).includes("gypsumpulley_displaced_total{cause=\"overtaken\"} 1"));
+});
+
 test("a gauge is read when the metrics are rendered", async (t) => {
     const metrics = EventMetrics.create();
     let links = 1;
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -13,6 +13,7 @@
 import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
+import { DisplacementCause } from "../../decisions/serving/DisplacementCause.js";
 import { isBlockedByGrade } from "../../decisions/serving/isBlockedByGrade/index.js";
 import { ServingQueue } from "../../decisions/serving/ServingQueue/index.js";
 import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
@@ -257,6 +258,7 @@
                 });
                 onReply({ kind: GateReplyKind.Queued });
                 this.startNext();
+                this.refuseDisplaced(atMs);
                 break;
             case AdmissionKind.Start:
                 this.acceptedOffers.set(offer.key, {
@@ -505,13 +507,35 @@
         accepted?.onReply(this.createRefusal(cause, retryAfterMs, reachedEndpoint));
     }
 
+    /** Refuses the waiting requests that others have overtaken, so that they are no longer expected to be served in time. */
+    private refuseDisplaced(atMs: number): void {
+        this.queue.removeDisplaced(atMs).forEach((request) => this.refuseWaiting(request, DisplacementCause.Overtaken, atMs));
+    }
+
+    private refuseWaiting(request: ServingRequest, cause: DisplacementCause, atMs: number): void {
+        const { key, organisation } = request;
+        if (organisation === "") {
+            this.refuse(key, RefusalCause.Busy, Math.round(this.queue.serviceMs), false);
+            return;
+        }
+        const accepted = this.acceptedOffers.get(key);
+        this.options.events.record(EventNumber.RequestDisplaced, {
+            requestId: accepted?.offer.requestId,
+            organisation,
+            cause,
+            waitedMs: accepted === undefined ? undefined : Math.round(atMs - accepted.deadlineAtMs + accepted.offer.remainingMs),
+        });
+        this.refuse(key, RefusalCause.Busy, this.queue.roomDelayMs(request, atMs), false);
+    }
+
     private createRefusal(cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): GateReply {
         return { kind: GateReplyKind.Refused, cause, retryAfterMs, reachedEndpoint, load: this.load };
     }
 
     private tick(): void {
         const atMs = nowMs();
-        this.queue.removeOverdue(atMs).forEach(({ key }) => this.refuse(key, RefusalCause.Busy, Math.round(this.queue.serviceMs), false));
+        this.queue.removeOverdue(atMs).forEach((request) => this.refuseWaiting(request, DisplacementCause.Overdue, atMs));
+        this.refuseDisplaced(atMs);
         const hungAfterMs = Math.max(MIN_HANG_MS, HANG_FACTOR * this.queue.serviceMs);
         this.acceptedOffers.forEach((accepted) => {
             if (accepted.startedAtMs > 0 && atMs > accepted.deadlineAtMs + ABANDON_DELAY_MS) {
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -449,3 +449,35 @@
         return Promise.resolve();
     });
 });
+
+// Failure: a request that waits is overtaken. Guards against one that is held until its deadline, and against one that was refused and runs.
+test("a waiting request that others overtake is refused at once, with the time until there is room, and is never sent", async (t) => {
+    const sockets: Socket[] = [];
+    await withGate(t, (socket) => sockets.push(socket), async ({ gate, events, arrivals, offer }) => {
+        const offerOf = (key: string, organisation: string, priority: number): { readonly replies: GateReply[] } =>
+            offer(key, { organisation, organisationPriority: 1, priority, maxQueueMs: priority === 0 ? 2_000 : 700 });
+        offerOf("1", "a", 1);
+        offerOf("2", "a", 1);
+        const waiting = [offerOf("3", "a", 1), offerOf("4", "a", 1)];
+        const urgent = [offerOf("5", "b", 0), offerOf("6", "c", 0), offerOf("7", "d", 0)];
+        const displaced = waiting.filter(({ replies }) => replies.at(-1)?.kind === GateReplyKind.Refused);
+        t.true(displaced.length > 0);
+        displaced.forEach(({ replies }) => {
+            const last = replies.at(-1);
+            t.true(last?.kind === GateReplyKind.Refused && last.cause === RefusalCause.Busy && last.retryAfterMs >= 50 && !last.reachedEndpoint);
+        });
+        t.is(events.find("RequestDisplaced").length, displaced.length);
+        const expected = 7 - displaced.length;
+        for (let answered = 0; answered < expected; answered += 1) {
+            await waitUntil(() => sockets.length > 0);
+            const socket = sockets.shift();
+            if (socket !== undefined) {
+                respond(socket, 200);
+            }
+        }
+        await waitUntil(() => gate.offerCount === 0);
+        t.is(arrivals(), expected);
+        t.true(urgent.every(({ replies }) => replies.at(-1)?.kind === GateReplyKind.Answered));
+        t.true(displaced.every(({ replies }) => replies.length === 2));
+    });
+});
