--- a/src/metrics/EventMetrics/index.ts
+++ b/src/metrics/EventMetrics/index.ts
@@ -12,6 +12,8 @@
 const MS_PER_SECOND = 1_000;
 /** Upper bounds of the latency buckets, in s: about two per doubling, up to the longest deadlines. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 1.6, 2.4, 3.2, 4.8, 6.4, 12.8];
+/** The same by organisation: fewer, since there are more series. */
+const ORGANISATION_BUCKETS_S = [0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
 /** Derives Prometheus metrics from log events. The number of series is bounded. */
 export class EventMetrics {
@@ -23,6 +25,8 @@
     private readonly refusals: Counter<"cause">;
     private readonly quotaRefusals: Counter<"organisation">;
     private readonly latency: Histogram<"service" | "outcome">;
+    private readonly organisationLatency: Histogram<"organisation" | "outcome">;
+    private readonly displacements: Counter<"cause">;
 
     private constructor() {
         const registers = [this.registry];
@@ -47,6 +51,19 @@
             buckets: LATENCY_BUCKETS_S,
             registers,
         });
+        this.organisationLatency = new Histogram({
+            name: "gypsumpulley_organisation_request_seconds",
+            help: "Time from the arrival of a request of an organisation to its answer or refusal",
+            labelNames: ["organisation", "outcome"],
+            buckets: ORGANISATION_BUCKETS_S,
+            registers,
+        });
+        this.displacements = new Counter({
+            name: "gypsumpulley_displaced_total",
+            help: "Waiting requests of organisations that the gate of this VM refused, by cause",
+            labelNames: ["cause"],
+            registers,
+        });
     }
 
     /** Creates metrics with all counters at zero. */
@@ -74,6 +91,10 @@
                 if (fields.cause === RefusalCause.Quota) {
                     this.quotaRefusals.inc({ organisation: labelOf(String(fields.organisation), this.organisations) });
                 }
+                this.countForOrganisation(fields, "refused");
+                return;
+            case EventNumber.RequestDisplaced:
+                this.displacements.inc({ cause: String(fields.cause) });
                 return;
             default:
         }
@@ -98,10 +119,18 @@
         const labels = { service: labelOf(String(fields.service), this.services), outcome };
         this.requests.inc(labels);
         this.latency.observe(labels, Number(fields.tookMs) / MS_PER_SECOND);
+        this.countForOrganisation(fields, outcome === "answered" ? outcome : "failed");
+    }
+
+    private countForOrganisation({ organisation, tookMs }: LogFields, outcome: string): void {
+        if (typeof organisation === "string") {
+            const labels = { organisation: labelOf(organisation, this.organisations), outcome };
+            this.organisationLatency.observe(labels, Number(tookMs) / MS_PER_SECOND);
+        }
     }
 }
 
-/** Returns the label of a name; the first names have series of their own. */
+/** Returns the label of a name: its own for the first ones, for all others the same. */
 function labelOf(name: string, named: Set<string>): string {
     if (named.size < MAX_NAMES) {
         named.add(name);
