Let the soak of processes send with keys of organisations

Cause: keys and quotas were not checked with processes that are killed, paused and restarted; and the position by which a proxy tells that a control VM lags never went back, so that it would have asked none after all of them had lost their disks. Endpoints record the name and whether they got a key. Lags are counted from the positions that live control VMs state.

--- a/bench/processSoak.ts
+++ b/bench/processSoak.ts
@@ -10,9 +10,10 @@
     .option("--seconds <count>", "seconds of faults per seed", "40")
     .option("--earliest-reload <ms>", "time after the start of a process before which it gets no SIGHUP", "300")
     .option("--abuse <kinds>", "kinds of faulty peers, separated by commas, or none", Object.values(AbuseKind).join(","))
+    .option("--organisations", "callers need keys of organisations, one of which sends more than its limit", false)
     .option("--program <file>", "the platform program", "target/gypsumpulley.cjs")
     .parse()
-    .opts<Record<"seed" | "seeds" | "proxies" | "seconds" | "earliestReload" | "abuse" | "program", string>>();
+    .opts<Record<"seed" | "seeds" | "proxies" | "seconds" | "earliestReload" | "abuse" | "program", string> & { readonly organisations: boolean }>();
 
 const kinds = options.abuse.split(",");
 const unknownKinds = kinds.filter((kind) => kind !== "none" && !Object.values<string>(AbuseKind).includes(kind));
@@ -34,6 +35,7 @@
         earliestReloadMs: Number(options.earliestReload),
         program: options.program,
         abuseKinds,
+        hasOrganisations: options.organisations,
     });
     violations += report.violations.length;
     process.stdout.write(`${JSON.stringify(report, undefined, 1)}\n`);
--- a/bench/processes/AttemptRecord.ts
+++ b/bench/processes/AttemptRecord.ts
@@ -8,6 +8,8 @@
     readonly vm: number;
     readonly kind: RouteKind;
     readonly path: string;
+    /** Key that its caller sent, or undefined if it sent none. */
+    readonly apiKey?: string;
     readonly deadlineMs: number;
     /** Time at which the last byte was written. */
     sentAtMs: number;
--- a/bench/processes/CallerConnection/index.ts
+++ b/bench/processes/CallerConnection/index.ts
@@ -102,6 +102,8 @@
             `Host: ${record.kind}.example`,
             `Attempt-Id: ${record.id}`,
             `Deadline-Ms: ${record.deadlineMs}`,
+            // The name is that of no organisation; a proxy replaces it once there are any.
+            ...record.apiKey === undefined ? [] : [`Authorization: Bearer ${record.apiKey}`, "Tenant: forged"],
             ...bodyBytes > 0 ? [`Content-Length: ${bodyBytes}`] : [],
         ];
         const send = (piece: string | Buffer, isLast: boolean): void => this.afterLatency(() => {
--- a/bench/processes/EndpointServer/index.ts
+++ b/bench/processes/EndpointServer/index.ts
@@ -112,6 +112,8 @@
             attemptId,
             vm: this.vm,
             callerService: headers["caller-service"],
+            tenant: headers.tenant,
+            hasKey: headers.authorization !== undefined,
             startedAtMs: this.nowMs(),
             finishedAtMs: undefined,
         };
--- a/bench/processes/ProcessSoakOptions.ts
+++ b/bench/processes/ProcessSoakOptions.ts
@@ -13,4 +13,6 @@
     readonly program: string;
     /** Kinds of faulty peers. With any, the run has calm periods, and memory and processor time are judged at its end. */
     readonly abuseKinds: readonly AbuseKind[];
+    /** True if callers need keys of organisations, one of which sends more than its limit. */
+    readonly hasOrganisations?: boolean;
 }
--- a/bench/processes/SoakJudge/index.ts
+++ b/bench/processes/SoakJudge/index.ts
@@ -3,10 +3,12 @@
 import { Period } from "../Period.js";
 import { FaultRecord } from "../FaultRecord.js";
 import { FaultKind } from "../FaultKind.js";
+import { findKeyViolations } from "../findKeyViolations/index.js";
 import { findStarvation } from "../findStarvation/index.js";
 import { findViolations } from "../findViolations/index.js";
 import { RefusalRecord } from "../RefusalRecord.js";
 import { RunRecord } from "../RunRecord.js";
+import { SOAK_ORGANISATIONS } from "../soakOrganisations.js";
 
 /** Age at which a request is judged, in ms; longer than its deadline, and than a process keeps a request that it has passed on. */
 const JUDGED_AGE_MS = 40_000;
@@ -30,6 +32,8 @@
     readonly graceMs: number;
     readonly proxyCount: number;
     readonly serviceOf: (vm: number) => string;
+    /** True if callers need keys of organisations. */
+    readonly hasOrganisations?: boolean;
 }
 
 /** Judges the records of a run as they age, and drops them, so that a run of any length needs bounded memory. */
@@ -63,13 +67,14 @@
 
     private judge(untilMs: number, dropUntilMs: number): void {
         const { attempts, refusals, runs, faults, abuses, calms, stalls } = this.records;
-        const { graceMs, proxyCount, serviceOf } = this.options;
+        const { graceMs, proxyCount, serviceOf, hasOrganisations = false } = this.options;
         const isLast = untilMs === Number.POSITIVE_INFINITY;
         const judged = removeWhere(attempts, ({ end, endedAtMs }) => isLast || (end !== undefined && endedAtMs < untilMs));
         const judgedRefusals = removeWhere(refusals, ({ atMs }) => atMs < untilMs);
         this.violations.push(
             ...findViolations({ attempts: judged, runs, faults, abuses, stalls, graceMs, serviceOf }),
-            ...findStarvation({ attempts: judged, refusals: judgedRefusals, abuses, calms, proxyCount }),
+            ...hasOrganisations ? findKeyViolations(judged, runs) : [],
+            ...findStarvation({ attempts: judged.filter(isExpectedToBeServed), refusals: judgedRefusals, abuses, calms, proxyCount }),
         );
         this.requests += judged.length;
         this.served += judged.filter(({ status }) => status === STATUS_OK).length;
@@ -81,6 +86,11 @@
     }
 }
 
+/** Requests of the organisation above its limit and those with an unknown key are refused in any case. */
+function isExpectedToBeServed({ apiKey }: AttemptRecord): boolean {
+    return apiKey === undefined || apiKey === SOAK_ORGANISATIONS.unlimited.apiKey;
+}
+
 /** Removes the entries that match from a list, and returns them. */
 function removeWhere<T>(entries: T[], matches: (entry: T) => boolean): readonly T[] {
     const removed = entries.filter(matches);
--- a/bench/processes/TrafficSource/index.ts
+++ b/bench/processes/TrafficSource/index.ts
@@ -5,6 +5,8 @@
 import { ProcessFleet } from "../ProcessFleet/index.js";
 import { RefusalRecord } from "../RefusalRecord.js";
 import { RouteKind } from "../RouteKind.js";
+import { SOAK_ORGANISATIONS } from "../soakOrganisations.js";
+import { UNKNOWN_KEY } from "../unknownKey.js";
 
 const DEADLINE_MS = 6_000;
 const READINESS_INTERVAL_MS = 1_000;
@@ -14,6 +16,8 @@
 const MAX_LATENCY_MS = 20;
 const STATUS_OK = 200;
 const UNLIMITED = Number.POSITIVE_INFINITY;
+/** Share of the requests of callers above their limit that carry an unknown key. */
+const UNKNOWN_KEY_SHARE = 0.1;
 
 /** Kinds of callers. Each keeps a connection and sends one request, or one group of pipelined ones, after the other. */
 enum Caller {
@@ -21,6 +25,8 @@
     Ordering,
     SlowReading,
     Uploading,
+    /** Sends with the key of an organisation above its limit, and sometimes with an unknown one. */
+    Exceeding,
 }
 
 /** Callers on all VMs. They keep using open connections until these are closed, and open new ones to proxies that are ready. */
@@ -33,7 +39,12 @@
     private readonly misses = new Map<number, number>();
     private isStopped = false;
 
-    private constructor(private readonly fleet: ProcessFleet, private readonly random: () => number, private readonly nowMs: () => number) {}
+    private constructor(
+        private readonly fleet: ProcessFleet,
+        private readonly random: () => number,
+        private readonly nowMs: () => number,
+        private readonly hasOrganisations: boolean,
+    ) {}
 
     /**
      * Creates callers that send nothing yet.
@@ -41,9 +52,10 @@
      * @param fleet - The proxies.
      * @param random - Source of random numbers from 0 to 1.
      * @param nowMs - Clock of the soak.
+     * @param hasOrganisations - True if callers need keys of organisations.
      */
-    static create(fleet: ProcessFleet, random: () => number, nowMs: () => number): TrafficSource {
-        return new TrafficSource(fleet, random, nowMs);
+    static create(fleet: ProcessFleet, random: () => number, nowMs: () => number, hasOrganisations = false): TrafficSource {
+        return new TrafficSource(fleet, random, nowMs, hasOrganisations);
     }
 
     /** Sends requests until `stop` is called, and resolves when all have ended. */
@@ -51,7 +63,8 @@
         const timer = setInterval(() => this.askReadiness(), READINESS_INTERVAL_MS);
         const vms = Array.from({ length: this.fleet.proxyCount }, (_value, vm) => vm);
         const callers = [Caller.Pipelining, Caller.Pipelining, Caller.Ordering, Caller.Ordering, Caller.SlowReading, Caller.Uploading];
-        await Promise.all(vms.flatMap((vm) => callers.map((caller) => this.runCaller(vm, caller))));
+        const exceeding = this.hasOrganisations ? [Caller.Exceeding] : [];
+        await Promise.all(vms.flatMap((vm) => [...callers, ...exceeding].map((caller) => this.runCaller(vm, caller))));
         clearInterval(timer);
     }
 
@@ -77,7 +90,7 @@
                 continue;
             }
             await this.sendGroup(connection, vm, caller);
-            await delay(this.between(5, 150));
+            await delay(caller === Caller.Exceeding ? this.between(100, 300) : this.between(5, 150));
         }
         connection?.close();
     }
@@ -104,15 +117,28 @@
                 return this.send(connection, vm, RouteKind.Download, this.between(20, 200), this.between(100_000, 8_000_000), 0);
             case Caller.Uploading:
                 return this.send(connection, vm, RouteKind.Unsafe, this.between(20, 400), 100, this.between(50_000, 600_000));
+            case Caller.Exceeding: {
+                const apiKey = this.random() < UNKNOWN_KEY_SHARE ? UNKNOWN_KEY : SOAK_ORGANISATIONS.exceeding.apiKey;
+                return this.send(connection, vm, RouteKind.Safe, 10, 100, 0, apiKey);
+            }
         }
     }
 
-    private send(connection: CallerConnection, vm: number, kind: RouteKind, workMs: number, bytes: number, bodyBytes: number): Promise<void> {
+    private send(
+        connection: CallerConnection,
+        vm: number,
+        kind: RouteKind,
+        workMs: number,
+        bytes: number,
+        bodyBytes: number,
+        apiKey = this.hasOrganisations && kind !== RouteKind.Download ? SOAK_ORGANISATIONS.unlimited.apiKey : undefined,
+    ): Promise<void> {
         const record: AttemptRecord = {
             id: `a-${vm}-${this.count}`,
             vm,
             kind,
             path: `/w${workMs}/s${bytes}/`,
+            apiKey,
             deadlineMs: DEADLINE_MS,
             sentAtMs: Number.POSITIVE_INFINITY,
             isBehindAnother: connection.outstandingCount > 0,
--- a/bench/processes/createConfigurationChange/index.ts
+++ b/bench/processes/createConfigurationChange/index.ts
@@ -1,4 +1,5 @@
 import { RouteKind } from "../RouteKind.js";
+import { SoakOrganisation } from "../SoakOrganisation.js";
 
 const SERVICES = { [RouteKind.Safe]: "alpha", [RouteKind.Unsafe]: "beta", [RouteKind.Download]: "alpha" };
 
@@ -7,11 +8,12 @@
  *
  * @param version - Version of all items.
  * @param timeoutMs - Timeout of all routes.
+ * @param organisations - Organisations whose keys all routes but that of downloads need.
  * @returns The body in JSON.
  * @example
  * createConfigurationChange(2, 7_000);
  */
-export function createConfigurationChange(version: number, timeoutMs: number): string {
+export function createConfigurationChange(version: number, timeoutMs: number, organisations: readonly SoakOrganisation[] = []): string {
     const metadata = (name: string): object => ({ name, version: `r${version}` });
     const routes = Object.values(RouteKind).map((kind) => ({
         entry_kind: "routes",
@@ -25,6 +27,7 @@
             priority: 1,
             max_attempts: 2,
             service: SERVICES[kind],
+            auth_exempt: kind === RouteKind.Download,
         },
     }));
     const services = ["alpha", "beta"].map((name) => ({
@@ -37,5 +40,10 @@
         metadata: { version: `r${version}` },
         spec: { max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout: "3000ms", idle_timeout: "15000ms" },
     };
-    return JSON.stringify({ upsert: { resources: [...services, limits, ...routes] } });
+    const tenants = organisations.map(({ name, apiKey, ratePerSecond, burst }) => ({
+        entry_kind: "tenants",
+        metadata: metadata(name),
+        spec: { api_keys: [apiKey], priority: 1, rate_per_s: ratePerSecond, burst },
+    }));
+    return JSON.stringify({ upsert: { resources: [...services, limits, ...routes, ...tenants] } });
 }
--- a/bench/processes/runProcessSoak/index.ts
+++ b/bench/processes/runProcessSoak/index.ts
@@ -15,6 +15,7 @@
 import { ProcessSoakReport } from "../ProcessSoakReport.js";
 import { ProcessWatch } from "../ProcessWatch/index.js";
 import { RunRecord } from "../RunRecord.js";
+import { SOAK_ORGANISATIONS } from "../soakOrganisations.js";
 import { SoakJudge } from "../SoakJudge/index.js";
 import { StallWatch } from "../StallWatch/index.js";
 import { startObstructed } from "../startObstructed/index.js";
@@ -51,7 +52,7 @@
  * (await runProcessSoak({ seed: 1, proxyCount: 6, durationMs: 30_000, earliestReloadMs: 300, program, abuseKinds: [] })).violations;
  */
 export async function runProcessSoak(options: ProcessSoakOptions): Promise<ProcessSoakReport> {
-    const { seed, proxyCount, durationMs, earliestReloadMs, program, abuseKinds } = options;
+    const { seed, proxyCount, durationMs, earliestReloadMs, program, abuseKinds, hasOrganisations = false } = options;
     const nowMs = (): number => performance.now();
     const block = `127.${20 + process.pid % 200}.${1 + seed % 250}`;
     const fleet = ProcessFleet.create(program, block, proxyCount, GRACE_MS, nowMs);
@@ -59,23 +60,24 @@
     const calms: Period[] = [];
     const endpoints: EndpointServer[] = [];
     const violations: string[] = [];
+    const organisations = hasOrganisations ? Object.values(SOAK_ORGANISATIONS) : [];
     let version = 1;
     let acknowledgedVersion = 0;
     const changeConfiguration = async (): Promise<void> => {
         const ownVersion = version += 1;
         const timeoutMs = TIMEOUTS_MS[ownVersion % TIMEOUTS_MS.length] ?? DEFAULT_TIMEOUT_MS;
-        await callUntilDecided(fleet, "PATCH", createConfigurationChange(ownVersion, timeoutMs));
+        await callUntilDecided(fleet, "PATCH", createConfigurationChange(ownVersion, timeoutMs, organisations));
         acknowledgedVersion = Math.max(acknowledgedVersion, ownVersion);
     };
     const tryToChange = (): Promise<void> =>
         changeConfiguration().catch((thrown: unknown) => void violations.push(`OPERATOR ${String(thrown)}`));
-    const traffic = TrafficSource.create(fleet, createRandom(seed + 1_000_000), nowMs);
+    const traffic = TrafficSource.create(fleet, createRandom(seed + 1_000_000), nowMs, hasOrganisations);
     const abuse = AbuseSource.create(fleet, createStream(seed, "abuses"), abuseKinds, nowMs);
     const { attempts, refusals } = traffic;
     const stallWatch = StallWatch.create(nowMs);
     const { stalls } = stallWatch;
     const records = { attempts, refusals, runs, faults: fleet.faults, abuses: abuse.records, calms, stalls };
-    const judge = SoakJudge.create(records, { graceMs: GRACE_MS, proxyCount, serviceOf: (vm) => fleet.serviceOf(vm) });
+    const judge = SoakJudge.create(records, { graceMs: GRACE_MS, proxyCount, serviceOf: (vm) => fleet.serviceOf(vm), hasOrganisations });
     const judgeTimer = setInterval(() => judge.judgeAged(nowMs()), JUDGE_INTERVAL_MS);
     const watch = ProcessWatch.create(fleet, abuse.records, nowMs);
     let isWhole = false;
--- a/src/decisions/fleet/UpdateSources/index.ts
+++ b/src/decisions/fleet/UpdateSources/index.ts
@@ -35,11 +35,6 @@
         return this.sources.length;
     }
 
-    /** Latest log position up to which updates have been received. */
-    get latestPosition(): number {
-        return this.position;
-    }
-
     /** Records the log position up to which updates have been received. */
     advancePosition(position: number): void {
         this.position = Math.max(this.position, position);
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -512,7 +512,8 @@
             return;
         }
         const positions = new Map(liveVms.map((vm) => [vm, links.positionOf(vm)]));
-        this.laggingControls.update(positions, Math.max(this.updateSources.latestPosition, ...positions.values()), nowMs());
+        // Positions start again if all control VMs have lost their disks, so that earlier ones do not count.
+        this.laggingControls.update(positions, Math.max(0, ...positions.values()), nowMs());
         const liveControls = liveVms.map((vm) => ({ vm, failureDomain: links.failureDomainOf(vm) ?? "", position: links.positionOf(vm) }));
         const { toSubscribe, toUnsubscribe, loadSource } = this.updateSources.selectSources(liveControls, nowMs());
         toUnsubscribe.forEach((vm) => links.sendTo(vm, { kind: MessageKind.Subscribe, wants: false, wantsLoads: false }));
--- a/test/processSoak.test.ts
+++ b/test/processSoak.test.ts
@@ -10,7 +10,13 @@
 const EARLIEST_RELOAD_MS = 300;
 const TIMEOUT_MS = 150_000;
 
-async function run(t: ExecutionContext, seed: number, durationMs: number, abuseKinds: readonly AbuseKind[]): Promise<void> {
+async function run(
+    t: ExecutionContext,
+    seed: number,
+    durationMs: number,
+    abuseKinds: readonly AbuseKind[],
+    hasOrganisations = false,
+): Promise<void> {
     t.timeout(TIMEOUT_MS);
     const { violations, requests, served, peaksMb, folder } = await runProcessSoak({
         seed,
@@ -19,6 +25,7 @@
         earliestReloadMs: EARLIEST_RELOAD_MS,
         program: PROGRAM,
         abuseKinds,
+        hasOrganisations,
     });
     t.log(`${served} of ${requests} requests served; MB: ${JSON.stringify(peaksMb)}; logs: ${folder ?? "none"}`);
     t.deepEqual(violations, []);
@@ -36,3 +43,10 @@
     test.serial(`processes with faulty peers, under signals and restarts, stay in service and within their memory (seed ${seed})`, (t) =>
         run(t, seed, ABUSED_DURATION_MS, Object.values(AbuseKind)));
 }
+
+// Guards against a key that reaches an endpoint, a forged name that is passed on, a quota that restarts of processes exceed, and an unknown key
+// that is served.
+for (const seed of [3, 4]) {
+    test.serial(`processes under signals, restarts and changes keep keys and quotas of organisations (seed ${seed})`, (t) =>
+        run(t, seed, DURATION_MS, [], true));
+}
