Read replies first after a pause, and start the buckets of a new fleet full

Cause: a request that was read after a pause of its proxy counted control VMs as silent whose replies had come meanwhile, and was refused; and on the first start of a fleet a small organisation had to wait for its first token (5 s at one request a second). Change: only the timer, which lets replies be read first, takes note of time that has passed. With an empty data folder on the first start of the fleet, nothing has been granted before, so buckets start full. The drivers have tests of their own.

--- a/bench/quotaModel/QuotaModel/index.ts
+++ b/bench/quotaModel/QuotaModel/index.ts
@@ -260,7 +260,7 @@
             if (isAdmitted && !hasRun) {
                 this.clock.after(REFUSAL_MS, () => {
                     proxy.stock.giveBack(name, decision.expiresAtMs);
-                    this.advance(proxy);
+                    this.execute(proxy, proxy.stock.serve(this.viewOf(proxy), this.clock.nowMs));
                 });
             }
             if (!isAdmitted && this.random() < returnShare) {
--- a/src/decisions/quotas/QuotaShare/index.ts
+++ b/src/decisions/quotas/QuotaShare/index.ts
@@ -49,6 +49,11 @@
         return [...this.accounts.values()].filter(({ bucket }) => bucket !== undefined).length;
     }
 
+    /** Records, before any organisation is known, that there was no earlier run, so that buckets start full. */
+    recordFirstRun(): void {
+        this.emptyAtMs = Number.NEGATIVE_INFINITY;
+    }
+
     /** Sets the number of control VMs among which the limits are divided. */
     setControlCount(controlCount: number, nowMs: number): void {
         if (controlCount !== this.controlCount) {
--- a/src/decisions/quotas/QuotaShare/test.ts
+++ b/src/decisions/quotas/QuotaShare/test.ts
@@ -51,6 +51,16 @@
     t.deepEqual(share.grant([{ organisation: "org-1", count: 3 }], 500), [{ organisation: "org-1", count: 1, waitMs: 500 }]);
 });
 
+// Guards against refusals in the first seconds of a new fleet, when a small organisation would wait for its first token.
+test("on the first start of a fleet buckets are full", (t) => {
+    const share = QuotaShare.create(NO_EXCESS, 0);
+    share.recordFirstRun();
+    share.setControlCount(CONTROLS, 0);
+    share.setOrganisations([organisation(10, 10)], 1);
+    t.is(share.grant([{ organisation: "org-1", count: 9 }], 1)[0]?.count, 2);
+    t.is(share.grant([{ organisation: "org-1", count: 9 }], 1)[0]?.count, 0);
+});
+
 // Guards against refusals of a new organisation that calls at once: nothing has been granted to it in this run.
 test("the bucket of an organisation that is added later has filled up since the start", (t) => {
     const share = createShare();
--- a/src/decisions/quotas/QuotaStock/index.ts
+++ b/src/decisions/quotas/QuotaStock/index.ts
@@ -152,12 +152,26 @@
         });
     }
 
-    /** Handles the passing of time, and changes of the control VMs that can be reached. */
+    /**
+     * Handles the passing of time: control VMs that have not replied, requests that have waited too long, and the end of refusals. Nothing
+     * else takes note of the time that has passed, so that the driver can read replies first that came while the process was paused.
+     */
     advance(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
-        return [...this.activeAccounts].flatMap((account) => [
-            ...this.advanceAccount(account, view, nowMs),
-            ...this.endRefusals(account, nowMs),
-        ]);
+        return [...this.activeAccounts].flatMap((account) => {
+            this.recordSilence(account, nowMs);
+            const late = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs <= nowMs);
+            account.waiting = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs > nowMs);
+            return [
+                ...late.flatMap((waiting) => this.decideLocally(account, waiting, view, nowMs)),
+                ...this.advanceAccount(account, view, nowMs),
+                ...this.endRefusals(account, nowMs),
+            ];
+        });
+    }
+
+    /** Serves the requests that wait after a token was given back or a link was closed. */
+    serve(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        return [...this.activeAccounts].flatMap((account) => this.advanceAccount(account, view, nowMs));
     }
 
     /**
@@ -241,7 +255,6 @@
     }
 
     private advanceAccount(account: Account, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
-        this.recordSilence(account, nowMs);
         account.tokens = account.tokens.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
         const granted = account.waiting.splice(0, account.tokens.length);
         const used = account.tokens.splice(0, granted.length);
@@ -260,19 +273,15 @@
         if (account.asked !== undefined && view.controls.every(({ vm }) => vm !== account.asked)) {
             account.asked = undefined;
         }
-        const late = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs <= nowMs);
-        account.waiting = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs > nowMs);
-        const lateDecisions = late.map((waiting) => this.decideLocally(account, waiting, view, nowMs));
-        if (account.waiting.length === 0 || account.asked !== undefined) {
-            return [...contact, ...lateDecisions.flat()];
+        if (account.asked !== undefined) {
+            return contact;
         }
         if (reachable.length === 0) {
-            const decisions = account.waiting.splice(0).map((waiting) => this.decideLocally(account, waiting, view, nowMs));
-            return [...contact, ...lateDecisions.flat(), ...decisions.flat()];
+            return [...contact, ...account.waiting.splice(0).flatMap((waiting) => this.decideLocally(account, waiting, view, nowMs))];
         }
         const target = this.chooseControl(account, reachable, nowMs);
         const next = target === undefined ? this.refuseWaiting(account, reachable, view, nowMs) : [this.ask(account, target, nowMs)];
-        return [...contact, ...lateDecisions.flat(), ...next];
+        return [...contact, ...next];
     }
 
     private chooseControl(account: Account, reachable: readonly QuotaControl[], nowMs: number): string | undefined {
--- a/src/decisions/quotas/QuotaStock/test.ts
+++ b/src/decisions/quotas/QuotaStock/test.ts
@@ -139,12 +139,21 @@
     t.is(stock.waitingCount, 0);
 });
 
+// Guards against refusals below the limit after a pause of the proxy, in which the reply of the control VM has come: a request that is read
+// before the reply must not count the control VM as silent.
+test("a request that comes after a pause, but before the reply is read, waits for it", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    t.deepEqual(acquire(stock, 2, 500), []);
+    t.deepEqual(reply(stock, FIRST, 1, 0, 501), ["grant 1", `ask ${FIRST} 1`]);
+});
+
 test("the closed link of a control VM does not keep a request waiting", (t) => {
     const stock = createStock();
     acquire(stock, 1, 0);
     stock.removeControl(FIRST);
     const view = { ...VIEW, controls: CONTROLS.filter(({ vm }) => vm !== FIRST) };
-    t.deepEqual(describe(stock.advance(view, 10)), [`ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.serve(view, 10)), [`ask ${SECOND} 1`]);
 });
 
 // Guards against tokens that are saved up while endpoints refuse all requests, and then run at once.
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -78,6 +78,9 @@
     static async create(settings: MeshSettings, events: EventLog, waits?: StartWaits): Promise<ControlPlaneRole> {
         const role = new ControlPlaneRole(settings, events);
         await (waits === undefined ? role.open() : waits.retry(`data folder ${settings.control?.dataFolder ?? ""}`, () => role.open(), isPassingError));
+        if (settings.vm.isFirstStart && role.itemController?.quorum.isEmpty === true) {
+            role.quotaGranter.recordFirstRun();
+        }
         role.links = await MeshLinks.create(settings, Role.Control, {
             onOpen: () => undefined,
             onMessage: (link, message) => role.handleMessage(link, message),
--- a/src/mesh/QuotaClient/index.ts
+++ b/src/mesh/QuotaClient/index.ts
@@ -61,7 +61,7 @@
 
     giveBack(organisation: string, expiresAtMs: number): void {
         this.stock.giveBack(organisation, expiresAtMs);
-        this.advance();
+        this.serve();
     }
 
     /** Applies the reply of a control VM; malformed grants are skipped. */
@@ -72,7 +72,7 @@
     /** Handles the end of the link to a control VM. */
     handleLinkClose(controlVm: string): void {
         this.stock.removeControl(controlVm);
-        this.advance();
+        this.serve();
     }
 
     /** Sets the configuration items in force. */
@@ -87,15 +87,15 @@
         this.listeners.clear();
     }
 
-    private advance(): void {
-        this.run(this.stock.advance(this.dependencies.view(), nowMs()));
+    private serve(): void {
+        this.run(this.stock.serve(this.dependencies.view(), nowMs()));
     }
 
     private run(effects: readonly QuotaEffect[]): void {
         const lostVms = effects.flatMap((effect) => this.execute(effect));
         if (lostVms.length > 0) {
             lostVms.forEach((vm) => this.stock.removeControl(vm));
-            this.advance();
+            this.serve();
         }
         this.schedule();
     }
@@ -144,7 +144,7 @@
     private handleTimer(): void {
         setImmediate(() => {
             this.timerAtMs = undefined;
-            this.advance();
+            this.run(this.stock.advance(this.dependencies.view(), nowMs()));
         });
     }
 }
--- /dev/null
+++ b/src/mesh/QuotaClient/test.ts
@@ -0,0 +1,92 @@
+import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { ItemKind } from "../../decisions/items/ItemKind.js";
+import { OrganisationItem } from "../../decisions/items/OrganisationItem.js";
+import { QuotaDecision } from "../../decisions/quotas/QuotaDecision.js";
+import { QuotaDecisionKind } from "../../decisions/quotas/QuotaDecisionKind.js";
+import { Message } from "../../links/Message.js";
+import { EventLog } from "../../logs/EventLog/index.js";
+import { EventNumber } from "../../logs/EventNumber.js";
+import { QuotaClient } from "./index.js";
+
+const ORGANISATION: OrganisationItem = { kind: ItemKind.Organisation, name: "org-1", apiKeys: [], priority: 0, ratePerSecond: 10, burst: 10 };
+const DEADLINE_MS = 3_000;
+/** Time in which a request is decided without any reply, in ms, with room for a busy machine. */
+const DECIDED_MS = 1_500;
+
+interface Fixture {
+    readonly client: QuotaClient;
+    readonly events: EventLog;
+    readonly sent: [string, Message][];
+    readonly decisions: QuotaDecision[];
+    readonly acquire: () => void;
+}
+
+function create(isLinked: (vm: string) => boolean = () => true): Fixture {
+    const sent: [string, Message][] = [];
+    const decisions: QuotaDecision[] = [];
+    const events = EventLog.create("vm-1", undefined);
+    const controls = ["c-1", "c-2"].map((vm) => ({ vm, failureDomain: "a" }));
+    const client = QuotaClient.create(
+        { vm: "vm-1", failureDomain: "a", terms: { windowMs: 5_000, overshoot: 0.1, slack: 20 }, random: () => 0.9 },
+        {
+            view: () => ({ controls: controls.filter(({ vm }) => isLinked(vm)), proxyCount: 100 }),
+            send: (vm, message) => {
+                sent.push([vm, message]);
+                return isLinked(vm);
+            },
+        },
+        events,
+    );
+    const acquire = (): void => client.acquire(ORGANISATION, nowMs() + DEADLINE_MS, (decision) => decisions.push(decision));
+    return { client, events, sent, decisions, acquire };
+}
+
+test("a token that a control VM grants decides on a request", (t) => {
+    const { client, sent, decisions, acquire } = create();
+    acquire();
+    t.is(sent.length, 1);
+    client.handleGrants(sent[0]?.[0] ?? "", [{ organisation: "org-1", count: 1, waitMs: 0 }]);
+    t.deepEqual(decisions.map(({ kind }) => kind), [QuotaDecisionKind.Granted]);
+    t.deepEqual(client.gauges.map(({ read }) => read()), [0, 0, 0]);
+    client.close();
+});
+
+// Guards against a request that hangs: control VMs that are paused reply to nothing, and no other event comes.
+test("a request is decided although no control VM replies", async (t) => {
+    const { client, sent, decisions, acquire } = create();
+    acquire();
+    await delay(DECIDED_MS);
+    t.deepEqual(sent.map(([vm]) => vm).sort(), ["c-1", "c-2"]);
+    t.deepEqual(decisions.map(({ kind }) => kind), [QuotaDecisionKind.Refused]);
+    client.close();
+});
+
+test("a control VM whose link closes while it is asked is replaced by the next one", (t) => {
+    let lost = "";
+    const { client, sent, acquire } = create((vm) => vm !== lost);
+    acquire();
+    lost = sent[0]?.[0] ?? "";
+    client.handleLinkClose(lost);
+    t.deepEqual(sent.map(([vm]) => vm).sort(), ["c-1", "c-2"]);
+    client.close();
+});
+
+// Guards against a process of another version that replies with something else.
+test("malformed grants are skipped", (t) => {
+    const { client, sent, decisions, acquire } = create();
+    acquire();
+    const grants = [undefined, "org-1", {}, { organisation: "org-1" }, { organisation: "org-1", count: -1, waitMs: 0 }, { organisation: "org-1", count: 1, waitMs: Number.NaN }];
+    client.handleGrants(sent[0]?.[0] ?? "", grants);
+    t.is(decisions.length, 0);
+    client.close();
+});
+
+test("the start of refusals and the loss of contact are logged once", (t) => {
+    const { client, events, decisions, acquire } = create(() => false);
+    [1, 2, 3].forEach(acquire);
+    t.is(decisions.length, 3);
+    t.deepEqual(events.find("vm-1").map(({ event }) => event), [EventNumber.QuotaContactLost, EventNumber.QuotaExceeded]);
+    client.close();
+});
--- a/src/mesh/QuotaGranter/index.ts
+++ b/src/mesh/QuotaGranter/index.ts
@@ -36,6 +36,11 @@
         ];
     }
 
+    /** Records, before any items are in force, that nothing was granted before this run. */
+    recordFirstRun(): void {
+        this.share.recordFirstRun();
+    }
+
     /** Sets the configuration items in force. */
     setItems(items: readonly VersionedItem[]): void {
         const organisations = items.flatMap(({ content }) => content?.kind === ItemKind.Organisation ? [content] : []);
