--- a/src/mesh/meshSettingsSchema.ts
+++ b/src/mesh/meshSettingsSchema.ts
@@ -55,7 +55,7 @@
         retryWindow: durationMs,
         retrySlack: z.number().nonnegative(),
         /** Window in which the requests of an organisation are counted, in ms. */
-        quotaWindow: durationMs.refine((milliseconds) => milliseconds > 0, "above 0").default(DEFAULT_QUOTA_WINDOW_MS),
+        quotaWindow: durationMs.default(DEFAULT_QUOTA_WINDOW_MS),
         /** Share of its quota by which an organisation may exceed it while processes fail. */
         quotaOvershoot: z.number().nonnegative().default(DEFAULT_QUOTA_OVERSHOOT),
         /** Requests in a window by which an organisation may exceed its quota beyond that. */
--- a/src/mesh/parseMeshSettings/test.ts
+++ b/src/mesh/parseMeshSettings/test.ts
@@ -35,6 +35,13 @@
     t.notThrows(() => parseMeshSettings(`${SETTINGS}\nunknown = 1\n[later]\nx = 2\n`, "settings.toml"));
 });
 
+test("the permitted excess over quotas has defaults, and can be 0", (t) => {
+    const defaults = parseMeshSettings(SETTINGS, "settings.toml").terms;
+    t.deepEqual([defaults.quotaWindow, defaults.quotaOvershoot, defaults.quotaSlack], [5_000, 0.1, 20]);
+    const { terms } = parseMeshSettings(`${SETTINGS}quotaWindow = "2s"\nquotaOvershoot = 0\nquotaSlack = 0\n`, "settings.toml");
+    t.deepEqual([terms.quotaWindow, terms.quotaOvershoot, terms.quotaSlack], [2_000, 0, 0]);
+});
+
 const INVALID: readonly (readonly [string, string, string, RegExp])[] = [
     ["a missing field", "ip = \"10.0.0.1\"\n", "", /vm\.ip: found nothing/],
     ["a duration without a unit", "grace = \"6s\"", "grace = \"6\"", /terms\.grace: found "6"/],
--- a/test/quotaModel.test.ts
+++ b/test/quotaModel.test.ts
@@ -106,6 +106,19 @@
     t.deepEqual(counts.filter((count) => count.refused > count.aboveLimit), []);
 });
 
+// Load: eight times the usual load of the largest organisation. Guards against one that takes the tokens or the replies of others.
+test("an eightfold rise of one organisation leads to no refusals of others below their limits", (t) => {
+    const model = createModel();
+    sendLoad(model, LARGE);
+    model.run(END_MS);
+    const counts = ORGANISATIONS.slice(1).map((limited) => {
+        const requests = model.requests.filter(({ organisation: name }) => name === limited.name);
+        return { refused: requests.filter(({ isAdmitted }) => !isAdmitted).length, aboveLimit: countAboveLimit(requests, limited) };
+    });
+    t.log(`${sum(counts.map(({ refused }) => refused))} refused, ${sum(counts.map(({ aboveLimit }) => aboveLimit))} above the limit for a moment`);
+    t.deepEqual(counts.filter((count) => count.refused > count.aboveLimit), []);
+});
+
 for (const [size, rising] of [["a large", LARGE], ["a small", SMALL]] as const) {
     // Load: eight times the usual load of one organisation. The faults are what the design has to withstand at that time.
     const faults: readonly (readonly [string, (model: QuotaModel) => void])[] = [
