Check that leases bound what runs after endpoints have refused everything

Change: the model lets endpoints refuse everything for 10 s and then run again. Without organisations, the client of quotas is checked to send nothing, to set no timer and to log nothing.

--- a/bench/quotaModel/QuotaModel/index.ts
+++ b/bench/quotaModel/QuotaModel/index.ts
@@ -61,12 +61,14 @@
     private readonly listeners = new Map<string, (decision: QuotaDecision) => void>();
     private organisations: readonly OrganisationItem[];
     private position = 1;
+    private refusedShare: number;
     private requestCount = 0;
     private messages = 0;
 
     private constructor(private readonly options: QuotaModelOptions, private readonly terms: QuotaTerms) {
         this.random = createRandom(options.seed);
         this.organisations = options.organisations;
+        this.refusedShare = options.refusedShare;
         this.controls = Array.from({ length: options.controlCount }, (_, index) => ({
             vm: `control-${index}`,
             failureDomain: this.domainOf(index),
@@ -192,6 +194,11 @@
         this.requireControl(index).isCurrent = false;
     }
 
+    /** Sets the share of the requests that endpoints refuse. */
+    setRefusedShare(share: number): void {
+        this.refusedShare = share;
+    }
+
     /** Puts changed organisations into force at all control VMs that reach each other, and soon at the proxies. */
     change(organisations: readonly OrganisationItem[]): void {
         this.organisations = organisations;
@@ -254,7 +261,7 @@
         const request = this.requestCount;
         this.listeners.set(`${request}`, (decision) => {
             const isAdmitted = decision.kind === QuotaDecisionKind.Granted;
-            const hasRun = isAdmitted && this.random() >= this.options.refusedShare;
+            const hasRun = isAdmitted && this.random() >= this.refusedShare;
             const retryAfterMs = isAdmitted ? 0 : decision.retryAfterMs;
             this.requests.push({ organisation: name, sentAtMs, decidedAtMs: this.clock.nowMs, isAdmitted, hasRun, retryAfterMs, isReturn });
             if (isAdmitted && !hasRun) {
--- a/src/callers/RequestDispatcher/test.ts
+++ b/src/callers/RequestDispatcher/test.ts
@@ -215,6 +215,7 @@
 for (const [name, route, organisation] of [
     ["on an exempt route", { ...ROUTE, isKeyExempt: true }, LIMITED],
     ["of an organisation without a limit", ROUTE, ORGANISATION],
+    ["in a configuration without organisations", ROUTE, ROUTE],
 ] as const) {
     test(`a request ${name} needs no token`, (t) => {
         const quota = new TestQuota(REFUSED);
--- a/src/mesh/QuotaClient/test.ts
+++ b/src/mesh/QuotaClient/test.ts
@@ -43,7 +43,7 @@
     return { client, events, sent, decisions, acquire };
 }
 
-test("a token that a control VM grants decides on a request", (t) => {
+test.serial("a token that a control VM grants decides on a request", (t) => {
     const { client, sent, decisions, acquire } = create();
     acquire();
     t.is(sent.length, 1);
@@ -54,7 +54,7 @@
 });
 
 // Guards against a request that hangs: control VMs that are paused reply to nothing, and no other event comes.
-test("a request is decided although no control VM replies", async (t) => {
+test.serial("a request is decided although no control VM replies", async (t) => {
     const { client, sent, decisions, acquire } = create();
     acquire();
     await delay(DECIDED_MS);
@@ -63,7 +63,7 @@
     client.close();
 });
 
-test("a control VM whose link closes while it is asked is replaced by the next one", (t) => {
+test.serial("a control VM whose link closes while it is asked is replaced by the next one", (t) => {
     let lost = "";
     const { client, sent, acquire } = create((vm) => vm !== lost);
     acquire();
@@ -74,7 +74,7 @@
 });
 
 // Guards against a process of another version that replies with something else.
-test("malformed grants are skipped", (t) => {
+test.serial("malformed grants are skipped", (t) => {
     const { client, sent, decisions, acquire } = create();
     acquire();
     const grants = [undefined, "org-1", {}, { organisation: "org-1" }, { organisation: "org-1", count: -1, waitMs: 0 }, { organisation: "org-1", count: 1, waitMs: Number.NaN }];
@@ -83,10 +83,21 @@
     client.close();
 });
 
-test("the start of refusals and the loss of contact are logged once", (t) => {
+test.serial("the start of refusals and the loss of contact are logged once", (t) => {
     const { client, events, decisions, acquire } = create(() => false);
     [1, 2, 3].forEach(acquire);
     t.is(decisions.length, 3);
     t.deepEqual(events.find("vm-1").map(({ event }) => event), [EventNumber.QuotaContactLost, EventNumber.QuotaExceeded]);
     client.close();
 });
+
+// Guards against a cost for deployments without organisations.
+test.serial("without organisations no message is sent, no timer is set and nothing is logged", (t) => {
+    const countTimers = (): number => process.getActiveResourcesInfo().filter((resource) => resource === "Timeout").length;
+    const timers = countTimers();
+    const { client, events, sent } = create();
+    client.setItems([]);
+    client.handleLinkClose("c-1");
+    t.deepEqual([sent, events.find("vm-1"), countTimers()], [[], [], timers]);
+    client.close();
+});
--- a/test/quotaModel.test.ts
+++ b/test/quotaModel.test.ts
@@ -195,6 +195,21 @@
     });
 }
 
+// Load: eight times the usual load at few proxies while the endpoints are full. Guards against tokens that go round while all requests are
+// refused, pile up, and are used at once when there is room.
+for (const proxyCount of [1, 10, PROXIES]) {
+    test(`after endpoints have refused everything for 10 s, what runs stays within the bound, at ${proxyCount} of the proxies`, (t) => {
+        const model = createModel();
+        const random = createRandom(2);
+        const perSecond = RISE * USUAL_LOAD * LARGE.ratePerSecond;
+        model.send(LARGE.name, { perSecond, fromMs: RISE_AT_MS, untilMs: RISE_END_MS }, () => Math.floor(random() * proxyCount));
+        model.at(RISE_AT_MS, () => model.setRefusedShare(1));
+        model.at(RISE_AT_MS + 10_000, () => model.setRefusedShare(0));
+        model.run(END_MS);
+        assertWithinBound(t, model, LARGE);
+    });
+}
+
 // Load: refused callers come back after the time that they were told. Guards against times that are too early, which cost them another
 // attempt, and against times so late that tokens are unused.
 for (const proxyCount of [1, 10, PROXIES]) {
