--- a/src/decisions/quotas/QuotaStock/index.ts
+++ b/src/decisions/quotas/QuotaStock/index.ts
@@ -27,8 +27,6 @@
 /** Minimum and maximum of the stated time to return, in ms. Beyond the maximum too few callers return to plan for them. */
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 10_000;
-/** Part of the limit that this proxy is expected to get at least. One whose callers are all refused knows no better. */
-const MIN_EXPECTED_SHARE = 0.1;
 /** Time without a refusal after which the refusals of an organisation count as ended, in ms. */
 const REFUSALS_END_MS = 5_000;
 const MS_PER_SECOND = 1_000;
@@ -154,12 +152,26 @@
         });
     }
 
-    /** Handles the passing of time, and changes of the control VMs that can be reached. */
+    /**
+     * Handles the passing of time: control VMs that have not replied, requests that have waited too long, and the end of refusals. Nothing
+     * else takes note of the time that has passed, so that the driver can read replies first that came while the process was paused.
+     */
     advance(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
-        return [...this.activeAccounts].flatMap((account) => [
-            ...this.advanceAccount(account, view, nowMs),
-            ...this.endRefusals(account, nowMs),
-        ]);
+        return [...this.activeAccounts].flatMap((account) => {
+            this.recordSilence(account, nowMs);
+            const late = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs <= nowMs);
+            account.waiting = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs > nowMs);
+            return [
+                ...late.flatMap((waiting) => this.decideLocally(account, waiting, view, nowMs)),
+                ...this.advanceAccount(account, view, nowMs),
+                ...this.endRefusals(account, nowMs),
+            ];
+        });
+    }
+
+    /** Serves the requests that wait after a token was given back or a link was closed. */
+    serve(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        return [...this.activeAccounts].flatMap((account) => this.advanceAccount(account, view, nowMs));
     }
 
     /**
@@ -243,7 +255,6 @@
     }
 
     private advanceAccount(account: Account, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
-        this.recordSilence(account, nowMs);
         account.tokens = account.tokens.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
         const granted = account.waiting.splice(0, account.tokens.length);
         const used = account.tokens.splice(0, granted.length);
@@ -262,19 +273,15 @@
         if (account.asked !== undefined && view.controls.every(({ vm }) => vm !== account.asked)) {
             account.asked = undefined;
         }
-        const late = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs <= nowMs);
-        account.waiting = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs > nowMs);
-        const lateDecisions = late.map((waiting) => this.decideLocally(account, waiting, view, nowMs));
-        if (account.waiting.length === 0 || account.asked !== undefined) {
-            return [...contact, ...lateDecisions.flat()];
+        if (account.asked !== undefined) {
+            return contact;
         }
         if (reachable.length === 0) {
-            const decisions = account.waiting.splice(0).map((waiting) => this.decideLocally(account, waiting, view, nowMs));
-            return [...contact, ...lateDecisions.flat(), ...decisions.flat()];
+            return [...contact, ...account.waiting.splice(0).flatMap((waiting) => this.decideLocally(account, waiting, view, nowMs))];
         }
         const target = this.chooseControl(account, reachable, nowMs);
-        const next = target === undefined ? this.refuseWaiting(account, reachable, nowMs) : [this.ask(account, target, nowMs)];
-        return [...contact, ...lateDecisions.flat(), ...next];
+        const next = target === undefined ? this.refuseWaiting(account, reachable, view, nowMs) : [this.ask(account, target, nowMs)];
+        return [...contact, ...next];
     }
 
     private chooseControl(account: Account, reachable: readonly QuotaControl[], nowMs: number): string | undefined {
@@ -326,12 +333,17 @@
         return this.refuseWith(account, waiting, Math.min(waitMs, SILENCE_MS), nowMs);
     }
 
-    private refuseWaiting(account: Account, reachable: readonly QuotaControl[], nowMs: number): readonly QuotaEffect[] {
+    /**
+     * Refuses all requests that wait. The first caller is told when a token is due. Once callers are refused, others compete for that
+     * token, so that the next ones are told times as far apart as the tokens that this proxy gets.
+     */
+    private refuseWaiting(account: Account, reachable: readonly QuotaControl[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
         const earliestAtMs = Math.min(...reachable.map(({ vm }) => account.emptyUntilMs.get(vm) ?? nowMs));
         const { ratePerSecond } = account.organisation;
-        const perSecond = Math.min(ratePerSecond, Math.max(ratePerSecond * MIN_EXPECTED_SHARE, this.recentPerSecond(account, nowMs)));
+        const perSecond = Math.min(ratePerSecond, Math.max(ratePerSecond / view.proxyCount, this.recentPerSecond(account, nowMs)));
         return account.waiting.splice(0).flatMap((waiting) => {
-            const dueAtMs = Math.max(earliestAtMs, account.promisedAtMs + MS_PER_SECOND / perSecond);
+            const ownAtMs = account.refusedAtMs === undefined ? nowMs : Math.max(nowMs, account.promisedAtMs) + MS_PER_SECOND / perSecond;
+            const dueAtMs = Math.max(earliestAtMs, ownAtMs);
             account.promisedAtMs = Math.min(dueAtMs, nowMs + MAX_RETRY_AFTER_MS);
             return this.refuseWith(account, waiting, dueAtMs - nowMs, nowMs);
         });
