Refuse earlier at an overloaded gate, with the time until its queue has room

Cause: a request was admitted by those that wait, not by those that still come: of the refused requests of five gates at 1.5 times the capacity a third had waited for an eighth of their target (large organisations of the lower priority). Refused callers were told to come back after 0.1 s, and were refused again. Change: the estimate of a wait allows for overtaking by turns too; the time to return grows with the share of refusals, by up to the time in which the queue is served once.

--- a/src/decisions/serving/OrganisationTurns/index.ts
+++ b/src/decisions/serving/OrganisationTurns/index.ts
@@ -1,9 +1,10 @@
 import { assignTurns } from "../assignTurns/index.js";
 import { compareUrgency } from "../compareUrgency/index.js";
 import { OrganisationUse } from "../OrganisationUse/index.js";
-import { PlaceInQueue } from "../PlaceInQueue.js";
 import { RecentStarts } from "../RecentStarts/index.js";
+import { remainingShare } from "../remainingShare/index.js";
 import { ServingRequest } from "../ServingRequest.js";
+import { StartCount } from "../StartCount.js";
 import { WaitingTurn } from "../WaitingTurn.js";
 
 /**
@@ -95,36 +96,55 @@
         return this.assignTurns(waiting, nowMs, serviceMs).map(({ request }) => request);
     }
 
-    /** Returns the place of each waiting request of an organisation; requests without one are ahead of all of them. */
-    findPlaces(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): ReadonlyMap<ServingRequest, PlaceInQueue> {
+    /**
+     * Estimates for each waiting request of an organisation the number of starts before its own, by urgency or by a turn of the less
+     * urgent, whichever comes first. Allows for requests that are still to come and will overtake it, by the recent starts.
+     */
+    estimateStartsAhead(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): ReadonlyMap<ServingRequest, number> {
         const turns = this.assignTurns(waiting, nowMs, serviceMs);
         const calls = waiting.length - turns.length;
+        const starts = this.starts.list(nowMs);
+        const nextTags = this.findNextTags(starts, waiting);
+        const byTurn = this.estimateByTurn(turns, starts, nextTags);
+        const factor = byTurn.size > 0 ? STARTS_PER_TURN / (STARTS_PER_TURN - 1) : 1;
+        return new Map(turns.map(({ request, startTag }, index) => {
+            const share = remainingShare(starts, (start) => {
+                const urgency = compareUrgency(start, request);
+                return urgency < 0 || (urgency === 0 && (nextTags.get(start.organisation) ?? startTag) < startTag);
+            });
+            const byUrgency = (calls + index * factor + 1) / share - 1;
+            return [request, Math.min(byUrgency, calls + (byTurn.get(request) ?? Number.POSITIVE_INFINITY))];
+        }));
+    }
+
+    /** Estimates the starts before those that a turn may go to, by turns alone. */
+    private estimateByTurn(
+        turns: readonly WaitingTurn[],
+        starts: readonly StartCount[],
+        nextTags: ReadonlyMap<string, number>,
+    ): ReadonlyMap<ServingRequest, number> {
         const lessUrgent = [...this.lessUrgentTurns(turns)].sort((left, right) => left.startTag - right.startTag);
         const priorities = new Set(lessUrgent.map(({ request }) => request.organisationPriority));
+        const startsByPriority = new Map([...priorities].map((priority) =>
+            [priority, starts.filter((start) => start.organisation !== "" && start.organisationPriority === priority)]));
         const untilTurn = STARTS_PER_TURN - 1 - this.startsSinceTurn;
         const ranks = new Map<number, number>();
-        const byTurn = new Map<ServingRequest, number>();
-        lessUrgent.forEach(({ request }) => {
-            const rank = ranks.get(request.organisationPriority) ?? 0;
-            ranks.set(request.organisationPriority, rank + 1);
-            byTurn.set(request, calls + untilTurn + STARTS_PER_TURN * rank * priorities.size);
-        });
-        const factor = lessUrgent.length > 0 ? STARTS_PER_TURN / (STARTS_PER_TURN - 1) : 1;
-        const waitingOrganisations = new Set(waiting.map(({ organisation }) => organisation));
-        return new Map(turns.map((turn, index) => [turn.request, {
-            byUrgency: calls + index * factor,
-            byTurn: byTurn.get(turn.request) ?? Number.POSITIVE_INFINITY,
-            overtakingShare: this.overtakingShare(turn, waitingOrganisations, nowMs),
-        }]));
+        return new Map(lessUrgent.map(({ request, startTag }) => {
+            const { organisation, organisationPriority, priority } = request;
+            const rank = ranks.get(organisationPriority) ?? 0;
+            ranks.set(organisationPriority, rank + 1);
+            const share = remainingShare(startsByPriority.get(organisationPriority) ?? [], (start) =>
+                start.organisation === organisation ? start.priority < priority : (nextTags.get(start.organisation) ?? startTag) < startTag);
+            return [request, untilTurn + STARTS_PER_TURN * priorities.size * rank / share];
+        }));
     }
 
-    /** Share of the starts of those that would overtake a waiting request: more urgent ones, and organisations with less use. */
-    private overtakingShare({ request, startTag }: WaitingTurn, waitingOrganisations: ReadonlySet<string>, nowMs: number): number {
-        const use = this.useOf(request.organisationPriority);
-        return this.starts.share((started) => {
-            const urgency = compareUrgency(started, request);
-            return urgency < 0 || (urgency === 0 && !waitingOrganisations.has(started.organisation) && use.nextTag(started.organisation) < startTag);
-        }, nowMs);
+    /** Start tags that the next requests of organisations would get of which none waits. */
+    private findNextTags(starts: readonly StartCount[], waiting: readonly ServingRequest[]): ReadonlyMap<string, number> {
+        const waitingOrganisations = new Set(waiting.map(({ organisation }) => organisation));
+        return new Map(starts
+            .filter(({ organisation }) => !waitingOrganisations.has(organisation))
+            .map(({ organisation, organisationPriority }) => [organisation, this.useOf(organisationPriority).nextTag(organisation)]));
     }
 
     private assignTurns(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): readonly WaitingTurn[] {
--- a/src/decisions/serving/OrganisationTurns/test.ts
+++ b/src/decisions/serving/OrganisationTurns/test.ts
@@ -45,16 +45,35 @@
     t.is(turns.takeNext([request("call", "")], 0, SERVICE_MS), undefined);
 });
 
-test("the places of waiting requests count the calls and the requests that start before them", (t) => {
+test("the starts ahead of waiting requests are those of the calls and of the requests in order", (t) => {
     const turns = OrganisationTurns.create();
     const waiting = [request("call", ""), request("a1", "a"), request("a2", "a"), request("low", "b", { organisationPriority: 1 })];
     waiting.slice(1).forEach((one) => {
         turns.recordArrival(one, [], 0);
     });
-    const places = turns.findPlaces(waiting, 0, SERVICE_MS);
-    const placeOf = (index: number): unknown => places.get(waiting[index] ?? request("", ""));
-    t.is(placeOf(0), undefined);
-    t.deepEqual(placeOf(1), { byUrgency: 1, byTurn: Number.POSITIVE_INFINITY, overtakingShare: 0 });
-    t.deepEqual(placeOf(2), { byUrgency: 1 + 4 / 3, byTurn: Number.POSITIVE_INFINITY, overtakingShare: 0 });
-    t.deepEqual(placeOf(3), { byUrgency: 1 + 8 / 3, byTurn: 4, overtakingShare: 0 });
+    const startsAhead = turns.estimateStartsAhead(waiting, 0, SERVICE_MS);
+    t.deepEqual(waiting.map((one) => startsAhead.get(one)?.toFixed(2)), [undefined, "1.00", "2.33", "3.67"]);
+});
+
+// Load: more urgent requests than the endpoint can serve keep coming. Guards against the admission of a request that they will overtake.
+test("the estimate allows for more urgent requests that are still to come, and for the turns of the less urgent", (t) => {
+    const turns = OrganisationTurns.create();
+    const urgent = request("urgent", "a", { priority: 0 });
+    const waiting = [request("b1", "b", { targetAtMs: 4_000 }), request("b2", "b")];
+    const [first = urgent, second = urgent] = waiting;
+    turns.recordArrival(urgent, [], 0);
+    waiting.forEach((one) => {
+        turns.recordArrival(one, [], 0);
+    });
+    const before = turns.estimateStartsAhead(waiting, 0, SERVICE_MS);
+    t.deepEqual([before.get(first), before.get(second)], [0, 1]);
+    for (let index = 0; index < 6; index += 1) {
+        turns.recordStart(urgent, 0);
+    }
+    turns.recordStart(first, 0);
+    turns.recordStart(second, 0);
+    const alone = turns.estimateStartsAhead(waiting, 0, SERVICE_MS);
+    t.deepEqual([alone.get(first), alone.get(second)], [3, 7]);
+    const together = turns.estimateStartsAhead([urgent, ...waiting], 0, SERVICE_MS);
+    t.deepEqual([together.get(urgent), together.get(first), together.get(second)], [0, 0, 4]);
 });
--- a/src/decisions/serving/RecentStarts/index.ts
+++ b/src/decisions/serving/RecentStarts/index.ts
@@ -1,9 +1,8 @@
 import { ServingRequest } from "../ServingRequest.js";
+import { StartCount } from "../StartCount.js";
 
 /** Time constant of the moving counts, in ms. */
 const TIME_CONSTANT_MS = 5_000;
-/** Number of recent starts below which no shares are told. */
-const MIN_STARTS = 3;
 /** Count below which an entry is forgotten. */
 const MIN_COUNT = 0.01;
 
@@ -41,20 +40,16 @@
         this.entries.set(key, entry);
     }
 
-    /** Returns the share of the recent starts to which a condition applies, from 0 to 1; 0 while there were too few. */
-    share(applies: (kind: StartedKind) => boolean, nowMs: number): number {
-        let total = 0;
-        let applying = 0;
-        this.entries.forEach((entry, key) => {
+    /** Returns the counts of the kinds that were started recently, and forgets the others. */
+    list(nowMs: number): readonly StartCount[] {
+        return [...this.entries].flatMap(([key, entry]) => {
             const count = countAt(entry, nowMs);
             if (count < MIN_COUNT) {
                 this.entries.delete(key);
-                return;
+                return [];
             }
-            total += count;
-            applying += applies(entry.kind) ? count : 0;
+            return [{ ...entry.kind, count }];
         });
-        return total < MIN_STARTS ? 0 : applying / total;
     }
 }
 
--- a/src/decisions/serving/ServingQueue/index.ts
+++ b/src/decisions/serving/ServingQueue/index.ts
@@ -11,7 +11,7 @@
 import { hasPrecedence } from "../hasPrecedence/index.js";
 import { isBlockedByGrade } from "../isBlockedByGrade/index.js";
 import { OrganisationTurns } from "../OrganisationTurns/index.js";
-import { PlaceInQueue } from "../PlaceInQueue.js";
+import { ReturnDelay } from "../ReturnDelay/index.js";
 import { ServingRequest } from "../ServingRequest.js";
 import { WaitBounds } from "../WaitBounds/index.js";
 
@@ -30,10 +30,6 @@
 const MIN_RETRY_AFTER_MS = 50;
 /** Delay of a start against the one expected at admission that does not displace a request, in ms: about the time between two starts. */
 const TOLERATED_DELAY_MS = 150;
-/** Lowest share of the starts that is expected to remain for a request that others overtake. */
-const MIN_REMAINING_SHARE = 0.05;
-/** Place of the next request to start. */
-const NEXT_PLACE: PlaceInQueue = { byUrgency: 0, byTurn: 0, overtakingShare: 0 };
 
 interface RunningRequest {
     readonly startedAtMs: number;
@@ -66,6 +62,7 @@
     private slotCount: number;
     private turns = OrganisationTurns.create();
     private waitBounds = WaitBounds.create();
+    private returnDelay = ReturnDelay.create();
     /** Latest start of waiting requests with which they are served in time. */
     private readonly latestStarts = new WeakMap<ServingRequest, number>();
 
@@ -128,6 +125,7 @@
         this.limiter = limiter;
         this.turns = OrganisationTurns.create();
         this.waitBounds = WaitBounds.create();
+        this.returnDelay = ReturnDelay.create();
     }
 
     /** Number of requests that run at the same time by slots and limit. */
@@ -167,7 +165,7 @@
     expectedWaitMs(request: ServingRequest, nowMs: number): number {
         if (request.organisation !== "") {
             const others = this.waiting.filter((waiting) => waiting !== request);
-            return this.turnWaitMs(this.findPlaces([...others, request], nowMs).get(request), nowMs);
+            return this.turnWaitMs(this.estimateStartsAhead([...others, request], nowMs).get(request) ?? 0, nowMs);
         }
         const ahead = this.waiting.filter((waiting) =>
             waiting !== request && waiting.organisation === "" && hasPrecedence(waiting, request)).length;
@@ -186,19 +184,15 @@
         return (ahead + 1) * this.meanServiceMs / Math.max(1, this.slotCount - higher);
     }
 
-    /** Estimates the wait of a request of an organisation from its place, by urgency or by turn, whichever comes first. */
-    private turnWaitMs(place: PlaceInQueue | undefined, nowMs: number): number {
-        const { byUrgency, byTurn, overtakingShare } = place ?? NEXT_PLACE;
-        const limitWaitMs = this.limiter.waitMs(Math.floor(Math.min(byUrgency, byTurn)), nowMs);
-        if (this.running.size + this.waiting.length < this.slotCount) {
-            return limitWaitMs;
-        }
-        const startsAhead = Math.min((byUrgency + 1) / Math.max(MIN_REMAINING_SHARE, 1 - overtakingShare), byTurn + 1);
-        return Math.max(startsAhead * this.meanServiceMs / Math.max(1, this.slotCount), limitWaitMs);
+    /** Estimates the wait of a request of an organisation from the number of starts before its own. */
+    private turnWaitMs(startsAhead: number, nowMs: number): number {
+        const limitWaitMs = this.limiter.waitMs(Math.floor(startsAhead), nowMs);
+        const hasFreeSlot = this.running.size + this.waiting.length < this.slotCount;
+        return hasFreeSlot ? limitWaitMs : Math.max((startsAhead + 1) * this.meanServiceMs / Math.max(1, this.slotCount), limitWaitMs);
     }
 
-    private findPlaces(waiting: readonly ServingRequest[], nowMs: number): ReadonlyMap<ServingRequest, PlaceInQueue> {
-        return this.turns.findPlaces(waiting, nowMs, this.meanServiceMs);
+    private estimateStartsAhead(waiting: readonly ServingRequest[], nowMs: number): ReadonlyMap<ServingRequest, number> {
+        return this.turns.estimateStartsAhead(waiting, nowMs, this.meanServiceMs);
     }
 
     private canStart(nowMs: number): boolean {
@@ -216,10 +210,13 @@
         }
         const refusal = this.findRefusal(request, grade, nowMs);
         if (refusal !== undefined) {
-            this.turns.recordRefusal(request);
+            this.recordRefusal(request, nowMs);
             return { kind: AdmissionKind.Refuse, cause: refusal, retryAfterMs: this.retryAfterMs(request, nowMs) };
         }
         this.probeScheduler.recordRequest(grade, nowMs);
+        if (request.organisation !== "" && request.maxQueueMs > 0) {
+            this.returnDelay.recordAdmission(request, nowMs);
+        }
         if (this.waiting.length === 0 && this.canStart(nowMs)) {
             this.start(request, nowMs);
             return { kind: AdmissionKind.Start };
@@ -238,29 +235,31 @@
         for (let next = this.findDisplaced(nowMs); next !== undefined; next = this.findDisplaced(nowMs)) {
             const removed = next;
             this.waiting = this.waiting.filter((waiting) => waiting !== removed);
-            this.turns.recordRefusal(removed);
+            this.recordRefusal(removed, nowMs);
             displaced.push(removed);
         }
         return displaced;
     }
 
-    /** Returns the time after which the queue is expected to have room for a refused request, in ms. */
+    /** Returns the time after which the queue is expected to have room for a refused request of an organisation, in ms. */
     roomDelayMs(request: ServingRequest, nowMs: number): number {
-        return Math.max(MIN_RETRY_AFTER_MS, Math.round(this.expectedWaitMs(request, nowMs) - this.waitBoundMs(request, nowMs)));
+        const boundMs = this.waitBoundMs(request, nowMs);
+        const roomMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(request, nowMs) - boundMs);
+        return Math.round(this.returnDelay.estimateMs(request, roomMs, Math.max(boundMs, this.meanServiceMs), nowMs));
     }
 
     private findDisplaced(nowMs: number): ServingRequest | undefined {
         if (!this.hasOrganisationsWaiting) {
             return undefined;
         }
-        const places = this.findPlaces(this.waiting, nowMs);
+        const startsAhead = this.estimateStartsAhead(this.waiting, nowMs);
         const order = this.turns.order(this.waiting, nowMs, this.meanServiceMs);
         if (this.waiting.length > MAX_WAITING) {
             return order.at(-1);
         }
         const intervalMs = this.meanServiceMs / Math.max(1, this.slotCount);
         return order.findLast((request, index) => index > 0
-            && nowMs + this.turnWaitMs(places.get(request), nowMs) > (this.latestStarts.get(request) ?? nowMs) + intervalMs);
+            && nowMs + this.turnWaitMs(startsAhead.get(request) ?? 0, nowMs) > (this.latestStarts.get(request) ?? nowMs) + intervalMs);
     }
 
     private get hasOrganisationsWaiting(): boolean {
@@ -321,14 +320,14 @@
     removeOverdue(nowMs: number): readonly ServingRequest[] {
         const calls = this.waiting.filter(({ organisation }) => organisation === "");
         const ahead = countAhead(calls);
-        const places = calls.length < this.waiting.length ? this.findPlaces(this.waiting, nowMs) : undefined;
+        const startsAhead = calls.length < this.waiting.length ? this.estimateStartsAhead(this.waiting, nowMs) : undefined;
         const overdue = new Set(this.waiting.filter((waiting) => {
-            const place = places?.get(waiting);
-            const waitMs = place === undefined ? this.waitAheadMs(waiting, ahead.get(waiting) ?? 0, nowMs) : this.turnWaitMs(place, nowMs);
+            const turnsAhead = startsAhead?.get(waiting);
+            const waitMs = turnsAhead === undefined ? this.waitAheadMs(waiting, ahead.get(waiting) ?? 0, nowMs) : this.turnWaitMs(turnsAhead, nowMs);
             return this.isOverdue(waiting, waitMs, nowMs);
         }));
         this.waiting = this.waiting.filter((waiting) => !overdue.has(waiting));
-        overdue.forEach((request) => this.turns.recordRefusal(request));
+        overdue.forEach((request) => this.recordRefusal(request, nowMs));
         return [...overdue];
     }
 
@@ -347,6 +346,14 @@
         return started;
     }
 
+    /** Records that a request was refused or displaced; an offer for a free slot only says nothing about the queue. */
+    private recordRefusal(request: ServingRequest, nowMs: number): void {
+        this.turns.recordRefusal(request);
+        if (request.organisation !== "" && request.maxQueueMs > 0) {
+            this.returnDelay.recordRefusal(request, nowMs);
+        }
+    }
+
     private chooseNext(nowMs: number): ServingRequest | undefined {
         const [firstCall, ...calls] = this.waiting.filter(({ organisation }) => organisation === "");
         return firstCall === undefined
