--- a/src/decisions/serving/OvertakingShares/index.ts
+++ b/src/decisions/serving/OvertakingShares/index.ts
@@ -25,6 +25,7 @@
 interface PriorityGroup {
     total: number;
     readonly tagged: TaggedCount[];
+    /** Starts of those organisations of which some wait. */
     readonly byOrganisation: Map<string, StartCount[]>;
 }
 
@@ -92,10 +93,13 @@
         const group: PriorityGroup = this.priorities.get(organisationPriority) ?? { total: 0, tagged: [], byOrganisation: new Map() };
         this.priorities.set(organisationPriority, group);
         group.total += count;
-        group.byOrganisation.set(organisation, [...group.byOrganisation.get(organisation) ?? [], start]);
-        if (startTag !== undefined) {
-            urgency.tagged.push({ startTag, count });
-            group.tagged.push({ startTag, count });
+        if (startTag === undefined) {
+            group.byOrganisation.set(organisation, [...group.byOrganisation.get(organisation) ?? [], start]);
+        }
+        else {
+            const tagged = { startTag, count };
+            urgency.tagged.push(tagged);
+            group.tagged.push(tagged);
         }
     }
 }
--- a/src/decisions/serving/RecentStarts/index.ts
+++ b/src/decisions/serving/RecentStarts/index.ts
@@ -42,14 +42,18 @@
 
     /** Returns the counts of the kinds that were started recently, and forgets the others. */
     list(nowMs: number): readonly StartCount[] {
-        return [...this.entries].flatMap(([key, entry]) => {
+        const counts: StartCount[] = [];
+        this.entries.forEach((entry, key) => {
             const count = countAt(entry, nowMs);
             if (count < MIN_COUNT) {
                 this.entries.delete(key);
-                return [];
             }
-            return [{ ...entry.kind, count }];
+            else {
+                const { organisation, organisationPriority, priority } = entry.kind;
+                counts.push({ organisation, organisationPriority, priority, count });
+            }
         });
+        return counts;
     }
 }
 
