--- a/test/turns.test.ts
+++ b/test/turns.test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { DispatchEffectKind } from "../src/decisions/dispatch/DispatchEffectKind.js";
+import { PlayedCall, playFleet } from "./fixtures/playFleet.js";
 import { PlayedRequest, playGate, PlaySource } from "./fixtures/playGate.js";
 
 const SLOTS = 8;
@@ -131,3 +133,82 @@
     t.true(all.some(({ refusedAtMs, arrivedAtMs }) => refusedAtMs !== undefined && refusedAtMs > arrivedAtMs));
     t.deepEqual(all.filter(({ startedAtMs, refusedAtMs }) => startedAtMs !== undefined && refusedAtMs !== undefined), []);
 });
+
+const GATES = 5;
+const CALL: PlaySource = {
+    organisation: "",
+    organisationPriority: 0,
+    priority: 1,
+    serviceMs: 200,
+    targetMs: 450,
+    timeoutMs: 1_500,
+    ratePerSecond: () => GATES * 0.3 * CAPACITY_PER_SECOND,
+};
+
+function playGates(load: Load, calls: readonly PlaySource[], hasOrganisations = true): readonly PlayedCall[] {
+    const sources = createSources({ ...load, load: load.load * GATES });
+    const all = playFleet({
+        gates: GATES,
+        slots: SLOTS,
+        entries: 10,
+        sources: [...sources, ...calls],
+        durationMs: 60_000,
+        seed: 1,
+        maxReturns: 0,
+        hasOrganisations,
+    });
+    return all.filter(({ outcome }) => outcome !== undefined);
+}
+
+function deliveredShare(calls: readonly PlayedCall[]): number {
+    return calls.filter(({ outcome }) => outcome === DispatchEffectKind.Deliver).length / calls.length;
+}
+
+/** Share of the refused requests that were held for longer than a share of their latency target. */
+function heldShare(calls: readonly PlayedCall[], share: number): number {
+    const refused = calls.filter(({ outcome }) => outcome === DispatchEffectKind.Refuse);
+    return refused.filter(({ source, arrivedAtMs, endedAtMs }) => endedAtMs - arrivedAtMs > share * source.targetMs).length / refused.length;
+}
+
+for (const load of LOADS) {
+    // Guards against requests that are offered to one queue after the other and overtaken in each.
+    test(`at 1.5 times the capacity of five gates no organisation starves and refusals come early: ${load.title}`, (t) => {
+        const all = playGates(load, []);
+        const mean = deliveredShare(all);
+        const organisations = new Set(all.map(({ source }) => source.organisation));
+        organisations.forEach((organisation) => {
+            const own = deliveredShare(all.filter(({ source }) => source.organisation === organisation));
+            t.true(own > 0.25 * mean, `${organisation}: ${own}, all ${mean}`);
+        });
+        t.true(heldShare(all, 1 / 8) < 0.25, `${heldShare(all, 1 / 8)} held for an eighth of the target`);
+        t.true(heldShare(all, 1 / 2) < 0.03, `${heldShare(all, 1 / 2)} held for half of the target`);
+        t.true(heldShare(all, 3 / 4) < 0.005, `${heldShare(all, 3 / 4)} held for three quarters of the target`);
+        t.false(all.some(({ outcome }) => outcome === DispatchEffectKind.Fail));
+    });
+}
+
+test("calls of running requests are served by five gates that organisations overload", (t) => {
+    const [, , , load] = LOADS;
+    const all = load === undefined ? [] : playGates(load, [CALL]);
+    const calls = all.filter(({ source }) => source === CALL);
+    t.true(deliveredShare(calls) > 0.99, `${deliveredShare(calls)} of ${calls.length}`);
+    t.true(deliveredShare(all) < 0.85);
+});
+
+// Guards against callers that return at once to full queues, and together.
+test("refused callers are told to return when the queues have been served, and at different times", (t) => {
+    const [, , , load] = LOADS;
+    const refused = (load === undefined ? [] : playGates(load, [])).filter(({ outcome }) => outcome === DispatchEffectKind.Refuse);
+    const times = refused.map(({ retryAfterMs }) => retryAfterMs).sort((left, right) => left - right);
+    const median = times[Math.floor(times.length / 2)] ?? 0;
+    t.true(median > 500 && median < 2_500, `${median}`);
+    t.true(new Set(times).size > times.length / 3, `${new Set(times).size} of ${times.length}`);
+});
+
+// Guards against requests that are refused although there is room: below the capacity the turns must cost next to nothing.
+test("at 0.9 times the capacity of five gates nearly all requests are served", (t) => {
+    LOADS.forEach((load) => {
+        const share = deliveredShare(playGates({ ...load, load: 0.9 }, []));
+        t.true(share > 0.97, `${load.title}: ${share}`);
+    });
+});
