--- a/test/turns.test.ts
+++ b/test/turns.test.ts
@@ -31,6 +31,7 @@
     { title: "three priorities, a low one surges", load: 1.5, surging: 5, organisationPriority: (index) => index % 3 },
     { title: "three priorities, the largest one surges", load: 1.5, surging: 0, organisationPriority: (index) => index % 3 },
     { title: "the large organisations have the higher priority, a small one surges", load: 1.5, surging: 5, organisationPriority: (index) => index < 3 ? 0 : 1 },
+    { title: "the small organisations have the lower priority, the largest one surges", load: 1.5, surging: 0, organisationPriority: (index) => index < 8 ? 0 : 1 },
     { title: "the large organisations have the lower priority, a small one surges", load: 1.5, surging: 5, organisationPriority: (index) => index < 3 ? 1 : 0 },
 ];
 
@@ -126,6 +127,24 @@
     t.true(servedShare(all) < 0.8);
 });
 
+// Load: requests of the highest priority alone ask for 1.5 times the capacity. Guards against strict priority, which starves the others.
+test("lower priorities get a quarter of a gate that the highest priority would fill", (t) => {
+    const source = (organisation: string, organisationPriority: number, load: number): PlaySource => ({
+        organisation,
+        organisationPriority,
+        priority: 1,
+        serviceMs: 800,
+        targetMs: 2_000,
+        timeoutMs: 5_000,
+        ratePerSecond: () => load * SLOTS * 1_000 / 800,
+    });
+    const all = playGate(SLOTS, [source("high", 0, 1.5), source("middle", 1, 0.25), source("low", 2, 0.25)], DURATION_MS, 1);
+    const [high = 0, middle = 0, low = 0] = ["high", "middle", "low"].map((name) =>
+        servedShare(all.filter(({ source: { organisation } }) => organisation === name)));
+    t.true(high > 0.45, `${high}`);
+    t.true(middle > 0.35 && low > 0.35, `${middle}, ${low}`);
+});
+
 // Guards against a request that was told that it has not run, and runs.
 test("a displaced request never starts", (t) => {
     const [, , , load] = LOADS;
