--- a/src/decisions/serving/OrganisationTurns/index.ts
+++ b/src/decisions/serving/OrganisationTurns/index.ts
@@ -1,7 +1,7 @@
 import { assignTurns } from "../assignTurns/index.js";
 import { compareUrgency } from "../compareUrgency/index.js";
 import { OrganisationUse } from "../OrganisationUse/index.js";
-import { PlaceInQueue } from "../PlaceInQueue.js";
+import { OvertakingShares } from "../OvertakingShares/index.js";
 import { RecentStarts } from "../RecentStarts/index.js";
 import { ServingRequest } from "../ServingRequest.js";
 import { WaitingTurn } from "../WaitingTurn.js";
@@ -90,41 +90,41 @@
         return turn.request;
     }
 
-    /** Returns the waiting requests of organisations in their order, the first to start first. */
-    order(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): readonly ServingRequest[] {
-        return this.assignTurns(waiting, nowMs, serviceMs).map(({ request }) => request);
-    }
-
-    /** Returns the place of each waiting request of an organisation; requests without one are ahead of all of them. */
-    findPlaces(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): ReadonlyMap<ServingRequest, PlaceInQueue> {
+    /**
+     * Estimates for each waiting request of an organisation the number of starts before its own, by urgency or by a turn of the less
+     * urgent, whichever comes first. Allows for requests that are still to come and will overtake it, by the recent starts.
+     *
+     * @param waiting - Waiting requests.
+     * @param nowMs - Current time.
+     * @param serviceMs - Mean service time.
+     * @returns The numbers, those of the first requests to start by urgency first.
+     */
+    estimateStartsAhead(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): ReadonlyMap<ServingRequest, number> {
         const turns = this.assignTurns(waiting, nowMs, serviceMs);
         const calls = waiting.length - turns.length;
-        const lessUrgent = [...this.lessUrgentTurns(turns)].sort((left, right) => left.startTag - right.startTag);
-        const priorities = new Set(lessUrgent.map(({ request }) => request.organisationPriority));
-        const untilTurn = STARTS_PER_TURN - 1 - this.startsSinceTurn;
-        const ranks = new Map<number, number>();
-        const byTurn = new Map<ServingRequest, number>();
-        lessUrgent.forEach(({ request }) => {
-            const rank = ranks.get(request.organisationPriority) ?? 0;
-            ranks.set(request.organisationPriority, rank + 1);
-            byTurn.set(request, calls + untilTurn + STARTS_PER_TURN * rank * priorities.size);
-        });
-        const factor = lessUrgent.length > 0 ? STARTS_PER_TURN / (STARTS_PER_TURN - 1) : 1;
         const waitingOrganisations = new Set(waiting.map(({ organisation }) => organisation));
-        return new Map(turns.map((turn, index) => [turn.request, {
-            byUrgency: calls + index * factor,
-            byTurn: byTurn.get(turn.request) ?? Number.POSITIVE_INFINITY,
-            overtakingShare: this.overtakingShare(turn, waitingOrganisations, nowMs),
-        }]));
+        const shares = OvertakingShares.create(this.starts.list(nowMs), ({ organisation, organisationPriority }) =>
+            waitingOrganisations.has(organisation) ? undefined : this.useOf(organisationPriority).nextTag(organisation));
+        const byTurn = this.estimateByTurn(turns, shares);
+        const factor = byTurn.size > 0 ? STARTS_PER_TURN / (STARTS_PER_TURN - 1) : 1;
+        return new Map(turns.map((turn, index) => {
+            const byUrgency = (calls + index * factor + 1) / shares.remainingByUrgency(turn) - 1;
+            return [turn.request, Math.min(byUrgency, calls + (byTurn.get(turn.request) ?? Number.POSITIVE_INFINITY))];
+        }));
     }
 
-    /** Share of the starts of those that would overtake a waiting request: more urgent ones, and organisations with less use. */
-    private overtakingShare({ request, startTag }: WaitingTurn, waitingOrganisations: ReadonlySet<string>, nowMs: number): number {
-        const use = this.useOf(request.organisationPriority);
-        return this.starts.share((started) => {
-            const urgency = compareUrgency(started, request);
-            return urgency < 0 || (urgency === 0 && !waitingOrganisations.has(started.organisation) && use.nextTag(started.organisation) < startTag);
-        }, nowMs);
+    /** Estimates the starts before those requests that a turn may go to, by turns alone. */
+    private estimateByTurn(turns: readonly WaitingTurn[], shares: OvertakingShares): ReadonlyMap<ServingRequest, number> {
+        const lessUrgent = [...this.lessUrgentTurns(turns)].sort((left, right) => left.startTag - right.startTag);
+        const priorityCount = new Set(lessUrgent.map(({ request }) => request.organisationPriority)).size;
+        const untilTurn = STARTS_PER_TURN - 1 - this.startsSinceTurn;
+        const ranks = new Map<number, number>();
+        return new Map(lessUrgent.map((turn) => {
+            const { organisationPriority } = turn.request;
+            const rank = ranks.get(organisationPriority) ?? 0;
+            ranks.set(organisationPriority, rank + 1);
+            return [turn.request, untilTurn + STARTS_PER_TURN * priorityCount * rank / shares.remainingByUse(turn)];
+        }));
     }
 
     private assignTurns(waiting: readonly ServingRequest[], nowMs: number, serviceMs: number): readonly WaitingTurn[] {
