Bound the header sections that clients have not finished

Cause: nothing limited unfinished header sections. Node.js keeps each field of one as two strings, so short fields take many times their bytes: 2,000 connections to the port for callers with 14,000 bytes each ended a proxy out of memory at 173 MB resident. Change: UnfinishedHeaders estimates what they take, for each port: 24 MB on the port for callers, 4 MB on each port for links and tunnels (PeerServer), 2 MB on each port for heartbeats, readiness, metrics and operators (ServerGuard). Beyond that it closes the connection whose section has been unfinished longest, with a line 108; the gauge is unfinished_header_bytes. WebSockets before the end of their handshake (HandshakeGuard) are in the receive budget of SocketBudget already and are unchanged. Evidence: test/unfinishedHeaders starts processes with a heap of 40 MB. HeaderProgress is compared with the parser of Node.js on generated requests in generated pieces. ProcessFleet and startProcesses can set the heap of their processes; without it they are as before.

--- a/bench/processes/ProcessFleet/index.ts
+++ b/bench/processes/ProcessFleet/index.ts
@@ -17,6 +17,7 @@
 /** Time to wait for a process that was killed, in ms. */
 const EXIT_TIMEOUT_MS = 5_000;
 
+const HEAP_OPTION = /^(--max-old-space-size=)\d+$/;
 /** Name of the file of `note`. */
 const SOAK_LOG = "soak.log";
 /** Signals of the soak by which a process may end. */
@@ -46,6 +47,7 @@
         readonly proxyCount: number,
         readonly graceMs: number,
         private readonly nowMs: () => number,
+        private readonly heapMegabytes: number | undefined,
     ) {}
 
     /**
@@ -56,9 +58,10 @@
      * @param proxyCount - Number of proxies.
      * @param graceMs - Time that a process has to stop.
      * @param nowMs - Clock of the soak.
+     * @param heapMegabytes - Size of the old generation of the heap of each process, instead of the one in the deploy file.
      */
-    static create(program: string, block: string, proxyCount: number, graceMs: number, nowMs: () => number): ProcessFleet {
-        const fleet = new ProcessFleet(program, block, proxyCount, graceMs, nowMs);
+    static create(program: string, block: string, proxyCount: number, graceMs: number, nowMs: () => number, heapMegabytes?: number): ProcessFleet {
+        const fleet = new ProcessFleet(program, block, proxyCount, graceMs, nowMs, heapMegabytes);
         process.once("exit", fleet.killAll);
         [...fleet.controlNames, ...fleet.proxyNames].forEach((name) => fleet.start(name, true));
         return fleet;
@@ -132,7 +135,10 @@
         const network = { ip: this.ipOf(name), seeds, linkPort: PORTS.link, ports: PORTS };
         writeFileSync(file, createSettings({ name, isFirstStart, ...network, graceMs: this.graceMs, role: this.roleOf(name) }));
         const log = openSync(join(this.folder, `${name}.log`), "a");
-        const child = spawn(process.execPath, readRunCommand(name.startsWith("control") ? "control" : "proxy", this.program), {
+        const command = readRunCommand(name.startsWith("control") ? "control" : "proxy", this.program);
+        const { heapMegabytes } = this;
+        const argumentsOfNode = heapMegabytes === undefined ? command : command.map((word) => word.replace(HEAP_OPTION, `$1${heapMegabytes}`));
+        const child = spawn(process.execPath, argumentsOfNode, {
             stdio: ["ignore", log, log],
             env: { ...process.env, [SETTINGS_VARIABLE]: file },
         });
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -10,6 +10,7 @@
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { readBody } from "../../http/readBody/index.js";
 import { RefusalListener } from "../../logs/RefusalListener.js";
+import { UnfinishedHeaders } from "../../http/UnfinishedHeaders/index.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { toError } from "../../model/toError/index.js";
@@ -32,6 +33,11 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 /** What the HTTP parser accepts beyond the limit on a header section, in bytes; the limit itself is checked afterwards. */
 const HEADER_SLACK_BYTES = 1_024;
+/**
+ * Limit on the memory that unfinished header sections take, in bytes: each of the 2,048 connections that are accepted may have sent a
+ * thousand bytes in a hundred fields. A request that arrives in one read has no unfinished section.
+ */
+const MAX_UNFINISHED_HEADER_BYTES = 24 * 1_024 * 1_024;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
@@ -73,6 +79,7 @@
         for (const name of ["request", "checkContinue", "checkExpectation"]) {
             server.on(name, (request: IncomingMessage, response: ServerResponse) => void this.handleRequest(request, response));
         }
+        UnfinishedHeaders.create(server, MAX_UNFINISHED_HEADER_BYTES, onRefusal);
     }
 
     /**
--- a/src/frames/PeerServer/index.ts
+++ b/src/frames/PeerServer/index.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
 import { listenWithRetry } from "../../http/listenWithRetry/index.js";
+import { UnfinishedHeaders } from "../../http/UnfinishedHeaders/index.js";
 import { PeerServerOptions } from "../PeerServerOptions.js";
 import { RefusalListener } from "../../logs/RefusalListener.js";
 
@@ -12,6 +13,8 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Maximum size of the head of a request, in bytes. */
 const MAX_HEADER_BYTES = 2 * 1_024;
+/** Limit on the memory that unfinished heads take, in bytes; all proxies of the largest fleet can send a part of theirs at once. */
+const MAX_UNFINISHED_HEADER_BYTES = 4 * 1_024 * 1_024;
 /** Maximum number of connections that have not asked for a WebSocket; more than the processes of a large fleet. */
 const MAX_PENDING_CONNECTIONS = 4_096;
 /** Maximum number of WebSockets; several times the processes of a large fleet. */
@@ -33,6 +36,7 @@
     ) {
         server.on("connection", (socket) => this.addPending(socket));
         server.on("upgrade", (request, socket, head) => this.handleUpgrade(request, socket, head));
+        UnfinishedHeaders.create(server, MAX_UNFINISHED_HEADER_BYTES, recordRefusal);
     }
 
     /**
--- a/src/http/ServerGuard/index.ts
+++ b/src/http/ServerGuard/index.ts
@@ -7,11 +7,14 @@
 import { refuseConnect } from "../refuseConnect/index.js";
 import { RefusalListener } from "../../logs/RefusalListener.js";
 import { ServerLimits } from "../ServerLimits.js";
+import { UnfinishedHeaders } from "../UnfinishedHeaders/index.js";
 
 const STATUS_EXPECTATION_FAILED = 417;
 const STATUS_UNAVAILABLE = 503;
 /** Time without a byte in either direction after which a connection is closed, in ms; longer than any request takes to handle. */
 const IDLE_TIMEOUT_MS = 10_000;
+/** Limit on the memory that unfinished header sections take, in bytes; a hundred times the requests that these ports get. */
+const MAX_UNFINISHED_HEADER_BYTES = 2 * 1_024 * 1_024;
 /** Time after which a refused client may come again, in seconds. */
 const RETRY_AFTER_S = "1";
 
@@ -22,8 +25,8 @@
 }
 
 /**
- * Bounds what the clients of an HTTP server hold: connections, requests, pipelined requests, unread responses, and the rest of
- * a body that nobody reads. Connections are closed in order, so that no reset discards an answer.
+ * Bounds what the clients of an HTTP server hold: connections, unfinished header sections, requests, pipelined requests, unread
+ * responses, and the rest of a body that nobody reads. Connections are closed in order, so that no reset discards an answer.
  */
 export class ServerGuard {
     private readonly connections = new Map<Duplex, Connection>();
@@ -57,6 +60,7 @@
         server.on("checkExpectation", (request, response) => guard.handleExpectation(request, response));
         server.on("connect", (_request, socket) => guard.handleConnect(socket));
         server.on("clientError", (error, socket) => guard.handleClientError(error, socket));
+        UnfinishedHeaders.create(server, MAX_UNFINISHED_HEADER_BYTES, onRefusal);
         return guard;
     }
 
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -5,6 +5,7 @@
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { chooseVoterChange } from "../../decisions/quorum/chooseVoterChange/index.js";
 import { QuorumMessage } from "../../decisions/quorum/QuorumMessage.js";
+import { UnfinishedHeaders } from "../../http/UnfinishedHeaders/index.js";
 import { ControlPeer } from "../../links/ControlPeer.js";
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
@@ -93,6 +94,11 @@
         return [
             { name: "links", help: "VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "link_buffered_bytes", help: "Bytes that linked VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
+            {
+                name: "unfinished_header_bytes",
+                help: "Bytes of header sections that clients of all ports have not finished",
+                read: () => UnfinishedHeaders.bytesOfProcess,
+            },
             { name: "subscribers", help: "Proxies that take their news here", read: () => this.updateRelay.subscriberCount },
             { name: "items", help: "Configuration items applied", read: () => this.itemController?.items.length ?? 0 },
             { name: "position", help: "Position in the log of the latest change applied", read: () => this.itemController?.position ?? 0 },
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -25,6 +25,7 @@
 import { FleetView } from "../../callers/FleetView/index.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
+import { UnfinishedHeaders } from "../../http/UnfinishedHeaders/index.js";
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
@@ -173,6 +174,11 @@
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
             { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
             { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
+            {
+                name: "unfinished_header_bytes",
+                help: "Bytes of header sections that clients of all ports have not finished",
+                read: () => UnfinishedHeaders.bytesOfProcess,
+            },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
