Count the bodies of requests that an endpoint has not answered, and limit them

Cause: nothing counted the bodies that wait in the sockets of an endpoint which does not read; eight uploads of 64 MB at one endpoint exceed the memory of a proxy. Change: BackendPool counts the body of each request until its response, and does not send a further body beyond 64 MB of them (BackendResultKind NotSent). The gate refuses such a request as not executed with the cause busy and a line 108 "requests at the endpoint"; its endpoint keeps its grade. A body is always sent while no other is held. The gauge is endpoint_request_bytes. Evidence: tests with a server that accepts connections and reads nothing: 2 of 3 uploads sent at a limit of two, the next one after one has ended; requests without a body are not affected.

--- a/bench/fleetModel/ModelBackend/index.ts
+++ b/bench/fleetModel/ModelBackend/index.ts
@@ -27,6 +27,7 @@
     readonly arrivalsAtMs: number[] = [];
     readonly openedCount = 0;
     readonly bufferedBytes = 0;
+    readonly requestBytes = 0;
     /** Entries of these requests, in the same order. */
     readonly arrivedFrom: string[] = [];
     /** Times at which it first answered a request of an entry that it leaves, by entry, in ms. */
--- a/src/backend/BackendPool/index.ts
+++ b/src/backend/BackendPool/index.ts
@@ -20,6 +20,11 @@
 const MAX_STALE_FAILURE_MS = 20;
 /** Limit on the buffered bytes of incomplete responses: about a third of the memory of a small VM. */
 const MAX_BUFFERED_BYTES = 48 * 1_024 * 1_024;
+/**
+ * Limit on the bodies of requests without a response, in bytes: the largest body that the configuration usually allows. A body is held
+ * until its response, since it may be sent again, and the socket holds the same buffer while its endpoint does not read.
+ */
+const MAX_REQUEST_BYTES = 64 * 1_024 * 1_024;
 const UNLIMITED_IDLE_MS = Number.POSITIVE_INFINITY;
 
 /**
@@ -29,19 +34,26 @@
 export class BackendPool implements BackendPort {
     private connections: BackendConnection[] = [];
     private openedConnections = 0;
+    private heldRequestBytes = 0;
     private readonly budget = ByteBudget.create(MAX_BUFFERED_BYTES);
 
-    private constructor(private readonly host: string, private readonly port: number, private readonly dialect: ResponseDialect) {}
+    private constructor(
+        private readonly host: string,
+        private readonly port: number,
+        private readonly dialect: ResponseDialect,
+        private readonly maxRequestBytes: number,
+    ) {}
 
     /**
      * Creates a pool without connections.
      *
      * @param address - `host:port` of the backend server.
      * @param dialect - Conventions by which its responses identify themselves.
+     * @param maxRequestBytes - Limit on the bodies of requests without a response; one that is larger is sent alone.
      */
-    static create(address: string, dialect: ResponseDialect): BackendPool {
+    static create(address: string, dialect: ResponseDialect, maxRequestBytes = MAX_REQUEST_BYTES): BackendPool {
         const [host, port] = address.split(":");
-        return new BackendPool(host ?? "", Number(port), dialect);
+        return new BackendPool(host ?? "", Number(port), dialect, maxRequestBytes);
     }
 
     /** Number of connections opened since the start. */
@@ -54,8 +66,13 @@
         return this.budget.heldBytes;
     }
 
+    /** Bytes of the bodies of requests that were sent and have no response yet, whether the backend server has read them or not. */
+    get requestBytes(): number {
+        return this.heldRequestBytes;
+    }
+
     /**
-     * Sends a request.
+     * Sends a request, unless the bodies of requests without a response take too much.
      *
      * @param request - The request.
      * @param needsLiveConnection - True for a request that must not be repeated: its connection is new or has responded recently.
@@ -63,6 +80,13 @@
      * @returns The exchange, which can be cancelled.
      */
     send(request: BackendRequest, needsLiveConnection: boolean, onResend: () => void = () => undefined): BackendExchange {
+        const bodyBytes = request.body.length;
+        const heldBytes = this.heldRequestBytes + bodyBytes;
+        if (this.heldRequestBytes > 0 && heldBytes > this.maxRequestBytes) {
+            const result = { kind: BackendResultKind.NotSent as const, heldBytes, limitBytes: this.maxRequestBytes };
+            return { result: Promise.resolve(result), cancel: () => undefined };
+        }
+        this.heldRequestBytes = heldBytes;
         const exchange = { connection: undefined as BackendConnection | undefined, isCancelled: false };
         const sendAndRetryStale = async (): Promise<BackendResult> => {
             const reused = request.requestId === "" ? undefined : this.findIdle(needsLiveConnection ? MAX_RESPONSE_AGE_MS : UNLIMITED_IDLE_MS);
@@ -77,7 +101,7 @@
             return this.sendOnNew(request, exchange);
         };
         return {
-            result: sendAndRetryStale(),
+            result: sendAndRetryStale().finally(() => this.heldRequestBytes -= bodyBytes),
             cancel: () => {
                 exchange.isCancelled = true;
                 exchange.connection?.close();
--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -2,7 +2,9 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { install } from "@sinonjs/fake-timers";
+import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
+import { collectGarbage } from "../../../test/fixtures/collectGarbage.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { BackendRequest } from "../BackendRequest.js";
 import { BackendResult } from "../BackendResult.js";
@@ -298,3 +300,96 @@
         exchanges.forEach((exchange) => exchange.cancel());
     });
 });
+
+const MEGABYTE = 1_024 * 1_024;
+
+function upload(id: string, bytes: number): BackendRequest {
+    return { ...request(id, "POST"), body: Buffer.alloc(bytes), hasBody: true };
+}
+
+/** Runs a pool against a server that accepts connections and reads nothing. */
+async function withUnreadingServer(
+    maxRequestBytes: number | undefined,
+    run: (pool: BackendPool, sockets: readonly Socket[]) => Promise<void>,
+): Promise<void> {
+    const sockets: Socket[] = [];
+    const server = createServer({ pauseOnConnect: true }, (socket) => {
+        socket.on("error", () => undefined);
+        sockets.push(socket);
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const pool = BackendPool.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, DIALECT, maxRequestBytes);
+    try {
+        await run(pool, sockets);
+    }
+    finally {
+        pool.close();
+        sockets.forEach((socket) => socket.destroy());
+        server.close();
+    }
+}
+
+async function waitForConnections(sockets: readonly Socket[], count: number): Promise<void> {
+    for (let waits = 0; sockets.length < count && waits < 1_000; waits += 1) {
+        await delay(5);
+    }
+    // The request is written in the turn in which the connection is reported.
+    await delay(50);
+}
+
+// Guards against a second copy of each upload in the socket's buffer while its endpoint reads nothing.
+test.serial("the body of a request that the endpoint does not read is held once", async (t) => {
+    const bytes = 48 * MEGABYTE;
+    await withUnreadingServer(undefined, async (pool, sockets) => {
+        const { body, ...rest } = upload("1", bytes);
+        collectGarbage();
+        const before = process.memoryUsage();
+        const exchange = pool.send({ ...rest, body }, true);
+        await waitForConnections(sockets, 1);
+        collectGarbage();
+        const after = process.memoryUsage();
+        const addedBytes = after.external + after.heapUsed - before.external - before.heapUsed;
+        t.log(`${Math.round(addedBytes / 1_024)} kB beside the body of ${bytes / MEGABYTE} MB`);
+        t.true(addedBytes < 2 * MEGABYTE, `${addedBytes} bytes`);
+        t.is(pool.requestBytes, bytes);
+        exchange.cancel();
+        t.is((await exchange.result).kind, BackendResultKind.Broken);
+        t.is(pool.requestBytes, 0);
+    });
+});
+
+// Guards against a process that runs out of memory by uploads which its endpoint does not read.
+test.serial("uploads to an endpoint that reads nothing are not sent beyond the limit, and are again once others have ended", async (t) => {
+    await withUnreadingServer(10 * MEGABYTE, async (pool, sockets) => {
+        const sent = ["1", "2"].map((id) => pool.send(upload(id, 5 * MEGABYTE), true));
+        const refused = await pool.send(upload("3", 1), true).result;
+        t.deepEqual(refused, { kind: BackendResultKind.NotSent, heldBytes: 10 * MEGABYTE + 1, limitBytes: 10 * MEGABYTE });
+        await waitForConnections(sockets, 2);
+        t.is(pool.openedCount, 2);
+        sockets[0]?.destroy();
+        t.is((await sent[0]?.result)?.kind, BackendResultKind.Broken);
+        t.is(pool.requestBytes, 5 * MEGABYTE);
+        pool.send(upload("4", 1), true);
+        await waitForConnections(sockets, 3);
+        t.is(pool.openedCount, 3);
+        t.is(pool.requestBytes, 5 * MEGABYTE + 1);
+    });
+});
+
+test.serial("requests without a body are sent while uploads are at the limit", async (t) => {
+    await withUnreadingServer(MEGABYTE, async (pool, sockets) => {
+        pool.send(upload("1", MEGABYTE), true);
+        pool.send(request("2"), true);
+        await waitForConnections(sockets, 2);
+        t.is(pool.openedCount, 2);
+    });
+});
+
+// Guards against a service whose uploads are never run because each of them is larger than the limit.
+test.serial("a body beyond the limit is sent while no other is held", async (t) => {
+    await withServer(t, (socket) => socket.write(response("1")), async (pool) => {
+        t.is(bodyOf(await pool.send(upload("1", 65 * MEGABYTE), true).result), "ok");
+        t.is(pool.requestBytes, 0);
+    });
+});
--- a/src/backend/BackendPort.ts
+++ b/src/backend/BackendPort.ts
@@ -7,6 +7,8 @@
     readonly openedCount: number;
     /** Bytes of incomplete responses that all connections hold. */
     readonly bufferedBytes: number;
+    /** Bytes of the bodies of requests that were sent and have no response yet, whether the endpoint has read them or not. */
+    readonly requestBytes: number;
     /**
      * Sends a request.
      *
--- a/src/backend/BackendResult.ts
+++ b/src/backend/BackendResult.ts
@@ -6,6 +6,12 @@
 export type BackendResult =
     | { readonly kind: BackendResultKind.Answered; readonly answer: BackendResponse }
     | { readonly kind: BackendResultKind.NotConnected; readonly problem: string }
+    | {
+        readonly kind: BackendResultKind.NotSent;
+        /** Bytes of requests that would be held, and the limit on them. */
+        readonly heldBytes: number;
+        readonly limitBytes: number;
+    }
     | {
         readonly kind: BackendResultKind.Broken;
         readonly problem: string;
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -165,6 +165,7 @@
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "endpoint_request_bytes", help: "Bytes of requests that the endpoint has not answered", read: () => this.gate.requestBytes },
             { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -157,6 +157,11 @@
         return this.options.backend.openedCount;
     }
 
+    /** Bytes of the bodies of requests that the endpoint has not answered. */
+    get requestBytes(): number {
+        return this.options.backend.requestBytes;
+    }
+
     /** Bytes of incomplete responses that are held. */
     get responseBufferBytes(): number {
         return this.options.backend.bufferedBytes;
@@ -396,7 +401,7 @@
         }
         this.acceptedOffers.delete(key);
         const atMs = nowMs();
-        if (result.kind === BackendResultKind.NotConnected) {
+        if (result.kind === BackendResultKind.NotConnected || result.kind === BackendResultKind.NotSent) {
             this.queue.release(key);
         }
         else {
@@ -424,6 +429,9 @@
             case BackendResultKind.NotConnected:
                 this.outlierDetector.observe(ObservedOutcome.Failure, atMs, startedAtMs);
                 return this.createRefusal(RefusalCause.Unreachable, 0, false);
+            case BackendResultKind.NotSent:
+                this.budgetLog.recordRefusal("requests at the endpoint", result.heldBytes, result.limitBytes, this.options.backendAddress);
+                return this.createRefusal(RefusalCause.Busy, 0, false);
             case BackendResultKind.Broken:
                 this.outlierDetector.observe(ObservedOutcome.Failure, atMs, startedAtMs);
                 this.options.events.record(EventNumber.BackendBroken, {
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -78,7 +78,12 @@
     readonly failCallAt: (atMs: number) => void;
 }
 
-async function withGate(t: ExecutionContext, onRequest: (socket: Socket) => void, run: (fixture: Fixture) => Promise<void>): Promise<void> {
+async function withGate(
+    t: ExecutionContext,
+    onRequest: (socket: Socket) => void,
+    run: (fixture: Fixture) => Promise<void>,
+    maxRequestBytes?: number,
+): Promise<void> {
     let arrivals = 0;
     let failedCallAtMs = Number.NEGATIVE_INFINITY;
     const presences: [string, boolean][] = [];
@@ -96,7 +101,7 @@
     const gate = ServingGate.create({
         vm: "vm-1",
         backendAddress,
-        backend: BackendPool.create(backendAddress, DIALECT),
+        backend: BackendPool.create(backendAddress, DIALECT, maxRequestBytes),
         dialect: DIALECT,
         events,
         retryBudgetLimits: { windowMs: 10_000, ratio: 0.2, slack: 5 },
@@ -449,3 +454,19 @@
         return Promise.resolve();
     });
 });
+
+// Guards against an endpoint that counts as failing because it is slow to read.
+test.serial("a request that does not fit beside the uploads at the endpoint is refused as not executed, and the endpoint keeps its grade", async (t) => {
+    await withGate(t, () => undefined, async ({ gate, events, offer }) => {
+        const upload = { body: Buffer.alloc(600), hasBody: true };
+        offer("1", upload);
+        await waitUntil(() => gate.requestBytes === 600);
+        const { replies } = offer("2", upload);
+        await waitUntil(() => replies.length === 2);
+        const [, refused] = replies;
+        t.true(refused?.kind === GateReplyKind.Refused && refused.cause === RefusalCause.Busy && !refused.reachedEndpoint, JSON.stringify(refused));
+        t.is(gate.load.running, 1);
+        t.is(gate.load.grade, Grade.Trusted);
+        t.deepEqual(events.find("BudgetExceeded").map(({ holder }) => holder), ["requests at the endpoint"]);
+    }, 1_000);
+});
