Keep the fleets of two test runs on one machine apart

Cause: tests of real processes use fixed loopback addresses, and processes of a fleet wait for a port that is held. A second run of the same test, of another checkout, took the fleet of the first run for its own until that one ended. This is the cause of the failures of endlessRequests for the ports for callers, heartbeats and readiness ("14 of 70 calls not answered, sent for 64 ms"): not a fault of the product, and not a matter of speed. The test of requests without end prints the status of each call if some are not answered. What the tests check is unchanged.

--- a/test/endlessRequests.test.ts
+++ b/test/endlessRequests.test.ts
@@ -166,6 +166,9 @@
             const ends = fleet.faults.filter(({ kind }) => kind === FaultKind.OwnEnd);
             const unanswered = statuses.filter((answered) => !answers.includes(answered)).length;
             t.log(`${Math.round(maxMegabytes)} MB resident, ${unanswered} of ${statuses.length} calls not answered, sent for ${sentMs} ms`);
+            if (unanswered > 0) {
+                t.log(statuses.map((answered, number) => `${number % 2 === 0 ? "caller" : "operator"} ${answered}`).join(", "));
+            }
             t.deepEqual(ends, []);
             t.true(maxMegabytes < MAX_RESIDENT_MB, `${maxMegabytes} MB`);
             t.is(unanswered, 0);
--- a/test/oddEntries.test.ts
+++ b/test/oddEntries.test.ts
@@ -4,9 +4,10 @@
 import { LinkController } from "../src/links/LinkController/index.js";
 import { MessageKind } from "../src/links/MessageKind.js";
 import { Role } from "../src/model/Role.js";
+import { reserveBlock } from "./fixtures/reserveBlock.js";
 import { startProcesses } from "./fixtures/startProcesses.js";
 
-const BLOCK = "127.224.2";
+const BLOCK = await reserveBlock("127.224.2");
 const PEER_IP = `${BLOCK}.100`;
 const LINK_PORT = 7_600;
 const FLEET_KEY = "a key of the fleet that is long enough";
@@ -16,7 +17,7 @@
 // Guards against a control VM that one entry ends: a timer compares what it shares with what it has shared before.
 test("an entry of a control VM with a field that cannot be compared ends no process", async (t) => {
     t.timeout(60_000);
-    const fleet = await startProcesses(BLOCK, 1);
+    const fleet = await startProcesses("127.224.2", 1);
     const links = await LinkController.create(
         {
             identity: { vm: "proxy-9", startedAtMs: 1, failureDomain: "a", roles: [Role.Proxy], linkAddress: `${PEER_IP}:${LINK_PORT}` },
