--- a/test/starts.test.ts
+++ b/test/starts.test.ts
@@ -6,11 +6,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import { isListening } from "../src/http/isListening/index.js";
+import { reserveBlock } from "./fixtures/reserveBlock.js";
 import { TEST_PORTS } from "./fixtures/testPorts.js";
 import { TestProcess } from "./fixtures/TestProcess.js";
 import { TestSettings } from "./fixtures/TestSettings.js";
 
-const IP = "127.224.1.1";
+const IP = `${await reserveBlock("127.224.1")}.1`;
 /** Number of descriptors of a process that is short of them. */
 const MAX_FDS = 40;
 const LISTENING_PORTS = {
