--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -27,6 +27,7 @@
 import { FleetView } from "../../callers/FleetView/index.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { deriveToken } from "../../http/deriveToken/index.js";
+import { UnfinishedHeaders } from "../../http/UnfinishedHeaders/index.js";
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
@@ -184,6 +185,7 @@
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "endpoint_request_bytes", help: "Bytes of requests that the endpoint has not answered", read: () => this.gate.requestBytes },
             { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
@@ -193,6 +195,11 @@
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
             { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
             { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
+            {
+                name: "unfinished_header_bytes",
+                help: "Bytes of header sections that clients of all ports have not finished",
+                read: () => UnfinishedHeaders.bytesOfProcess,
+            },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             ...this.quotaClient.gauges,
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
