Place large requests in the own failure domain while they meet their target there

Entries of every domain sent large requests to the same idle endpoint by one report of it, probed endpoints of other domains with them, and took a free slot in another domain before a wait of 100 ms in their own. Responses did not count at all. While the own domain is expected to meet the target, another one has to be earlier by a margin that grows with the bytes (crossingMarginMs, none up to 2 kB), a request waits at home for at most that margin, and idle endpoints elsewhere are left to their own entries until they have waited for 1.4 s. A service with few free slots makes no request wait. If only another domain meets the target, the request goes there. Requests of up to 2 kB are placed as before; a test fixes their order. Tests changed: rankGates/test.ts passes the request as one object instead of its kind and body size; its expectations are the same.

--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -12,10 +12,11 @@
 import { GateIndex } from "../../decisions/placement/GateIndex/index.js";
 import { hasFreeSlot } from "../../decisions/placement/hasFreeSlot/index.js";
 import { PlacementCandidate } from "../../decisions/placement/PlacementCandidate.js";
+import { PlacementRequest } from "../../decisions/placement/PlacementRequest.js";
+import { ResponseSizes } from "../../decisions/placement/ResponseSizes/index.js";
 import { rankGates } from "../../decisions/placement/rankGates/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
-import { RequestKind } from "../../model/RequestKind.js";
 import { GatePort } from "../../tunnel/GatePort.js";
 import { GateTunnel } from "../../tunnel/GateTunnel.js";
 import { Invitation } from "../../tunnel/Invitation.js";
@@ -47,6 +48,8 @@
     private readonly offersSinceLoad = new Map<string, number>();
     /** Invitations of gates: when they came, and for how long the endpoint had waited by then. */
     private readonly invitations = new Map<string, { readonly atMs: number; readonly waitedMs: number }>();
+    /** Usual sizes of responses, by route. */
+    readonly responseSizes = ResponseSizes.create();
     private readonly notices = EndpointNotices.create();
     private readonly coldUntilMs = new Map<string, number>();
     private readonly tunnels = new Map<string, GateTunnel>();
@@ -129,12 +132,12 @@
     }
 
     /** Ranks the gates of a service by how soon a request is expected to be answered there. */
-    rankCandidates(service: string, requestKind: RequestKind, bodyBytes: number, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
+    rankCandidates(service: string, request: PlacementRequest, refused: ReadonlySet<string>): readonly PlacementCandidate[] {
         const gates = chooseSubset(this.servingGates(service), (record) => this.hasFreeSlot(record, refused));
         this.openTunnels(gates);
         const invited = this.invitedGates(service).filter((record) => !gates.includes(record));
         const candidates = [...gates, ...invited].map((record) => this.createCandidate(record, refused));
-        return rankGates(candidates, requestKind, this.options.failureDomain, bodyBytes, Math.random);
+        return rankGates(candidates, request, this.options.failureDomain, Math.random);
     }
 
     /** Returns the mean time that a request of a service occupies a slot, in ms. */
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -214,7 +214,11 @@
         const stateMachine = DispatchMachine.create(
             { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
-                rank: (refused) => this.fleetView.rankCandidates(service, route.requestKind, exchange.request.body.length, refused),
+                rank: (refused) => this.fleetView.rankCandidates(service, {
+                    requestKind: route.requestKind,
+                    transferBytes: exchange.request.body.length + this.fleetView.responseSizes.usualBytes(route.name),
+                    targetRemainingMs: targetAtMs - nowMs(),
+                }, refused),
                 shouldProbe: () => Math.random() < PROBE_SHARE,
                 serviceMs: this.fleetView.meanServiceMs(service),
             },
@@ -398,6 +402,7 @@
         if (this.quarantine.clearStrikes(active.fingerprint, nowMs())) {
             this.options.onStrikesCleared(active.fingerprint);
         }
+        this.fleetView.responseSizes.recordResponse(active.route.name, answer.body.length);
         this.events.record(EventNumber.RequestAnswered, {
             requestId: exchange.request.requestId,
             service: active.service,
--- a/src/decisions/dispatch/DispatchMachine/index.ts
+++ b/src/decisions/dispatch/DispatchMachine/index.ts
@@ -65,6 +65,8 @@
     private possibleRuns = 0;
     private freeSlotOffers = 0;
     private queueOffers = 0;
+    /** True once the request was offered for a wait that is preferred to a free slot in another failure domain. */
+    private hasOfferedToWait = false;
     private hasConcluded = false;
     /** Shortest retry-after time of the refusals so far. */
     private retryAfterMs = Number.POSITIVE_INFINITY;
@@ -237,11 +239,17 @@
             this.queueOffers += 1;
             return [this.offer(best, { maxQueueMs: this.maxTimelyQueueMs(nowMs), isTrial: false, isLastResort: false })];
         }
+        const preferredWaitMs = best?.preferredWaitMs ?? 0;
+        if (best !== undefined && preferredWaitMs > 0 && !this.hasOfferedToWait && !isFree(best)) {
+            this.hasOfferedToWait = true;
+            return [this.offer(best, { maxQueueMs: Math.min(this.maxTimelyQueueMs(nowMs), preferredWaitMs), isTrial: false, isLastResort: false })];
+        }
         const free = allowed.filter((candidate) => !this.refused.has(candidate.record.vm) && isFree(candidate));
         const target = free.find(({ load }) => gradeOf(load) === Grade.Trusted) ?? free[0];
         if (target !== undefined && this.freeSlotOffers < MAX_FREE_SLOT_OFFERS) {
             this.freeSlotOffers += 1;
-            return [this.offer(target, { maxQueueMs: 0, isTrial: false, isLastResort: false })];
+            const maxQueueMs = Math.min(this.maxTimelyQueueMs(nowMs), target.acceptedWaitMs ?? 0);
+            return [this.offer(target, { maxQueueMs, isTrial: false, isLastResort: false })];
         }
         return this.offerToQueueOrFallback(allowed, candidates, nowMs);
     }
@@ -290,8 +298,8 @@
     }
 
     /** A probe may fail, so a repeatable request needs a second attempt unless the endpoint accepts any request as a probe. */
-    private canProbe({ load, offersSinceReport }: PlacementCandidate): boolean {
-        if (load === undefined || offersSinceReport > 0 || load.trialWish === ProbeDemand.None) {
+    private canProbe({ load, offersSinceReport, isCostlyToProbe }: PlacementCandidate): boolean {
+        if (isCostlyToProbe === true || load === undefined || offersSinceReport > 0 || load.trialWish === ProbeDemand.None) {
             return false;
         }
         return load.trialWish === ProbeDemand.Any || (this.isRepeatable && this.plan.maxAttempts > 1);
--- a/src/decisions/dispatch/DispatchMachine/test.ts
+++ b/src/decisions/dispatch/DispatchMachine/test.ts
@@ -192,6 +192,25 @@
     t.is(vmOf(begin(create(RequestKind.Repeatable, { rank }))), "far");
 });
 
+// Guards against large bodies that leave their failure domain for want of a slot, and against requests that are kept there in vain.
+test("a request waits at the best-ranked gate for the preferred time at most, and goes to a free slot elsewhere if that is refused", (t) => {
+    const near = candidate("near");
+    const full = { ...near, load: near.load === undefined ? undefined : { ...near.load, running: 5 }, preferredWaitMs: 450 };
+    const rank = (): readonly PlacementCandidate[] => [full, candidate("far")];
+    const machine = create(RequestKind.Once, { rank });
+    const effect = begin(machine);
+    t.true(effect?.kind === DispatchEffectKind.Offer && effect.vm === "near" && effect.terms.maxQueueMs === 450);
+    t.is(vmOf(reply(machine, 1, refused())[0]), "far");
+    t.is(vmOf(begin(create(RequestKind.Once, { rank: () => [{ ...full, preferredWaitMs: 0 }, candidate("far")] }))), "far");
+});
+
+// Guards against probes whose bodies cross between failure domains while the entries there can send one.
+test("a request does not probe an endpoint that is costly to probe", (t) => {
+    const waiting = { ...candidate("gray", Grade.Doubted, ProbeDemand.Any), waitingMs: 900 };
+    t.is(vmOf(begin(create(RequestKind.Once, { rank: () => [candidate("a"), waiting] }))), "gray");
+    t.is(vmOf(begin(create(RequestKind.Once, { rank: () => [candidate("a"), { ...waiting, isCostlyToProbe: true }] }))), "a");
+});
+
 test("an ejected endpoint gets a repeatable request as a probe, but no non-repeatable one", (t) => {
     const rank = (): readonly PlacementCandidate[] => [candidate("a"), candidate("gray", Grade.Ejected, ProbeDemand.Repeatable)];
     t.is(vmOf(begin(create(RequestKind.Repeatable, { rank }))), "gray");
--- a/src/decisions/placement/PlacementCandidate.ts
+++ b/src/decisions/placement/PlacementCandidate.ts
@@ -16,4 +16,10 @@
     readonly waitingMs: number | undefined;
     /** True if it has refused this request. */
     readonly hasRefused: boolean;
+    /** Longest wait for a slot at this gate that is preferred to a free slot in another failure domain, in ms; set by `rankGates`. */
+    readonly preferredWaitMs?: number;
+    /** Wait that an offer for a free slot accepts if that slot has been taken meanwhile, in ms; set by `rankGates`. */
+    readonly acceptedWaitMs?: number;
+    /** True if entries in the failure domain of the gate should probe it rather than this request; set by `rankGates`. */
+    readonly isCostlyToProbe?: boolean;
 }
--- /dev/null
+++ b/src/decisions/placement/PlacementRequest.ts
@@ -0,0 +1,11 @@
+import { RequestKind } from "../../model/RequestKind.js";
+
+/** Properties of a request that its placement depends on. */
+export interface PlacementRequest {
+    /** Whether it is repeatable, and whether its answer is large. */
+    readonly requestKind: RequestKind;
+    /** Bytes that pass between the entry and the gate: the request body and the usual response body of the route. */
+    readonly transferBytes: number;
+    /** Time until the latency target of the route is missed, in ms; may be negative. */
+    readonly targetRemainingMs: number;
+}
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -10,6 +10,7 @@
 import { OutlierDetector } from "../../outliers/OutlierDetector/index.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { PlacementCandidate } from "../PlacementCandidate.js";
+import { PlacementRequest } from "../PlacementRequest.js";
 import { rankGates } from "./index.js";
 
 function candidate(vm: string, load: Partial<GateLoadReport> | undefined, overrides: Partial<PlacementCandidate> = {}): PlacementCandidate {
@@ -34,8 +35,12 @@
     };
 }
 
+function request(requestKind: RequestKind, transferBytes = 0, targetRemainingMs = 4_000): PlacementRequest {
+    return { requestKind, transferBytes, targetRemainingMs };
+}
+
 function bestVm(candidates: readonly PlacementCandidate[], requestKind = RequestKind.Once): string | undefined {
-    return rankGates(candidates, requestKind, "z", 0, createRandom(3))[0]?.record.vm;
+    return rankGates(candidates, request(requestKind), "z", createRandom(3))[0]?.record.vm;
 }
 
 test("a gate with free slots ranks before a full one, and a shorter wait before a longer one", (t) => {
@@ -65,7 +70,7 @@
 
 test("an endpoint that sheds more ranks later, but none is left out if all of them shed", (t) => {
     t.is(bestVm([candidate("sheds", { shedShare: 0.6 }), candidate("takes", { running: 2 })]), "takes");
-    t.is(rankGates([candidate("a", { shedShare: 0.5 }), candidate("b", { shedShare: 0.5 })], RequestKind.Once, "z", 0, createRandom(3)).length, 2);
+    t.is(rankGates([candidate("a", { shedShare: 0.5 }), candidate("b", { shedShare: 0.5 })], request(RequestKind.Once), "z", createRandom(3)).length, 2);
 });
 
 test("an ejected endpoint ranks last, except for an unreachable one", (t) => {
@@ -74,7 +79,7 @@
         candidate("ejected", { grade: Grade.Ejected }),
         candidate("full", { running: 5, queued: 40 }),
     ];
-    t.deepEqual(rankGates(candidates, RequestKind.Once, "z", 0, createRandom(3)).map(({ record }) => record.vm), ["full", "ejected", "unreachable"]);
+    t.deepEqual(rankGates(candidates, request(RequestKind.Once), "z", createRandom(3)).map(({ record }) => record.vm), ["full", "ejected", "unreachable"]);
 });
 
 test("a new endpoint gets its share of requests although its service time is not known", (t) => {
@@ -82,7 +87,7 @@
     let joined = 0;
     for (let draw = 0; draw < 300; draw += 1) {
         const fleet = [candidate("a", { running: 2 }), candidate("b", { running: 2 }), candidate("new", undefined, { isCold: true })];
-        joined += rankGates(fleet, RequestKind.Repeatable, "z", 0, random)[0]?.record.vm === "new" ? 1 : 0;
+        joined += rankGates(fleet, request(RequestKind.Repeatable), "z", random)[0]?.record.vm === "new" ? 1 : 0;
     }
     t.true(joined >= 100, `${joined} of 300`);
 });
@@ -94,11 +99,113 @@
 test("a large body goes to the entry's own failure domain while there is a free slot, and a small one to the least busy gate", (t) => {
     const candidates = [candidate("a-1", { running: 2 }), candidate("z-1", { running: 4 })];
     const chosen = (bodyBytes: number): string | undefined =>
-        rankGates(candidates, RequestKind.Once, "z", bodyBytes, createRandom(3))[0]?.record.vm;
+        rankGates(candidates, request(RequestKind.Once, bodyBytes), "z", createRandom(3))[0]?.record.vm;
     t.is(chosen(1_200), "a-1");
     t.is(chosen(60_000), "z-1");
 });
 
+interface CrossingCase {
+    /** Load and cause that the case stands for. */
+    readonly load: string;
+    readonly own: Partial<GateLoadReport>;
+    readonly other: Partial<GateLoadReport>;
+    readonly transferBytes: number;
+    readonly targetMs: number;
+    readonly chosen: string;
+}
+
+const FULL = { running: 8, slots: 8, serviceMs: 1_200 };
+const EMPTY = { running: 0, slots: 8, serviceMs: 1_200 };
+const SHORT_FULL = { ...FULL, serviceMs: 200 };
+const SHORT_EMPTY = { ...EMPTY, serviceMs: 200 };
+const CROSSING_CASES: readonly CrossingCase[] = [
+    { load: "uploads, own domain nearly full", own: { ...FULL, running: 7 }, other: EMPTY, transferBytes: 60_000, targetMs: 4_000, chosen: "z-1" },
+    { load: "uploads, short wait at home", own: { ...FULL, queued: 2 }, other: EMPTY, transferBytes: 60_000, targetMs: 4_000, chosen: "z-1" },
+    { load: "uploads, long wait at home", own: { ...FULL, queued: 14 }, other: EMPTY, transferBytes: 60_000, targetMs: 4_000, chosen: "a-1" },
+    { load: "uploads, late at home", own: { ...FULL, queued: 2 }, other: EMPTY, transferBytes: 60_000, targetMs: 1_500, chosen: "a-1" },
+    { load: "uploads, late everywhere, as before", own: FULL, other: EMPTY, transferBytes: 60_000, targetMs: -10, chosen: "z-1" },
+    { load: "uploads, own endpoint ejected", own: { ...EMPTY, grade: Grade.Ejected }, other: EMPTY, transferBytes: 60_000, targetMs: 4_000, chosen: "a-1" },
+    { load: "uploads, slow at home", own: { ...EMPTY, serviceMs: 3_600 }, other: EMPTY, transferBytes: 60_000, targetMs: 4_000, chosen: "a-1" },
+    { load: "uploads, somewhat slow", own: { ...EMPTY, serviceMs: 2_000 }, other: EMPTY, transferBytes: 60_000, targetMs: 4_000, chosen: "z-1" },
+    { load: "pages of 24 kB, wait at home", own: { ...FULL, serviceMs: 500 }, other: EMPTY, transferBytes: 24_000, targetMs: 4_000, chosen: "z-1" },
+    { load: "calls of few bytes, wait at home", own: SHORT_FULL, other: SHORT_EMPTY, transferBytes: 900, targetMs: 1_000, chosen: "a-1" },
+    { load: "calls of few bytes, less busy elsewhere", own: { ...SHORT_EMPTY, running: 5 }, other: SHORT_EMPTY, transferBytes: 900, targetMs: 1_000, chosen: "a-1" },
+];
+
+// Guards against bodies that cross between failure domains while the own one has room, and against answers that are late for it.
+CROSSING_CASES.forEach(({ load, own, other, transferBytes, targetMs, chosen }) => {
+    test(`own failure domain or another: ${load}`, (t) => {
+        const candidates = [candidate("a-1", other), candidate("z-1", own)];
+        const [best] = rankGates(candidates, request(RequestKind.Repeatable, transferBytes, targetMs), "z", createRandom(3));
+        t.is(best?.record.vm, chosen);
+    });
+});
+
+// Guards against an idle endpoint to which the entries of all failure domains send large bodies by the same report: most bytes between domains.
+test("an idle endpoint of another failure domain attracts requests of few bytes, and those with large bodies only if they are late at home", (t) => {
+    const idle = candidate("a-1", { ...EMPTY, isIdle: true, trialWish: ProbeDemand.Any });
+    const chosen = (transferBytes: number, targetMs: number): string | undefined =>
+        rankGates([idle, candidate("z-1", EMPTY)], request(RequestKind.Once, transferBytes, targetMs), "z", createRandom(3))[0]?.record.vm;
+    t.is(chosen(900, 4_000), "a-1");
+    t.is(chosen(60_000, 4_000), "z-1");
+    t.is(chosen(60_000, 1_000), "a-1");
+});
+
+// Guards against probes with large bodies from other failure domains, and against an endpoint that nobody probes in time.
+test("an invited request with a large body probes an endpoint of another failure domain only once that has waited for 1.4 s", (t) => {
+    const isCostly = (transferBytes: number, waitingMs: number | undefined): boolean | undefined => {
+        const invited = candidate("a-1", { ...EMPTY, trialWish: ProbeDemand.Any }, { waitingMs });
+        const ranked = rankGates([invited, candidate("z-1", EMPTY)], request(RequestKind.Once, transferBytes), "z", createRandom(3));
+        return ranked.find(({ record }) => record.vm === "a-1")?.isCostlyToProbe;
+    };
+    t.true(isCostly(60_000, undefined));
+    t.true(isCostly(60_000, 1_200));
+    t.false(isCostly(60_000, 1_500));
+    t.false(isCostly(900, 1_200));
+    t.false(rankGates([candidate("z-1", EMPTY)], request(RequestKind.Once, 60_000), "z", createRandom(3))[0]?.isCostlyToProbe);
+});
+
+/** Order that the ranking by load alone gave for the same loads and seed. */
+const AS_BEFORE = ["a-0", "z-2", "b-4", "b-1", "z-5", "a-3", "z-8", "a-6", "b-7"];
+
+// Guards against slower answers in deployments of three failure domains with small responses, whose gates ranked by load alone.
+test("the order of gates for a request of few bytes does not depend on its latency target", (t) => {
+    const candidates = Array.from({ length: 9 }, (_, number) =>
+        candidate(`${"abz"[number % 3] ?? ""}-${number}`, { running: number, queued: number % 4, slots: 5, isIdle: number === 0 }));
+    [-100, 100, 4_000].forEach((targetMs) => {
+        const ranked = rankGates(candidates, request(RequestKind.Repeatable, 2_048, targetMs), "z", createRandom(3));
+        t.deepEqual(ranked.map(({ record }) => record.vm), AS_BEFORE);
+        t.true(ranked.every((gate) => gate.preferredWaitMs === 0 && gate.acceptedWaitMs === 0 && gate.isCostlyToProbe === false));
+    });
+});
+
+// Guards against requests that wait in their own failure domain while the slots elsewhere are needed for others.
+test("the less of a service's slots are free, the shorter is the wait that is preferred to another domain", (t) => {
+    const waitMs = (running: number): number | undefined => rankGates(
+        [candidate("z-1", FULL), candidate("a-1", { ...EMPTY, running }), candidate("b-1", { ...EMPTY, running })],
+        request(RequestKind.Once, 60_000, 8_000),
+        "z",
+        createRandom(3),
+    ).find(({ record }) => record.vm === "z-1")?.preferredWaitMs;
+    t.deepEqual([0, 2, 3, 5].map((running) => Math.round(waitMs(running) ?? -1)), [1_449, 1_449, 966, 0]);
+});
+
+// Guards against requests that wait in their own failure domain for longer than another one is worth avoiding.
+test("a gate of the own failure domain states the wait that is preferred to another domain: at most the margin and the slack of the target", (t) => {
+    const waits = (transferBytes: number, targetMs: number): readonly (number | undefined)[] =>
+        rankGates([candidate("z-1", FULL), candidate("a-1", EMPTY)], request(RequestKind.Once, transferBytes, targetMs), "z", createRandom(3))
+            .map(({ preferredWaitMs }) => preferredWaitMs);
+    t.deepEqual(waits(60_000, 8_000), [1_449, 0]);
+    t.deepEqual(waits(60_000, 2_000), [300, 0]);
+    t.deepEqual(waits(900, 8_000), [0, 0]);
+});
+
+// Guards against a request that has been refused for want of a slot and is sent to the same domain again and again.
+test("a gate that has refused the request does not keep it in its failure domain", (t) => {
+    const candidates = [candidate("a-1", EMPTY), candidate("z-1", EMPTY, { hasRefused: true })];
+    t.is(rankGates(candidates, request(RequestKind.Once, 60_000), "z", createRandom(3))[0]?.preferredWaitMs, 0);
+});
+
 test("a download prefers the entry's own failure domain while there is a free slot, and another domain to a long wait", (t) => {
     const near = candidate("z-1", { running: 4 });
     t.is(bestVm([candidate("a-1", {}), near], RequestKind.Download), "z-1");
@@ -157,9 +264,8 @@
         const subset = entries[Math.floor(random() * entries.length)] ?? [];
         const ranked = rankGates(
             subset.map((gate) => candidate(gate.vm, gate.report)),
-            kind === RequestKind.Once ? rankedAs : kind,
+            request(kind === RequestKind.Once ? rankedAs : kind),
             "z",
-            0,
             random,
         ).map(({ record }) => gates[Number(record.vm)]!);
         const gate = ranked.slice(0, 6).find(({ detector, running }) =>
