Expect the service time of a request's own route, not that of all work of its endpoint

Cause: calls of 0.2 s and requests of 1 s of one service were placed, hedged and refused by one mean service time.

--- a/bench/fleetModel/createRoutes/index.ts
+++ b/bench/fleetModel/createRoutes/index.ts
@@ -9,23 +9,28 @@
 const MAX_ATTEMPTS = 2;
 
 /**
- * Creates the routes of a service of a `FleetModel`: one for repeatable and one for non-repeatable requests.
+ * Creates the routes of a service of a `FleetModel`: one for repeatable and one for non-repeatable requests, and as many for its
+ * short calls.
  *
  * @param service - The service.
  * @returns Its routes, with the paths `/<service>/<kind>/`.
  * @example
  * createRoutes(service).length; // 2
  */
-export function createRoutes({ name, targetLatencyMs }: ModelService): readonly VersionedItem[] {
+export function createRoutes(service: ModelService): readonly VersionedItem[] {
+    return [...createRoutesUnder(service, ""), ...service.shortShare === undefined ? [] : createRoutesUnder(service, "short/")];
+}
+
+function createRoutesUnder({ name, targetLatencyMs }: ModelService, suffix: string): readonly VersionedItem[] {
     return [RequestKind.Repeatable, RequestKind.Once].map((requestKind) => ({
-        key: `route/${name}-${requestKind}`,
+        key: `route/${name}-${requestKind}${suffix}`,
         version: 1,
         document: "",
         content: {
             kind: ItemKind.Route,
-            name: `${name}-${requestKind}`,
+            name: `${name}-${requestKind}${suffix}`,
             host: MODEL_HOST,
-            pathPrefix: `/${name}/${requestKind}/`,
+            pathPrefix: `/${name}/${requestKind}/${suffix}`,
             requestKind,
             timeoutMs: TIMEOUT_MS,
             targetLatencyMs: targetLatencyMs ?? TARGET_LATENCY_MS,
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -14,6 +14,7 @@
 import { PlacementCandidate } from "../../decisions/placement/PlacementCandidate.js";
 import { PlacementRequest } from "../../decisions/placement/PlacementRequest.js";
 import { ResponseSizes } from "../../decisions/placement/ResponseSizes/index.js";
+import { RouteTimes } from "../../decisions/placement/RouteTimes/index.js";
 import { rankGates } from "../../decisions/placement/rankGates/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -50,6 +51,8 @@
     private readonly invitations = new Map<string, { readonly atMs: number; readonly waitedMs: number }>();
     /** Usual sizes of responses, by route. */
     readonly responseSizes = ResponseSizes.create();
+    /** Service times of routes in proportion to those of their endpoints. */
+    readonly routeTimes = RouteTimes.create();
     private readonly notices = EndpointNotices.create();
     private readonly coldUntilMs = new Map<string, number>();
     private readonly tunnels = new Map<string, GateTunnel>();
@@ -140,10 +143,9 @@
         return rankGates(candidates, request, this.options.failureDomain, Math.random);
     }
 
-    /** Returns the mean time that a request of a service occupies a slot, in ms. */
-    meanServiceMs(service: string): number {
-        const times = this.index.serving(service).slice(0, MAX_SAMPLED_GATES).flatMap(({ vm }) => this.loads.get(vm)?.load.serviceMs ?? []);
-        return times.length === 0 ? DEFAULT_SERVICE_MS : times.reduce((sum, time) => sum + time, 0) / times.length;
+    /** Returns the mean time that a request of a route occupies a slot of a service, in ms. */
+    routeServiceMs(service: string, route: string): number {
+        return this.routeTimes.ratioOf(route) * this.meanServiceMs(service);
     }
 
     /** Returns the gate of a VM: the local one, or a tunnel to it. */
@@ -176,6 +178,12 @@
         this.tunnels.clear();
     }
 
+    /** Returns the mean time that a request of a service occupies a slot, in ms. */
+    private meanServiceMs(service: string): number {
+        const times = this.index.serving(service).slice(0, MAX_SAMPLED_GATES).flatMap(({ vm }) => this.loads.get(vm)?.load.serviceMs ?? []);
+        return times.length === 0 ? DEFAULT_SERVICE_MS : times.reduce((sum, time) => sum + time, 0) / times.length;
+    }
+
     /** Opens tunnels to gates that have none yet: a few at a time, as each costs a handshake. */
     private openTunnels(gates: readonly GateRecord[]): void {
         const isUnopened = ({ vm }: GateRecord): boolean => vm !== this.options.vm && !this.tunnels.has(vm);
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -71,6 +71,8 @@
     readonly vm: string;
     readonly endpoint: EndpointReport | undefined;
     readonly atMs: number;
+    /** Time at which it was known to run, or undefined if it has not started. */
+    readonly startedAtMs: number | undefined;
     readonly loadAgeMs: number | undefined;
     readonly isProbe: boolean;
 }
@@ -210,17 +212,18 @@
     ): void {
         const { arrivedAtMs, patienceMs } = exchange.request;
         const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
-        const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.meanServiceMs(service));
+        const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.routeServiceMs(service, route.name));
         const stateMachine = DispatchMachine.create(
             { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
                 rank: (refused) => this.fleetView.rankCandidates(service, {
                     requestKind: route.requestKind,
                     transferBytes: exchange.request.body.length + this.fleetView.responseSizes.usualBytes(route.name),
+                    serviceRatio: this.fleetView.routeTimes.ratioOf(route.name),
                     targetRemainingMs: targetAtMs - nowMs(),
                 }, refused),
                 shouldProbe: () => Math.random() < PROBE_SHARE,
-                serviceMs: this.fleetView.meanServiceMs(service),
+                serviceMs: this.fleetView.routeServiceMs(service, route.name),
             },
         );
         const active: ActiveRequest = {
@@ -327,6 +330,7 @@
         const atMs = nowMs();
         const loadAgeMs = this.fleetView.loadAgeMs(vm);
         const endpoint = this.fleetView.find(vm)?.endpoint;
+        let startedAtMs: number | undefined;
         this.offersMade += 1;
         this.fleetView.recordOffer(vm);
         active.vmsByAttempt.set(attempt, vm);
@@ -347,13 +351,14 @@
             hasBody: request.hasBody,
             remainingMs: active.deadlineAtMs - atMs,
             targetRemainingMs: active.targetAtMs - atMs,
-            usualMs: Math.round(this.fleetView.meanServiceMs(active.service)),
+            usualMs: Math.round(this.fleetView.routeServiceMs(active.service, active.route.name)),
             needsGo: false,
             callOfRepeatShare: active.callOfRepeatShare,
             limitPerSecond: this.fleetView.limitOf(vm),
             ...terms,
         }, (reply) => this.runGuarded(active, () => {
-            this.observeReply(active, { vm, endpoint, atMs, loadAgeMs, isProbe: terms.isTrial }, reply);
+            startedAtMs ??= reply.kind === GateReplyKind.Started ? nowMs() : undefined;
+            this.observeReply(active, { vm, endpoint, atMs, startedAtMs, loadAgeMs, isProbe: terms.isTrial }, reply);
             this.applyEvent(active, { kind: DispatchEventKind.Reply, attempt, reply });
         }));
         if (handle !== undefined && !active.stateMachine.isFinished) {
@@ -363,13 +368,16 @@
 
     /** Records what a reply says about its gate and its endpoint. */
     private observeReply(active: ActiveRequest, sent: SentOffer, reply: GateReply): void {
-        const { vm, endpoint, atMs, loadAgeMs, isProbe } = sent;
+        const { vm, endpoint, atMs, startedAtMs, loadAgeMs, isProbe } = sent;
         if ((reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Answered) && reply.load !== undefined) {
             this.fleetView.applyLoad(reply.load);
         }
         if (reply.kind === GateReplyKind.Answered && endpoint !== undefined) {
             this.fleetView.recordStatement(endpoint, this.options.dialect.readStatement(reply.answer.headers), atMs);
         }
+        if (reply.kind === GateReplyKind.Answered && startedAtMs !== undefined && reply.answer.status < MIN_FAILED_STATUS) {
+            this.fleetView.routeTimes.recordRequest(active.route.name, nowMs() - startedAtMs, reply.load?.serviceMs ?? nowMs() - startedAtMs);
+        }
         const isBusy = reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Busy;
         if (!isBusy && (reply.kind === GateReplyKind.Refused || reply.kind === GateReplyKind.Broken)) {
             this.events.record(EventNumber.AttemptRetried, {
--- a/src/decisions/placement/PlacementRequest.ts
+++ b/src/decisions/placement/PlacementRequest.ts
@@ -6,6 +6,8 @@
     readonly requestKind: RequestKind;
     /** Bytes that pass between the entry and the gate: the request body and the usual response body of the route. */
     readonly transferBytes: number;
+    /** How long it runs in proportion to the mean over all requests of its endpoint; see `RouteTimes`. */
+    readonly serviceRatio: number;
     /** Time until the latency target of the route is missed, in ms; may be negative. */
     readonly targetRemainingMs: number;
 }
--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -54,7 +54,8 @@
 
 /**
  * Ranks gates by how soon they are likely to answer a request: the expected wait for a slot plus the service time, with
- * penalties for distance and for the grade of the endpoint. Gates with the same score are ordered at random.
+ * penalties for distance and for the grade of the endpoint. The wait depends on the mean time of all requests there, the
+ * service time on that of requests of this route. Gates with the same score are ordered at random.
  *
  * While the request is expected to meet its latency target in the entry's own failure domain, a gate in another one must be
  * earlier by a margin that grows with the bytes that would cross, and an idle endpoint there gets the request only if its gate
@@ -82,12 +83,12 @@
     failureDomain: string,
     random: () => number,
 ): readonly PlacementCandidate[] {
-    const { requestKind, transferBytes, targetRemainingMs } = request;
+    const { requestKind, transferBytes, serviceRatio, targetRemainingMs } = request;
     const defaultServiceMs = meanServiceMs(candidates);
     const marginMs = crossingMarginMs(transferBytes, requestKind);
     const isLocal = ({ record }: PlacementCandidate): boolean => record.failureDomain === failureDomain;
     const slackMs = (candidate: PlacementCandidate, timelyShare = TIMELY_SHARE): number =>
-        timelyShare * targetRemainingMs - serviceMsOf(candidate, defaultServiceMs);
+        timelyShare * targetRemainingMs - serviceRatio * serviceMsOf(candidate, defaultServiceMs);
     const patience = patienceShare(candidates);
     const isTimely = (candidate: PlacementCandidate, maxWaitMs: number): boolean =>
         isTrusted(candidate) && waitMsOf(candidate, defaultServiceMs) <= maxWaitMs;
@@ -97,7 +98,7 @@
         && candidates.some((candidate) => !isLocal(candidate) && isTimely(candidate, slackMs(candidate, 1)));
     const lateMarginMs = isOnlyTimelyElsewhere ? 0 : Math.min(MAX_LATE_MARGIN_MS, marginMs);
     const crossDomainMs = CROSS_DOMAIN_PENALTY_MS + (prefersLocal ? marginMs : lateMarginMs);
-    const scoreMs = (candidate: PlacementCandidate): number => score(candidate, defaultServiceMs, requestKind)
+    const scoreMs = (candidate: PlacementCandidate): number => score(candidate, defaultServiceMs, request)
         + (isLocal(candidate) ? 0 : crossDomainMs)
         - (hasIdleBonus(candidate, requestKind) && (isLocal(candidate) || !prefersLocal) ? IDLE_BONUS_MS : 0);
     const scored = candidates.map((candidate): ScoredCandidate => ({
@@ -125,13 +126,13 @@
     return reported.length === 0 ? DEFAULT_SERVICE_MS : reported.reduce((sum, serviceMs) => sum + serviceMs, 0) / reported.length;
 }
 
-function score(candidate: PlacementCandidate, defaultServiceMs: number, requestKind: RequestKind): number {
+function score(candidate: PlacementCandidate, defaultServiceMs: number, { requestKind, serviceRatio }: PlacementRequest): number {
     const { load } = candidate;
     const slots = slotsOf(candidate);
     const busy = busyOf(candidate);
     const isPacked = requestKind === RequestKind.Once && busy < MAX_PACKED_SHARE * slots;
     const spreadMs = (isPacked ? -1 : 1) * WAIT_RESOLUTION_MS * 2 * busy / slots;
-    return waitMsOf(candidate, defaultServiceMs) + spreadMs + serviceMsOf(candidate, defaultServiceMs) / 2
+    return waitMsOf(candidate, defaultServiceMs) + spreadMs + serviceRatio * serviceMsOf(candidate, defaultServiceMs) / 2
         + gradePenaltyMs(load?.grade ?? Grade.Trusted)
         + SHED_PENALTY_MS * (load?.shedShare ?? 0)
         + (candidate.isReachable ? 0 : UNREACHABLE_PENALTY_MS);
@@ -157,6 +158,7 @@
     return (load === undefined ? 0 : load.running + load.queued) + offersSinceReport;
 }
 
+/** Mean time over all requests of the endpoint, by which slots become free. */
 function serviceMsOf({ load, isCold }: PlacementCandidate, defaultServiceMs: number): number {
     return (load?.serviceMs ?? defaultServiceMs) * (isCold ? COLD_SERVICE_FACTOR : 1);
 }
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -36,7 +36,7 @@
 }
 
 function request(requestKind: RequestKind, transferBytes = 0, targetRemainingMs = 4_000): PlacementRequest {
-    return { requestKind, transferBytes, targetRemainingMs };
+    return { requestKind, transferBytes, serviceRatio: 1, targetRemainingMs };
 }
 
 function bestVm(candidates: readonly PlacementCandidate[], requestKind = RequestKind.Once): string | undefined {
@@ -179,6 +179,24 @@
     });
 });
 
+// Guards against long requests that are placed as if they were as short as the calls that their endpoints mostly run.
+test("a long request goes to the faster endpoint, and one that runs for the usual time or less to the less busy one", (t) => {
+    const candidates = [candidate("fast", { running: 4, serviceMs: 300 }), candidate("slow", { running: 1, serviceMs: 440 })];
+    const chosen = (serviceRatio: number): string | undefined =>
+        rankGates(candidates, { ...request(RequestKind.Repeatable), serviceRatio }, "z", createRandom(3))[0]?.record.vm;
+    t.deepEqual([4, 0.3].map(chosen), ["fast", "slow"]);
+});
+
+// Guards against short calls that leave their failure domain because long requests would be late there.
+test("a short call stays in its failure domain where it is in time, although the mean of the endpoint is longer than its target", (t) => {
+    const candidates = [candidate("a-1", { serviceMs: 900 }), candidate("z-1", { serviceMs: 900, running: 3 })];
+    const preferredWaitMs = (serviceRatio: number): number | undefined =>
+        rankGates(candidates, { ...request(RequestKind.Once, 24_000, 1_000), serviceRatio }, "z", createRandom(3))
+            .find(({ record }) => record.vm === "z-1")?.preferredWaitMs;
+    t.is(preferredWaitMs(1), 0);
+    t.is(preferredWaitMs(0.25), 525);
+});
+
 // Guards against requests that wait in their own failure domain while the slots elsewhere are needed for others.
 test("the less of a service's slots are free, the shorter is the wait that is preferred to another domain", (t) => {
     const waitMs = (running: number): number | undefined => rankGates(
