Limit the bytes of request bodies at one endpoint

Cause: an endpoint that holds more request bodies than its memory allows crashes, and its gate sent it as many again. Requests beyond the budget are refused as busy before they run, so that their entry offers them elsewhere. Event 424 and two gauges.

--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -67,6 +67,7 @@
     EndpointStarved = 421,
     EndpointLimited = 422,
     LimitExceeded = 423,
+    BodyBudgetReduced = 424,
     BackendBroken = 530,
     RequestAnswered = 531,
     RequestFailed = 532,
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -164,6 +164,8 @@
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
+            { name: "endpoint_body_bytes", help: "Bytes of request bodies for the endpoint", read: () => this.gate.bodyBytes },
+            { name: "endpoint_body_budget_bytes", help: "Bytes of request bodies that the endpoint may hold", read: () => this.gate.bodyBudgetBytes },
             { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -10,6 +10,7 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { isSameRun } from "../../decisions/fleet/isSameRun/index.js";
+import { BodyBytesLimit } from "../../decisions/limits/BodyBytesLimit/index.js";
 import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
@@ -96,6 +97,8 @@
     private readonly statements: EndpointStatements;
     private readonly budgetLog: BudgetLog;
     private retryBudget: FleetRetryBudget;
+    /** Bytes of request bodies that the endpoint holds or will hold; kept over runs of the endpoint, which have the same memory. */
+    private readonly bodyLimit = BodyBytesLimit.create();
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
     private lastGrade = Grade.Trusted;
@@ -157,6 +160,16 @@
         return this.options.backend.openedCount;
     }
 
+    /** Bytes of request bodies that wait for the endpoint or are there. */
+    get bodyBytes(): number {
+        return this.bodyLimit.heldBytes;
+    }
+
+    /** Bytes of request bodies that the endpoint may hold. */
+    get bodyBudgetBytes(): number {
+        return this.bodyLimit.budgetBytes(nowMs());
+    }
+
     /** Bytes of incomplete responses that are held. */
     get responseBufferBytes(): number {
         return this.options.backend.bufferedBytes;
@@ -228,11 +241,17 @@
             onReply(this.createRefusal(RefusalCause.RetryBudget, 0, false));
             return FINISHED_HANDLE;
         }
+        if (!this.bodyLimit.admits(bodyBytesOf(offer), atMs)) {
+            this.budgetLog.recordRefusal("request bodies at the endpoint", this.bodyLimit.heldBytes, this.bodyLimit.budgetBytes(atMs));
+            onReply(this.createRefusal(RefusalCause.Busy, Math.round(this.queue.serviceMs), false));
+            return FINISHED_HANDLE;
+        }
         const grade = this.outlierDetector.grade(atMs);
         const sinceLastRequestMs = this.queue.sinceLastRequestMs(atMs);
         const admission = this.queue.admit(toServingRequest(offer, atMs), grade, atMs);
         if (admission.kind !== AdmissionKind.Refuse) {
             this.recordStarvation(sinceLastRequestMs, grade);
+            this.bodyLimit.recordStart(bodyBytesOf(offer));
         }
         if (offer.isRepeat && admission.kind !== AdmissionKind.Refuse) {
             this.retryBudget.countRepeat(atMs);
@@ -394,7 +413,8 @@
         if (this.acceptedOffers.get(key) !== accepted) {
             return;
         }
-        this.acceptedOffers.delete(key);
+        const heldBytes = this.bodyLimit.heldBytes;
+        this.remove(key, result.kind === BackendResultKind.Answered);
         const atMs = nowMs();
         if (result.kind === BackendResultKind.NotConnected) {
             this.queue.release(key);
@@ -406,7 +426,7 @@
         this.handleGradeChange(atMs);
         this.startNext();
         if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
-            void this.confirmEndpointLoss(accepted, reply);
+            void this.confirmEndpointLoss(accepted, reply, heldBytes);
         }
         else {
             accepted.onReply(reply);
@@ -415,8 +435,28 @@
     }
 
     /** Replies after a dropped connection. The endpoint counts as lost only if it accepts no other connection either. */
-    private async confirmEndpointLoss(accepted: AcceptedOffer, reply: Extract<GateReply, { kind: GateReplyKind.Broken }>): Promise<void> {
-        accepted.onReply({ ...reply, lostEndpoint: await isServerDown(this.options.backendAddress) });
+    private async confirmEndpointLoss(
+        accepted: AcceptedOffer,
+        reply: Extract<GateReply, { kind: GateReplyKind.Broken }>,
+        heldBytes: number,
+    ): Promise<void> {
+        const lostEndpoint = await isServerDown(this.options.backendAddress);
+        const atMs = nowMs();
+        if (lostEndpoint && this.bodyLimit.recordCrash(heldBytes, atMs)) {
+            const budgetBytes = this.bodyLimit.budgetBytes(atMs);
+            this.options.events.record(EventNumber.BodyBudgetReduced, { endpoint: this.endpoint?.id, heldBytes, budgetBytes });
+        }
+        accepted.onReply({ ...reply, lostEndpoint });
+    }
+
+    /** Removes an accepted offer, and its body from what the endpoint holds. */
+    private remove(key: string, isAnswered: boolean): AcceptedOffer | undefined {
+        const accepted = this.acceptedOffers.get(key);
+        if (accepted !== undefined) {
+            this.acceptedOffers.delete(key);
+            this.bodyLimit.recordEnd(bodyBytesOf(accepted.offer), isAnswered);
+        }
+        return accepted;
     }
 
     private evaluateResult({ offer, startedAtMs, run }: AcceptedOffer, result: BackendResult, atMs: number): GateReply {
@@ -480,11 +520,10 @@
     }
 
     private cancel(key: string): void {
-        const accepted = this.acceptedOffers.get(key);
+        const accepted = this.remove(key, false);
         if (accepted === undefined) {
             return;
         }
-        this.acceptedOffers.delete(key);
         if (this.queue.removeWaiting(key)) {
             return;
         }
@@ -500,8 +539,7 @@
     }
 
     private refuse(key: string, cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): void {
-        const accepted = this.acceptedOffers.get(key);
-        this.acceptedOffers.delete(key);
+        const accepted = this.remove(key, false);
         accepted?.onReply(this.createRefusal(cause, retryAfterMs, reachedEndpoint));
     }
 
@@ -580,6 +618,11 @@
     }
 }
 
+/** Size of a body; a malformed offer of another process may have none. */
+function bodyBytesOf({ body }: WorkOffer): number {
+    return Buffer.isBuffer(body) ? body.length : 0;
+}
+
 function toServingRequest(offer: WorkOffer, atMs: number): ServingRequest {
     return {
         key: offer.key,
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { BackendPool } from "../../backend/BackendPool/index.js";
@@ -387,6 +387,31 @@
 });
 
 // Guards against a response of pieces without end that ends the process: each piece took memory of its own.
+// Guards against an endpoint that crashes again because its gate sends it as many request bodies as it could not hold.
+test("after a crash of the endpoint, fewer bytes of request bodies are sent to it, and the others are refused as not run", async (t) => {
+    let connections = 0;
+    await withGate(t, (socket) => {
+        connections += 1;
+        if (connections === 1) {
+            (socket as Socket & { server: Server }).server.close();
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        }
+    }, async ({ gate, events, offer }) => {
+        const upload = { requestKind: RequestKind.Once, body: Buffer.alloc(100_000), hasBody: true };
+        const first = offer("1", upload);
+        offer("2", upload);
+        t.is(gate.bodyBytes, 200_000);
+        await waitUntil(() => first.replies.some(({ kind }) => kind === GateReplyKind.Broken));
+        t.is(gate.bodyBytes, 100_000);
+        t.is(gate.bodyBudgetBytes, 100_000);
+        t.is(events.find("BodyBudgetReduced").length, 1);
+        const [refusal] = offer("3", upload).replies;
+        t.true(refusal?.kind === GateReplyKind.Refused && refusal.cause === RefusalCause.Busy && !refusal.reachedEndpoint);
+        const [accepted] = offer("4").replies;
+        t.not(accepted?.kind, GateReplyKind.Refused);
+    });
+});
+
 test.serial("a response of tiny chunks without end is refused by their number, with one line that names the limit", async (t) => {
     const handle = (socket: Socket): void => {
         socket.write("HTTP/1.1 200 X\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
