Run fewer requests at a time at endpoints that slow down when nearly full

Cause: an endpoint that becomes several times as slow above three quarters of its slots, or sheds then, got all slots filled. Change: a gate compares the throughput of its endpoint by the number of requests that run (ConcurrencyLimit) and uses between half of the slots and all of them. A level counts as better only if its throughput is a fifth higher; measurements fade, so that all slots are tried again after about half a minute. Times are divided by the usual time of the request's route, so that a mix of short and long work is no slowdown. Tests of the model's fleets and of serving pass.

--- a/bench/measureCrossing.ts
+++ b/bench/measureCrossing.ts
@@ -7,11 +7,13 @@
 const SEED = Number(process.argv[3] ?? 5);
 /** Factor on the requests of all services. */
 const LOAD = Number(process.argv[4] ?? 1);
+/** Factor by which endpoints are slower while more than three quarters of their slots are busy. */
+const FULL_SLOWNESS = Number(process.argv[5] ?? 1);
 /** Time until all endpoints have been found, in ms. */
 const WARM_UP_MS = 3_000;
 
 const model = await runFleetModel({
-    services: UNEVEN_SERVICES.map((service) => ({ ...service, requestsPerSecond: LOAD * service.requestsPerSecond })),
+    services: UNEVEN_SERVICES.map((service) => ({ ...service, requestsPerSecond: LOAD * service.requestsPerSecond, fullSlowness: FULL_SLOWNESS })),
     failureDomainCount: 3,
     controlCount: 5,
     oneWayDelayMs: 3,
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -14,6 +14,7 @@
 import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
+import { ConcurrencyLimit } from "../../decisions/serving/ConcurrencyLimit/index.js";
 import { isBlockedByGrade } from "../../decisions/serving/isBlockedByGrade/index.js";
 import { ServingQueue } from "../../decisions/serving/ServingQueue/index.js";
 import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
@@ -77,6 +78,8 @@
     readonly onReply: (reply: GateReply) => void;
     grantedAtMs: number;
     startedAtMs: number;
+    /** Share of the slots in use when it started, its own included. */
+    busyShare: number;
     /** Run of the endpoint that the request was sent to. */
     run: EndpointRun | undefined;
     exchange: BackendExchange | undefined;
@@ -99,6 +102,7 @@
     private retryBudget: FleetRetryBudget;
     /** Bytes of request bodies that the endpoint holds or will hold; kept over runs of the endpoint, which have the same memory. */
     private readonly bodyLimit = BodyBytesLimit.create();
+    private concurrencyLimit = ConcurrencyLimit.create();
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
     private lastGrade = Grade.Trusted;
@@ -185,11 +189,12 @@
         if (isNewRun) {
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
+            this.concurrencyLimit = ConcurrencyLimit.create();
             this.queue.resetEndpoint(this.statements.limiter);
             this.options.backend.closeUnusable();
         }
         this.endpoint = endpoint;
-        this.queue.setSlots(endpoint.slots);
+        this.updateSlots(nowMs());
         if (endpoint.phase !== EndpointPhase.Ready || isNewRun) {
             this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, RefusalCause.NotServing, 0, false));
         }
@@ -270,6 +275,7 @@
                     onReply,
                     grantedAtMs: 0,
                     startedAtMs: 0,
+                    busyShare: 0,
                     run: undefined,
                     exchange: undefined,
                     isHung: false,
@@ -284,6 +290,7 @@
                     onReply,
                     grantedAtMs: 0,
                     startedAtMs: 0,
+                    busyShare: 0,
                     run: undefined,
                     exchange: undefined,
                     isHung: false,
@@ -381,6 +388,7 @@
         const { offer } = accepted;
         const endpointId = this.endpoint?.id ?? "";
         accepted.startedAtMs = nowMs();
+        accepted.busyShare = this.queue.runningCount / Math.max(1, this.endpoint?.slots ?? 1);
         accepted.run = this.endpoint;
         if (!offer.isRepeat) {
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
@@ -423,6 +431,7 @@
             this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < MIN_FAILED_STATUS);
         }
         const reply = this.evaluateResult(accepted, result, atMs);
+        this.recordConcurrency(accepted, reply, atMs);
         this.handleGradeChange(atMs);
         this.startNext();
         if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
@@ -434,6 +443,24 @@
         this.options.onLoadChange(false);
     }
 
+    /** Records how an answer depends on the requests that ran at the same time. Failures say nothing: most are faster than answers. */
+    private recordConcurrency({ offer, busyShare, startedAtMs }: AcceptedOffer, reply: GateReply, atMs: number): void {
+        if (reply.kind === GateReplyKind.Answered && reply.answer.status < MIN_FAILED_STATUS) {
+            this.concurrencyLimit.recordAnswer(busyShare, (atMs - startedAtMs) / offer.usualMs, atMs);
+        }
+        else if (reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Shed) {
+            this.concurrencyLimit.recordShed(busyShare, atMs);
+        }
+        this.updateSlots(atMs);
+    }
+
+    /** Sets how many requests run at the same time. */
+    private updateSlots(atMs: number): void {
+        if (this.endpoint !== undefined) {
+            this.queue.setSlots(this.concurrencyLimit.limit(this.endpoint.slots, atMs));
+        }
+    }
+
     /** Replies after a dropped connection. The endpoint counts as lost only if it accepts no other connection either. */
     private async confirmEndpointLoss(
         accepted: AcceptedOffer,
