--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -186,6 +186,8 @@
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
             { name: "endpoint_request_bytes", help: "Bytes of requests that the endpoint has not answered", read: () => this.gate.requestBytes },
+            { name: "endpoint_body_bytes", help: "Bytes of request bodies for the endpoint", read: () => this.gate.bodyBytes },
+            { name: "endpoint_body_budget_bytes", help: "Bytes of request bodies that the endpoint may hold", read: () => this.gate.bodyBudgetBytes },
             { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -10,9 +10,11 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
 import { isSameRun } from "../../decisions/fleet/isSameRun/index.js";
+import { BodyBytesLimit } from "../../decisions/limits/BodyBytesLimit/index.js";
 import { SendReason } from "../../decisions/limits/SendReason.js";
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
+import { ConcurrencyLimit } from "../../decisions/serving/ConcurrencyLimit/index.js";
 import { DisplacementCause } from "../../decisions/serving/DisplacementCause.js";
 import { isBlockedByGrade } from "../../decisions/serving/isBlockedByGrade/index.js";
 import { ServingQueue } from "../../decisions/serving/ServingQueue/index.js";
@@ -77,6 +79,8 @@
     readonly onReply: (reply: GateReply) => void;
     grantedAtMs: number;
     startedAtMs: number;
+    /** Share of the slots in use when it started, its own included. */
+    busyShare: number;
     /** Run of the endpoint that the request was sent to. */
     run: EndpointRun | undefined;
     exchange: BackendExchange | undefined;
@@ -97,6 +101,9 @@
     private readonly statements: EndpointStatements;
     private readonly budgetLog: BudgetLog;
     private retryBudget: FleetRetryBudget;
+    /** Bytes of request bodies that the endpoint holds or will hold; kept over runs of the endpoint, which have the same memory. */
+    private readonly bodyLimit = BodyBytesLimit.create();
+    private concurrencyLimit = ConcurrencyLimit.create();
     private shedShare = 0;
     private endpoint: EndpointReport | undefined;
     private lastGrade = Grade.Trusted;
@@ -163,6 +170,16 @@
         return this.options.backend.requestBytes;
     }
 
+    /** Bytes of request bodies that wait for the endpoint or are there. */
+    get bodyBytes(): number {
+        return this.bodyLimit.heldBytes;
+    }
+
+    /** Bytes of request bodies that the endpoint may hold. */
+    get bodyBudgetBytes(): number {
+        return this.bodyLimit.budgetBytes(nowMs());
+    }
+
     /** Bytes of incomplete responses that are held. */
     get responseBufferBytes(): number {
         return this.options.backend.bufferedBytes;
@@ -178,11 +195,12 @@
         if (isNewRun) {
             this.outlierDetector = OutlierDetector.create();
             this.shedShare = 0;
+            this.concurrencyLimit = ConcurrencyLimit.create();
             this.queue.resetEndpoint(this.statements.limiter);
             this.options.backend.closeUnusable();
         }
         this.endpoint = endpoint;
-        this.queue.setSlots(endpoint.slots);
+        this.updateSlots(nowMs());
         if (endpoint.phase !== EndpointPhase.Ready || isNewRun) {
             this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, RefusalCause.NotServing, 0, false));
         }
@@ -234,11 +252,17 @@
             onReply(this.createRefusal(RefusalCause.RetryBudget, 0, false));
             return FINISHED_HANDLE;
         }
+        if (!this.bodyLimit.admits(bodyBytesOf(offer), atMs)) {
+            this.budgetLog.recordRefusal("request bodies at the endpoint", this.bodyLimit.heldBytes, this.bodyLimit.budgetBytes(atMs));
+            onReply(this.createRefusal(RefusalCause.Busy, Math.round(this.queue.serviceMs), false));
+            return FINISHED_HANDLE;
+        }
         const grade = this.outlierDetector.grade(atMs);
         const sinceLastRequestMs = this.queue.sinceLastRequestMs(atMs);
         const admission = this.queue.admit(toServingRequest(offer, atMs), grade, atMs);
         if (admission.kind !== AdmissionKind.Refuse) {
             this.recordStarvation(sinceLastRequestMs, grade);
+            this.bodyLimit.recordStart(bodyBytesOf(offer));
         }
         if (offer.isRepeat && admission.kind !== AdmissionKind.Refuse) {
             this.retryBudget.countRepeat(atMs);
@@ -257,6 +281,7 @@
                     onReply,
                     grantedAtMs: 0,
                     startedAtMs: 0,
+                    busyShare: 0,
                     run: undefined,
                     exchange: undefined,
                     isHung: false,
@@ -272,6 +297,7 @@
                     onReply,
                     grantedAtMs: 0,
                     startedAtMs: 0,
+                    busyShare: 0,
                     run: undefined,
                     exchange: undefined,
                     isHung: false,
@@ -369,6 +395,7 @@
         const { offer } = accepted;
         const endpointId = this.endpoint?.id ?? "";
         accepted.startedAtMs = nowMs();
+        accepted.busyShare = this.queue.runningCount / Math.max(1, this.endpoint?.slots ?? 1);
         accepted.run = this.endpoint;
         if (!offer.isRepeat) {
             this.retryBudget.countRequest(offer.callOfRepeatShare, accepted.startedAtMs);
@@ -401,7 +428,8 @@
         if (this.acceptedOffers.get(key) !== accepted) {
             return;
         }
-        this.acceptedOffers.delete(key);
+        const heldBytes = this.bodyLimit.heldBytes;
+        this.remove(key, result.kind === BackendResultKind.Answered);
         const atMs = nowMs();
         if (result.kind === BackendResultKind.NotConnected || result.kind === BackendResultKind.NotSent) {
             this.queue.release(key);
@@ -410,10 +438,11 @@
             this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < MIN_FAILED_STATUS);
         }
         const reply = this.evaluateResult(accepted, result, atMs);
+        this.recordConcurrency(accepted, reply, atMs);
         this.handleGradeChange(atMs);
         this.startNext();
         if (reply.kind === GateReplyKind.Broken && reply.lostEndpoint) {
-            void this.confirmEndpointLoss(accepted, reply);
+            void this.confirmEndpointLoss(accepted, reply, heldBytes);
         }
         else {
             accepted.onReply(reply);
@@ -421,9 +450,47 @@
         this.options.onLoadChange(false);
     }
 
+    /** Records how an answer depends on the requests that ran at the same time. Failures say nothing: most are faster than answers. */
+    private recordConcurrency({ offer, busyShare, startedAtMs }: AcceptedOffer, reply: GateReply, atMs: number): void {
+        if (reply.kind === GateReplyKind.Answered && reply.answer.status < MIN_FAILED_STATUS) {
+            this.concurrencyLimit.recordAnswer(busyShare, (atMs - startedAtMs) / offer.usualMs, atMs);
+        }
+        else if (reply.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Shed) {
+            this.concurrencyLimit.recordShed(busyShare, atMs);
+        }
+        this.updateSlots(atMs);
+    }
+
+    /** Sets how many requests run at the same time. */
+    private updateSlots(atMs: number): void {
+        if (this.endpoint !== undefined) {
+            this.queue.setSlots(this.concurrencyLimit.limit(this.endpoint.slots, atMs));
+        }
+    }
+
     /** Replies after a dropped connection. The endpoint counts as lost only if it accepts no other connection either. */
-    private async confirmEndpointLoss(accepted: AcceptedOffer, reply: Extract<GateReply, { kind: GateReplyKind.Broken }>): Promise<void> {
-        accepted.onReply({ ...reply, lostEndpoint: await isServerDown(this.options.backendAddress) });
+    private async confirmEndpointLoss(
+        accepted: AcceptedOffer,
+        reply: Extract<GateReply, { kind: GateReplyKind.Broken }>,
+        heldBytes: number,
+    ): Promise<void> {
+        const lostEndpoint = await isServerDown(this.options.backendAddress);
+        const atMs = nowMs();
+        if (lostEndpoint && this.bodyLimit.recordCrash(heldBytes, atMs)) {
+            const budgetBytes = this.bodyLimit.budgetBytes(atMs);
+            this.options.events.record(EventNumber.BodyBudgetReduced, { endpoint: this.endpoint?.id, heldBytes, budgetBytes });
+        }
+        accepted.onReply({ ...reply, lostEndpoint });
+    }
+
+    /** Removes an accepted offer, and its body from what the endpoint holds. */
+    private remove(key: string, isAnswered: boolean): AcceptedOffer | undefined {
+        const accepted = this.acceptedOffers.get(key);
+        if (accepted !== undefined) {
+            this.acceptedOffers.delete(key);
+            this.bodyLimit.recordEnd(bodyBytesOf(accepted.offer), isAnswered);
+        }
+        return accepted;
     }
 
     private evaluateResult({ offer, startedAtMs, run }: AcceptedOffer, result: BackendResult, atMs: number): GateReply {
@@ -490,11 +557,10 @@
     }
 
     private cancel(key: string): void {
-        const accepted = this.acceptedOffers.get(key);
+        const accepted = this.remove(key, false);
         if (accepted === undefined) {
             return;
         }
-        this.acceptedOffers.delete(key);
         if (this.queue.removeWaiting(key)) {
             return;
         }
@@ -510,8 +576,7 @@
     }
 
     private refuse(key: string, cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): void {
-        const accepted = this.acceptedOffers.get(key);
-        this.acceptedOffers.delete(key);
+        const accepted = this.remove(key, false);
         accepted?.onReply(this.createRefusal(cause, retryAfterMs, reachedEndpoint));
     }
 
@@ -612,6 +677,11 @@
     }
 }
 
+/** Size of a body; a malformed offer of another process may have none. */
+function bodyBytesOf({ body }: WorkOffer): number {
+    return Buffer.isBuffer(body) ? body.length : 0;
+}
+
 function toServingRequest(offer: WorkOffer, atMs: number): ServingRequest {
     return {
         key: offer.key,
