Show what proxies hold for slow readers

Cause: the gate buffers a whole response and the entry writes it whole, so a reader that stops keeps all of it in memory. No test has real processes whose callers, entries or endpoints do not read.

The endpoint of the soak can hand its connections to a test.

--- a/bench/processes/EndpointServer/index.ts
+++ b/bench/processes/EndpointServer/index.ts
@@ -30,6 +30,7 @@
         private readonly runs: RunRecord[],
         private readonly nowMs: () => number,
         private readonly misbehave: (socket: Socket, path: string, attemptId: string) => boolean,
+        private readonly takeConnection: (socket: Socket) => boolean,
     ) {
         this.id = `i-${vm}`;
         server.on("connection", (socket: Socket) => this.handleConnection(socket));
@@ -44,6 +45,7 @@
      * @param runs - Receives a record of each run.
      * @param nowMs - Clock of the soak.
      * @param misbehave - Called with each request; returns true if it has taken the response on itself.
+     * @param takeConnection - Called with each connection; returns true if it reads the connection itself.
      */
     static async create(
         vm: number,
@@ -52,12 +54,13 @@
         runs: RunRecord[],
         nowMs: () => number,
         misbehave: (socket: Socket, path: string, attemptId: string) => boolean = () => false,
+        takeConnection: (socket: Socket) => boolean = () => false,
     ): Promise<EndpointServer> {
         const server = createServer({ noDelay: true });
         const [host, port] = addresses.backend.split(":");
         server.listen(Number(port), host);
         await once(server, "listening");
-        const endpoint = new EndpointServer(server, vm, service, addresses, runs, nowMs, misbehave);
+        const endpoint = new EndpointServer(server, vm, service, addresses, runs, nowMs, misbehave, takeConnection);
         endpoint.timer = setInterval(() => endpoint.report(), HEARTBEAT_INTERVAL_MS);
         endpoint.report();
         return endpoint;
@@ -87,6 +90,9 @@
     private handleConnection(socket: Socket): void {
         let data = Buffer.alloc(0);
         socket.on("error", () => undefined);
+        if (this.takeConnection(socket)) {
+            return;
+        }
         socket.on("data", (chunk: Buffer) => {
             data = Buffer.concat([data, chunk]);
             const end = data.indexOf(HEAD_END);
