Bound what a process holds for others in all

Cause: each part of a process has a limit of its own, and their sum is more than the memory of a proxy.

Change: HoldingBudget adds up what the parts of a proxy hold (64 MB by default): requests of callers and of entries, incomplete and unread responses, retained replies, frames and messages. From 48 MB on, a caller with an unread response gets 503 for its next request on that connection; above the limit the connections that have held most for longest without reading are closed (event 111). Request bodies take at most 48 MB of it, so that responses keep some room. Gauges for the whole and for each part. Without a budget CallerServer keeps its own limits only.

--- a/src/callers/CallerConnection/index.ts
+++ b/src/callers/CallerConnection/index.ts
@@ -51,6 +51,17 @@
         return this.pending.size;
     }
 
+    /** Bytes of responses that are held because the caller has not read them. */
+    get unreadBytes(): number {
+        return [...this.pending].reduce((sum, { responseBytes }) => sum + responseBytes, 0);
+    }
+
+    /** Time since which the caller has read nothing of these responses, in ms. */
+    get unreadSinceMs(): number {
+        return [...this.pending].filter(({ responseBytes }) => responseBytes > 0)
+            .reduce((firstMs, { unreadSinceMs }) => Math.min(firstMs, unreadSinceMs), Number.POSITIVE_INFINITY);
+    }
+
     /** True if no further request can be held. */
     get isFull(): boolean {
         return this.pending.size >= MAX_PENDING;
--- a/src/callers/CallerConnections/index.ts
+++ b/src/callers/CallerConnections/index.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { answerClientError } from "../../http/answerClientError/index.js";
 import { refuseConnect } from "../../http/refuseConnect/index.js";
+import { Holder } from "../../memory/Holder.js";
 import { CallerConnection } from "../CallerConnection/index.js";
 import { CallerConnectionsCallbacks } from "../CallerConnectionsCallbacks.js";
 
@@ -36,6 +37,15 @@
         return this.connections.size;
     }
 
+    /** Connections whose callers do not read their responses. */
+    get unreadHolders(): readonly Holder[] {
+        return [...this.connections.values()].filter(({ unreadBytes }) => unreadBytes > 0).map((connection) => ({
+            heldBytes: connection.unreadBytes,
+            unreadSinceMs: connection.unreadSinceMs,
+            close: () => connection.destroy(),
+        }));
+    }
+
     /** Finds a connection that is open. */
     find(socket: Socket): CallerConnection | undefined {
         return this.connections.get(socket);
--- a/src/callers/CallerHoldings/index.ts
+++ b/src/callers/CallerHoldings/index.ts
@@ -1,5 +1,7 @@
 import { ByteBudget } from "../../decisions/limits/ByteBudget/index.js";
 import { BodyResultKind } from "../../http/BodyResultKind.js";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { HoldingBudget } from "../../memory/HoldingBudget/index.js";
 import { RefusalListener } from "../../logs/RefusalListener.js";
 import { PendingRequest } from "../PendingRequest.js";
 
@@ -21,15 +23,16 @@
     private unreadRequestCount = 0;
     private unreadResponseBytes = 0;
 
-    private constructor(private readonly onRefusal: RefusalListener) {}
+    private constructor(private readonly onRefusal: RefusalListener, private readonly budget: HoldingBudget) {}
 
     /**
      * Creates holdings without requests.
      *
      * @param onRefusal - Called with each refusal.
+     * @param budget - Bounds what the process holds in all.
      */
-    static create(onRefusal: RefusalListener): CallerHoldings {
-        return new CallerHoldings(onRefusal);
+    static create(onRefusal: RefusalListener, budget: HoldingBudget): CallerHoldings {
+        return new CallerHoldings(onRefusal, budget);
     }
 
     /** Number of requests whose response has not been handed to the operating system. */
@@ -67,9 +70,10 @@
      *
      * @param pending - The request.
      * @param headerBytes - Memory of its header section.
+     * @param unreadBytes - Bytes of responses that its caller has not read.
      * @returns False if the request must be refused.
      */
-    tryAcquire(pending: PendingRequest, headerBytes: number): boolean {
+    tryAcquire(pending: PendingRequest, headerBytes: number, unreadBytes: number): boolean {
         const peer = pending.response.req.socket.remoteAddress;
         if (this.requestCount > MAX_REQUESTS) {
             this.onRefusal("requests", this.requestCount, MAX_REQUESTS, peer);
@@ -79,6 +83,15 @@
             this.onRefusal("unread responses", this.unreadResponseBytes, MAX_UNREAD_BYTES, peer);
             return false;
         }
+        if (unreadBytes > 0 && this.budget.isUnderPressure) {
+            this.onRefusal("requests of callers with unread responses", this.budget.heldBytes, this.budget.limitBytes, peer);
+            return false;
+        }
+        const bodyBytes = Number(pending.response.req.headers["content-length"] ?? 0);
+        if (bodyBytes > 0 && !this.budget.hasRoomForRequest(bodyBytes)) {
+            this.onRefusal("request bodies of the process", this.budget.heldBytes, this.budget.limitBytes, peer);
+            return false;
+        }
         if (!this.requestBudget.tryAcquire(headerBytes)) {
             this.recordIncompleteBody(BodyResultKind.BudgetExhausted, pending);
             return false;
@@ -107,7 +120,9 @@
     /** Adds the response to a request; it is held until `release`. */
     holdResponse(pending: PendingRequest, bytes: number): void {
         pending.responseBytes += bytes;
+        pending.unreadSinceMs = nowMs();
         this.unreadResponseBytes += bytes;
+        this.budget.recordGrowth();
     }
 
     /** Releases all that a request holds: its response has been handed over, or its caller is gone. */
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -9,6 +9,8 @@
 import { listenWithRetry } from "../../http/listenWithRetry/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { readBody } from "../../http/readBody/index.js";
+import { Holder } from "../../memory/Holder.js";
+import { HoldingBudget } from "../../memory/HoldingBudget/index.js";
 import { RefusalListener } from "../../logs/RefusalListener.js";
 import { withoutConnectionHeaders } from "../../http/withoutConnectionHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
@@ -52,8 +54,9 @@
         private readonly onRequest: (exchange: CallerExchange) => void,
         private readonly onError: (error: Error) => void,
         private readonly onRefusal: RefusalListener,
+        budget: HoldingBudget,
     ) {
-        this.holdings = CallerHoldings.create(onRefusal);
+        this.holdings = CallerHoldings.create(onRefusal, budget);
         this.connections = CallerConnections.create(server, {
             onRelease: (pending) => this.holdings.release(pending),
             onUnreadReleased: (count) => this.holdings.releaseUnread(count),
@@ -64,6 +67,14 @@
             onUnreadable: (pending) => this.respond(pending, pending.response.req, this.createOwnResponse(STATUS_BAD_REQUEST, pending.response.req)),
             onRefusal,
         });
+        const noHolders = (): readonly Holder[] => [];
+        budget.add({ name: "requests of callers", isRequests: true, readHeldBytes: () => this.heldRequestBytes, findHolders: noHolders });
+        budget.add({
+            name: "unread responses",
+            isRequests: false,
+            readHeldBytes: () => this.unreadResponseBytes,
+            findHolders: () => this.connections.unreadHolders,
+        });
         server.requestTimeout = 0;
         // The size of the header section limits the fields; fields beyond a number of them would be dropped silently.
         server.maxHeadersCount = 0;
@@ -84,6 +95,7 @@
      * @param onError - Called with each unexpected error, which fails only its own request or connection.
      * @param onRefusal - Called when a limit on what callers hold refuses more.
      * @param waits - Waits for a port that is held; without it, that is an error.
+     * @param budget - Bounds what the process holds in all; without it, only the limits on callers apply.
      * @throws FleetError if the server cannot listen on the address.
      */
     static async create(
@@ -93,11 +105,12 @@
         onError: (error: Error) => void,
         onRefusal: RefusalListener = () => undefined,
         waits?: StartWaits,
+        budget = HoldingBudget.create(nowMs, () => undefined, Number.POSITIVE_INFINITY),
     ): Promise<CallerServer> {
         const server = createServer({ noDelay: true, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS });
         const [host, port] = address.split(":");
         await listenWithRetry(address, () => server.listen(Number(port), host), onError, waits);
-        return new CallerServer(server, dialect, onRequest, onError, onRefusal);
+        return new CallerServer(server, dialect, onRequest, onError, onRefusal, budget);
     }
 
     /** Number of requests whose response has not been handed to the operating system. */
@@ -162,7 +175,15 @@
             request.resume();
             return;
         }
-        const pending: PendingRequest = { response, isSettled: false, headerBytes: 0, bodyBytes: 0, responseBytes: 0, onDisconnect: undefined };
+        const pending: PendingRequest = {
+            response,
+            isSettled: false,
+            headerBytes: 0,
+            bodyBytes: 0,
+            responseBytes: 0,
+            unreadSinceMs: 0,
+            onDisconnect: undefined,
+        };
         this.holdings.add();
         connection.add(pending);
         const headers = pairHeaders(request.rawHeaders);
@@ -208,7 +229,8 @@
             respond(this.createOwnResponse(problemStatus, request));
             return;
         }
-        if (!this.holdings.tryAcquire(pending, estimateHeaderBytes(headers))) {
+        const unreadBytes = this.connections.find(request.socket)?.unreadBytes ?? 0;
+        if (!this.holdings.tryAcquire(pending, estimateHeaderBytes(headers), unreadBytes)) {
             respond(this.createOwnResponse(STATUS_UNAVAILABLE, request));
             return;
         }
--- a/src/callers/PendingRequest.ts
+++ b/src/callers/PendingRequest.ts
@@ -11,5 +11,7 @@
     bodyBytes: number;
     /** Bytes of its response that are held. */
     responseBytes: number;
+    /** Time since which its caller has read nothing of them, in ms. */
+    unreadSinceMs: number;
     onDisconnect: (() => void) | undefined;
 }
--- a/src/frames/SocketBudget/index.ts
+++ b/src/frames/SocketBudget/index.ts
@@ -1,5 +1,7 @@
 import type { Socket } from "node:net";
 import { WebSocket } from "ws";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { Holder } from "../../memory/Holder.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
 import { estimateDecodedBytes } from "../estimateDecodedBytes/index.js";
@@ -16,6 +18,8 @@
     receivingBytes: number;
     /** Size of what was sent and is not yet taken by the operating system. */
     sendingBytes: number;
+    /** Time at which the operating system last took some of it, or it began, in ms. */
+    unreadSinceMs: number;
 }
 
 /**
@@ -32,6 +36,7 @@
         private readonly name: string,
         private readonly limits: SocketLimits,
         private readonly recordRefusal: RefusalListener,
+        private readonly onGrowth: () => void,
     ) {}
 
     /**
@@ -40,9 +45,10 @@
      * @param name - What it bounds, such as `links`.
      * @param limits - Limits of each peer and of all.
      * @param recordRefusal - Called each time a peer is closed or a frame refused because of a limit.
+     * @param onGrowth - Called each time more is held for a peer.
      */
-    static create(name: string, limits: SocketLimits, recordRefusal: RefusalListener): SocketBudget {
-        return new SocketBudget(name, limits, recordRefusal);
+    static create(name: string, limits: SocketLimits, recordRefusal: RefusalListener, onGrowth: () => void = () => undefined): SocketBudget {
+        return new SocketBudget(name, limits, recordRefusal, onGrowth);
     }
 
     /** Maximum size of a frame, in bytes. */
@@ -55,6 +61,15 @@
         return this.totalSendingBytes;
     }
 
+    /** WebSockets whose peers do not read. */
+    get unreadHolders(): readonly Holder[] {
+        return [...this.usages].filter(([, { sendingBytes }]) => sendingBytes > 0).map(([webSocket, { sendingBytes, unreadSinceMs }]) => ({
+            heldBytes: sendingBytes,
+            unreadSinceMs,
+            close: () => this.refuse(webSocket, "unread bytes, beside all that the process holds", sendingBytes, sendingBytes),
+        }));
+    }
+
     /** Size of what peers have sent of frames that are not whole, in bytes. */
     get receivingBytes(): number {
         return this.totalReceivingBytes;
@@ -67,7 +82,7 @@
      * @param networkSocket - Its connection.
      */
     watch(webSocket: WebSocket, networkSocket: Socket): void {
-        const usage: Usage = { peer: networkSocket.remoteAddress ?? "unknown", receivingBytes: 0, sendingBytes: 0 };
+        const usage: Usage = { peer: networkSocket.remoteAddress ?? "unknown", receivingBytes: 0, sendingBytes: 0, unreadSinceMs: 0 };
         this.usages.set(webSocket, usage);
         networkSocket.on("data", (piece: Buffer) => this.recordReceived(webSocket, usage, piece.length + PIECE_OVERHEAD_BYTES));
         webSocket.on("message", () => {
@@ -106,17 +121,22 @@
             this.refuse(webSocket, "unread bytes of a peer", usage.sendingBytes, maxSendingBytes);
             return;
         }
+        if (usage.sendingBytes === 0) {
+            usage.unreadSinceMs = nowMs();
+        }
         usage.sendingBytes += sizeBytes;
         this.totalSendingBytes += sizeBytes;
         webSocket.send(data, () => {
             if (this.usages.get(webSocket) === usage) {
                 usage.sendingBytes -= sizeBytes;
+                usage.unreadSinceMs = nowMs();
                 this.totalSendingBytes -= sizeBytes;
             }
         });
         if (this.totalSendingBytes > maxSendingTotalBytes) {
             this.refuseLargest(({ sendingBytes }) => sendingBytes, "unread bytes", this.totalSendingBytes, maxSendingTotalBytes);
         }
+        this.onGrowth();
     }
 
     /**
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -57,6 +57,7 @@
     BudgetExceeded = 108,
     ProcessEnding = 109,
     MemoryHigh = 110,
+    HoldersClosed = 111,
     StartDelayed = 112,
     StorageReopened = 316,
     EndpointReported = 403,
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -28,6 +28,7 @@
 import { PeerLink } from "../../links/PeerLink.js";
 import { Message } from "../../links/Message.js";
 import { MessageKind } from "../../links/MessageKind.js";
+import { HoldingBudget } from "../../memory/HoldingBudget/index.js";
 import { BudgetLog } from "../../logs/BudgetLog/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -57,6 +58,8 @@
 const STOP_POLL_INTERVAL_MS = 50;
 /** Margin before the end of the grace period up to which callers may read the last responses, in ms. */
 const CLOSE_MARGIN_MS = 400;
+/** Interval at which what the process holds is checked, in ms; growth above the limit is checked at once. */
+const HOLDING_CHECK_INTERVAL_MS = 250;
 const RUN_ID_BYTES = 6;
 const MAX_LOGGED_CHARACTERS = 300;
 
@@ -84,6 +87,7 @@
         private readonly fleetView: FleetView,
         private readonly dispatcher: RequestDispatcher,
         private readonly tunnelBudget: SocketBudget,
+        private readonly holdingBudget: HoldingBudget,
         private readonly roleReference: { role?: SidecarRole },
     ) {
         const { vm, links } = settings;
@@ -131,7 +135,9 @@
             onLimitChange: (perSecond) => roleReference.role?.handleLimitChange(perSecond),
         });
         const budgetLog = BudgetLog.create(events);
-        const tunnelBudget = SocketBudget.create("tunnels", TUNNEL_LIMITS, budgetLog.recordRefusal.bind(budgetLog));
+        const holdingBudget = HoldingBudget.create(nowMs, (closure) => events.record(EventNumber.HoldersClosed, { ...closure }));
+        const recordRefusal = budgetLog.recordRefusal.bind(budgetLog);
+        const tunnelBudget = SocketBudget.create("tunnels", TUNNEL_LIMITS, recordRefusal, () => holdingBudget.recordGrowth());
         const fleetView = FleetView.create({
             vm: vm.name,
             failureDomain: vm.failureDomain,
@@ -146,7 +152,7 @@
             onStrikesCleared: (fingerprint) => roleReference.role?.sendToControls({ kind: MessageKind.StrikesCleared, fingerprint }),
             callerService: () => roleReference.role?.callerService ?? "",
         }, fleetView, events);
-        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, tunnelBudget, roleReference);
+        const role = new SidecarRole(settings, events, gate, fleetView, dispatcher, tunnelBudget, holdingBudget, roleReference);
         await role.start(token, dialect, waits);
         return role;
     }
@@ -173,6 +179,10 @@
             { name: "items", help: "Configuration items in force", read: () => this.itemStore.size },
             { name: "request_body_bytes", help: "Bytes of requests of callers that are held", read: () => this.callerServer?.heldRequestBytes ?? 0 },
             { name: "pending_responses_bytes", help: "Bytes of responses not yet read", read: () => this.callerServer?.unreadResponseBytes ?? 0 },
+            { name: "tunnel_receiving_bytes", help: "Bytes of unfinished frames of other proxies", read: () => this.tunnelBudget.receivingBytes },
+            { name: "offered_request_bytes", help: "Bytes of requests of other entries", read: () => this.tunnelServer?.offeredRequestBytes ?? 0 },
+            { name: "held_bytes", help: "Bytes that the process holds for others in all", read: () => this.holdingBudget.heldBytes },
+            { name: "held_limit_bytes", help: "Limit on the bytes that the process holds for others", read: () => this.holdingBudget.limitBytes },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
@@ -270,12 +280,15 @@
             gateRun: this.gateRun,
             gate: this.gate,
             budget: this.tunnelBudget,
+            holdingBudget: this.holdingBudget,
             recordRefusal,
             onError,
             waits,
         });
         const dispatch = (exchange: CallerExchange): void => this.dispatcher.dispatch(exchange);
-        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, recordRefusal, waits);
+        this.addHoldings();
+        const { holdingBudget } = this;
+        this.callerServer = await CallerServer.create(proxy?.callerAddress ?? "", dialect, dispatch, onError, recordRefusal, waits, holdingBudget);
         this.links = await MeshLinks.create(this.settings, Role.Proxy, {
             onOpen: (link) => this.handleLinkOpen(link),
             onMessage: (_link, message) => this.handleMessage(message),
@@ -285,10 +298,29 @@
         }, () => undefined, () => 0, this.events, waits);
         this.timerStops.push(
             setAlignedInterval(SUBSCRIPTION_REVIEW_INTERVAL_MS, () => this.reviewSubscriptions()),
+            setAlignedInterval(HOLDING_CHECK_INTERVAL_MS, () => this.holdingBudget.check()),
             setAlignedInterval(INVITATION_INTERVAL_MS, () => this.inviteEntries()),
         );
     }
 
+    /** Adds to the budget of the process what it holds beside the requests of callers and the responses to them. */
+    private addHoldings(): void {
+        const { tunnelBudget, holdingBudget } = this;
+        const add = (name: string, isRequests: boolean, readHeldBytes: () => number): void =>
+            holdingBudget.add({ name, isRequests, readHeldBytes, findHolders: () => [] });
+        add("requests of entries", true, () => this.tunnelServer?.offeredRequestBytes ?? 0);
+        add("incomplete responses", false, () => this.gate.responseBufferBytes);
+        add("retained replies", false, () => this.tunnelServer?.retainedReplyBytes ?? 0);
+        add("unfinished frames", false, () => tunnelBudget.receivingBytes);
+        add("unread messages", false, () => this.links?.bufferedBytes ?? 0);
+        holdingBudget.add({
+            name: "unread frames",
+            isRequests: false,
+            readHeldBytes: () => tunnelBudget.bufferedBytes,
+            findHolders: () => tunnelBudget.unreadHolders,
+        });
+    }
+
     private close(): void {
         this.timerStops.forEach((stop) => stop());
         this.loadReporter.close();
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -114,6 +114,11 @@
         return this.retainedReplies.sizeBytes;
     }
 
+    /** Size of the bodies and header sections of offers without a final reply, in bytes. */
+    get offeredRequestBytes(): number {
+        return this.offeredBytes;
+    }
+
     /** True while replies have not been handed to the operating system. */
     get hasUnsentReplies(): boolean {
         return [...this.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
@@ -183,8 +188,17 @@
         }
         const bodyBytes = Buffer.isBuffer(offer.body) ? offer.body.length : 0;
         const lengthBytes = bodyBytes + (Array.isArray(offer.headers) ? estimateHeaderBytes(offer.headers) : 0);
-        if (this.offers.size >= MAX_OFFERS || this.offeredBytes + lengthBytes > MAX_OFFERED_BYTES) {
-            this.refuse(socket, offer.key);
+        const holdingBudget = bodyBytes > 0 ? this.options.holdingBudget : undefined;
+        if (this.offers.size >= MAX_OFFERS) {
+            this.refuse(socket, offer.key, "offers", this.offers.size, MAX_OFFERS);
+            return;
+        }
+        if (this.offeredBytes + lengthBytes > MAX_OFFERED_BYTES) {
+            this.refuse(socket, offer.key, "bytes of offers", this.offeredBytes, MAX_OFFERED_BYTES);
+            return;
+        }
+        if (holdingBudget?.hasRoomForRequest(lengthBytes) === false) {
+            this.refuse(socket, offer.key, "request bodies of the process", holdingBudget.heldBytes, holdingBudget.limitBytes);
             return;
         }
         this.invitations.recordRequest(socket, offer.requestKind, nowMs());
@@ -202,13 +216,8 @@
     }
 
     /** Refuses an offer that there is no room for. It has not run, and the entry can offer it elsewhere. */
-    private refuse(socket: TunnelSocket, key: string): void {
-        const hasManyOffers = this.offers.size >= MAX_OFFERS;
-        this.options.recordRefusal(
-            hasManyOffers ? "offers" : "bytes of offers",
-            hasManyOffers ? this.offers.size : this.offeredBytes,
-            hasManyOffers ? MAX_OFFERS : MAX_OFFERED_BYTES,
-        );
+    private refuse(socket: TunnelSocket, key: string, holder: string, held: number, limit: number): void {
+        this.options.recordRefusal(holder, held, limit);
         const reply: GateReply = {
             kind: GateReplyKind.Refused,
             cause: RefusalCause.Busy,
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -1,3 +1,4 @@
+import { HoldingBudget } from "../memory/HoldingBudget/index.js";
 import { RefusalListener } from "../logs/RefusalListener.js";
 import { SocketBudget } from "../frames/SocketBudget/index.js";
 import { StartWaits } from "../starts/StartWaits/index.js";
@@ -14,6 +15,8 @@
     readonly gate: GatePort;
     /** Bounds what the tunnels of this process hold. */
     readonly budget: SocketBudget;
+    /** Bounds what the process holds in all; without it, only the limits of the tunnels apply. */
+    readonly holdingBudget?: HoldingBudget;
     /** Called each time something is refused or dropped because of a limit. */
     readonly recordRefusal: RefusalListener;
     /** Called with each unexpected error, which affects only the frame or connection that caused it. */
