Pass on long responses with back-pressure

Cause: a whole response is held at the gate, in one frame, and at the entry; above 16 MB it is refused.

Change: a response whose body exceeds 256 KB is passed on while it is being received: the gate sends its head and chunks of at most 64 KB, and goes no further ahead of the caller than a window of 256 KB (CreditedBody at the gate, TunnelBody at the entry, frames Head, Chunk, End and Credit). Below that it is collected whole as before. A response that breaks off resets the caller's connection; a caller that leaves or a lost tunnel cancels the exchange at the gate. The checks of the response id and of the signature are made on the head. A slot is free once the response waits 300 ms for its reader. An offer says whether its entry takes a response in pieces, so that entries of earlier versions get it whole.

--- a/src/backend/BackendConnection/index.ts
+++ b/src/backend/BackendConnection/index.ts
@@ -4,8 +4,10 @@
 import { findHeader } from "../../http/findHeader/index.js";
 import { toError } from "../../model/toError/index.js";
 import { BackendRequest } from "../BackendRequest.js";
+import { BackendResponse } from "../BackendResponse.js";
 import { BackendResult } from "../BackendResult.js";
 import { BackendResultKind } from "../BackendResultKind.js";
+import { CreditedBody } from "../CreditedBody/index.js";
 import { encodeRequest } from "../encodeRequest/index.js";
 import { ParsedResponse } from "../ParsedResponse.js";
 import { ResponseDialect } from "../ResponseDialect.js";
@@ -26,6 +28,8 @@
     maxSmallChunks: 65_536,
     minMeanChunkBytes: 16,
 };
+/** Time without any byte after which a response that is passed on counts as broken, in ms; its caller has no deadline any more. */
+const STREAM_IDLE_MS = 15_000;
 const EMPTY = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
@@ -37,6 +41,9 @@
     private readonly parser: ResponseParser;
     private request: BackendRequest | undefined;
     private resolveExchange: ((result: BackendResult) => void) | undefined;
+    /** Body of the response that is passed on while it is received. */
+    private stream: CreditedBody | undefined;
+    private streamTimer: NodeJS.Timeout | undefined;
     private idleLimitMs = DEFAULT_IDLE_LIMIT_MS;
     private requestCount = 0;
     private sentAtMs = 0;
@@ -44,8 +51,9 @@
     private isRetired = false;
     private respondedAtMs = nowMs();
 
-    private constructor(private readonly socket: Socket, private readonly dialect: ResponseDialect, budget: ByteBudget) {
-        this.parser = ResponseParser.create((response) => this.handleResponse(response), RESPONSE_LIMITS, budget);
+    private constructor(private readonly socket: Socket, private readonly dialect: ResponseDialect, private readonly budget: ByteBudget) {
+        const onResponse = (response: ParsedResponse): void => this.handleResponse(response);
+        this.parser = ResponseParser.create(onResponse, RESPONSE_LIMITS, budget, (head) => this.handleLongResponse(head));
         socket.setNoDelay(true);
         socket.on("data", (chunk: Buffer) => this.handleData(chunk));
         socket.on("end", () => this.handleEnd());
@@ -114,7 +122,7 @@
         this.request = request;
         this.requestCount += 1;
         this.sentAtMs = nowMs();
-        this.parser.expectResponse(request.method);
+        this.parser.expectResponse(request.method, request.canStream);
         return new Promise((resolve) => {
             this.resolveExchange = resolve;
             this.socket.cork();
@@ -135,6 +143,7 @@
             this.close();
             return;
         }
+        this.streamTimer?.refresh();
         try {
             this.parser.parse(chunk);
         }
@@ -172,6 +181,43 @@
         }
     }
 
+    /**
+     * Returns the exchange before its response is complete, since the body is too long to be held. Does so only if the head alone
+     * shows that the response belongs to the request and that the request has run.
+     */
+    private handleLongResponse(head: BackendResponse): CreditedBody | undefined {
+        const { request } = this;
+        if (request === undefined || this.dialect.isNotRun(head.status, head.headers)) {
+            return undefined;
+        }
+        const responseRequestId = this.dialect.readRequestId(head.headers);
+        if (responseRequestId === undefined ? !this.canOmitRequestId(request, head) : responseRequestId !== request.requestId) {
+            return undefined;
+        }
+        const stream = CreditedBody.create({
+            onFull: () => this.stream === stream && this.socket.pause(),
+            onRoom: () => this.stream === stream && this.socket.resume(),
+            onTaken: (bytes) => this.budget.release(bytes),
+            onCancel: () => this.stream === stream && this.close(),
+        });
+        this.stream = stream;
+        this.streamTimer = setTimeout(() => this.handleStreamIdle(), STREAM_IDLE_MS);
+        this.resolveExchange?.({ kind: BackendResultKind.Answered, answer: { ...head, stream }, stream });
+        this.resolveExchange = undefined;
+        return stream;
+    }
+
+    /** Handles a response of which nothing came for a while: its reader has no room, or the backend server sends nothing. */
+    private handleStreamIdle(): void {
+        if (this.stream?.waitsSinceMs === undefined) {
+            this.fail(`nothing came of the response for ${STREAM_IDLE_MS} ms`);
+            this.socket.destroy();
+        }
+        else {
+            this.streamTimer?.refresh();
+        }
+    }
+
     private handleResponse(response: ParsedResponse): void {
         const { request } = this;
         const responseRequestId = this.dialect.readRequestId(response.headers);
@@ -191,6 +237,7 @@
             this.isRetired = true;
         }
         this.respondedAtMs = nowMs();
+        this.endStream();
         this.finish({ kind: BackendResultKind.Answered, answer: { status: response.status, headers: response.headers, body: response.body } });
         if (this.isRetired) {
             this.socket.end();
@@ -201,13 +248,16 @@
      * Returns whether a response without a request id can belong to a request. On a reused connection it may be a late copy
      * of the response to an earlier request, so even its statement that nothing was executed cannot be trusted.
      */
-    private canOmitRequestId(request: BackendRequest, response: ParsedResponse): boolean {
+    private canOmitRequestId(request: BackendRequest, response: BackendResponse): boolean {
         return this.requestCount === 1 && (request.requestId === "" || this.dialect.isNotRun(response.status, response.headers));
     }
 
     private fail(problem: string, excess?: ResponseExcess): void {
         this.isOpen = false;
         this.parser.discard();
+        const { stream } = this;
+        this.endStream();
+        stream?.breakOff(problem);
         this.finish({
             kind: BackendResultKind.Broken,
             problem,
@@ -218,6 +268,16 @@
         });
     }
 
+    /** Ends the hold of a response on this connection, which may be used again before its reader has taken the rest. */
+    private endStream(): void {
+        clearTimeout(this.streamTimer);
+        this.streamTimer = undefined;
+        if (this.stream !== undefined) {
+            this.stream = undefined;
+            this.socket.resume();
+        }
+    }
+
     private finish(result: BackendResult): void {
         const { resolveExchange } = this;
         this.request = undefined;
--- a/src/backend/BackendRequest.ts
+++ b/src/backend/BackendRequest.ts
@@ -12,4 +12,6 @@
     readonly hasBody: boolean;
     /** Id that the response has to echo; empty if the caller gave none. */
     readonly requestId: string;
+    /** True if a long response may be returned while its body is being received. */
+    readonly canStream?: boolean;
 }
--- a/src/backend/BackendResult.ts
+++ b/src/backend/BackendResult.ts
@@ -1,10 +1,11 @@
 import { BackendResponse } from "./BackendResponse.js";
 import { BackendResultKind } from "./BackendResultKind.js";
+import { CreditedBody } from "./CreditedBody/index.js";
 import { ResponseExcess } from "./ResponseExcess.js";
 
 /** Result of an exchange with a backend server. */
 export type BackendResult =
-    | { readonly kind: BackendResultKind.Answered; readonly answer: BackendResponse }
+    | { readonly kind: BackendResultKind.Answered; readonly answer: BackendResponse; readonly stream?: CreditedBody }
     | { readonly kind: BackendResultKind.NotConnected; readonly problem: string }
     | {
         readonly kind: BackendResultKind.Broken;
--- a/src/backend/ResponseMeter/index.ts
+++ b/src/backend/ResponseMeter/index.ts
@@ -46,6 +46,11 @@
         this.checkLength(this.bodyBytes);
     }
 
+    /** Counts bytes of a body that is not held, whose length is not limited. */
+    countStreamed(bytes: number): void {
+        this.bodyBytes += bytes;
+    }
+
     /** Counts a chunk. */
     countChunk(): void {
         const { maxSmallChunks, minMeanChunkBytes } = this.limits;
--- a/src/backend/ResponseParser/index.ts
+++ b/src/backend/ResponseParser/index.ts
@@ -7,6 +7,9 @@
 import { isBodiless } from "../../http/isBodiless/index.js";
 import { pairHeaders } from "../../http/pairHeaders/index.js";
 import { HeaderList } from "../../model/HeaderList.js";
+import { BackendResponse } from "../BackendResponse.js";
+import { BODY_WINDOW_BYTES } from "../bodyWindow.js";
+import { CreditedBody } from "../CreditedBody/index.js";
 import { ParsedResponse } from "../ParsedResponse.js";
 import { ResponseLimitError } from "../ResponseLimitError.js";
 import { ResponseLimitKind } from "../ResponseLimitKind.js";
@@ -23,6 +26,7 @@
 const FIELD_OVERHEAD_BYTES = 128;
 /** Number of reads after which the parts of an incomplete line are joined: each part takes 32 bytes besides its characters. */
 const MAX_LINE_PARTS = 256;
+const EMPTY = Buffer.alloc(0);
 const FIELD_LINE = /^([^: \t]+)[ \t]*:/;
 const CONTINUATION_LINE = /^[ \t]/;
 
@@ -62,19 +66,21 @@
     private keepsAlive = false;
     private method = "";
     private bufferedBytes = 0;
+    private canStream = false;
+    /** Body that is passed on while it is received. */
+    private stream: CreditedBody | undefined;
     private lineParts = 0;
 
     private constructor(
         private readonly onResponse: (response: ParsedResponse) => void,
         limits: ResponseLimits,
         private readonly budget: ByteBudget,
+        private readonly onLongBody: (head: BackendResponse) => CreditedBody | undefined,
     ) {
         this.meter = ResponseMeter.create(limits);
         this.parser[HTTPParser.kOnHeadersComplete] = (head: ResponseHead): number => this.handleHead(head);
         this.parser[HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number): void => {
-            this.meter.countBody(length);
-            this.reserve(length);
-            this.body.add(chunk.subarray(offset, offset + length));
+            this.addBody(chunk.subarray(offset, offset + length));
         };
         this.parser[HTTPParser.kOnMessageComplete] = (): void => this.complete();
         this.checkLines();
@@ -86,9 +92,16 @@
      * @param onResponse - Called with each complete response.
      * @param limits - Limits on what is read for one request.
      * @param budget - Limit on the bytes of incomplete responses that all connections buffer together.
+     * @param onLongBody - Called with the head of a response whose body exceeds the window, if it may be passed on. Returns the body
+     *     that gets its bytes, or undefined if the response must be complete first.
      */
-    static create(onResponse: (response: ParsedResponse) => void, limits: ResponseLimits, budget: ByteBudget): ResponseParser {
-        return new ResponseParser(onResponse, limits, budget);
+    static create(
+        onResponse: (response: ParsedResponse) => void,
+        limits: ResponseLimits,
+        budget: ByteBudget,
+        onLongBody: (head: BackendResponse) => CreditedBody | undefined = () => undefined,
+    ): ResponseParser {
+        return new ResponseParser(onResponse, limits, budget, onLongBody);
     }
 
     /** Number of bytes received since the last call of `expectResponse`. */
@@ -97,8 +110,9 @@
     }
 
     /** Prepares the parser for the response to a request. */
-    expectResponse(method: string): void {
+    expectResponse(method: string, canStream = false): void {
         this.method = method;
+        this.canStream = canStream;
         this.meter.reset();
     }
 
@@ -115,6 +129,7 @@
             throw result;
         }
         this.meter.checkHead();
+        this.stream?.flush();
     }
 
     /**
@@ -136,13 +151,43 @@
         this.keepsAlive = head.shouldKeepAlive;
         const hasBody = this.status >= MIN_FINAL_STATUS && !isBodiless(this.method, this.status);
         this.checkHead(head);
-        if (hasBody) {
+        if (hasBody && !this.canStream) {
             // A length beyond the limit is refused before any of the body is read.
             this.meter.checkLength(Number(findHeader(this.headers, "content-length") ?? 0));
         }
         return hasBody ? 0 : 1;
     }
 
+    private addBody(piece: Buffer): void {
+        if (this.stream !== undefined) {
+            this.meter.countStreamed(piece.length);
+            this.reserve(piece.length);
+            this.bufferedBytes -= piece.length;
+            this.stream.add(piece);
+            return;
+        }
+        this.meter.countBody(piece.length);
+        this.reserve(piece.length);
+        this.body.add(piece);
+        if (this.canStream && this.body.lengthBytes > BODY_WINDOW_BYTES) {
+            this.startStream();
+        }
+    }
+
+    /** Hands over the body collected so far. The stream releases its bytes from the budget as it passes them on. */
+    private startStream(): void {
+        const { status, headers } = this;
+        this.canStream = false;
+        this.stream = this.onLongBody({ status, headers, body: EMPTY });
+        if (this.stream === undefined) {
+            this.meter.checkLength(Number(findHeader(headers, "content-length") ?? 0));
+            return;
+        }
+        const collected = this.body.take();
+        this.bufferedBytes -= collected.length;
+        this.stream.add(collected);
+    }
+
     private checkHead({ versionMajor, versionMinor, statusCode }: ResponseHead): void {
         if (versionMajor !== MAJOR_VERSION) {
             throw new Error(`unsupported version HTTP/${versionMajor}.${versionMinor}`);
@@ -158,14 +203,17 @@
 
     private complete(): void {
         if (this.status >= MIN_FINAL_STATUS) {
-            const { status, headers } = this;
+            const { status, headers, stream } = this;
+            this.stream = undefined;
             this.onResponse({ status, headers, body: this.body.take(), keepsAlive: this.keepsAlive && !this.hasTrailingBytes });
+            stream?.end();
         }
         this.discard();
     }
 
     /** Discards the buffered part of an incomplete response. Call it when the connection ends. */
     discard(): void {
+        this.stream = undefined;
         this.body.clear();
         this.budget.release(this.bufferedBytes);
         this.bufferedBytes = 0;
--- a/src/callers/CallerHoldings/index.ts
+++ b/src/callers/CallerHoldings/index.ts
@@ -119,12 +119,23 @@
 
     /** Adds the response to a request; it is held until `release`. */
     holdResponse(pending: PendingRequest, bytes: number): void {
+        if (pending.responseBytes === 0) {
+            pending.unreadSinceMs = nowMs();
+        }
         pending.responseBytes += bytes;
-        pending.unreadSinceMs = nowMs();
         this.unreadResponseBytes += bytes;
         this.budget.recordGrowth();
     }
 
+    /** Releases a part of the response to a request, which was handed to the operating system. */
+    releaseResponse(pending: PendingRequest, bytes: number): void {
+        // The rest may have been released before, because the caller is gone.
+        const releasedBytes = Math.min(bytes, pending.responseBytes);
+        pending.responseBytes -= releasedBytes;
+        pending.unreadSinceMs = nowMs();
+        this.unreadResponseBytes -= releasedBytes;
+    }
+
     /** Releases all that a request holds: its response has been handed over, or its caller is gone. */
     release(pending: PendingRequest): void {
         this.releaseBody(pending);
--- a/src/callers/CallerServer/index.ts
+++ b/src/callers/CallerServer/index.ts
@@ -26,6 +26,7 @@
 import { findIncompleteBodyStatus } from "../findIncompleteBodyStatus/index.js";
 import { findProblemStatus } from "../findProblemStatus/index.js";
 import { PendingRequest } from "../PendingRequest.js";
+import { streamResponse } from "../streamResponse/index.js";
 import { writeResponse } from "../writeResponse/index.js";
 
 /** Retry-after of a request that was refused because too much is held, in ms; about the time of a request. */
@@ -279,7 +280,9 @@
     }
 
     private respond(pending: PendingRequest, request: IncomingMessage, callerResponse: CallerResponse): void {
+        const { stream, onBroken } = callerResponse;
         if (pending.isSettled) {
+            stream?.cancel();
             return;
         }
         pending.isSettled = true;
@@ -300,12 +303,23 @@
             writeResponse(response, method, callerResponse);
         }
         catch (thrown) {
+            stream?.cancel();
             this.onError(toError(thrown));
             if (response.headersSent) {
                 response.destroy();
                 return;
             }
             writeResponse(response, method, this.createOwnResponse(STATUS_BAD_GATEWAY, request));
+            return;
+        }
+        // Also releases the request of the dispatcher, with its body.
+        pending.onDisconnect = stream === undefined ? undefined : (): void => stream.cancel();
+        if (stream !== undefined) {
+            streamResponse(response, stream, {
+                onHeld: (bytes) => this.holdings.holdResponse(pending, bytes),
+                onTaken: (bytes) => this.holdings.releaseResponse(pending, bytes),
+                onBroken: onBroken ?? ((): void => undefined),
+            });
         }
     }
 }
--- a/src/callers/writeResponse/index.ts
+++ b/src/callers/writeResponse/index.ts
@@ -8,7 +8,8 @@
 const STATUS_NOT_MODIFIED = 304;
 
 /**
- * Writes a response, framed by the length of its body.
+ * Writes a response, framed by the length of its body. Of one whose body comes in pieces it writes the head: framed by the length
+ * that the endpoint has declared, or else in chunks.
  *
  * @param response - Response of the HTTP server.
  * @param method - Method of the request.
@@ -19,7 +20,9 @@
  */
 export function writeResponse(response: ServerResponse, method: string, callerResponse: CallerResponse): void {
     response.writeHead(callerResponse.status, framedHeaders(method, callerResponse).flat());
-    response.end(callerResponse.body);
+    if (callerResponse.stream === undefined) {
+        response.end(callerResponse.body);
+    }
 }
 
 function framedHeaders(method: string, response: CallerResponse): HeaderList {
@@ -28,6 +31,10 @@
     if (isBodiless) {
         return headers;
     }
-    const declaredLength = method === "HEAD" ? findHeader(response.headers, "content-length") : undefined;
+    const isStreamed = response.stream !== undefined;
+    const declaredLength = method === "HEAD" || isStreamed ? findHeader(response.headers, "content-length") : undefined;
+    if (isStreamed && declaredLength === undefined) {
+        return headers;
+    }
     return [...headers, ["Content-Length", declaredLength ?? String(response.body.length)]];
 }
--- a/src/decisions/dispatch/DispatchMachine/index.ts
+++ b/src/decisions/dispatch/DispatchMachine/index.ts
@@ -197,20 +197,29 @@
         if (answer.status < MIN_FAILED_STATUS) {
             return this.conclude({ kind: DispatchEffectKind.Deliver, answer, attempt: attemptNumber });
         }
-        this.failedAnswer = { answer, attempt: attemptNumber };
-        return this.retryOrConclude(nowMs);
+        if (answer.stream === undefined) {
+            this.failedAnswer = { answer, attempt: attemptNumber };
+            return this.retryOrConclude(nowMs);
+        }
+        // The body of a long answer is still with its endpoint, which cannot hold it while others are asked.
+        if (this.openAttempts.size === 0 && !this.canRetry(nowMs)) {
+            return this.conclude({ kind: DispatchEffectKind.Deliver, answer, attempt: attemptNumber });
+        }
+        this.lastProblem = `a long answer with status ${answer.status}`;
+        return [{ kind: DispatchEffectKind.Cancel, attempt: attemptNumber }, ...this.retryOrConclude(nowMs)];
     }
 
     private retryOrConclude(nowMs: number): readonly DispatchEffect[] {
         if (this.openAttempts.size > 0) {
             return [];
         }
-        const canRetry = this.isRepeatable || !this.hasPossiblyRun;
+        return this.canRetry(nowMs) ? this.offerNext(nowMs) : this.conclude(this.chooseFinalEffect());
+    }
+
+    private canRetry(nowMs: number): boolean {
+        const mayRepeat = this.isRepeatable || !this.hasPossiblyRun;
         const isInTime = nowMs + this.ports.serviceMs / 2 < this.plan.deadlineAtMs;
-        if (canRetry && isInTime && this.canReachAnother && this.hasUntriedCandidate()) {
-            return this.offerNext(nowMs);
-        }
-        return this.conclude(this.chooseFinalEffect());
+        return mayRepeat && isInTime && this.canReachAnother && this.hasUntriedCandidate();
     }
 
     private handleHedgeDue(attemptNumber: number, nowMs: number): readonly DispatchEffect[] {
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -1,4 +1,5 @@
 import { BackendExchange } from "../../backend/BackendExchange.js";
+import { CreditedBody } from "../../backend/CreditedBody/index.js";
 import { BackendResult } from "../../backend/BackendResult.js";
 import { BackendResultKind } from "../../backend/BackendResultKind.js";
 import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
@@ -67,6 +68,14 @@
 /** Time after its deadline at which a running request is cancelled if its entry has not done so, in ms. */
 const ABANDON_DELAY_MS = 500;
 
+/**
+ * Time for which a response waits for its reader after which its slot is free, in ms: the endpoint has done its work, and a few
+ * slow readers would otherwise take all slots.
+ */
+const STALLED_RESPONSE_MS = 300;
+/** Maximum number of responses that are passed on at the same time; each takes a connection to the endpoint. */
+const MAX_OPEN_RESPONSES = 256;
+
 /** Handle of an offer that was refused immediately. */
 const FINISHED_HANDLE: OfferHandle = { cancel: () => undefined, confirm: () => undefined };
 
@@ -82,6 +91,15 @@
     isHung: boolean;
 }
 
+/** Response that is passed on while it is received. */
+interface OpenResponse {
+    readonly stream: CreditedBody;
+    /** Time at which its head had come, in ms. */
+    readonly headAtMs: number;
+    readonly isSuccess: boolean;
+    hasSlot: boolean;
+}
+
 /**
  * Gate beside one endpoint, through which all its requests pass: a request that the gate has not sent to the endpoint has
  * not been executed. Decides on admission, queueing and load shedding, limits retries, and ejects a failing endpoint.
@@ -89,6 +107,7 @@
 export class ServingGate implements GatePort {
     private readonly queue = ServingQueue.create(1);
     private readonly acceptedOffers = new Map<string, AcceptedOffer>();
+    private readonly openResponses = new Map<string, OpenResponse>();
     private tickTimer: NodeJS.Timeout | undefined;
     private limitTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
@@ -147,9 +166,9 @@
         return started.length === 0 ? 0 : repeats / started.length;
     }
 
-    /** Number of running and queued requests. */
+    /** Number of running and queued requests, and of responses that are passed on. */
     get offerCount(): number {
-        return this.acceptedOffers.size;
+        return this.acceptedOffers.size + this.openResponses.size;
     }
 
     /** Number of connections opened to the endpoint since the start. */
@@ -375,6 +394,7 @@
             body: offer.body,
             hasBody: offer.hasBody,
             requestId: offer.requestId,
+            canStream: offer.acceptsStream === true,
         }, offer.requestKind === RequestKind.Once, () => this.recordResend());
         accepted.onReply({ kind: GateReplyKind.Started });
         accepted.exchange.result.then((result) => this.finish(key, accepted, result)).catch((thrown: unknown) => {
@@ -391,7 +411,9 @@
     }
 
     private finish(key: string, accepted: AcceptedOffer, result: BackendResult): void {
+        const stream = result.kind === BackendResultKind.Answered ? result.stream : undefined;
         if (this.acceptedOffers.get(key) !== accepted) {
+            stream?.cancel();
             return;
         }
         this.acceptedOffers.delete(key);
@@ -399,6 +421,9 @@
         if (result.kind === BackendResultKind.NotConnected) {
             this.queue.release(key);
         }
+        else if (result.kind === BackendResultKind.Answered && stream !== undefined) {
+            this.openResponse(key, { stream, headAtMs: atMs, isSuccess: result.answer.status < MIN_FAILED_STATUS, hasSlot: true });
+        }
         else {
             this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < MIN_FAILED_STATUS);
         }
@@ -414,6 +439,32 @@
         this.options.onLoadChange(false);
     }
 
+    /** Keeps the slot of a request until its response has been received, or waits for its reader. */
+    private openResponse(key: string, response: OpenResponse): void {
+        this.openResponses.set(key, response);
+        response.stream.onSettled(() => {
+            this.openResponses.delete(key);
+            this.releaseSlot(key, response);
+        });
+        if (this.openResponses.size > MAX_OPEN_RESPONSES) {
+            const waiting = [...this.openResponses.values()].filter(({ stream }) => stream.waitsSinceMs !== undefined);
+            const [first = response] = waiting.sort((one, other) => (one.stream.waitsSinceMs ?? 0) - (other.stream.waitsSinceMs ?? 0));
+            this.budgetLog.recordRefusal("responses that are passed on", this.openResponses.size, MAX_OPEN_RESPONSES);
+            first.stream.abort("too many responses wait for their readers");
+        }
+        this.scheduleTick();
+    }
+
+    private releaseSlot(key: string, response: OpenResponse): void {
+        if (response.hasSlot) {
+            response.hasSlot = false;
+            // The service time ends with the head: the rest depends on the reader.
+            this.queue.finish(key, response.headAtMs, response.isSuccess);
+            this.startNext();
+            this.options.onLoadChange(false);
+        }
+    }
+
     /** Replies after a dropped connection. The endpoint counts as lost only if it accepts no other connection either. */
     private async confirmEndpointLoss(accepted: AcceptedOffer, reply: Extract<GateReply, { kind: GateReplyKind.Broken }>): Promise<void> {
         accepted.onReply({ ...reply, lostEndpoint: await isServerDown(this.options.backendAddress) });
@@ -480,6 +531,7 @@
     }
 
     private cancel(key: string): void {
+        this.openResponses.get(key)?.stream.cancel();
         const accepted = this.acceptedOffers.get(key);
         if (accepted === undefined) {
             return;
@@ -523,6 +575,11 @@
                 this.handleGradeChange(atMs);
             }
         });
+        this.openResponses.forEach((response, key) => {
+            if (atMs - (response.stream.waitsSinceMs ?? atMs) > STALLED_RESPONSE_MS) {
+                this.releaseSlot(key, response);
+            }
+        });
         this.reclaimUnconfirmedSlots(atMs);
         this.startNext();
     }
@@ -538,7 +595,7 @@
         this.tickTimer ??= setTimeout(() => {
             this.tickTimer = undefined;
             this.tick();
-            if (this.acceptedOffers.size > 0) {
+            if (this.offerCount > 0) {
                 this.scheduleTick();
             }
         }, alignedDelayMs(nowMs(), TICK_INTERVAL_MS));
--- a/src/tunnel/Frame.ts
+++ b/src/tunnel/Frame.ts
@@ -1,3 +1,5 @@
+import { GateLoadReport } from "../decisions/fleet/GateLoadReport.js";
+import { HeaderList } from "../model/HeaderList.js";
 import { FrameKind } from "./FrameKind.js";
 import { GateReply } from "./GateReply.js";
 import { Invitation } from "./Invitation.js";
@@ -11,6 +13,16 @@
     | { readonly kind: FrameKind.Confirm; readonly key: string }
     | { readonly kind: FrameKind.Cancel; readonly key: string }
     | { readonly kind: FrameKind.Reply; readonly key: string; readonly reply: GateReply }
+    | {
+        readonly kind: FrameKind.Head;
+        readonly key: string;
+        readonly status: number;
+        readonly headers: HeaderList;
+        readonly load: GateLoadReport | undefined;
+    }
+    | { readonly kind: FrameKind.Chunk; readonly key: string; readonly data: Buffer }
+    | { readonly kind: FrameKind.End; readonly key: string; readonly problem: string | undefined }
+    | { readonly kind: FrameKind.Credit; readonly key: string; readonly bytes: number }
     | { readonly kind: FrameKind.Invitation; readonly invitation: Invitation }
     | { readonly kind: FrameKind.Ping }
     | { readonly kind: FrameKind.Pong };
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -9,6 +9,14 @@
     Confirm = "g",
     Cancel = "c",
     Reply = "r",
+    /** Head of a long response, in place of the reply that has it whole. */
+    Head = "h",
+    /** Piece of the body of a long response. */
+    Chunk = "d",
+    /** End of a long response, with a problem if it is not whole. */
+    End = "e",
+    /** Allows the gate to send more of a long response. */
+    Credit = "k",
     /** Asks the entry for a request for the endpoint, or withdraws that. */
     Invitation = "i",
     Ping = "p",
--- /dev/null
+++ b/src/tunnel/TunnelBody/test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { BODY_WINDOW_BYTES } from "../../backend/bodyWindow.js";
+import { TunnelBody } from "./index.js";
+
+const CHUNK = Buffer.alloc(64 * 1_024);
+
+interface Fixture {
+    readonly body: TunnelBody;
+    readonly calls: string[];
+    readonly start: () => void;
+}
+
+function createFixture(): Fixture {
+    const calls: string[] = [];
+    const body = TunnelBody.create({ onGrant: (bytes) => calls.push(`grant ${bytes}`), onCancel: () => calls.push("cancel") });
+    const start = (): void => body.start({
+        handleChunk: ({ length }) => calls.push(`chunk ${length}`),
+        handleEnd: (problem) => calls.push(`end ${problem ?? "whole"}`),
+    });
+    return { body, calls, start };
+}
+
+test("pieces and the end that come before the start are passed on in order", (t) => {
+    const { body, calls, start } = createFixture();
+    body.handleChunk(Buffer.alloc(3));
+    body.handleChunk(Buffer.alloc(4));
+    body.handleEnd(undefined);
+    start();
+    t.deepEqual(calls, ["chunk 3", "chunk 4", "end whole"]);
+});
+
+// Guards against a gate that stops for lack of credit, and against a frame for each small piece.
+test("credit is granted in portions as the reader takes pieces", (t) => {
+    const { body, calls, start } = createFixture();
+    start();
+    body.handleChunk(CHUNK);
+    t.false(body.isAwaitingData);
+    body.grant(CHUNK.length - 1);
+    t.deepEqual(calls, ["chunk 65536"]);
+    body.grant(1);
+    t.deepEqual(calls, ["chunk 65536", "grant 65536"]);
+    t.true(body.isAwaitingData);
+});
+
+// Guards against a gate that fills the memory of an entry.
+test("a piece beyond the credit ends the body as broken", (t) => {
+    const { body, calls, start } = createFixture();
+    start();
+    for (let bytes = 0; bytes < BODY_WINDOW_BYTES; bytes += CHUNK.length) {
+        body.handleChunk(CHUNK);
+    }
+    t.is(calls.length, BODY_WINDOW_BYTES / CHUNK.length);
+    body.handleChunk(Buffer.alloc(1));
+    t.deepEqual(calls.slice(-2), ["cancel", "end the gate has sent more than its credit"]);
+    body.handleEnd(undefined);
+    t.is(calls.length, BODY_WINDOW_BYTES / CHUNK.length + 2);
+});
+
+test("a reader that leaves cancels the body once", (t) => {
+    const { body, calls, start } = createFixture();
+    start();
+    body.cancel();
+    body.cancel();
+    body.handleChunk(CHUNK);
+    body.handleEnd("lost");
+    t.deepEqual(calls, ["cancel"]);
+});
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -11,6 +11,7 @@
 import { GateTunnel } from "../GateTunnel.js";
 import { isFinalReply } from "../isFinalReply/index.js";
 import { OfferHandle } from "../OfferHandle.js";
+import { TunnelBody } from "../TunnelBody/index.js";
 import { TunnelCallbacks } from "../TunnelCallbacks.js";
 import { TunnelSocket } from "../TunnelSocket/index.js";
 import { WorkOffer } from "../WorkOffer.js";
@@ -28,6 +29,7 @@
 /** Maximum delay between two attempts, in ms. */
 const MAX_RETRY_DELAY_MS = 4_000;
 
+const EMPTY = Buffer.alloc(0);
 const UNREACHABLE: GateReply = {
     kind: GateReplyKind.Refused,
     cause: RefusalCause.Unreachable,
@@ -56,6 +58,8 @@
  */
 export class TunnelClient implements GateTunnel {
     private readonly outstanding = new Map<string, OutstandingOffer>();
+    /** Bodies of long responses that are being received. */
+    private readonly bodies = new Map<string, TunnelBody>();
     private socket: TunnelSocket | undefined;
     private gateRun: string | undefined;
     private lastConnectAtMs = Number.NEGATIVE_INFINITY;
@@ -90,9 +94,9 @@
         return !this.isUnreachable && !this.isUnresponsive;
     }
 
-    /** True while `tick` has to be called: offers are outstanding, or the gate is unreachable. */
+    /** True while `tick` has to be called: offers are outstanding, responses come, or the gate is unreachable. */
     get isWaiting(): boolean {
-        return this.outstanding.size > 0 || this.isUnreachable || this.isUnresponsive;
+        return this.outstanding.size > 0 || this.bodies.size > 0 || this.isUnreachable || this.isUnresponsive;
     }
 
     offer(offer: WorkOffer, onReply: (reply: GateReply) => void): OfferHandle {
@@ -152,7 +156,8 @@
     }
 
     private hasOverdueResponse(atMs: number): boolean {
-        return [...this.outstanding.values()].some(({ offer, sentAtMs }) => atMs - sentAtMs >= Math.max(PING_AFTER_MS, offer.usualMs));
+        const awaitsData = [...this.bodies.values()].some(({ isAwaitingData }) => isAwaitingData);
+        return awaitsData || [...this.outstanding.values()].some(({ offer, sentAtMs }) => atMs - sentAtMs >= Math.max(PING_AFTER_MS, offer.usualMs));
     }
 
     /** Resets the reconnect delay, for example after an update about the gate. */
@@ -164,6 +169,7 @@
     close(): void {
         this.isClosed = true;
         this.socket?.close();
+        this.breakBodies("the tunnel was closed");
         this.settleAfterClose("the tunnel was closed");
     }
 
@@ -172,6 +178,7 @@
     }
 
     private cancel(key: string): void {
+        this.bodies.get(key)?.cancel();
         if (this.outstanding.delete(key)) {
             this.socket?.send({ kind: FrameKind.Cancel, key });
         }
@@ -220,6 +227,15 @@
         else if (frame.kind === FrameKind.Reply) {
             this.handleReply(frame.key, frame.reply);
         }
+        else if (frame.kind === FrameKind.Head) {
+            this.handleHead(frame);
+        }
+        else if (frame.kind === FrameKind.Chunk) {
+            this.bodies.get(frame.key)?.handleChunk(frame.data);
+        }
+        else if (frame.kind === FrameKind.End) {
+            this.endBody(frame.key, frame.problem);
+        }
         else if (frame.kind === FrameKind.Invitation) {
             this.callbacks.onInvitation(frame.invitation);
         }
@@ -262,6 +278,27 @@
         outstanding.onReply(reply);
     }
 
+    private handleHead({ key, status, headers, load }: Extract<Frame, { kind: FrameKind.Head }>): void {
+        if (!this.outstanding.has(key)) {
+            return;
+        }
+        const stream = TunnelBody.create({
+            onGrant: (bytes) => this.socket?.send({ kind: FrameKind.Credit, key, bytes }),
+            onCancel: () => {
+                this.bodies.delete(key);
+                this.socket?.send({ kind: FrameKind.Cancel, key });
+            },
+        });
+        this.bodies.set(key, stream);
+        this.handleReply(key, { kind: GateReplyKind.Answered, answer: { status, headers, body: EMPTY, stream }, load });
+    }
+
+    private endBody(key: string, problem: string | undefined): void {
+        const body = this.bodies.get(key);
+        this.bodies.delete(key);
+        body?.handleEnd(problem);
+    }
+
     private handleClose(socket: TunnelSocket, problem: string): void {
         if (socket !== this.socket) {
             return;
@@ -269,6 +306,7 @@
         const wasOpen = this.gateRun !== undefined;
         this.socket = undefined;
         this.gateRun = undefined;
+        this.breakBodies(problem);
         if (!wasOpen) {
             this.handleConnectFailure(problem);
             return;
@@ -285,6 +323,11 @@
         this.settleAfterClose(problem);
     }
 
+    /** Ends the responses that were being received, since their rest is lost. */
+    private breakBodies(problem: string): void {
+        [...this.bodies.keys()].forEach((key) => this.endBody(key, problem));
+    }
+
     /** Settles offers after their connection closed. Confirmed ones that must not be repeated wait for the next connection. */
     private settleAfterClose(problem: string): void {
         [...this.outstanding].forEach(([key, outstanding]) => {
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -4,6 +4,8 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
+import { BackendResponse } from "../../backend/BackendResponse.js";
+import { BodyStream } from "../../backend/BodyStream.js";
 import { PeerServer } from "../../frames/PeerServer/index.js";
 import { estimateHeaderBytes } from "../../http/estimateHeaderBytes/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
@@ -33,6 +35,15 @@
 /** Retry-after of an offer that was refused because there is too much, in ms; about the time of a request. */
 const RETRY_AFTER_MS = 500;
 
+/** Reply to an entry that resumes a request whose long response was being sent; no copy of it is kept. */
+const STREAM_LOST: GateReply = { kind: GateReplyKind.Broken, problem: "the long response was lost with its tunnel", lostEndpoint: false };
+
+/** Long response that is being sent. */
+interface SentResponse {
+    readonly socket: TunnelSocket;
+    readonly stream: BodyStream;
+}
+
 interface AcceptedOffer {
     readonly requestKind: RequestKind;
     /** Size of the body of the request. */
@@ -54,6 +65,7 @@
     /** Size of the bodies of these offers. */
     private offeredBytes = 0;
     private readonly retainedReplies: RetainedReplies;
+    private readonly sentResponses = new Map<string, SentResponse>();
     private readonly invitations = ProbeInvitations.create<TunnelSocket>();
     private readonly cleanupTimer = setInterval(() => this.retainedReplies.removeExpired(nowMs()), CLEANUP_INTERVAL_MS);
     private server: PeerServer | undefined;
@@ -171,11 +183,17 @@
             case FrameKind.Cancel:
                 this.handleCancel(frame.key);
                 return;
+            case FrameKind.Credit:
+                this.handleCredit(socket, frame.key, frame.bytes);
+                return;
             case FrameKind.Ping:
                 socket.send({ kind: FrameKind.Pong });
                 return;
             case FrameKind.Welcome:
             case FrameKind.Reply:
+            case FrameKind.Head:
+            case FrameKind.Chunk:
+            case FrameKind.End:
             case FrameKind.Invitation:
             case FrameKind.Pong:
                 return;
@@ -233,6 +251,15 @@
             return;
         }
         accepted.hasStarted ||= reply.kind === GateReplyKind.Started;
+        if (reply.kind === GateReplyKind.Answered && reply.answer.stream !== undefined) {
+            accepted.hasEnded = true;
+            const isKnown = this.removeOffer(key, accepted);
+            if (isKnown && accepted.requestKind === RequestKind.Once) {
+                this.retainedReplies.put(key, STREAM_LOST, nowMs());
+            }
+            this.sendLongResponse(key, isKnown ? accepted.socket : undefined, reply.answer, reply.answer.stream, reply.load);
+            return;
+        }
         if (isFinalReply(reply)) {
             accepted.hasEnded = true;
             if (this.removeOffer(key, accepted) && accepted.requestKind === RequestKind.Once) {
@@ -244,6 +271,42 @@
         }
     }
 
+    /** Sends a response in pieces, or cancels it if its entry is not connected. */
+    private sendLongResponse(
+        key: string,
+        socket: TunnelSocket | undefined,
+        { status, headers }: BackendResponse,
+        stream: BodyStream,
+        load: GateLoadReport | undefined,
+    ): void {
+        if (socket?.isOpen !== true) {
+            stream.cancel();
+            return;
+        }
+        socket.send({ kind: FrameKind.Head, key, status, headers, load });
+        this.sentResponses.set(key, { socket, stream });
+        stream.start({
+            handleChunk: (data) => socket.send({ kind: FrameKind.Chunk, key, data }),
+            handleEnd: (problem) => {
+                this.sentResponses.delete(key);
+                socket.send({ kind: FrameKind.End, key, problem });
+            },
+        });
+    }
+
+    private handleCredit(socket: TunnelSocket, key: string, bytes: unknown): void {
+        const sent = this.sentResponses.get(key);
+        if (sent?.socket === socket && typeof bytes === "number" && bytes > 0) {
+            sent.stream.grant(bytes);
+        }
+    }
+
+    private cancelLongResponse(key: string): void {
+        const sent = this.sentResponses.get(key);
+        this.sentResponses.delete(key);
+        sent?.stream.cancel();
+    }
+
     private handleResume(socket: TunnelSocket, key: string, gateRun: string): void {
         if (this.resume(socket, key)) {
             return;
@@ -281,6 +344,7 @@
     }
 
     private handleCancel(key: string): void {
+        this.cancelLongResponse(key);
         const accepted = this.offers.get(key);
         if (accepted !== undefined) {
             accepted.handle?.cancel();
@@ -291,6 +355,7 @@
     /** Cancels the unfinished offers of a lost connection that have not started or that the entry repeats elsewhere. */
     private handleConnectionLoss(socket: TunnelSocket): void {
         this.invitations.removeEntry(socket);
+        [...this.sentResponses].filter(([, sent]) => sent.socket === socket).forEach(([key]) => this.cancelLongResponse(key));
         [...this.offers].filter(([, accepted]) => accepted.socket === socket).forEach(([key, accepted]) => {
             accepted.socket = undefined;
             if (accepted.requestKind !== RequestKind.Once) {
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -46,4 +46,6 @@
     readonly callOfRepeatShare: number;
     /** Requests per second that the endpoint accepts, as it has told the entry, for a gate that has restarted since; undefined without a limit. */
     readonly limitPerSecond: number | undefined;
+    /** True if the entry takes the body of a long response in pieces; entries of earlier versions do not. */
+    readonly acceptsStream?: boolean;
 }
