Bound the length and the time of responses that are passed on

Cause: a response without end would be passed on for as long as its caller reads, and one that trickles would hold its slot.

Change: at most 128 MB and 600 s for a response that is passed on, and 15 s without a byte while its reader has room. Entries of earlier versions, which take a response whole, get at most 2 MB of it. Large pieces are passed on without a copy.

--- a/src/backend/BackendConnection/index.ts
+++ b/src/backend/BackendConnection/index.ts
@@ -20,9 +20,10 @@
 const DEFAULT_IDLE_LIMIT_MS = 4_000;
 /** Margin before the stated idle limit from which a connection is no longer reused, in ms. */
 const IDLE_MARGIN_MS = 1_000;
-/** Limits on what is read for one request; larger than any response of the current services. */
+/** Limits on what is read for one request: complete ones larger than any of the current services, others twice the longest known. */
 const RESPONSE_LIMITS: ResponseLimits = {
     maxBodyBytes: 16 * 1_024 * 1_024,
+    maxStreamedBytes: 128 * 1_024 * 1_024,
     maxHeadBytes: 64 * 1_024,
     maxFields: 1_000,
     maxSmallChunks: 65_536,
@@ -30,6 +31,8 @@
 };
 /** Time without any byte after which a response that is passed on counts as broken, in ms; its caller has no deadline any more. */
 const STREAM_IDLE_MS = 15_000;
+/** Time after which a response that is passed on is ended, in ms: the longest time that a route may keep a caller waiting. */
+const STREAM_TIME_MS = 600_000;
 const EMPTY = Buffer.alloc(0);
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
@@ -44,6 +47,7 @@
     /** Body of the response that is passed on while it is received. */
     private stream: CreditedBody | undefined;
     private streamTimer: NodeJS.Timeout | undefined;
+    private streamEndTimer: NodeJS.Timeout | undefined;
     private idleLimitMs = DEFAULT_IDLE_LIMIT_MS;
     private requestCount = 0;
     private sentAtMs = 0;
@@ -122,7 +126,7 @@
         this.request = request;
         this.requestCount += 1;
         this.sentAtMs = nowMs();
-        this.parser.expectResponse(request.method, request.canStream);
+        this.parser.expectResponse(request.method, request.canStream, request.maxBodyBytes);
         return new Promise((resolve) => {
             this.resolveExchange = resolve;
             this.socket.cork();
@@ -202,6 +206,7 @@
         });
         this.stream = stream;
         this.streamTimer = setTimeout(() => this.handleStreamIdle(), STREAM_IDLE_MS);
+        this.streamEndTimer = setTimeout(() => this.failStream(`the response took more than ${STREAM_TIME_MS} ms`), STREAM_TIME_MS);
         this.resolveExchange?.({ kind: BackendResultKind.Answered, answer: { ...head, stream }, stream });
         this.resolveExchange = undefined;
         return stream;
@@ -210,14 +215,18 @@
     /** Handles a response of which nothing came for a while: its reader has no room, or the backend server sends nothing. */
     private handleStreamIdle(): void {
         if (this.stream?.waitsSinceMs === undefined) {
-            this.fail(`nothing came of the response for ${STREAM_IDLE_MS} ms`);
-            this.socket.destroy();
+            this.failStream(`nothing came of the response for ${STREAM_IDLE_MS} ms`);
         }
         else {
             this.streamTimer?.refresh();
         }
     }
 
+    private failStream(problem: string): void {
+        this.fail(problem);
+        this.socket.destroy();
+    }
+
     private handleResponse(response: ParsedResponse): void {
         const { request } = this;
         const responseRequestId = this.dialect.readRequestId(response.headers);
@@ -271,6 +280,7 @@
     /** Ends the hold of a response on this connection, which may be used again before its reader has taken the rest. */
     private endStream(): void {
         clearTimeout(this.streamTimer);
+        clearTimeout(this.streamEndTimer);
         this.streamTimer = undefined;
         if (this.stream !== undefined) {
             this.stream = undefined;
--- a/src/backend/BackendRequest.ts
+++ b/src/backend/BackendRequest.ts
@@ -14,4 +14,6 @@
     readonly requestId: string;
     /** True if a long response may be returned while its body is being received. */
     readonly canStream?: boolean;
+    /** Maximum size of the body of a response that is returned complete, in bytes, if it is smaller than that of all responses. */
+    readonly maxBodyBytes?: number;
 }
--- a/src/backend/CreditedBody/index.ts
+++ b/src/backend/CreditedBody/index.ts
@@ -6,6 +6,8 @@
 
 /** Maximum size of a piece, in bytes. */
 const MAX_CHUNK_BYTES = 64 * 1_024;
+/** Size from which on a piece is passed on without a copy, in bytes; smaller ones are joined, and would each hold a whole read. */
+const MIN_DIRECT_BYTES = 16 * 1_024;
 const EMPTY = Buffer.alloc(0);
 
 interface CreditedBodyCallbacks {
@@ -61,7 +63,15 @@
             this.callbacks.onTaken(piece.length);
             return;
         }
-        this.received.add(piece);
+        const directBytes = this.heldBytes > 0 || this.sink === undefined ? 0 : Math.min(piece.length, this.creditBytes, MAX_CHUNK_BYTES);
+        if (directBytes < MIN_DIRECT_BYTES) {
+            this.received.add(piece);
+            return;
+        }
+        if (directBytes < piece.length) {
+            this.received.add(piece.subarray(directBytes));
+        }
+        this.pass(piece.subarray(0, directBytes));
     }
 
     /** Passes on what the credit allows. */
@@ -73,9 +83,7 @@
             }
             const chunk = this.rest.subarray(0, Math.min(MAX_CHUNK_BYTES, this.creditBytes));
             this.rest = this.rest.subarray(chunk.length);
-            this.creditBytes -= chunk.length;
-            this.callbacks.onTaken(chunk.length);
-            sink.handleChunk(chunk);
+            this.pass(chunk);
         }
         if (this.isDone) {
             return;
@@ -135,6 +143,12 @@
         return this.rest.length + this.received.lengthBytes;
     }
 
+    private pass(chunk: Buffer): void {
+        this.creditBytes -= chunk.length;
+        this.callbacks.onTaken(chunk.length);
+        this.sink?.handleChunk(chunk);
+    }
+
     private updateFull(): void {
         const isFull = this.heldBytes > 0;
         if (isFull === (this.fullSinceMs !== undefined)) {
--- a/src/backend/CreditedBody/test.ts
+++ b/src/backend/CreditedBody/test.ts
@@ -51,6 +51,24 @@
     t.is(body.waitsSinceMs, undefined);
 });
 
+// Guards against pieces that overtake earlier ones because they are not copied.
+test("large pieces are passed on at once, in order, and only what exceeds the credit is held", (t) => {
+    const { body, calls, chunks, start, takenBytes } = createFixture();
+    start();
+    const pieces = Array.from({ length: 6 }, (_value, number) => Buffer.alloc(50_000, number));
+    body.add(Buffer.alloc(10, "a"));
+    pieces.forEach((piece) => {
+        body.add(piece);
+        body.flush();
+    });
+    t.is(sizeOf(chunks), BODY_WINDOW_BYTES);
+    body.grant(50_000);
+    body.end();
+    t.deepEqual(Buffer.concat(chunks), Buffer.concat([Buffer.alloc(10, "a"), ...pieces]));
+    t.is(takenBytes(), 300_010);
+    t.deepEqual(calls, ["full", "room", "settled", "end whole"]);
+});
+
 test("pieces are joined until they are flushed, and no chunk is larger than 64 KB", (t) => {
     const { body, chunks, start } = createFixture();
     start();
--- a/src/backend/ResponseLimits.ts
+++ b/src/backend/ResponseLimits.ts
@@ -2,6 +2,8 @@
 export interface ResponseLimits {
     /** Maximum size of all bodies in bytes. */
     readonly maxBodyBytes: number;
+    /** Maximum size of a body that is passed on while it is received, in bytes; unlimited if undefined. */
+    readonly maxStreamedBytes?: number;
     /** Maximum size of header sections, interim responses, chunk extensions and trailers in bytes. */
     readonly maxHeadBytes: number;
     /** Maximum number of lines in header sections and trailers. */
--- a/src/backend/ResponseMeter/index.ts
+++ b/src/backend/ResponseMeter/index.ts
@@ -10,6 +10,7 @@
  * Each method throws a `ResponseLimitError` if a limit is exceeded.
  */
 export class ResponseMeter {
+    private maxBodyBytes = Number.POSITIVE_INFINITY;
     private readBytes = 0;
     private bodyBytes = 0;
     private chunkCount = 0;
@@ -27,8 +28,13 @@
         return this.readBytes;
     }
 
-    /** Starts again for the next request. */
-    reset(): void {
+    /**
+     * Starts again for the next request.
+     *
+     * @param maxBodyBytes - Maximum size of its body, if that is less than the limit of all responses.
+     */
+    reset(maxBodyBytes = Number.POSITIVE_INFINITY): void {
+        this.maxBodyBytes = maxBodyBytes;
         this.readBytes = 0;
         this.bodyBytes = 0;
         this.chunkCount = 0;
@@ -46,9 +52,10 @@
         this.checkLength(this.bodyBytes);
     }
 
-    /** Counts bytes of a body that is not held, whose length is not limited. */
+    /** Counts bytes of a body that is passed on while it is received. */
     countStreamed(bytes: number): void {
         this.bodyBytes += bytes;
+        this.checkStreamedLength(this.bodyBytes);
     }
 
     /** Counts a chunk. */
@@ -74,10 +81,12 @@
 
     /** Checks the length of a body, such as a declared one. */
     checkLength(bytes: number): void {
-        const { maxBodyBytes } = this.limits;
-        if (bytes > maxBodyBytes) {
-            throw ResponseLimitError.create({ kind: ResponseLimitKind.Body, held: bytes, limit: maxBodyBytes }, `more than ${maxBodyBytes} bytes of body`);
-        }
+        checkBody(bytes, Math.min(this.maxBodyBytes, this.limits.maxBodyBytes));
+    }
+
+    /** Checks the length of a body that is passed on while it is received, such as a declared one. */
+    checkStreamedLength(bytes: number): void {
+        checkBody(bytes, this.limits.maxStreamedBytes ?? Number.POSITIVE_INFINITY);
     }
 
     /** Checks the bytes that belong to no body. Call it when all bytes that were read have been parsed. */
@@ -89,3 +98,9 @@
         }
     }
 }
+
+function checkBody(bytes: number, limit: number): void {
+    if (bytes > limit) {
+        throw ResponseLimitError.create({ kind: ResponseLimitKind.Body, held: bytes, limit }, `more than ${limit} bytes of body`);
+    }
+}
--- a/src/backend/ResponseParser/index.ts
+++ b/src/backend/ResponseParser/index.ts
@@ -110,10 +110,10 @@
     }
 
     /** Prepares the parser for the response to a request. */
-    expectResponse(method: string, canStream = false): void {
+    expectResponse(method: string, canStream = false, maxBodyBytes?: number): void {
         this.method = method;
         this.canStream = canStream;
-        this.meter.reset();
+        this.meter.reset(maxBodyBytes);
     }
 
     /**
@@ -151,9 +151,15 @@
         this.keepsAlive = head.shouldKeepAlive;
         const hasBody = this.status >= MIN_FINAL_STATUS && !isBodiless(this.method, this.status);
         this.checkHead(head);
-        if (hasBody && !this.canStream) {
+        if (hasBody) {
             // A length beyond the limit is refused before any of the body is read.
-            this.meter.checkLength(Number(findHeader(this.headers, "content-length") ?? 0));
+            const lengthBytes = Number(findHeader(this.headers, "content-length") ?? 0);
+            if (this.canStream) {
+                this.meter.checkStreamedLength(lengthBytes);
+            }
+            else {
+                this.meter.checkLength(lengthBytes);
+            }
         }
         return hasBody ? 0 : 1;
     }
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -73,6 +73,11 @@
  * slow readers would otherwise take all slots.
  */
 const STALLED_RESPONSE_MS = 300;
+/**
+ * Maximum size of a response to an entry of an earlier version, which takes it whole, in bytes: three times that of the largest
+ * ones of current services. Responses of 16 MB to entries that did not read took 316 MB.
+ */
+const MAX_WHOLE_BODY_BYTES = 2 * 1_024 * 1_024;
 /** Maximum number of responses that are passed on at the same time; each takes a connection to the endpoint. */
 const MAX_OPEN_RESPONSES = 256;
 
@@ -395,6 +400,7 @@
             hasBody: offer.hasBody,
             requestId: offer.requestId,
             canStream: offer.acceptsStream === true,
+            maxBodyBytes: offer.acceptsStream === true ? undefined : MAX_WHOLE_BODY_BYTES,
         }, offer.requestKind === RequestKind.Once, () => this.recordResend());
         accepted.onReply({ kind: GateReplyKind.Started });
         accepted.exchange.result.then((result) => this.finish(key, accepted, result)).catch((thrown: unknown) => {
