Test the failures of long responses

Change: one injected failure a test: a reader that stops, a reset of each framing, a response to another request, a caller that leaves, a tunnel that is lost before the head and after it, an entry of an earlier version, a long error answer, slots taken by stalled readers.

--- a/src/backend/BackendPool/test.ts
+++ b/src/backend/BackendPool/test.ts
@@ -1,10 +1,14 @@
+import { RecordingSink } from "../../../test/fixtures/RecordingSink.js";
 import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
 import { once } from "node:events";
+import { setTimeout as delay } from "node:timers/promises";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { install } from "@sinonjs/fake-timers";
 import test, { type ExecutionContext } from "ava";
 import { HeaderList } from "../../model/HeaderList.js";
 import { BackendRequest } from "../BackendRequest.js";
+import { BODY_WINDOW_BYTES } from "../bodyWindow.js";
+import { CreditedBody } from "../CreditedBody/index.js";
 import { BackendResult } from "../BackendResult.js";
 import { BackendResultKind } from "../BackendResultKind.js";
 import { ResponseDialect } from "../ResponseDialect.js";
@@ -298,3 +302,109 @@
         exchanges.forEach((exchange) => exchange.cancel());
     });
 });
+
+const LONG_BYTES = 2_000_000;
+const LONG_HEAD = `HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: ${LONG_BYTES}\r\n\r\n`;
+
+function streamOf(result: BackendResult): CreditedBody | undefined {
+    return result.kind === BackendResultKind.Answered ? result.stream : undefined;
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+    for (let waitedMs = 0; !condition() && waitedMs < 3_000; waitedMs += 5) {
+        await delay(5);
+    }
+}
+
+function sendLong(pool: BackendPool): Promise<BackendResult> {
+    return pool.send({ ...request("1"), canStream: true }, false).result;
+}
+
+// Guards against a backend server whose whole response is read although its reader has stopped, and against a lost connection.
+test.serial("a long response is read no further than its reader allows, and its connection is used again afterwards", async (t) => {
+    await withServer(t, (socket, number, connection) => {
+        socket.write(number === 1 ? `${LONG_HEAD}${"x".repeat(LONG_BYTES)}` : response("2", `connection ${connection}`));
+    }, async (pool) => {
+        const stream = streamOf(await sendLong(pool));
+        const sink = RecordingSink.create();
+        stream?.start(sink);
+        await delay(50);
+        t.is(sink.lengthBytes, BODY_WINDOW_BYTES);
+        t.true(pool.bufferedBytes < BODY_WINDOW_BYTES);
+        while (sink.ends.length === 0 && sink.lengthBytes < LONG_BYTES) {
+            const beforeBytes = sink.lengthBytes;
+            stream?.grant(BODY_WINDOW_BYTES);
+            await waitUntil(() => sink.lengthBytes > beforeBytes);
+        }
+        await waitUntil(() => sink.ends.length > 0);
+        t.is(sink.lengthBytes, LONG_BYTES);
+        t.deepEqual(sink.ends, ["whole"]);
+        t.is(pool.bufferedBytes, 0);
+        t.is(bodyOf(await pool.send(request("2"), true).result), "connection 1");
+    });
+});
+
+const CUT_HEADS = {
+    "a length": LONG_HEAD,
+    "chunks": `HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n${LONG_BYTES.toString(16)}\r\n`,
+    "the end of the connection": "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+} as const;
+
+Object.entries(CUT_HEADS).forEach(([framing, head]) => {
+    // Guards against a part of a response that is taken for the whole.
+    test.serial(`a long response framed by ${framing} that is reset is not whole`, async (t) => {
+        await withServer(t, (socket) => {
+            socket.write(`${head}${"x".repeat(400_000)}`, () => setTimeout(() => socket.resetAndDestroy(), 50));
+        }, async (pool) => {
+            const stream = streamOf(await sendLong(pool));
+            const sink = RecordingSink.create();
+            stream?.start(sink);
+            stream?.grant(BODY_WINDOW_BYTES);
+            await waitUntil(() => sink.ends.length > 0);
+            t.is(sink.ends.length, 1);
+            t.not(sink.ends[0], "whole");
+            t.is(pool.bufferedBytes, 0);
+        });
+    });
+});
+
+test.serial("a response up to the window that breaks off is no answer, so that the request can be tried elsewhere", async (t) => {
+    await withServer(t, (socket) => {
+        socket.write(`${LONG_HEAD}${"x".repeat(BODY_WINDOW_BYTES)}`, () => setTimeout(() => socket.resetAndDestroy(), 20));
+    }, async (pool) => {
+        t.is((await sendLong(pool)).kind, BackendResultKind.Broken);
+        t.is(pool.bufferedBytes, 0);
+    });
+});
+
+// Guards against a caller that gets a long response to an earlier request.
+test.serial("a long response to another request is ignored, and one without an id on a reused connection fails", async (t) => {
+    const other = `HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 300000\r\n\r\n${"x".repeat(300_000)}`;
+    await withServer(t, (socket) => void socket.write(other + response("1", "mine")), async (pool) => {
+        t.is(bodyOf(await sendLong(pool)), "mine");
+    });
+    const nameless = `HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n${"x".repeat(300_000)}`;
+    await withServer(t, (socket, number) => void socket.write(number === 1 ? response("1") : nameless), async (pool) => {
+        await pool.send(request("1"), false).result;
+        t.is((await pool.send({ ...request("2"), canStream: true }, true).result).kind, BackendResultKind.Broken);
+    });
+});
+
+test.serial("a long response whose reader leaves is ended at the backend server", async (t) => {
+    let isClosed = false;
+    await withServer(t, (socket) => {
+        socket.once("close", () => {
+            isClosed = true;
+        });
+        socket.write(`${LONG_HEAD}${"x".repeat(400_000)}`);
+    }, async (pool) => {
+        const stream = streamOf(await sendLong(pool));
+        const sink = RecordingSink.create();
+        stream?.start(sink);
+        stream?.cancel();
+        await waitUntil(() => isClosed);
+        t.true(isClosed);
+        t.deepEqual(sink.ends, []);
+        t.is(pool.bufferedBytes, 0);
+    });
+});
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
+import { CreditedBody } from "../../backend/CreditedBody/index.js";
 import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
@@ -388,3 +389,108 @@
         t.is(server.openRequestCount, 0);
     });
 });
+
+interface LongResponse {
+    readonly body: CreditedBody;
+    readonly calls: string[];
+    readonly problems: string[];
+    readonly response: CallerResponse;
+}
+
+function createLongResponse(headers: CallerResponse["headers"]): LongResponse {
+    const calls: string[] = [];
+    const problems: string[] = [];
+    const body = CreditedBody.create({
+        onFull: () => calls.push("full"),
+        onRoom: () => calls.push("room"),
+        onTaken: () => undefined,
+        onCancel: () => calls.push("cancel"),
+    });
+    const onBroken = (problem: string): unknown => problems.push(problem);
+    return { body, calls, problems, response: { status: 200, headers, body: Buffer.alloc(0), stream: body, onBroken } };
+}
+
+const LENGTH: CallerResponse["headers"] = [["Content-Length", "1000000"]];
+
+test("a long response is framed by its declared length, or in chunks, and the connection stays usable", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        const received = collect(socket);
+        for (const [number, headers] of [LENGTH, []].entries()) {
+            received.text = "";
+            socket.write(get(String(number)));
+            await waitUntil(() => exchanges.length === number + 1);
+            const { body, response } = createLongResponse(headers);
+            exchanges[number]?.respond(response);
+            body.add(Buffer.alloc(1_000_000, "x"));
+            body.end();
+            await waitUntil(() => received.text.length > 1_000_000 && (headers.length > 0 || received.text.endsWith("\r\n0\r\n\r\n")));
+            t.regex(received.text, headers.length > 0 ? /\r\nContent-Length: 1000000\r\n/ : /\r\nTransfer-Encoding: chunked\r\n/);
+            t.is(received.text.slice(received.text.indexOf("\r\n\r\n")).split("x").length - 1, 1_000_000);
+        }
+        await waitUntil(() => server.unreadResponseBytes === 0);
+        t.is(server.unreadResponseBytes, 0);
+        t.is(server.openRequestCount, 0);
+    });
+});
+
+const FORMS = [
+    ["HTTP/1.1", LENGTH, "a length"],
+    ["HTTP/1.1", [], "chunks"],
+    ["HTTP/1.0", [], "the end of the connection"],
+] as const;
+
+FORMS.forEach(([version, headers, framing]) => {
+    // Guards against a part of a response that its caller takes for the whole.
+    test(`a long response framed by ${framing} that breaks off does not look complete`, async (t) => {
+        await withServer(t, async (_server, exchanges, open) => {
+            const socket = await open();
+            const received = collect(socket);
+            const errors: string[] = [];
+            socket.on("error", ({ message }) => errors.push(message));
+            socket.write(get("1").replace("HTTP/1.1", version));
+            await waitUntil(() => exchanges.length === 1);
+            const { body, problems, response } = createLongResponse(headers);
+            exchanges[0]?.respond(response);
+            body.add(Buffer.alloc(50_000, "x"));
+            body.flush();
+            await waitUntil(() => received.text.includes("xxx"));
+            body.breakOff("reset");
+            await waitUntil(() => socket.destroyed);
+            t.true(socket.destroyed);
+            t.deepEqual(problems, ["reset"]);
+            t.false(received.text.endsWith("0\r\n\r\n"));
+            t.deepEqual(errors.map((message) => message.includes("ECONNRESET")), [true]);
+        });
+    });
+});
+
+test("a caller that leaves within a long response cancels it, and nothing is held for it any more", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        socket.write(get("1"));
+        await waitUntil(() => exchanges.length === 1);
+        const { body, calls, response } = createLongResponse(LENGTH);
+        exchanges[0]?.respond(response);
+        body.add(Buffer.alloc(1_000));
+        body.flush();
+        socket.destroy();
+        await waitUntil(() => calls.length > 0);
+        t.deepEqual(calls, ["cancel"]);
+        t.is(server.unreadResponseBytes, 0);
+        t.is(server.openRequestCount, 0);
+    });
+});
+
+test("a long response to a caller that has left is cancelled", async (t) => {
+    await withServer(t, async (server, exchanges, open) => {
+        const socket = await open();
+        socket.write(get("1"));
+        await waitUntil(() => exchanges.length === 1);
+        socket.destroy();
+        await waitUntil(() => server.connectionCount === 0);
+        const { calls, response } = createLongResponse(LENGTH);
+        exchanges[0]?.respond(response);
+        t.deepEqual(calls, ["cancel"]);
+    });
+});
--- a/src/decisions/dispatch/DispatchMachine/test.ts
+++ b/src/decisions/dispatch/DispatchMachine/test.ts
@@ -265,3 +265,23 @@
     const [effect] = machine.step({ kind: DispatchEventKind.Deadline }, 4_000);
     t.true(effect?.kind === DispatchEffectKind.Fail && effect.failure === DispatchFailure.TimedOut);
 });
+
+const LONG_FAILURE: GateReply = {
+    kind: GateReplyKind.Answered,
+    answer: { status: 500, headers: [], body: Buffer.alloc(0), stream: { start: () => undefined, grant: () => undefined, cancel: () => undefined } },
+    load: undefined,
+};
+
+// Guards against an endpoint that holds a long error answer while the request is tried elsewhere.
+test("a long error answer is cancelled if the request is tried again, and delivered otherwise", (t) => {
+    const repeatable = create(RequestKind.Repeatable);
+    begin(repeatable);
+    reply(repeatable, 1, STARTED);
+    const [cancel, offer] = reply(repeatable, 1, LONG_FAILURE);
+    t.like(cancel, { kind: DispatchEffectKind.Cancel, attempt: 1 });
+    t.is(offer?.kind, DispatchEffectKind.Offer);
+    const once = create(RequestKind.Once);
+    begin(once);
+    reply(once, 1, STARTED);
+    t.like(reply(once, 1, LONG_FAILURE)[0], { kind: DispatchEffectKind.Deliver, attempt: 1 });
+});
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -7,6 +7,7 @@
 import { EndpointPhase } from "../../decisions/fleet/EndpointPhase.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
 import { Grade } from "../../decisions/fleet/Grade.js";
+import { RecordingSink } from "../../../test/fixtures/RecordingSink.js";
 import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
@@ -449,3 +450,44 @@
         return Promise.resolve();
     });
 });
+
+function respondAtLength(socket: Socket): void {
+    socket.write(`HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: 1000000\r\n\r\n${"x".repeat(1_000_000)}`);
+}
+
+// Guards against a few callers that stop reading and so keep all others from the endpoint.
+test.serial("a long response keeps its slot while it flows, and gives it back once it waits for its reader", async (t) => {
+    await withGate(t, respondAtLength, async ({ gate, offer }) => {
+        const { replies, handle } = offer("1", { acceptsStream: true });
+        await waitUntil(() => replies.length === 2);
+        const answered = replies[1];
+        const sink = RecordingSink.create();
+        if (answered?.kind === GateReplyKind.Answered) {
+            answered.answer.stream?.start(sink);
+        }
+        t.is(gate.load.running, 1);
+        await waitUntil(() => gate.load.running === 0);
+        t.is(gate.load.running, 0);
+        t.is(gate.offerCount, 1);
+        t.deepEqual(sink.ends, []);
+        handle.cancel();
+        t.is(gate.offerCount, 0);
+        t.is(gate.responseBufferBytes, 0);
+    });
+});
+
+// Guards against a part of a response that an entry of an earlier version takes for the whole.
+test.serial("an entry that does not take a response in pieces gets it whole, up to 2 MB", async (t) => {
+    await withGate(t, respondAtLength, async ({ offer }) => {
+        const { replies } = offer("1");
+        await waitUntil(() => replies.length === 2);
+        const answered = replies[1];
+        t.true(answered?.kind === GateReplyKind.Answered && answered.answer.stream === undefined && answered.answer.body.length === 1_000_000);
+    });
+    const respondTooLong = (socket: Socket): void => void socket.write("HTTP/1.1 200 X\r\nId: 1\r\nContent-Length: 3000000\r\n\r\n");
+    await withGate(t, respondTooLong, async ({ offer }) => {
+        const { replies } = offer("1");
+        await waitUntil(() => replies.length === 2);
+        t.is(replies[1]?.kind, GateReplyKind.Broken);
+    });
+});
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -3,6 +3,9 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { createLoadReport } from "../../../test/fixtures/createLoadReport.js";
+import { RecordingSink } from "../../../test/fixtures/RecordingSink.js";
+import { BODY_WINDOW_BYTES } from "../../backend/bodyWindow.js";
+import { CreditedBody } from "../../backend/CreditedBody/index.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
@@ -355,3 +358,121 @@
         client.close();
     }
 });
+
+interface LongResponse {
+    readonly body: CreditedBody;
+    /** What the gate is told about the body. */
+    readonly calls: string[];
+    readonly sink: RecordingSink;
+}
+
+/** Lets the gate answer an offer with a long response, of which the entry has the head when this resolves. */
+async function startLongResponse({ gate, replies, offer }: Fixture, requestKind: RequestKind): Promise<LongResponse> {
+    const calls: string[] = [];
+    const body = CreditedBody.create({
+        onFull: () => calls.push("full"),
+        onRoom: () => calls.push("room"),
+        onTaken: () => undefined,
+        onCancel: () => calls.push("cancel"),
+    });
+    offer("1", requestKind);
+    await waitUntil(() => gate.started.length > 0);
+    const answer = { status: 200, headers: [["A", "b"] as const], body: Buffer.alloc(0), stream: body };
+    gate.replies.get("1")?.({ kind: GateReplyKind.Answered, answer, load: undefined });
+    await waitUntil(() => replies.length === 2);
+    const [, answered] = replies;
+    const sink = RecordingSink.create();
+    if (answered?.kind === GateReplyKind.Answered) {
+        answered.answer.stream?.start(sink);
+    }
+    return { body, calls, sink };
+}
+
+function grantAtEntry(replies: readonly GateReply[], bytes: number): void {
+    const [, answered] = replies;
+    if (answered?.kind === GateReplyKind.Answered) {
+        answered.answer.stream?.grant(bytes);
+    }
+}
+
+// Guards against an entry that holds the response of a caller that has stopped, and against one that never gets the rest.
+test("a long response passes a tunnel no further than its caller reads, and is whole in the end", async (t) => {
+    await withTunnel(t, async (fixture) => {
+        const { body, calls, sink } = await startLongResponse(fixture, RequestKind.Repeatable);
+        const content = Buffer.alloc(3 * BODY_WINDOW_BYTES, "abcdefg");
+        body.add(content);
+        body.end();
+        await waitUntil(() => sink.lengthBytes >= BODY_WINDOW_BYTES);
+        await delay(50);
+        t.is(sink.lengthBytes, BODY_WINDOW_BYTES);
+        t.deepEqual(calls, ["full"]);
+        for (let round = 0; round < 3; round += 1) {
+            grantAtEntry(fixture.replies, BODY_WINDOW_BYTES);
+            await waitUntil(() => sink.lengthBytes >= Math.min(3, round + 2) * BODY_WINDOW_BYTES);
+        }
+        await waitUntil(() => sink.ends.length > 0);
+        t.true(Buffer.concat(sink.chunks).equals(content));
+        t.deepEqual(sink.ends, ["whole"]);
+        t.deepEqual(fixture.replies.map(({ kind }) => kind), [GateReplyKind.Started, GateReplyKind.Answered]);
+    });
+});
+
+test("a long response that breaks off at its gate breaks off at the entry", async (t) => {
+    await withTunnel(t, async (fixture) => {
+        const { body, sink } = await startLongResponse(fixture, RequestKind.Repeatable);
+        body.add(Buffer.alloc(1_000));
+        body.flush();
+        body.breakOff("reset");
+        await waitUntil(() => sink.ends.length > 0);
+        t.deepEqual(sink.ends, ["reset"]);
+    });
+});
+
+// Guards against an endpoint that goes on sending to a caller that has left.
+test("a caller that leaves cancels its long response at the gate", async (t) => {
+    await withTunnel(t, async (fixture) => {
+        const { calls, sink } = await startLongResponse(fixture, RequestKind.Repeatable);
+        const [, answered] = fixture.replies;
+        t.true(answered?.kind === GateReplyKind.Answered);
+        if (answered?.kind === GateReplyKind.Answered) {
+            answered.answer.stream?.cancel();
+        }
+        await waitUntil(() => calls.length > 0);
+        t.deepEqual(calls, ["cancel"]);
+        t.deepEqual(sink.ends, []);
+        t.false(fixture.client.isWaiting);
+    });
+});
+
+[RequestKind.Repeatable, RequestKind.Once].forEach((requestKind) => {
+    // Guards against a caller that waits for ever, and against a request that must not be repeated and runs again.
+    test(`a tunnel that is lost in a long response to a request of kind ${requestKind} ends it at both ends, and nothing runs again`, async (t) => {
+        await withTunnel(t, async (fixture) => {
+            const { body, calls, sink } = await startLongResponse(fixture, requestKind);
+            body.add(Buffer.alloc(1_000));
+            body.flush();
+            await waitUntil(() => sink.lengthBytes === 1_000);
+            fixture.tcpProxy.reset();
+            await waitUntil(() => sink.ends.length > 0 && calls.length > 0);
+            t.is(sink.ends.length, 1);
+            t.not(sink.ends[0], "whole");
+            t.deepEqual(calls, ["cancel"]);
+            t.deepEqual(fixture.gate.started, ["1"]);
+        });
+    });
+});
+
+// Guards against a caller that is told "not run" of a request whose long response was lost before its head arrived.
+test("a request that must not be repeated is reported as broken if its long response is lost before the entry has its head", async (t) => {
+    await withTunnel(t, async ({ gate, tcpProxy, replies, offer }) => {
+        offer("1", RequestKind.Once);
+        await waitUntil(() => gate.started.length > 0);
+        tcpProxy.dropBytes();
+        const stream = CreditedBody.create({ onFull: () => undefined, onRoom: () => undefined, onTaken: () => undefined, onCancel: () => undefined });
+        const answer = { status: 200, headers: [], body: Buffer.alloc(0), stream };
+        gate.replies.get("1")?.({ kind: GateReplyKind.Answered, answer, load: undefined });
+        await waitUntil(() => replies.length === 2);
+        t.deepEqual(kindsOf(replies), [GateReplyKind.Started, GateReplyKind.Broken]);
+        t.deepEqual(gate.started, ["1"]);
+    });
+});
