--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -1,4 +1,5 @@
 import { BackendExchange } from "../../backend/BackendExchange.js";
+import { CreditedBody } from "../../backend/CreditedBody/index.js";
 import { BackendResult } from "../../backend/BackendResult.js";
 import { BackendResultKind } from "../../backend/BackendResultKind.js";
 import { alignedDelayMs } from "../../clock/alignedDelayMs/index.js";
@@ -70,6 +71,19 @@
 /** Time after its deadline at which a running request is cancelled if its entry has not done so, in ms. */
 const ABANDON_DELAY_MS = 500;
 
+/**
+ * Time for which a response waits for its reader after which its slot is free, in ms: the endpoint has done its work, and a few
+ * slow readers would otherwise take all slots.
+ */
+const STALLED_RESPONSE_MS = 300;
+/**
+ * Maximum size of a response to an entry of an earlier version, which takes it whole, in bytes: three times that of the largest
+ * ones of current services. Responses of 16 MB to entries that did not read took 316 MB.
+ */
+const MAX_WHOLE_BODY_BYTES = 2 * 1_024 * 1_024;
+/** Maximum number of responses that are passed on at the same time; each takes a connection to the endpoint. */
+const MAX_OPEN_RESPONSES = 256;
+
 /** Handle of an offer that was refused immediately. */
 const FINISHED_HANDLE: OfferHandle = { cancel: () => undefined, confirm: () => undefined };
 
@@ -87,6 +101,15 @@
     isHung: boolean;
 }
 
+/** Response that is passed on while it is received. */
+interface OpenResponse {
+    readonly stream: CreditedBody;
+    /** Time at which its head had come, in ms. */
+    readonly headAtMs: number;
+    readonly isSuccess: boolean;
+    hasSlot: boolean;
+}
+
 /**
  * Gate beside one endpoint, through which all its requests pass: a request that the gate has not sent to the endpoint has
  * not been executed. Decides on admission, queueing and load shedding, limits retries, and ejects a failing endpoint.
@@ -94,6 +117,7 @@
 export class ServingGate implements GatePort {
     private readonly queue = ServingQueue.create(1);
     private readonly acceptedOffers = new Map<string, AcceptedOffer>();
+    private readonly openResponses = new Map<string, OpenResponse>();
     private tickTimer: NodeJS.Timeout | undefined;
     private limitTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
@@ -155,9 +179,9 @@
         return started.length === 0 ? 0 : repeats / started.length;
     }
 
-    /** Number of running and queued requests. */
+    /** Number of running and queued requests, and of responses that are passed on. */
     get offerCount(): number {
-        return this.acceptedOffers.size;
+        return this.acceptedOffers.size + this.openResponses.size;
     }
 
     /** Number of connections opened to the endpoint since the start. */
@@ -409,6 +433,8 @@
             body: offer.body,
             hasBody: offer.hasBody,
             requestId: offer.requestId,
+            canStream: offer.acceptsStream === true,
+            maxBodyBytes: offer.acceptsStream === true ? undefined : MAX_WHOLE_BODY_BYTES,
         }, offer.requestKind === RequestKind.Once, () => this.recordResend());
         accepted.onReply({ kind: GateReplyKind.Started });
         accepted.exchange.result.then((result) => this.finish(key, accepted, result)).catch((thrown: unknown) => {
@@ -425,7 +451,9 @@
     }
 
     private finish(key: string, accepted: AcceptedOffer, result: BackendResult): void {
+        const stream = result.kind === BackendResultKind.Answered ? result.stream : undefined;
         if (this.acceptedOffers.get(key) !== accepted) {
+            stream?.cancel();
             return;
         }
         const heldBytes = this.bodyLimit.heldBytes;
@@ -434,6 +462,9 @@
         if (result.kind === BackendResultKind.NotConnected || result.kind === BackendResultKind.NotSent) {
             this.queue.release(key);
         }
+        else if (result.kind === BackendResultKind.Answered && stream !== undefined) {
+            this.openResponse(key, { stream, headAtMs: atMs, isSuccess: result.answer.status < MIN_FAILED_STATUS, hasSlot: true });
+        }
         else {
             this.queue.finish(key, atMs, result.kind === BackendResultKind.Answered && result.answer.status < MIN_FAILED_STATUS);
         }
@@ -468,6 +499,32 @@
         }
     }
 
+    /** Keeps the slot of a request until its response has been received, or waits for its reader. */
+    private openResponse(key: string, response: OpenResponse): void {
+        this.openResponses.set(key, response);
+        response.stream.onSettled(() => {
+            this.openResponses.delete(key);
+            this.releaseSlot(key, response);
+        });
+        if (this.openResponses.size > MAX_OPEN_RESPONSES) {
+            const waiting = [...this.openResponses.values()].filter(({ stream }) => stream.waitsSinceMs !== undefined);
+            const [first = response] = waiting.sort((one, other) => (one.stream.waitsSinceMs ?? 0) - (other.stream.waitsSinceMs ?? 0));
+            this.budgetLog.recordRefusal("responses that are passed on", this.openResponses.size, MAX_OPEN_RESPONSES);
+            first.stream.abort("too many responses wait for their readers");
+        }
+        this.scheduleTick();
+    }
+
+    private releaseSlot(key: string, response: OpenResponse): void {
+        if (response.hasSlot) {
+            response.hasSlot = false;
+            // The service time ends with the head: the rest depends on the reader.
+            this.queue.finish(key, response.headAtMs, response.isSuccess);
+            this.startNext();
+            this.options.onLoadChange(false);
+        }
+    }
+
     /** Replies after a dropped connection. The endpoint counts as lost only if it accepts no other connection either. */
     private async confirmEndpointLoss(
         accepted: AcceptedOffer,
@@ -557,6 +614,7 @@
     }
 
     private cancel(key: string): void {
+        this.openResponses.get(key)?.stream.cancel();
         const accepted = this.remove(key, false);
         if (accepted === undefined) {
             return;
@@ -620,6 +678,11 @@
                 this.handleGradeChange(atMs);
             }
         });
+        this.openResponses.forEach((response, key) => {
+            if (atMs - (response.stream.waitsSinceMs ?? atMs) > STALLED_RESPONSE_MS) {
+                this.releaseSlot(key, response);
+            }
+        });
         this.reclaimUnconfirmedSlots(atMs);
         this.startNext();
     }
@@ -635,7 +698,7 @@
         this.tickTimer ??= setTimeout(() => {
             this.tickTimer = undefined;
             this.tick();
-            if (this.acceptedOffers.size > 0) {
+            if (this.offerCount > 0) {
                 this.scheduleTick();
             }
         }, alignedDelayMs(nowMs(), TICK_INTERVAL_MS));
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -6,6 +6,8 @@
 import { GateLoadReport } from "../../decisions/fleet/GateLoadReport.js";
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { ProbeInvitations } from "../../decisions/outliers/ProbeInvitations/index.js";
+import { BackendResponse } from "../../backend/BackendResponse.js";
+import { BodyStream } from "../../backend/BodyStream.js";
 import { PeerServer } from "../../frames/PeerServer/index.js";
 import { estimateHeaderBytes } from "../../http/estimateHeaderBytes/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
@@ -36,6 +38,15 @@
 /** Retry-after of an offer that was refused because there is too much, in ms; about the time of a request. */
 const RETRY_AFTER_MS = 500;
 
+/** Reply to an entry that resumes a request whose long response was being sent; no copy of it is kept. */
+const STREAM_LOST: GateReply = { kind: GateReplyKind.Broken, problem: "the long response was lost with its tunnel", lostEndpoint: false };
+
+/** Long response that is being sent. */
+interface SentResponse {
+    readonly socket: TunnelSocket;
+    readonly stream: BodyStream;
+}
+
 interface AcceptedOffer {
     readonly requestKind: RequestKind;
     /** Size of the body of the request. */
@@ -57,6 +68,7 @@
     /** Size of the bodies of these offers. */
     private offeredBytes = 0;
     private readonly retainedReplies: RetainedReplies;
+    private readonly sentResponses = new Map<string, SentResponse>();
     private readonly invitations = ProbeInvitations.create<TunnelSocket>();
     /** Tunnels of entries that have stated their failure domain, and so read packed invitations. */
     private readonly packedSockets = new WeakSet<TunnelSocket>();
@@ -119,6 +131,11 @@
         return this.retainedReplies.sizeBytes;
     }
 
+    /** Size of the bodies and header sections of offers without a final reply, in bytes. */
+    get offeredRequestBytes(): number {
+        return this.offeredBytes;
+    }
+
     /** True while replies have not been handed to the operating system. */
     get hasUnsentReplies(): boolean {
         return [...this.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
@@ -185,11 +202,17 @@
             case FrameKind.Cancel:
                 this.handleCancel(frame.key);
                 return;
+            case FrameKind.Credit:
+                this.handleCredit(socket, frame.key, frame.bytes);
+                return;
             case FrameKind.Ping:
                 socket.send({ kind: FrameKind.Pong });
                 return;
             case FrameKind.Welcome:
             case FrameKind.Reply:
+            case FrameKind.Head:
+            case FrameKind.Chunk:
+            case FrameKind.End:
             case FrameKind.Invitation:
             case FrameKind.PackedInvitation:
             case FrameKind.Pong:
@@ -203,8 +226,17 @@
         }
         const bodyBytes = Buffer.isBuffer(offer.body) ? offer.body.length : 0;
         const lengthBytes = bodyBytes + (Array.isArray(offer.headers) ? estimateHeaderBytes(offer.headers) : 0);
-        if (this.offers.size >= MAX_OFFERS || this.offeredBytes + lengthBytes > MAX_OFFERED_BYTES) {
-            this.refuse(socket, offer.key);
+        const holdingBudget = bodyBytes > 0 ? this.options.holdingBudget : undefined;
+        if (this.offers.size >= MAX_OFFERS) {
+            this.refuse(socket, offer.key, "offers", this.offers.size, MAX_OFFERS);
+            return;
+        }
+        if (this.offeredBytes + lengthBytes > MAX_OFFERED_BYTES) {
+            this.refuse(socket, offer.key, "bytes of offers", this.offeredBytes, MAX_OFFERED_BYTES);
+            return;
+        }
+        if (holdingBudget?.hasRoomForRequest(lengthBytes) === false) {
+            this.refuse(socket, offer.key, "request bodies of the process", holdingBudget.heldBytes, holdingBudget.limitBytes);
             return;
         }
         this.invitations.recordRequest(socket, offer.requestKind, nowMs());
@@ -222,13 +254,8 @@
     }
 
     /** Refuses an offer that there is no room for. It has not run, and the entry can offer it elsewhere. */
-    private refuse(socket: TunnelSocket, key: string): void {
-        const hasManyOffers = this.offers.size >= MAX_OFFERS;
-        this.options.recordRefusal(
-            hasManyOffers ? "offers" : "bytes of offers",
-            hasManyOffers ? this.offers.size : this.offeredBytes,
-            hasManyOffers ? MAX_OFFERS : MAX_OFFERED_BYTES,
-        );
+    private refuse(socket: TunnelSocket, key: string, holder: string, held: number, limit: number): void {
+        this.options.recordRefusal(holder, held, limit);
         const reply: GateReply = {
             kind: GateReplyKind.Refused,
             cause: RefusalCause.Busy,
@@ -244,6 +271,15 @@
             return;
         }
         accepted.hasStarted ||= reply.kind === GateReplyKind.Started;
+        if (reply.kind === GateReplyKind.Answered && reply.answer.stream !== undefined) {
+            accepted.hasEnded = true;
+            const isKnown = this.removeOffer(key, accepted);
+            if (isKnown && accepted.requestKind === RequestKind.Once) {
+                this.retainedReplies.put(key, STREAM_LOST, nowMs());
+            }
+            this.sendLongResponse(key, isKnown ? accepted.socket : undefined, reply.answer, reply.answer.stream, reply.load);
+            return;
+        }
         if (isFinalReply(reply)) {
             accepted.hasEnded = true;
             if (this.removeOffer(key, accepted) && accepted.requestKind === RequestKind.Once) {
@@ -255,6 +291,42 @@
         }
     }
 
+    /** Sends a response in pieces, or cancels it if its entry is not connected. */
+    private sendLongResponse(
+        key: string,
+        socket: TunnelSocket | undefined,
+        { status, headers }: BackendResponse,
+        stream: BodyStream,
+        load: GateLoadReport | undefined,
+    ): void {
+        if (socket?.isOpen !== true) {
+            stream.cancel();
+            return;
+        }
+        socket.send({ kind: FrameKind.Head, key, status, headers, load });
+        this.sentResponses.set(key, { socket, stream });
+        stream.start({
+            handleChunk: (data) => socket.send({ kind: FrameKind.Chunk, key, data }),
+            handleEnd: (problem) => {
+                this.sentResponses.delete(key);
+                socket.send({ kind: FrameKind.End, key, problem });
+            },
+        });
+    }
+
+    private handleCredit(socket: TunnelSocket, key: string, bytes: unknown): void {
+        const sent = this.sentResponses.get(key);
+        if (sent?.socket === socket && typeof bytes === "number" && bytes > 0) {
+            sent.stream.grant(bytes);
+        }
+    }
+
+    private cancelLongResponse(key: string): void {
+        const sent = this.sentResponses.get(key);
+        this.sentResponses.delete(key);
+        sent?.stream.cancel();
+    }
+
     private handleResume(socket: TunnelSocket, key: string, gateRun: string): void {
         if (this.resume(socket, key)) {
             return;
@@ -292,6 +364,7 @@
     }
 
     private handleCancel(key: string): void {
+        this.cancelLongResponse(key);
         const accepted = this.offers.get(key);
         if (accepted !== undefined) {
             accepted.handle?.cancel();
@@ -302,6 +375,7 @@
     /** Cancels the unfinished offers of a lost connection that have not started or that the entry repeats elsewhere. */
     private handleConnectionLoss(socket: TunnelSocket): void {
         this.invitations.removeEntry(socket);
+        [...this.sentResponses].filter(([, sent]) => sent.socket === socket).forEach(([key]) => this.cancelLongResponse(key));
         [...this.offers].filter(([, accepted]) => accepted.socket === socket).forEach(([key, accepted]) => {
             accepted.socket = undefined;
             if (accepted.requestKind !== RequestKind.Once) {
