Do not count control VMs as silent while a proxy was held up

Cause: a proxy with a quarter of a core may not run for some 100 ms. Its timers then came before the replies of control VMs, all of which counted as silent, so that requests below the limit were refused. Change: if a timer of the client of quotas is more than 25 ms late, the waits for replies start again; deadlines of requests stay.

--- a/src/decisions/quotas/QuotaStock/index.ts
+++ b/src/decisions/quotas/QuotaStock/index.ts
@@ -37,12 +37,14 @@
 
 interface WaitingRequest {
     readonly request: number;
+    readonly deadlineAtMs: number;
     readonly giveUpAtMs: number;
 }
 
 interface SentAsk {
     readonly count: number;
     readonly sentAtMs: number;
+    readonly replyDueAtMs: number;
 }
 
 /** State of one organisation. */
@@ -131,7 +133,7 @@
      */
     acquire({ request, organisation, deadlineAtMs }: QuotaRequest, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
         const account = this.getOrCreate(organisation);
-        account.waiting.push({ request, giveUpAtMs: Math.min(deadlineAtMs, nowMs + MAX_ASKING_MS) });
+        account.waiting.push({ request, deadlineAtMs, giveUpAtMs: Math.min(deadlineAtMs, nowMs + MAX_ASKING_MS) });
         this.activeAccounts.add(account);
         return this.advanceAccount(account, view, nowMs);
     }
@@ -169,6 +171,19 @@
         });
     }
 
+    /**
+     * Starts the waits for replies again, because this process did not run for a time: a reply that could not be read does not show that a
+     * control VM is out of contact. Deadlines of requests stay.
+     */
+    restartWaits(nowMs: number): void {
+        this.activeAccounts.forEach((account) => {
+            account.waiting = account.waiting.map((waiting) => ({ ...waiting, giveUpAtMs: Math.min(waiting.deadlineAtMs, nowMs + MAX_ASKING_MS) }));
+            account.sentAsks.forEach((asks, vm) => {
+                account.sentAsks.set(vm, asks.map((ask) => ({ ...ask, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS })));
+            });
+        });
+    }
+
     /** Serves the requests that wait after a token was given back or a link was closed. */
     serve(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
         return [...this.activeAccounts].flatMap((account) => this.advanceAccount(account, view, nowMs));
@@ -295,7 +310,7 @@
         const count = account.waiting.length + ahead;
         account.asked = controlVm;
         const unanswered = (account.sentAsks.get(controlVm) ?? []).filter(({ sentAtMs }) => sentAtMs > nowMs - MAX_REPLY_MS);
-        account.sentAsks.set(controlVm, [...unanswered, { count, sentAtMs: nowMs }]);
+        account.sentAsks.set(controlVm, [...unanswered, { count, sentAtMs: nowMs, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS }]);
         return { kind: QuotaEffectKind.Ask, controlVm, organisation: account.organisation.name, count };
     }
 
@@ -310,7 +325,7 @@
 
     private replyDueAtMs({ asked, sentAsks }: Account): readonly number[] {
         const latest = asked === undefined ? undefined : sentAsks.get(asked)?.at(-1);
-        return latest === undefined ? [] : [latest.sentAtMs + REPLY_TIMEOUT_MS];
+        return latest === undefined ? [] : [latest.replyDueAtMs];
     }
 
     private recordContact(hasContact: boolean): readonly QuotaEffect[] {
--- a/src/decisions/quotas/QuotaStock/test.ts
+++ b/src/decisions/quotas/QuotaStock/test.ts
@@ -148,6 +148,19 @@
     t.deepEqual(reply(stock, FIRST, 1, 0, 501), ["grant 1", `ask ${FIRST} 1`]);
 });
 
+// Load: a proxy with a quarter of a core that does not run for some 100 ms. Guards against refusals below the limit because all control VMs count as
+// silent, and against a wait beyond the deadline.
+test("the time for which the proxy did not run does not count as waited for a reply", (t) => {
+    const stock = createStock();
+    stock.acquire({ request: 1, organisation: ORGANISATION, deadlineAtMs: 900 }, VIEW, 0);
+    stock.restartWaits(600);
+    t.deepEqual(stock.advance(VIEW, 600), []);
+    t.is(stock.wakeAtMs, 750);
+    t.deepEqual(describe(stock.advance(VIEW, 750)), [`ask ${SECOND} 1`]);
+    stock.restartWaits(800);
+    t.is(stock.wakeAtMs, 900);
+});
+
 test("the closed link of a control VM does not keep a request waiting", (t) => {
     const stock = createStock();
     acquire(stock, 1, 0);
--- a/src/mesh/QuotaClient/index.ts
+++ b/src/mesh/QuotaClient/index.ts
@@ -16,6 +16,9 @@
 import { assertNever } from "../../model/assertNever/index.js";
 import { QuotaClientDependencies } from "../QuotaClientDependencies.js";
 
+/** Delay of a timer beyond which the process counts as having been held up, in ms; timers are late by a few ms in any case. */
+const MAX_TIMER_DELAY_MS = 25;
+
 /** Takes tokens for requests of organisations, on a proxy. Sends messages and sets timers only while requests need tokens. */
 export class QuotaClient implements QuotaPort {
     private readonly stock: QuotaStock;
@@ -140,10 +143,14 @@
         this.timer = wakeAtMs === undefined ? undefined : setTimeout(() => this.handleTimer(), Math.max(0, Math.ceil(wakeAtMs - nowMs())));
     }
 
-    /** Lets replies be read first that came while the process was paused. */
+    /** Lets replies be read first that came while the process did not run, and waits longer for those that did not. */
     private handleTimer(): void {
+        const lateMs = nowMs() - (this.timerAtMs ?? nowMs());
         setImmediate(() => {
             this.timerAtMs = undefined;
+            if (lateMs > MAX_TIMER_DELAY_MS) {
+                this.stock.restartWaits(nowMs());
+            }
             this.run(this.stock.advance(this.dependencies.view(), nowMs()));
         });
     }
--- a/src/mesh/QuotaClient/test.ts
+++ b/src/mesh/QuotaClient/test.ts
@@ -14,6 +14,8 @@
 const DEADLINE_MS = 3_000;
 /** Time in which a request is decided without any reply, in ms, with room for a busy machine. */
 const DECIDED_MS = 1_500;
+/** Longer than a request waits for its token. */
+const BLOCKED_MS = 600;
 
 interface Fixture {
     readonly client: QuotaClient;
@@ -63,6 +65,23 @@
     client.close();
 });
 
+// Guards against refusals below the limit: a process that does not run for a time reads replies late.
+test.serial("a control VM does not count as silent because the process did not run", async (t) => {
+    const { client, sent, decisions, acquire } = create();
+    acquire();
+    const blockedUntilMs = nowMs() + BLOCKED_MS;
+    while (nowMs() < blockedUntilMs) {
+        // Keeps the process busy.
+    }
+    await delay(1);
+    t.is(sent.length, 1);
+    client.handleGrants(sent[0]?.[0] ?? "", [{ organisation: "org-1", count: 1, waitMs: 0 }]);
+    await delay(1);
+    t.is(client.gauges.find(({ name }) => name === "quota_waiting")?.read(), 0);
+    t.is(decisions.length, 1);
+    client.close();
+});
+
 test.serial("a control VM whose link closes while it is asked is replaced by the next one", (t) => {
     let lost = "";
     const { client, sent, acquire } = create((vm) => vm !== lost);
