Fill buckets at the rate of the share from the start

Cause: until its first request, a control VM counted itself as the only one, so that its buckets filled at the whole rate after a restart; and a timer that was set for a time that had passed counted as late. Change: the number of control VMs is set with the organisations; lateness counts from the time at which a timer was set. Evidence: a new test failed before and passes; 67 tests of the decisions and the drivers pass.

--- a/src/mesh/QuotaClient/index.ts
+++ b/src/mesh/QuotaClient/index.ts
@@ -26,6 +26,8 @@
     private requestCount = 0;
     private timer: NodeJS.Timeout | undefined;
     private timerAtMs: number | undefined;
+    /** Time at which the timer should run; later than `timerAtMs` if that had passed when the timer was set. */
+    private timerDueAtMs = 0;
 
     private constructor(
         options: QuotaStockOptions,
@@ -140,12 +142,17 @@
         }
         clearTimeout(this.timer);
         this.timerAtMs = wakeAtMs;
-        this.timer = wakeAtMs === undefined ? undefined : setTimeout(() => this.handleTimer(), Math.max(0, Math.ceil(wakeAtMs - nowMs())));
+        this.timer = undefined;
+        if (wakeAtMs !== undefined) {
+            const atMs = nowMs();
+            this.timerDueAtMs = Math.max(atMs, wakeAtMs);
+            this.timer = setTimeout(() => this.handleTimer(), Math.ceil(this.timerDueAtMs - atMs));
+        }
     }
 
     /** Lets replies be read first that came while the process did not run, and waits longer for those that did not. */
     private handleTimer(): void {
-        const lateMs = nowMs() - (this.timerAtMs ?? nowMs());
+        const lateMs = nowMs() - this.timerDueAtMs;
         setImmediate(() => {
             this.timerAtMs = undefined;
             if (lateMs > MAX_TIMER_DELAY_MS) {
--- a/src/mesh/QuotaGranter/index.ts
+++ b/src/mesh/QuotaGranter/index.ts
@@ -44,7 +44,9 @@
     /** Sets the configuration items in force. */
     setItems(items: readonly VersionedItem[]): void {
         const organisations = items.flatMap(({ content }) => content?.kind === ItemKind.Organisation ? [content] : []);
-        this.share.setOrganisations(organisations, nowMs());
+        const atMs = nowMs();
+        this.share.setControlCount(this.countControls(), atMs);
+        this.share.setOrganisations(organisations, atMs);
     }
 
     /** Handles a request for tokens; returns the reply. */
--- a/src/mesh/QuotaGranter/test.ts
+++ b/src/mesh/QuotaGranter/test.ts
@@ -1,4 +1,6 @@
+import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
+import { nowMs } from "../../clock/nowMs/index.js";
 import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { itemKey } from "../../decisions/items/itemKey/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
@@ -8,8 +10,8 @@
 
 const TERMS = { windowMs: 5_000, overshoot: 0, slack: 0 };
 
-function item(name: string, ratePerSecond: number): VersionedItem {
-    const content = { kind: ItemKind.Organisation as const, name, apiKeys: [], priority: 0, ratePerSecond, burst: 3 };
+function item(name: string, ratePerSecond: number, burst = 3): VersionedItem {
+    const content = { kind: ItemKind.Organisation as const, name, apiKeys: [], priority: 0, ratePerSecond, burst };
     return { key: itemKey(ItemKind.Organisation, name), version: 1, document: "", content };
 }
 
@@ -28,6 +30,16 @@
     t.deepEqual(granter.gauges.map(({ name, read }) => [name, read()]), [["quota_organisations", 2], ["quota_grants", 4]]);
 });
 
+// Guards against a bucket that fills at the whole rate from the start of the process up to the first request.
+test("after a restart, a bucket fills at the rate of this share", async (t) => {
+    const startedAtMs = nowMs();
+    const granter = QuotaGranter.create(TERMS, () => 5);
+    granter.setItems([item("a", 1_000, 1_000)]);
+    await delay(100);
+    const [count = 0] = countsOf(granter.handleRequest([{ organisation: "a", count: 10_000 }]));
+    t.true(count > 0 && count <= (nowMs() - startedAtMs) * 1_000 / 5 / 1_000 + 1);
+});
+
 // Guards against a process of another version, or one that invents asks: neither may take tokens of others, nor end the control VM.
 test("malformed asks are skipped", (t) => {
     const granter = QuotaGranter.create(TERMS, () => 1);
