Match replies of control VMs to the asks by number

Cause: a reply was taken for that to the oldest open ask. After one that was lost, as when one of two links between two VMs closes, each later reply brought tokens of an ask that had expired, and the control VM counted as silent. Change: `quota-request` and `quota-grant` carry the number of the ask.

--- a/bench/quotaModel/QuotaModel/index.ts
+++ b/bench/quotaModel/QuotaModel/index.ts
@@ -281,7 +281,7 @@
     private execute(proxy: ModelProxy, effects: readonly QuotaEffect[]): void {
         effects.forEach((effect) => {
             if (effect.kind === QuotaEffectKind.Ask) {
-                this.sendAsk(proxy, effect.controlVm, [{ organisation: effect.organisation, count: effect.count }]);
+                this.sendAsk(proxy, effect.controlVm, effect.id, [{ organisation: effect.organisation, count: effect.count }]);
             }
             else if (effect.kind === QuotaEffectKind.Decide) {
                 this.listeners.get(`${effect.request}`)?.(effect.decision);
@@ -291,20 +291,20 @@
         this.scheduleWake(proxy);
     }
 
-    private sendAsk(proxy: ModelProxy, controlVm: string, asks: readonly QuotaAsk[]): void {
+    private sendAsk(proxy: ModelProxy, controlVm: string, id: number, asks: readonly QuotaAsk[]): void {
         const { stock } = proxy;
         const control = this.controls.find(({ vm }) => vm === controlVm);
         this.messages += 1;
-        this.clock.after(this.options.oneWayMs * (0.5 + this.random()), () => this.handleAsk(proxy, stock, control, asks));
+        this.clock.after(this.options.oneWayMs * (0.5 + this.random()), () => this.handleAsk(proxy, stock, control, id, asks));
     }
 
-    private handleAsk(proxy: ModelProxy, stock: QuotaStock, control: ModelControl | undefined, asks: readonly QuotaAsk[]): void {
+    private handleAsk(proxy: ModelProxy, stock: QuotaStock, control: ModelControl | undefined, id: number, asks: readonly QuotaAsk[]): void {
         const atMs = this.clock.nowMs;
         if (control?.share === undefined || proxy.cutSinceMs.has(control.vm)) {
             return;
         }
         if (control.pausedUntilMs > atMs) {
-            this.clock.at(control.pausedUntilMs, () => this.handleAsk(proxy, stock, control, asks));
+            this.clock.at(control.pausedUntilMs, () => this.handleAsk(proxy, stock, control, id, asks));
             return;
         }
         const grants = control.share.grant(asks, atMs);
@@ -314,7 +314,7 @@
                 this.clock.at(proxy.pausedUntilMs, deliver);
             }
             else if (proxy.stock === stock && !proxy.cutSinceMs.has(control.vm)) {
-                this.execute(proxy, stock.applyGrants(control.vm, grants, this.viewOf(proxy), this.clock.nowMs));
+                this.execute(proxy, stock.applyGrants(control.vm, id, grants, this.viewOf(proxy), this.clock.nowMs));
             }
         };
         this.clock.after(this.options.oneWayMs * (0.5 + this.random()), deliver);
--- a/src/decisions/quotas/QuotaEffect.ts
+++ b/src/decisions/quotas/QuotaEffect.ts
@@ -3,7 +3,7 @@
 
 /** Action that `QuotaStock` asks its driver to carry out. */
 export type QuotaEffect =
-    | { readonly kind: QuotaEffectKind.Ask; readonly controlVm: string; readonly organisation: string; readonly count: number }
+    | { readonly kind: QuotaEffectKind.Ask; readonly id: number; readonly controlVm: string; readonly organisation: string; readonly count: number }
     | { readonly kind: QuotaEffectKind.Decide; readonly request: number; readonly decision: QuotaDecision }
     /** The proxy starts or stops to grant without contact with a control VM. */
     | { readonly kind: QuotaEffectKind.ContactChanged; readonly hasContact: boolean; readonly localGrants: number }
--- a/src/decisions/quotas/QuotaStock/index.ts
+++ b/src/decisions/quotas/QuotaStock/index.ts
@@ -42,6 +42,7 @@
 }
 
 interface SentAsk {
+    readonly id: number;
     readonly count: number;
     readonly sentAtMs: number;
     readonly replyDueAtMs: number;
@@ -56,7 +57,7 @@
     waiting: WaitingRequest[];
     /** Control VM that is being asked. */
     asked: string | undefined;
-    /** Asks without a reply, by control VM, in the order in which they were sent and are replied to. */
+    /** Asks without a reply, by control VM, the latest last. */
     readonly sentAsks: Map<string, SentAsk[]>;
     /** Time until which each control VM has no token, in ms. */
     readonly emptyUntilMs: Map<string, number>;
@@ -86,6 +87,7 @@
     private hasBeenInContact = false;
     private hasContact = true;
     private localTotal = 0;
+    private askCount = 0;
 
     private constructor(private readonly options: QuotaStockOptions) {}
 
@@ -138,15 +140,26 @@
         return this.advanceAccount(account, view, nowMs);
     }
 
-    /** Applies the reply of a control VM. */
-    applyGrants(controlVm: string, grants: readonly QuotaGrant[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+    /**
+     * Applies the reply of a control VM.
+     *
+     * @param controlVm - Control VM that has replied.
+     * @param id - Number of the ask that it replies to.
+     * @param grants - What it grants.
+     * @param view - What is known about the fleet.
+     * @param nowMs - Current time.
+     * @returns The actions to carry out.
+     */
+    applyGrants(controlVm: string, id: number, grants: readonly QuotaGrant[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
         return grants.flatMap((grant) => {
             const account = this.accounts.get(grant.organisation);
-            const ask = account?.sentAsks.get(controlVm)?.shift();
+            const asks = account?.sentAsks.get(controlVm) ?? [];
+            const ask = asks.find((sent) => sent.id === id);
             if (account === undefined || ask === undefined) {
                 return [];
             }
-            account.asked = account.asked === controlVm && account.sentAsks.get(controlVm)?.length === 0 ? undefined : account.asked;
+            account.asked = account.asked === controlVm && asks.at(-1) === ask ? undefined : account.asked;
+            account.sentAsks.set(controlVm, asks.filter((sent) => sent !== ask));
             account.emptyUntilMs.set(controlVm, nowMs + grant.waitMs);
             // Counted from the ask: this process may have been paused before it read the reply.
             this.addTokens(account, Math.min(grant.count, ask.count), ask.sentAtMs + account.bounds.leaseMs);
@@ -308,10 +321,11 @@
         const horizonMs = Math.min(PREFETCH_MS, account.bounds.leaseMs / 2);
         const ahead = Math.floor(this.recentPerSecond(account, nowMs) * horizonMs / MS_PER_SECOND);
         const count = account.waiting.length + ahead;
+        const id = this.askCount += 1;
         account.asked = controlVm;
         const unanswered = (account.sentAsks.get(controlVm) ?? []).filter(({ sentAtMs }) => sentAtMs > nowMs - MAX_REPLY_MS);
-        account.sentAsks.set(controlVm, [...unanswered, { count, sentAtMs: nowMs, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS }]);
-        return { kind: QuotaEffectKind.Ask, controlVm, organisation: account.organisation.name, count };
+        account.sentAsks.set(controlVm, [...unanswered, { id, count, sentAtMs: nowMs, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS }]);
+        return { kind: QuotaEffectKind.Ask, id, controlVm, organisation: account.organisation.name, count };
     }
 
     /** Counts a control VM that has not replied in time as out of contact. A later reply still brings its tokens. */
--- a/src/decisions/quotas/QuotaStock/test.ts
+++ b/src/decisions/quotas/QuotaStock/test.ts
@@ -16,23 +16,34 @@
 const NO_CONTACT: QuotaView = { controls: [], proxyCount: 104 };
 const DEADLINE_MS = 1_000_000;
 
+/** Numbers of the asks without a reply, by control VM. */
+const sentIds = new WeakMap<QuotaStock, Map<string, number[]>>();
+
+function recordAsk(stock: QuotaStock, controlVm: string, id: number): void {
+    const byControl = sentIds.get(stock) ?? new Map<string, number[]>();
+    sentIds.set(stock, byControl.set(controlVm, [...byControl.get(controlVm) ?? [], id]));
+}
+
 function createStock(random: () => number = () => 0): QuotaStock {
     return QuotaStock.create({ ...PROXY, terms: { windowMs: 5_000, overshoot: 0.1, slack: 20 }, random });
 }
 
 function acquire(stock: QuotaStock, request: number, nowMs: number, view = VIEW, organisation = ORGANISATION): readonly string[] {
-    return describe(stock.acquire({ request, organisation, deadlineAtMs: DEADLINE_MS }, view, nowMs));
+    return describe(stock.acquire({ request, organisation, deadlineAtMs: DEADLINE_MS }, view, nowMs), stock);
 }
 
+/** Replies to the oldest ask that a control VM has not replied to. */
 function reply(stock: QuotaStock, controlVm: string, count: number, waitMs: number, nowMs: number, view = VIEW): readonly string[] {
-    return describe(stock.applyGrants(controlVm, [{ organisation: "org-1", count, waitMs }], view, nowMs));
+    const id = sentIds.get(stock)?.get(controlVm)?.shift() ?? 0;
+    return describe(stock.applyGrants(controlVm, id, [{ organisation: "org-1", count, waitMs }], view, nowMs), stock);
 }
 
 /** Describes effects in short: `ask c-1 2`, `grant 1`, `refuse 1 500`. */
-function describe(effects: readonly QuotaEffect[]): readonly string[] {
+function describe(effects: readonly QuotaEffect[], stock: QuotaStock): readonly string[] {
     return effects.flatMap((effect) => {
         switch (effect.kind) {
             case QuotaEffectKind.Ask:
+                recordAsk(stock, effect.controlVm, effect.id);
                 return [`ask ${effect.controlVm} ${effect.count}`];
             case QuotaEffectKind.Decide:
                 return effect.decision.kind === QuotaDecisionKind.Granted
@@ -94,7 +105,7 @@
     const stock = createStock();
     acquire(stock, 1, 0);
     t.is(stock.wakeAtMs, 150);
-    t.deepEqual(describe(stock.advance(VIEW, 150)), [`ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.advance(VIEW, 150), stock), [`ask ${SECOND} 1`]);
     t.deepEqual(reply(stock, SECOND, 1, 0, 160), ["grant 1"]);
     t.deepEqual(acquire(stock, 2, 1_149), [`ask ${SECOND} 1`]);
     t.deepEqual(reply(stock, SECOND, 1, 0, 1_149), ["grant 2"]);
@@ -104,7 +115,7 @@
 test("the tokens of a late reply are used while they are valid", (t) => {
     const stock = createStock();
     acquire(stock, 1, 0);
-    stock.advance(VIEW, 150);
+    describe(stock.advance(VIEW, 150), stock);
     t.deepEqual(reply(stock, FIRST, 1, 0, 160), ["grant 1"]);
     reply(stock, SECOND, 1, 0, 170);
     t.deepEqual(acquire(stock, 2, 649), ["grant 2"]);
@@ -124,18 +135,18 @@
 test("a request waits 400 ms at most", (t) => {
     const stock = createStock(() => 0.5);
     acquire(stock, 1, 0);
-    stock.advance(VIEW, 150);
-    stock.advance(VIEW, 300);
+    describe(stock.advance(VIEW, 150), stock);
+    describe(stock.advance(VIEW, 300), stock);
     t.is(stock.wakeAtMs, 400);
-    t.deepEqual(describe(stock.advance(VIEW, 400)).filter((effect) => effect.startsWith("refuse")).length, 1);
+    t.deepEqual(describe(stock.advance(VIEW, 400), stock).filter((effect) => effect.startsWith("refuse")).length, 1);
     t.is(stock.waitingCount, 0);
 });
 
 test("a request waits no longer than its deadline", (t) => {
     const stock = createStock();
-    stock.acquire({ request: 1, organisation: ORGANISATION, deadlineAtMs: 100 }, VIEW, 0);
+    describe(stock.acquire({ request: 1, organisation: ORGANISATION, deadlineAtMs: 100 }, VIEW, 0), stock);
     t.is(stock.wakeAtMs, 100);
-    stock.advance(VIEW, 100);
+    describe(stock.advance(VIEW, 100), stock);
     t.is(stock.waitingCount, 0);
 });
 
@@ -152,21 +163,32 @@
 // silent, and against a wait beyond the deadline.
 test("the time for which the proxy did not run does not count as waited for a reply", (t) => {
     const stock = createStock();
-    stock.acquire({ request: 1, organisation: ORGANISATION, deadlineAtMs: 900 }, VIEW, 0);
+    describe(stock.acquire({ request: 1, organisation: ORGANISATION, deadlineAtMs: 900 }, VIEW, 0), stock);
     stock.restartWaits(600);
-    t.deepEqual(stock.advance(VIEW, 600), []);
+    t.deepEqual(describe(stock.advance(VIEW, 600), stock), []);
     t.is(stock.wakeAtMs, 750);
-    t.deepEqual(describe(stock.advance(VIEW, 750)), [`ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.advance(VIEW, 750), stock), [`ask ${SECOND} 1`]);
     stock.restartWaits(800);
     t.is(stock.wakeAtMs, 900);
 });
 
+// Guards against replies that are taken for those to later asks after one has been lost, as when a control VM has two links.
+test("a reply that is lost does not spoil the later ones", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    describe(stock.advance(VIEW, 150), stock);
+    describe(stock.advance(VIEW, 400), stock);
+    sentIds.get(stock)?.clear();
+    t.deepEqual(acquire(stock, 2, 1_300), [`ask ${FIRST} 1`]);
+    t.deepEqual(reply(stock, FIRST, 1, 0, 1_305), ["grant 2"]);
+});
+
 test("the closed link of a control VM does not keep a request waiting", (t) => {
     const stock = createStock();
     acquire(stock, 1, 0);
     stock.removeControl(FIRST);
     const view = { ...VIEW, controls: CONTROLS.filter(({ vm }) => vm !== FIRST) };
-    t.deepEqual(describe(stock.serve(view, 10)), [`ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.serve(view, 10), stock), [`ask ${SECOND} 1`]);
 });
 
 // Guards against tokens that are saved up while endpoints refuse all requests, and then run at once.
@@ -221,7 +243,7 @@
     const stock = createStock();
     acquire(stock, 1, 0, NO_CONTACT);
     t.is(stock.wakeAtMs, 5_000);
-    t.deepEqual(describe(stock.advance(VIEW, 5_000)), ["refusals end after 1"]);
+    t.deepEqual(describe(stock.advance(VIEW, 5_000), stock), ["refusals end after 1"]);
     t.is(stock.wakeAtMs, undefined);
     t.deepEqual(acquire(stock, 2, 5_001), ["contact", `ask ${FIRST} 1`]);
 });
@@ -229,7 +251,7 @@
 test("requests of an organisation that is removed do not wait", (t) => {
     const stock = createStock();
     acquire(stock, 1, 0);
-    t.deepEqual(describe(stock.setOrganisations([])), ["refuse 1 50"]);
+    t.deepEqual(describe(stock.setOrganisations([]), stock), ["refuse 1 50"]);
     t.deepEqual(reply(stock, FIRST, 1, 0, 5), []);
     t.is(stock.tokenCount, 0);
 });
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -94,8 +94,8 @@
     | { readonly kind: MessageKind.ReadItems }
     | { readonly kind: MessageKind.ItemsRead; readonly items: readonly VersionedItem[] | undefined; readonly problem: string }
     /** A proxy asks a control VM for tokens of organisations. */
-    | { readonly kind: MessageKind.QuotaRequest; readonly asks: readonly QuotaAsk[] }
-    /** Reply to `QuotaRequest`; replies on a link come in the order of the requests. */
-    | { readonly kind: MessageKind.QuotaGrant; readonly grants: readonly QuotaGrant[] }
+    | { readonly kind: MessageKind.QuotaRequest; readonly id: number; readonly asks: readonly QuotaAsk[] }
+    /** Reply to the `QuotaRequest` with that id. */
+    | { readonly kind: MessageKind.QuotaGrant; readonly id: number; readonly grants: readonly QuotaGrant[] }
     /** `entries` is undefined while the replying witness does not have all its claims itself. */
     | { readonly kind: MessageKind.ClaimsCopy; readonly entries: readonly ClaimEntry[] | undefined };
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -259,7 +259,7 @@
                 this.handleSubscribe(link, message.wants, message.wantsLoads);
                 return;
             case MessageKind.QuotaRequest:
-                link.send(this.quotaGranter.handleRequest(message.asks));
+                link.send(this.quotaGranter.handleRequest(message.id, message.asks));
                 return;
             default:
         }
--- a/src/mesh/QuotaClient/index.ts
+++ b/src/mesh/QuotaClient/index.ts
@@ -70,8 +70,8 @@
     }
 
     /** Applies the reply of a control VM; malformed grants are skipped. */
-    handleGrants(controlVm: string, grants: readonly unknown[]): void {
-        this.run(this.stock.applyGrants(controlVm, grants.filter(isQuotaGrant), this.dependencies.view(), nowMs()));
+    handleGrants(controlVm: string, id: number, grants: readonly unknown[]): void {
+        this.run(this.stock.applyGrants(controlVm, id, grants.filter(isQuotaGrant), this.dependencies.view(), nowMs()));
     }
 
     /** Handles the end of the link to a control VM. */
@@ -110,7 +110,7 @@
         switch (effect.kind) {
             case QuotaEffectKind.Ask: {
                 const asks = [{ organisation: effect.organisation, count: effect.count }];
-                return this.dependencies.send(effect.controlVm, { kind: MessageKind.QuotaRequest, asks }) ? [] : [effect.controlVm];
+                return this.dependencies.send(effect.controlVm, { kind: MessageKind.QuotaRequest, id: effect.id, asks }) ? [] : [effect.controlVm];
             }
             case QuotaEffectKind.Decide: {
                 const listener = this.listeners.get(effect.request);
--- a/src/mesh/QuotaClient/test.ts
+++ b/src/mesh/QuotaClient/test.ts
@@ -49,7 +49,7 @@
     const { client, sent, decisions, acquire } = create();
     acquire();
     t.is(sent.length, 1);
-    client.handleGrants(sent[0]?.[0] ?? "", [{ organisation: "org-1", count: 1, waitMs: 0 }]);
+    client.handleGrants(sent[0]?.[0] ?? "", 1, [{ organisation: "org-1", count: 1, waitMs: 0 }]);
     t.deepEqual(decisions.map(({ kind }) => kind), [QuotaDecisionKind.Granted]);
     t.deepEqual(client.gauges.map(({ read }) => read()), [0, 0, 0]);
     client.close();
@@ -75,7 +75,7 @@
     }
     await delay(1);
     t.is(sent.length, 1);
-    client.handleGrants(sent[0]?.[0] ?? "", [{ organisation: "org-1", count: 1, waitMs: 0 }]);
+    client.handleGrants(sent[0]?.[0] ?? "", 1, [{ organisation: "org-1", count: 1, waitMs: 0 }]);
     await delay(1);
     t.is(client.gauges.find(({ name }) => name === "quota_waiting")?.read(), 0);
     t.is(decisions.length, 1);
@@ -97,7 +97,7 @@
     const { client, sent, decisions, acquire } = create();
     acquire();
     const grants = [undefined, "org-1", {}, { organisation: "org-1" }, { organisation: "org-1", count: -1, waitMs: 0 }, { organisation: "org-1", count: 1, waitMs: Number.NaN }];
-    client.handleGrants(sent[0]?.[0] ?? "", grants);
+    client.handleGrants(sent[0]?.[0] ?? "", 1, grants);
     t.is(decisions.length, 0);
     client.close();
 });
--- a/src/mesh/QuotaGranter/index.ts
+++ b/src/mesh/QuotaGranter/index.ts
@@ -50,10 +50,10 @@
     }
 
     /** Handles a request for tokens; returns the reply. */
-    handleRequest(asks: readonly unknown[]): Message {
+    handleRequest(id: number, asks: readonly unknown[]): Message {
         const atMs = nowMs();
         this.share.setControlCount(this.countControls(), atMs);
-        return { kind: MessageKind.QuotaGrant, grants: this.share.grant(asks.slice(0, MAX_ASKS).filter(isQuotaAsk), atMs) };
+        return { kind: MessageKind.QuotaGrant, id, grants: this.share.grant(asks.slice(0, MAX_ASKS).filter(isQuotaAsk), atMs) };
     }
 }
 
--- a/src/mesh/QuotaGranter/test.ts
+++ b/src/mesh/QuotaGranter/test.ts
@@ -24,9 +24,9 @@
     const granter = QuotaGranter.create(TERMS, () => controls);
     granter.recordFirstRun();
     granter.setItems([item("a", 0.001), item("b", 0.001)]);
-    t.deepEqual(countsOf(granter.handleRequest([{ organisation: "a", count: 2 }])), [2]);
+    t.deepEqual(countsOf(granter.handleRequest(1, [{ organisation: "a", count: 2 }])), [2]);
     controls = 3;
-    t.deepEqual(countsOf(granter.handleRequest([{ organisation: "a", count: 9 }, { organisation: "b", count: 9 }])), [1, 1]);
+    t.deepEqual(countsOf(granter.handleRequest(1, [{ organisation: "a", count: 9 }, { organisation: "b", count: 9 }])), [1, 1]);
     t.deepEqual(granter.gauges.map(({ name, read }) => [name, read()]), [["quota_organisations", 2], ["quota_grants", 4]]);
 });
 
@@ -36,7 +36,7 @@
     const granter = QuotaGranter.create(TERMS, () => 5);
     granter.setItems([item("a", 1_000, 1_000)]);
     await delay(100);
-    const [count = 0] = countsOf(granter.handleRequest([{ organisation: "a", count: 10_000 }]));
+    const [count = 0] = countsOf(granter.handleRequest(1, [{ organisation: "a", count: 10_000 }]));
     t.true(count > 0 && count <= (nowMs() - startedAtMs) * 1_000 / 5 / 1_000 + 1);
 });
 
@@ -46,6 +46,6 @@
     granter.recordFirstRun();
     granter.setItems([item("a", 1)]);
     const asks = [undefined, "a", {}, { organisation: "a" }, { organisation: 1, count: 1 }, { organisation: "a", count: -1 }, { organisation: "a", count: 0.5 }];
-    t.deepEqual(countsOf(granter.handleRequest([...asks, { organisation: "a", count: Number.POSITIVE_INFINITY }])), []);
-    t.deepEqual(countsOf(granter.handleRequest([{ organisation: "a", count: 9 }])), [3]);
+    t.deepEqual(countsOf(granter.handleRequest(1, [...asks, { organisation: "a", count: Number.POSITIVE_INFINITY }])), []);
+    t.deepEqual(countsOf(granter.handleRequest(1, [{ organisation: "a", count: 9 }])), [3]);
 });
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -355,7 +355,7 @@
                 this.applyItems(message.items, message.isComplete);
                 return;
             case MessageKind.QuotaGrant:
-                this.quotaClient.handleGrants(link.peer.vm, message.grants);
+                this.quotaClient.handleGrants(link.peer.vm, message.id, message.grants);
                 return;
             default:
         }
