--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -265,7 +265,7 @@
                 this.handleSubscribe(link, message.wants, message.wantsLoads);
                 return;
             case MessageKind.QuotaRequest:
-                link.send(this.quotaGranter.handleRequest(message.asks));
+                link.send(this.quotaGranter.handleRequest(message.id, message.asks));
                 return;
             default:
         }
--- a/src/mesh/QuotaClient/index.ts
+++ b/src/mesh/QuotaClient/index.ts
@@ -16,6 +16,9 @@
 import { assertNever } from "../../model/assertNever/index.js";
 import { QuotaClientDependencies } from "../QuotaClientDependencies.js";
 
+/** Delay of a timer beyond which the process counts as having been held up, in ms; timers are late by a few ms in any case. */
+const MAX_TIMER_DELAY_MS = 25;
+
 /** Takes tokens for requests of organisations, on a proxy. Sends messages and sets timers only while requests need tokens. */
 export class QuotaClient implements QuotaPort {
     private readonly stock: QuotaStock;
@@ -23,6 +26,8 @@
     private requestCount = 0;
     private timer: NodeJS.Timeout | undefined;
     private timerAtMs: number | undefined;
+    /** Time at which the timer should run; later than `timerAtMs` if that had passed when the timer was set. */
+    private timerDueAtMs = 0;
 
     private constructor(
         options: QuotaStockOptions,
@@ -65,8 +70,8 @@
     }
 
     /** Applies the reply of a control VM; malformed grants are skipped. */
-    handleGrants(controlVm: string, grants: readonly unknown[]): void {
-        this.run(this.stock.applyGrants(controlVm, grants.filter(isQuotaGrant), this.dependencies.view(), nowMs()));
+    handleGrants(controlVm: string, id: number, grants: readonly unknown[]): void {
+        this.run(this.stock.applyGrants(controlVm, id, grants.filter(isQuotaGrant), this.dependencies.view(), nowMs()));
     }
 
     /** Handles the end of the link to a control VM. */
@@ -105,7 +110,7 @@
         switch (effect.kind) {
             case QuotaEffectKind.Ask: {
                 const asks = [{ organisation: effect.organisation, count: effect.count }];
-                return this.dependencies.send(effect.controlVm, { kind: MessageKind.QuotaRequest, asks }) ? [] : [effect.controlVm];
+                return this.dependencies.send(effect.controlVm, { kind: MessageKind.QuotaRequest, id: effect.id, asks }) ? [] : [effect.controlVm];
             }
             case QuotaEffectKind.Decide: {
                 const listener = this.listeners.get(effect.request);
@@ -137,13 +142,22 @@
         }
         clearTimeout(this.timer);
         this.timerAtMs = wakeAtMs;
-        this.timer = wakeAtMs === undefined ? undefined : setTimeout(() => this.handleTimer(), Math.max(0, Math.ceil(wakeAtMs - nowMs())));
+        this.timer = undefined;
+        if (wakeAtMs !== undefined) {
+            const atMs = nowMs();
+            this.timerDueAtMs = Math.max(atMs, wakeAtMs);
+            this.timer = setTimeout(() => this.handleTimer(), Math.ceil(this.timerDueAtMs - atMs));
+        }
     }
 
-    /** Lets replies be read first that came while the process was paused. */
+    /** Lets replies be read first that came while the process did not run, and waits longer for those that did not. */
     private handleTimer(): void {
+        const lateMs = nowMs() - this.timerDueAtMs;
         setImmediate(() => {
             this.timerAtMs = undefined;
+            if (lateMs > MAX_TIMER_DELAY_MS) {
+                this.stock.restartWaits(nowMs());
+            }
             this.run(this.stock.advance(this.dependencies.view(), nowMs()));
         });
     }
--- a/src/mesh/QuotaGranter/index.ts
+++ b/src/mesh/QuotaGranter/index.ts
@@ -44,14 +44,16 @@
     /** Sets the configuration items in force. */
     setItems(items: readonly VersionedItem[]): void {
         const organisations = items.flatMap(({ content }) => content?.kind === ItemKind.Organisation ? [content] : []);
-        this.share.setOrganisations(organisations, nowMs());
+        const atMs = nowMs();
+        this.share.setControlCount(this.countControls(), atMs);
+        this.share.setOrganisations(organisations, atMs);
     }
 
     /** Handles a request for tokens; returns the reply. */
-    handleRequest(asks: readonly unknown[]): Message {
+    handleRequest(id: number, asks: readonly unknown[]): Message {
         const atMs = nowMs();
         this.share.setControlCount(this.countControls(), atMs);
-        return { kind: MessageKind.QuotaGrant, grants: this.share.grant(asks.slice(0, MAX_ASKS).filter(isQuotaAsk), atMs) };
+        return { kind: MessageKind.QuotaGrant, id, grants: this.share.grant(asks.slice(0, MAX_ASKS).filter(isQuotaAsk), atMs) };
     }
 }
 
