Bound what a gate remembers of organisations, and accept offers without them

Cause: names and priorities come from other processes, and entries of an earlier version send none during an update. Change: accounts, kinds and urgencies have a maximum each; an offer without the fields counts as one without an organisation. Evidence: tests of OrganisationUse, RecentStarts, WaitBounds and ServingGate.

--- a/src/decisions/serving/OrganisationTurns/index.ts
+++ b/src/decisions/serving/OrganisationTurns/index.ts
@@ -11,6 +11,8 @@
  * mean, however many more urgent requests there are.
  */
 const STARTS_PER_TURN = 4;
+/** Maximum number of organisation priorities whose use is kept apart. */
+const MAX_PRIORITIES = 256;
 
 /**
  * Order in which the waiting requests of organisations start at one endpoint: by urgency and, within equal urgency, by recent use. One
@@ -22,6 +24,8 @@
 export class OrganisationTurns {
     /** Use by the organisations of each priority. */
     private readonly uses = new Map<number, OrganisationUse>();
+    /** Use by the organisations of all further priorities. */
+    private readonly otherUse = OrganisationUse.create();
     /** Use of the turns by priorities. */
     private readonly turnUse = OrganisationUse.create();
     private readonly starts = RecentStarts.create();
@@ -154,6 +158,9 @@
         if (existing !== undefined) {
             return existing;
         }
+        if (this.uses.size >= MAX_PRIORITIES) {
+            return this.otherUse;
+        }
         const created = OrganisationUse.create();
         this.uses.set(organisationPriority, created);
         return created;
--- a/src/decisions/serving/OrganisationUse/index.ts
+++ b/src/decisions/serving/OrganisationUse/index.ts
@@ -7,6 +7,10 @@
  * many organisations would get far less than the mean; with none, a surge of one would take from all others alike.
  */
 const EQUAL_SHARE = 0.5;
+/** Maximum number of organisations with an account; further ones share one, as a peer might send any names. */
+const MAX_ACCOUNTS = 1_024;
+/** Name of the account that the organisations beyond the maximum share. */
+const SHARED_ACCOUNT = "";
 /** Number of requests by which an organisation that was refused may be behind the others and catch up. */
 const MAX_OWED_REQUESTS = 4;
 
@@ -56,10 +60,10 @@
         this.sweep(nowMs);
         this.totalDemand = decay(this.totalDemand, nowMs - this.totalAtMs) + 1;
         this.totalAtMs = nowMs;
-        const account = this.accounts.get(organisation) ?? { demand: 0, demandAtMs: nowMs, startTag: this.virtualTime, isOwed: false };
+        const account = this.find(organisation) ?? { demand: 0, demandAtMs: nowMs, startTag: this.virtualTime, isOwed: false };
         account.demand = decay(account.demand, nowMs - account.demandAtMs) + 1;
         account.demandAtMs = nowMs;
-        this.accounts.set(organisation, account);
+        this.accounts.set(this.accountName(organisation), account);
         if (!isWaiting) {
             const owed = account.isOwed ? MAX_OWED_REQUESTS * this.accounts.size : 0;
             account.startTag = Math.max(account.startTag, this.virtualTime - owed);
@@ -68,7 +72,7 @@
 
     /** Records that a request of an organisation was refused or displaced, so that the organisation may catch up. */
     recordRefusal(organisation: string): void {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         if (account !== undefined) {
             account.isOwed = true;
         }
@@ -76,7 +80,7 @@
 
     /** Records the start of a request and returns its cost, by which `withdrawStart` reverts it. */
     recordStart(organisation: string, nowMs: number): number {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         if (account === undefined) {
             return 0;
         }
@@ -89,7 +93,7 @@
 
     /** Reverts the start of a request that was not sent to the endpoint after all. */
     withdrawStart(organisation: string, cost: number): void {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         if (account !== undefined) {
             account.startTag -= cost;
         }
@@ -97,7 +101,7 @@
 
     /** Virtual time at which the next request of an organisation starts; the lowest goes first. */
     startTag(organisation: string): number {
-        return this.accounts.get(organisation)?.startTag ?? this.virtualTime;
+        return this.find(organisation)?.startTag ?? this.virtualTime;
     }
 
     /** Virtual time at which a request of an organisation would start that none waits of. */
@@ -107,13 +111,21 @@
 
     /** Virtual time that one request of an organisation takes: the inverse of its weight. */
     cost(organisation: string, nowMs: number): number {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         const total = decay(this.totalDemand, nowMs - this.totalAtMs);
         const demand = account === undefined ? 0 : decay(account.demand, nowMs - account.demandAtMs);
         const proportionalShare = total > 0 ? Math.min(1, demand / total) : 0;
         return 1 / (EQUAL_SHARE / Math.max(1, this.accounts.size) + (1 - EQUAL_SHARE) * proportionalShare);
     }
 
+    private find(organisation: string): Account | undefined {
+        return this.accounts.get(this.accountName(organisation));
+    }
+
+    private accountName(organisation: string): string {
+        return this.accounts.size < MAX_ACCOUNTS || this.accounts.has(organisation) ? organisation : SHARED_ACCOUNT;
+    }
+
     private sweep(nowMs: number): void {
         if (nowMs - this.sweptAtMs < DEMAND_TIME_CONSTANT_MS) {
             return;
--- a/src/decisions/serving/OrganisationUse/test.ts
+++ b/src/decisions/serving/OrganisationUse/test.ts
@@ -56,6 +56,18 @@
     t.is(use.startTag("a"), before);
 });
 
+// Guards against a peer that sends a new name with each offer.
+test("the number of accounts is bounded, and the organisations beyond it share one", (t) => {
+    const use = OrganisationUse.create();
+    Array.from({ length: 5_000 }, (_value, index) => `o-${index}`).forEach((name) => {
+        use.recordArrival(name, false, 0);
+    });
+    t.is(use.size, 1_025);
+    use.recordStart("o-4000", 0);
+    t.is(use.startTag("o-4001"), use.startTag("o-4000"));
+    t.true(use.startTag("o-4000") > use.startTag("o-1"));
+});
+
 // Guards against memory that grows with each organisation that has ever sent a request.
 test("an organisation that sends nothing is forgotten", (t) => {
     const use = OrganisationUse.create();
--- a/src/decisions/serving/RecentStarts/index.ts
+++ b/src/decisions/serving/RecentStarts/index.ts
@@ -3,6 +3,8 @@
 
 /** Time constant of the moving counts, in ms. */
 const TIME_CONSTANT_MS = 5_000;
+/** Maximum number of kinds; starts of further ones are not counted. */
+const MAX_KINDS = 4_096;
 /** Count below which an entry is forgotten. */
 const MIN_COUNT = 0.01;
 
@@ -34,6 +36,9 @@
     /** Counts a start. */
     record({ organisation, organisationPriority, priority }: StartedKind, nowMs: number): void {
         const key = `${organisationPriority}/${priority}/${organisation}`;
+        if (this.entries.size >= MAX_KINDS && !this.entries.has(key)) {
+            return;
+        }
         const entry = this.entries.get(key) ?? { kind: { organisation, organisationPriority, priority }, count: 0, atMs: nowMs };
         entry.count = countAt(entry, nowMs) + 1;
         entry.atMs = nowMs;
--- a/src/decisions/serving/RecentStarts/test.ts
+++ b/src/decisions/serving/RecentStarts/test.ts
@@ -1,6 +1,15 @@
 import test from "ava";
 import { RecentStarts } from "./index.js";
 
+// Guards against a peer that sends a new name with each offer.
+test("the number of kinds is bounded", (t) => {
+    const starts = RecentStarts.create();
+    for (let index = 0; index < 10_000; index += 1) {
+        starts.record({ organisation: String(index), organisationPriority: 0, priority: 0 }, 0);
+    }
+    t.is(starts.size, 4_096);
+});
+
 test("starts are counted by organisation and priorities, and forgotten with time", (t) => {
     const starts = RecentStarts.create();
     const kind = { organisation: "a", organisationPriority: 1, priority: 2 };
--- a/src/decisions/serving/ReturnDelay/index.ts
+++ b/src/decisions/serving/ReturnDelay/index.ts
@@ -3,6 +3,10 @@
 /** Time constant of the moving counts, in ms. */
 const TIME_CONSTANT_MS = 5_000;
 
+/** Maximum number of urgencies; further ones share their counts. */
+const MAX_URGENCIES = 256;
+const SHARED_KEY = "";
+
 interface Counts {
     admitted: number;
     refused: number;
@@ -48,7 +52,8 @@
     }
 
     private countsAt({ organisationPriority, priority }: ServingRequest, nowMs: number): Counts {
-        const key = `${organisationPriority}/${priority}`;
+        const ownKey = `${organisationPriority}/${priority}`;
+        const key = this.counts.size < MAX_URGENCIES || this.counts.has(ownKey) ? ownKey : SHARED_KEY;
         const counts = this.counts.get(key) ?? { admitted: 0, refused: 0, atMs: nowMs };
         const factor = Math.exp((counts.atMs - nowMs) / TIME_CONSTANT_MS);
         counts.admitted *= factor;
--- a/src/decisions/serving/WaitBounds/index.ts
+++ b/src/decisions/serving/WaitBounds/index.ts
@@ -9,6 +9,8 @@
 const WEIGHT = 0.1;
 /** Time for which the wait of a kind that sends nothing still bounds that of less urgent ones, in ms. */
 const MEMORY_MS = 5_000;
+/** Maximum number of kinds; further ones bound no others. */
+const MAX_KINDS = 256;
 /** Waits up to this are accepted for late requests, and say nothing about their kind, in ms. */
 const MIN_USUAL_MS = 150;
 
@@ -28,7 +30,8 @@
 
     /** Records how long a request may wait. */
     record({ priority, maxQueueMs }: Pick<ServingRequest, "priority" | "maxQueueMs">, nowMs: number): void {
-        if (maxQueueMs > MIN_USUAL_MS) {
+        const isKnown = this.usual.has(priority) || this.usual.size < MAX_KINDS;
+        if (isKnown && maxQueueMs > MIN_USUAL_MS && Number.isFinite(maxQueueMs)) {
             const usual = this.usual.get(priority) ?? { waitMs: maxQueueMs, atMs: nowMs };
             usual.waitMs += WEIGHT * (maxQueueMs - usual.waitMs);
             usual.atMs = nowMs;
--- a/src/decisions/serving/WaitBounds/test.ts
+++ b/src/decisions/serving/WaitBounds/test.ts
@@ -19,5 +19,6 @@
     const bounds = WaitBounds.create();
     bounds.record({ priority: 0, maxQueueMs: 0 }, 0);
     bounds.record({ priority: 0, maxQueueMs: 150 }, 0);
+    bounds.record({ priority: 0, maxQueueMs: Number.POSITIVE_INFINITY }, 0);
     t.is(bounds.boundMs({ priority: 1, maxQueueMs: 1_000 }, 0), 750);
 });
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -71,6 +71,9 @@
 /** Handle of an offer that was refused immediately. */
 const FINISHED_HANDLE: OfferHandle = { cancel: () => undefined, confirm: () => undefined };
 
+/** An offer as it may come from an entry of another version. */
+type ReceivedOffer = Omit<WorkOffer, "organisation" | "organisationPriority"> & Partial<WorkOffer>;
+
 interface AcceptedOffer {
     readonly offer: WorkOffer;
     readonly deadlineAtMs: number;
@@ -604,13 +607,15 @@
     }
 }
 
-function toServingRequest(offer: WorkOffer, atMs: number): ServingRequest {
+/** Reads an offer; one of an entry of an earlier version, during an update, carries no organisation. */
+function toServingRequest(offer: ReceivedOffer, atMs: number): ServingRequest {
+    const { organisation = "", organisationPriority = 0 } = offer;
     return {
         key: offer.key,
         requestKind: offer.requestKind,
         priority: offer.priority,
-        organisation: offer.organisation,
-        organisationPriority: offer.organisationPriority,
+        organisation,
+        organisationPriority,
         deadlineAtMs: atMs + offer.remainingMs,
         targetAtMs: atMs + offer.targetRemainingMs,
         maxQueueMs: offer.maxQueueMs,
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -481,3 +481,21 @@
         t.true(displaced.every(({ replies }) => replies.length === 2));
     });
 });
+
+// Failure: an entry of an earlier version offers work while the fleet is updated. Guards against waits and orders that are no numbers.
+test("an offer without the fields of an organisation counts as one without an organisation", async (t) => {
+    const sockets: Socket[] = [];
+    await withGate(t, (socket) => sockets.push(socket), async ({ gate, offer }) => {
+        const former = { ...OFFER, key: "4", maxQueueMs: 2_000, organisation: undefined, organisationPriority: undefined };
+        const replies: GateReply[] = [];
+        offer("1");
+        offer("2");
+        offer("3", { organisation: "a", organisationPriority: 1, priority: 0 });
+        gate.offer(former as unknown as WorkOffer, (reply) => replies.push(reply));
+        t.deepEqual(replies, [{ kind: GateReplyKind.Queued }]);
+        await waitUntil(() => sockets.length === 2);
+        sockets.slice(0, 1).forEach((socket) => respond(socket, 200));
+        await waitUntil(() => replies.length > 1);
+        t.is(replies[1]?.kind, GateReplyKind.Started);
+    });
+});
