Tell an organisation that surges from one that is always as large

Cause: weights by the demand of the last seconds gave an organisation that surges as much as the largest ones. Change: 0.3 of the weights is in proportion to the demand of the last minute.

--- a/src/decisions/serving/OrganisationUse/index.ts
+++ b/src/decisions/serving/OrganisationUse/index.ts
@@ -1,12 +1,21 @@
-/** Time constant of the moving demand of an organisation, in ms: short against minutes of a surge, long against one service time. */
-const DEMAND_TIME_CONSTANT_MS = 5_000;
-/** Demand below which an organisation is forgotten, in requests: one that has sent a single request is known for about 15 s. */
+import { MovingCount } from "../MovingCount/index.js";
+
+/** Time constant of the recent demand of an organisation, in ms: long against one service time. */
+const RECENT_TIME_CONSTANT_MS = 5_000;
+/** Time constant of the usual demand of an organisation, in ms: long against a surge of some seconds. */
+const USUAL_TIME_CONSTANT_MS = 60_000;
+/** Interval at which organisations that send nothing are looked for, in ms. */
+const SWEEP_INTERVAL_MS = 5_000;
+/** Demand below which an organisation counts as sending nothing, in requests. */
 const MIN_DEMAND = 0.05;
 /**
- * Part of the weights that is equal for all organisations; the rest is in proportion to demand. With all of it equal, the largest of
- * many organisations would get far less than the mean; with none, a surge of one would take from all others alike.
+ * Parts of the weights. One is equal for all organisations that send, one in proportion to their recent demand and one to their usual
+ * demand. The recent part keeps each above a quarter of the mean, whatever it sends; with the usual part, an organisation that surges gets
+ * less than one that is always as large.
  */
-const EQUAL_SHARE = 0.5;
+const EQUAL_SHARE = 0.4;
+const RECENT_SHARE = 0.3;
+const USUAL_SHARE = 0.3;
 /** Maximum number of organisations with an account; further ones share one, as a peer might send any names. */
 const MAX_ACCOUNTS = 1_024;
 /** Name of the account that the organisations beyond the maximum share. */
@@ -15,8 +24,8 @@
 const MAX_OWED_REQUESTS = 4;
 
 interface Account {
-    demand: number;
-    demandAtMs: number;
+    readonly recent: MovingCount;
+    readonly usual: MovingCount;
     /** Virtual time at which its next request starts. */
     startTag: number;
     /** True if a request was refused since its last start, so that it may catch up. */
@@ -31,8 +40,10 @@
  */
 export class OrganisationUse {
     private readonly accounts = new Map<string, Account>();
-    private totalDemand = 0;
-    private totalAtMs = 0;
+    private readonly totalRecent = MovingCount.create(RECENT_TIME_CONSTANT_MS);
+    private readonly totalUsual = MovingCount.create(USUAL_TIME_CONSTANT_MS);
+    /** Names of the accounts with recent demand. */
+    private readonly active = new Set<string>();
     private sweptAtMs = 0;
     /** Highest start tag of a started request. */
     private virtualTime = 0;
@@ -58,14 +69,15 @@
      */
     recordArrival(organisation: string, isWaiting: boolean, nowMs: number): void {
         this.sweep(nowMs);
-        this.totalDemand = decay(this.totalDemand, nowMs - this.totalAtMs) + 1;
-        this.totalAtMs = nowMs;
-        const account = this.find(organisation) ?? { demand: 0, demandAtMs: nowMs, startTag: this.virtualTime, isOwed: false };
-        account.demand = decay(account.demand, nowMs - account.demandAtMs) + 1;
-        account.demandAtMs = nowMs;
-        this.accounts.set(this.accountName(organisation), account);
+        const name = this.accountName(organisation);
+        const account = this.accounts.get(name) ?? this.createAccount();
+        [this.totalRecent, this.totalUsual, account.recent, account.usual].forEach((count) => {
+            count.add(nowMs);
+        });
+        this.accounts.set(name, account);
+        this.active.add(name);
         if (!isWaiting) {
-            const owed = account.isOwed ? MAX_OWED_REQUESTS * this.accounts.size : 0;
+            const owed = account.isOwed ? MAX_OWED_REQUESTS * this.active.size : 0;
             account.startTag = Math.max(account.startTag, this.virtualTime - owed);
         }
     }
@@ -112,10 +124,18 @@
     /** Virtual time that one request of an organisation takes: the inverse of its weight. */
     cost(organisation: string, nowMs: number): number {
         const account = this.find(organisation);
-        const total = decay(this.totalDemand, nowMs - this.totalAtMs);
-        const demand = account === undefined ? 0 : decay(account.demand, nowMs - account.demandAtMs);
-        const proportionalShare = total > 0 ? Math.min(1, demand / total) : 0;
-        return 1 / (EQUAL_SHARE / Math.max(1, this.accounts.size) + (1 - EQUAL_SHARE) * proportionalShare);
+        const recentShare = shareOf(account?.recent, this.totalRecent, nowMs);
+        const usualShare = shareOf(account?.usual, this.totalUsual, nowMs);
+        return 1 / (EQUAL_SHARE / Math.max(1, this.active.size) + RECENT_SHARE * recentShare + USUAL_SHARE * usualShare);
+    }
+
+    private createAccount(): Account {
+        return {
+            recent: MovingCount.create(RECENT_TIME_CONSTANT_MS),
+            usual: MovingCount.create(USUAL_TIME_CONSTANT_MS),
+            startTag: this.virtualTime,
+            isOwed: false,
+        };
     }
 
     private find(organisation: string): Account | undefined {
@@ -127,18 +147,22 @@
     }
 
     private sweep(nowMs: number): void {
-        if (nowMs - this.sweptAtMs < DEMAND_TIME_CONSTANT_MS) {
+        if (nowMs - this.sweptAtMs < SWEEP_INTERVAL_MS) {
             return;
         }
         this.sweptAtMs = nowMs;
-        this.accounts.forEach((account, organisation) => {
-            if (decay(account.demand, nowMs - account.demandAtMs) < MIN_DEMAND) {
-                this.accounts.delete(organisation);
+        this.accounts.forEach(({ recent, usual }, name) => {
+            if (recent.at(nowMs) < MIN_DEMAND) {
+                this.active.delete(name);
+            }
+            if (usual.at(nowMs) < MIN_DEMAND) {
+                this.accounts.delete(name);
             }
         });
     }
 }
 
-function decay(amount: number, elapsedMs: number): number {
-    return amount * Math.exp(-Math.max(0, elapsedMs) / DEMAND_TIME_CONSTANT_MS);
+function shareOf(count: MovingCount | undefined, total: MovingCount, nowMs: number): number {
+    const totalCount = total.at(nowMs);
+    return count === undefined || totalCount === 0 ? 0 : Math.min(1, count.at(nowMs) / totalCount);
 }
--- a/src/decisions/serving/OrganisationUse/test.ts
+++ b/src/decisions/serving/OrganisationUse/test.ts
@@ -68,6 +68,25 @@
     t.true(use.startTag("o-4000") > use.startTag("o-1"));
 });
 
+// Load: an organisation that is usually small sends as much as a large one for 5 s. Guards against a surge that counts as usual demand.
+test("an organisation that surges gets fewer starts than one that is always as large", (t) => {
+    const use = OrganisationUse.create();
+    const send = (large: number, surging: number, fromMs: number, untilMs: number): void => {
+        for (let atMs = fromMs; atMs < untilMs; atMs += 100) {
+            Array.from({ length: large }).forEach(() => use.recordArrival("large", true, atMs));
+            if (atMs % 800 === 0 || surging > 1) {
+                Array.from({ length: surging }).forEach(() => use.recordArrival("surging", true, atMs));
+            }
+        }
+    };
+    send(8, 1, 0, 60_000);
+    send(8, 8, 60_000, 65_000);
+    const ratio = use.cost("surging", 65_000) / use.cost("large", 65_000);
+    t.true(ratio > 1.3 && ratio < 3, `${ratio}`);
+    send(8, 8, 65_000, 300_000);
+    t.true(Math.abs(use.cost("surging", 300_000) / use.cost("large", 300_000) - 1) < 0.05);
+});
+
 // Guards against memory that grows with each organisation that has ever sent a request.
 test("an organisation that sends nothing is forgotten", (t) => {
     const use = OrganisationUse.create();
@@ -75,6 +94,6 @@
         use.recordArrival(name, false, 0);
     });
     t.is(use.size, 1_000);
-    use.recordArrival("later", false, 60_000);
+    use.recordArrival("later", false, 300_000);
     t.is(use.size, 1);
 });
