--- a/test/turns.test.ts
+++ b/test/turns.test.ts
@@ -145,6 +145,20 @@
     t.true(middle > 0.35 && low > 0.35, `${middle}, ${low}`);
 });
 
+// Load: the endpoint names a limit of two thirds of what is asked for, well below its slots.
+test("the turns hold where a limit of the endpoint is the bottleneck instead of its slots", (t) => {
+    const [, , , load] = LOADS;
+    const all = load === undefined ? [] : playGate(2 * SLOTS, createSources(load), DURATION_MS, 1, CAPACITY_PER_SECOND);
+    const mean = servedShare(all);
+    t.true(mean > 0.6, `${mean}`);
+    groupBy(all, ({ source }) => source.organisation).forEach((own, organisation) => {
+        t.true(own.length < 20 || servedShare(own) > 0.4 * mean, `${organisation}: ${servedShare(own)} of ${own.length}, all ${mean}`);
+    });
+    const refused = all.filter(({ refusedAtMs }) => refusedAtMs !== undefined);
+    const late = refused.filter(({ source, arrivedAtMs, refusedAtMs = 0 }) => refusedAtMs - arrivedAtMs > 3 / 4 * source.targetMs);
+    t.true(late.length < 0.01 * refused.length, `${late.length} of ${refused.length}`);
+});
+
 // Guards against a request that was told that it has not run, and runs.
 test("a displaced request never starts", (t) => {
     const [, , , load] = LOADS;
