--- a/src/callers/RequestDispatcher/test.ts
+++ b/src/callers/RequestDispatcher/test.ts
@@ -9,6 +9,7 @@
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { LogFields } from "../../logs/LogFields.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
@@ -51,10 +52,12 @@
     readonly responses: readonly CallerResponse[];
     readonly offers: readonly WorkOffer[];
     readonly errorCount: number;
+    /** Events of answered requests. */
+    readonly answered: readonly LogFields[];
 }
 
 /** Sends a request through a dispatcher whose only gate answers at once; returns the responses, the offers and the logged errors. */
-function dispatch(dialect: Partial<CallerDialect>, items: readonly Item[] = [ROUTE], apiKey?: string): Outcome {
+function dispatch(dialect: Partial<CallerDialect>, items: readonly Item[] = [ROUTE], apiKey?: string, running = 0): Outcome {
     const events = EventLog.create(VM, undefined);
     const offers: WorkOffer[] = [];
     const localGate = {
@@ -71,7 +74,7 @@
     const fleetView = FleetView.create({ vm: VM, failureDomain: "a", localGate, openTunnel }, events);
     const endpoint = { id: "i-1", bornAtMs: 1, sequence: 1, service: "s", phase: EndpointPhase.Ready, slots: 5, coldRemainingMs: 0 };
     fleetView.mergeRecords([{ vm: VM, failureDomain: "a", gateAddress: "", run: 1, sequence: 1, isOpen: true, endpoint, limitPerSecond: undefined }]);
-    fleetView.applyLoad({ ...createLoadReport(VM), vm: VM });
+    fleetView.applyLoad(createLoadReport(VM, { running }));
     const dispatcher = RequestDispatcher.create({
         entryRun: "run-1",
         dialect: { ...DIALECT, ...dialect },
@@ -101,7 +104,7 @@
     dispatcher.dispatch(exchange);
     const errorCount = events.find("unexpected").filter(({ event }) => event === EventNumber.UnexpectedError).length;
     fleetView.close();
-    return { responses, offers, errorCount };
+    return { responses, offers, errorCount, answered: events.find("RequestAnswered") };
 }
 
 const failUnexpectedly = (): never => {
@@ -154,3 +157,17 @@
     t.deepEqual(responses.map(({ status }) => status), [200]);
     t.deepEqual(offers.map(({ headers }) => headers), [[]]);
 });
+
+// Guards against calls of running requests that are refused for their latency target while organisations overload the endpoint.
+test("only a call without an organisation, where there are some, may wait for half of its time although it misses its target", (t) => {
+    const route: Item = { ...ROUTE, targetLatencyMs: 1_000, isKeyExempt: true };
+    const maxQueueMs = (items: readonly Item[], apiKey?: string): number => dispatch({}, items, apiKey, 5).offers[0]?.maxQueueMs ?? 0;
+    t.true(maxQueueMs([route, ORGANISATION]) > 29_000);
+    t.true(maxQueueMs([route, ORGANISATION], "k-1") <= 900);
+    t.true(maxQueueMs([route]) <= 900);
+});
+
+test("the event of an answered request names its organisation, if it has one", (t) => {
+    t.deepEqual(dispatch({}, [ROUTE, ORGANISATION], "k-1").answered.map(({ organisation }) => organisation), ["org-1"]);
+    t.deepEqual(dispatch({}).answered.map(({ organisation }) => organisation), [undefined]);
+});
