--- a/src/callers/RequestDispatcher/test.ts
+++ b/src/callers/RequestDispatcher/test.ts
@@ -11,6 +11,7 @@
 import { QuotaDecisionKind } from "../../decisions/quotas/QuotaDecisionKind.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { LogFields } from "../../logs/LogFields.js";
 import { HeaderList } from "../../model/HeaderList.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
@@ -55,6 +56,8 @@
     readonly responses: readonly CallerResponse[];
     readonly offers: readonly WorkOffer[];
     readonly errorCount: number;
+    /** Events of answered requests. */
+    readonly answered: readonly LogFields[];
 }
 
 /** What a test changes about the dispatcher and its only gate. */
@@ -62,6 +65,8 @@
     readonly quota?: QuotaPort;
     /** Replies of the gate to an offer. */
     readonly replies?: readonly GateReply[];
+    /** Requests that the endpoint runs already. */
+    readonly running?: number;
     /** Called once the request has been handed over. */
     readonly then?: (dispatcher: RequestDispatcher, disconnect: () => void) => void;
 }
@@ -83,7 +88,7 @@
     const fleetView = FleetView.create({ vm: VM, failureDomain: "a", localGate, openTunnel }, events);
     const endpoint = { id: "i-1", bornAtMs: 1, sequence: 1, service: "s", phase: EndpointPhase.Ready, slots: 5, coldRemainingMs: 0 };
     fleetView.mergeRecords([{ vm: VM, failureDomain: "a", gateAddress: "", run: 1, sequence: 1, isOpen: true, endpoint, limitPerSecond: undefined }]);
-    fleetView.applyLoad({ ...createLoadReport(VM), vm: VM });
+    fleetView.applyLoad(createLoadReport(VM, { running: setup.running ?? 0 }));
     const dispatcher = RequestDispatcher.create({
         entryRun: "run-1",
         dialect: { ...DIALECT, ...dialect },
@@ -118,7 +123,7 @@
     setup.then?.(dispatcher, disconnect);
     const errorCount = events.find("unexpected").filter(({ event }) => event === EventNumber.UnexpectedError).length;
     fleetView.close();
-    return { responses, offers, errorCount };
+    return { responses, offers, errorCount, answered: events.find("RequestAnswered") };
 }
 
 const failUnexpectedly = (): never => {
@@ -278,3 +283,17 @@
     });
     t.deepEqual([responses.map(({ status }) => status), offers.length, quota.returned], [[503], 0, [["org-1", 7]]]);
 });
+
+// Guards against calls of running requests that are refused for their latency target while organisations overload the endpoint.
+test("only a call without an organisation, where there are some, may wait for half of its time although it misses its target", (t) => {
+    const route: Item = { ...ROUTE, targetLatencyMs: 1_000, isKeyExempt: true };
+    const maxQueueMs = (items: readonly Item[], apiKey?: string): number => dispatch({}, items, apiKey, { running: 5 }).offers[0]?.maxQueueMs ?? 0;
+    t.true(maxQueueMs([route, ORGANISATION]) > 29_000);
+    t.true(maxQueueMs([route, ORGANISATION], "k-1") <= 900);
+    t.true(maxQueueMs([route]) <= 900);
+});
+
+test("the event of an answered request names its organisation, if it has one", (t) => {
+    t.deepEqual(dispatch({}, [ROUTE, ORGANISATION], "k-1").answered.map(({ organisation }) => organisation), ["org-1"]);
+    t.deepEqual(dispatch({}).answered.map(({ organisation }) => organisation), [undefined]);
+});
--- a/src/decisions/serving/OrganisationUse/index.ts
+++ b/src/decisions/serving/OrganisationUse/index.ts
@@ -1,18 +1,31 @@
-/** Time constant of the moving demand of an organisation, in ms: short against minutes of a surge, long against one service time. */
-const DEMAND_TIME_CONSTANT_MS = 5_000;
-/** Demand below which an organisation is forgotten, in requests: one that has sent a single request is known for about 15 s. */
+import { MovingCount } from "../MovingCount/index.js";
+
+/** Time constant of the recent demand of an organisation, in ms: long against one service time. */
+const RECENT_TIME_CONSTANT_MS = 5_000;
+/** Time constant of the usual demand of an organisation, in ms: long against a surge of some seconds. */
+const USUAL_TIME_CONSTANT_MS = 60_000;
+/** Interval at which organisations that send nothing are looked for, in ms. */
+const SWEEP_INTERVAL_MS = 5_000;
+/** Demand below which an organisation counts as sending nothing, in requests. */
 const MIN_DEMAND = 0.05;
 /**
- * Part of the weights that is equal for all organisations; the rest is in proportion to demand. With all of it equal, the largest of
- * many organisations would get far less than the mean; with none, a surge of one would take from all others alike.
+ * Parts of the weights. One is equal for all organisations that send, one in proportion to their recent demand and one to their usual
+ * demand. The recent part keeps each above a quarter of the mean, whatever it sends; with the usual part, an organisation that surges gets
+ * less than one that is always as large.
  */
-const EQUAL_SHARE = 0.5;
+const EQUAL_SHARE = 0.4;
+const RECENT_SHARE = 0.3;
+const USUAL_SHARE = 0.3;
+/** Maximum number of organisations with an account; further ones share one, as a peer might send any names. */
+const MAX_ACCOUNTS = 1_024;
+/** Name of the account that the organisations beyond the maximum share. */
+const SHARED_ACCOUNT = "";
 /** Number of requests by which an organisation that was refused may be behind the others and catch up. */
 const MAX_OWED_REQUESTS = 4;
 
 interface Account {
-    demand: number;
-    demandAtMs: number;
+    readonly recent: MovingCount;
+    readonly usual: MovingCount;
     /** Virtual time at which its next request starts. */
     startTag: number;
     /** True if a request was refused since its last start, so that it may catch up. */
@@ -27,8 +40,10 @@
  */
 export class OrganisationUse {
     private readonly accounts = new Map<string, Account>();
-    private totalDemand = 0;
-    private totalAtMs = 0;
+    private readonly totalRecent = MovingCount.create(RECENT_TIME_CONSTANT_MS);
+    private readonly totalUsual = MovingCount.create(USUAL_TIME_CONSTANT_MS);
+    /** Names of the accounts with recent demand. */
+    private readonly active = new Set<string>();
     private sweptAtMs = 0;
     /** Highest start tag of a started request. */
     private virtualTime = 0;
@@ -54,21 +69,22 @@
      */
     recordArrival(organisation: string, isWaiting: boolean, nowMs: number): void {
         this.sweep(nowMs);
-        this.totalDemand = decay(this.totalDemand, nowMs - this.totalAtMs) + 1;
-        this.totalAtMs = nowMs;
-        const account = this.accounts.get(organisation) ?? { demand: 0, demandAtMs: nowMs, startTag: this.virtualTime, isOwed: false };
-        account.demand = decay(account.demand, nowMs - account.demandAtMs) + 1;
-        account.demandAtMs = nowMs;
-        this.accounts.set(organisation, account);
+        const name = this.accountName(organisation);
+        const account = this.accounts.get(name) ?? this.createAccount();
+        [this.totalRecent, this.totalUsual, account.recent, account.usual].forEach((count) => {
+            count.add(nowMs);
+        });
+        this.accounts.set(name, account);
+        this.active.add(name);
         if (!isWaiting) {
-            const owed = account.isOwed ? MAX_OWED_REQUESTS * this.accounts.size : 0;
+            const owed = account.isOwed ? MAX_OWED_REQUESTS * this.active.size : 0;
             account.startTag = Math.max(account.startTag, this.virtualTime - owed);
         }
     }
 
     /** Records that a request of an organisation was refused or displaced, so that the organisation may catch up. */
     recordRefusal(organisation: string): void {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         if (account !== undefined) {
             account.isOwed = true;
         }
@@ -76,7 +92,7 @@
 
     /** Records the start of a request and returns its cost, by which `withdrawStart` reverts it. */
     recordStart(organisation: string, nowMs: number): number {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         if (account === undefined) {
             return 0;
         }
@@ -89,7 +105,7 @@
 
     /** Reverts the start of a request that was not sent to the endpoint after all. */
     withdrawStart(organisation: string, cost: number): void {
-        const account = this.accounts.get(organisation);
+        const account = this.find(organisation);
         if (account !== undefined) {
             account.startTag -= cost;
         }
@@ -97,7 +113,7 @@
 
     /** Virtual time at which the next request of an organisation starts; the lowest goes first. */
     startTag(organisation: string): number {
-        return this.accounts.get(organisation)?.startTag ?? this.virtualTime;
+        return this.find(organisation)?.startTag ?? this.virtualTime;
     }
 
     /** Virtual time at which a request of an organisation would start that none waits of. */
@@ -107,26 +123,46 @@
 
     /** Virtual time that one request of an organisation takes: the inverse of its weight. */
     cost(organisation: string, nowMs: number): number {
-        const account = this.accounts.get(organisation);
-        const total = decay(this.totalDemand, nowMs - this.totalAtMs);
-        const demand = account === undefined ? 0 : decay(account.demand, nowMs - account.demandAtMs);
-        const proportionalShare = total > 0 ? Math.min(1, demand / total) : 0;
-        return 1 / (EQUAL_SHARE / Math.max(1, this.accounts.size) + (1 - EQUAL_SHARE) * proportionalShare);
+        const account = this.find(organisation);
+        const recentShare = shareOf(account?.recent, this.totalRecent, nowMs);
+        const usualShare = shareOf(account?.usual, this.totalUsual, nowMs);
+        return 1 / (EQUAL_SHARE / Math.max(1, this.active.size) + RECENT_SHARE * recentShare + USUAL_SHARE * usualShare);
+    }
+
+    private createAccount(): Account {
+        return {
+            recent: MovingCount.create(RECENT_TIME_CONSTANT_MS),
+            usual: MovingCount.create(USUAL_TIME_CONSTANT_MS),
+            startTag: this.virtualTime,
+            isOwed: false,
+        };
+    }
+
+    private find(organisation: string): Account | undefined {
+        return this.accounts.get(this.accountName(organisation));
+    }
+
+    private accountName(organisation: string): string {
+        return this.accounts.size < MAX_ACCOUNTS || this.accounts.has(organisation) ? organisation : SHARED_ACCOUNT;
     }
 
     private sweep(nowMs: number): void {
-        if (nowMs - this.sweptAtMs < DEMAND_TIME_CONSTANT_MS) {
+        if (nowMs - this.sweptAtMs < SWEEP_INTERVAL_MS) {
             return;
         }
         this.sweptAtMs = nowMs;
-        this.accounts.forEach((account, organisation) => {
-            if (decay(account.demand, nowMs - account.demandAtMs) < MIN_DEMAND) {
-                this.accounts.delete(organisation);
+        this.accounts.forEach(({ recent, usual }, name) => {
+            if (recent.at(nowMs) < MIN_DEMAND) {
+                this.active.delete(name);
+            }
+            if (usual.at(nowMs) < MIN_DEMAND) {
+                this.accounts.delete(name);
             }
         });
     }
 }
 
-function decay(amount: number, elapsedMs: number): number {
-    return amount * Math.exp(-Math.max(0, elapsedMs) / DEMAND_TIME_CONSTANT_MS);
+function shareOf(count: MovingCount | undefined, total: MovingCount, nowMs: number): number {
+    const totalCount = total.at(nowMs);
+    return count === undefined || totalCount === 0 ? 0 : Math.min(1, count.at(nowMs) / totalCount);
 }
