Count the bytes sent to other failure domains

Cause: they are the largest cost of some deployments, and no metric showed them. Change: gauge other_domain_sent_bytes of proxies and control VMs, counted at tunnels and links, and usable_slots of proxies. Tests that heartbeats state their position and that a process of an earlier version gets them as before.

--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -59,6 +59,7 @@
 
     /** Tunnels to closed gates, kept until their outstanding offers have ended. */
     private readonly retiredTunnels = new Set<GateTunnel>();
+    private sentToOtherDomains = 0;
     private tickTimer: NodeJS.Timeout | undefined;
 
     private constructor(private readonly options: FleetViewOptions, private readonly events: EventLog) {
@@ -85,6 +86,11 @@
         return this.table.size;
     }
 
+    /** Bytes that this entry has sent to gates in other failure domains. */
+    get bytesSentToOtherDomains(): number {
+        return this.sentToOtherDomains;
+    }
+
     /** Returns the gate record of a VM. */
     find(vm: string): GateRecord | undefined {
         return this.table.find(vm);
@@ -274,7 +280,7 @@
     }
 
     private getOrCreateTunnel(record: GateRecord): GateTunnel {
-        const { vm, gateAddress } = record;
+        const { vm, gateAddress, failureDomain } = record;
         const existing = this.tunnels.get(vm);
         if (existing !== undefined) {
             return existing;
@@ -286,6 +292,9 @@
             },
             // A packed load does not name the VM; a gate speaks for itself only in any case.
             onInvitation: ({ load, waitedMs }) => this.applyInvitation({ load: { ...load, vm }, waitedMs }),
+            onSent: (lengthBytes) => {
+                this.sentToOtherDomains += failureDomain === this.options.failureDomain ? 0 : lengthBytes;
+            },
             onError: (error) => this.events.recordError(error, { peer: vm }),
         });
         this.tunnels.set(vm, created);
--- a/src/daemon/describeDaemon/index.ts
+++ b/src/daemon/describeDaemon/index.ts
@@ -41,7 +41,7 @@
         configuration: configuration.view.position,
         ready: proxy?.isReady ?? true,
         links: [...links?.linkedVms ?? []].sort(),
-        linkBytes: links?.bytes ?? { sent: 0, received: 0 },
+        linkBytes: links?.bytes ?? { sent: 0, received: 0, sentToOtherDomains: 0 },
         members: (directory?.all() ?? []).map((record) => ({
             vm: record.vm,
             failureDomain: record.failureDomain,
--- a/src/links/LinkBytes.ts
+++ b/src/links/LinkBytes.ts
@@ -2,4 +2,6 @@
 export interface LinkBytes {
     sent: number;
     received: number;
+    /** The part of those sent that went to other failure domains. */
+    sentToOtherDomains: number;
 }
--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -44,7 +44,7 @@
 /** Manages the links of a process: accepts and opens them, checks both directions with heartbeats, and routes calls. */
 export class LinkController {
     /** Payload bytes over all links since the process started. */
-    readonly bytes: LinkBytes = { sent: 0, received: 0 };
+    readonly bytes: LinkBytes = { sent: 0, received: 0, sentToOtherDomains: 0 };
     private readonly links = new Map<WsLink, LinkHealth>();
     private readonly byVm = new Map<string, WsLink>();
     private readonly pendingConnects = new Map<string, Promise<WsLink | undefined>>();
--- a/src/links/LinkController/test.ts
+++ b/src/links/LinkController/test.ts
@@ -1,13 +1,20 @@
 import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
+import { Packr, Unpackr } from "msgpackr";
+import { WebSocket } from "ws";
 import { findFreePorts } from "../../../bench/findFreePorts/index.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Role } from "../../model/Role.js";
+import { computeKeyProof } from "../computeKeyProof/index.js";
+import { Envelope } from "../Envelope.js";
 import { LinkHandler } from "../LinkHandler.js";
 import { Message } from "../Message.js";
 import { MessageKind } from "../MessageKind.js";
 import { LinkController } from "./index.js";
 
+const packr = new Packr({ useRecords: true });
+const unpackr = new Unpackr({ useRecords: true });
+
 const HANDLER: LinkHandler = {
     onOpen: () => undefined,
     onMessage: () => undefined,
@@ -16,10 +23,16 @@
     onMessageError: () => undefined,
 };
 
-async function start(t: ExecutionContext, vm: string, handler: Partial<LinkHandler>, errors: FleetError[]): Promise<[LinkController, string]> {
+async function start(
+    t: ExecutionContext,
+    vm: string,
+    handler: Partial<LinkHandler>,
+    errors: FleetError[],
+    failureDomain = "a",
+): Promise<[LinkController, string]> {
     const [port = 0] = await findFreePorts(1);
     const links = await LinkController.create({
-        identity: { vm, startedAtMs: 1, failureDomain: "a", roles: [Role.Proxy], linkAddress: `127.0.0.1:${port}` },
+        identity: { vm, startedAtMs: 1, failureDomain, roles: [Role.Proxy], linkAddress: `127.0.0.1:${port}` },
         host: "127.0.0.1",
         port,
         fleetKey: "0123456789abcdef",
@@ -108,3 +121,50 @@
     const seconds = Math.ceil((performance.now() - startedAtMs) / 1_000);
     t.true(problems.length > 0 && problems.length <= 5 + 5 * seconds, `${problems.length} reports in ${seconds} s`);
 });
+
+// Guards against bytes between failure domains that nobody sees, although they are the largest cost of some deployments.
+test("bytes that are sent to another failure domain are counted", async (t) => {
+    const [local, address] = await start(t, "vm-1", {}, []);
+    const [near] = await start(t, "vm-2", {}, []);
+    const [far] = await start(t, "vm-3", {}, [], "b");
+    await near.connect(address);
+    await far.connect(address);
+    near.sendTo("vm-1", { kind: MessageKind.StrikesCleared, fingerprint: "f".repeat(500) });
+    far.sendTo("vm-1", { kind: MessageKind.StrikesCleared, fingerprint: "f".repeat(500) });
+    t.is(near.bytes.sentToOtherDomains, 0);
+    t.true(far.bytes.sentToOtherDomains > 500 && far.bytes.sentToOtherDomains < far.bytes.sent);
+    t.true(local.bytes.sentToOtherDomains < local.bytes.sent);
+});
+
+// Guards against a proxy that misses a configuration or closes its links because the position or the sequence of a heartbeat is lost.
+test("heartbeats state the position of their sender", async (t) => {
+    const received: Message[] = [];
+    const [, address] = await start(t, "vm-1", { onMessage: (_link, message) => received.push(message) }, []);
+    const [peer] = await start(t, "vm-2", {}, []);
+    await peer.connect(address);
+    for (let waitedMs = 0; received.length === 0 && waitedMs < 3_000; waitedMs += 10) {
+        await delay(10);
+    }
+    t.deepEqual(received[0], { kind: MessageKind.Heartbeat, sequence: 1, heard: 0, position: { term: 0, version: 0, manifestVersion: 0 } });
+});
+
+// Guards against a fleet of two versions in which the processes of the earlier one lose all links.
+test("a process that does not state that it reads packed heartbeats gets them with the names of their fields", async (t) => {
+    const [, address] = await start(t, "vm-1", {}, []);
+    const socket = new WebSocket(`ws://${address}`, { perMessageDeflate: false });
+    t.teardown(() => socket.terminate());
+    const received: Envelope[] = [];
+    socket.on("message", (data: Buffer) => {
+        const envelope = unpackr.unpack(data) as Envelope;
+        received.push(envelope);
+        if (envelope.message.kind === MessageKind.Challenge) {
+            const identity = { vm: "old", startedAtMs: 1, failureDomain: "a", roles: [Role.Proxy], linkAddress: "127.0.0.1:1" };
+            const proof = computeKeyProof("0123456789abcdef", envelope.message.nonce, "old");
+            socket.send(packr.pack({ message: { kind: MessageKind.Hello, identity, nonce: "n", proof } }));
+        }
+    });
+    for (let waitedMs = 0; received.length < 3 && waitedMs < 3_000; waitedMs += 10) {
+        await delay(10);
+    }
+    t.deepEqual(received.map(({ message }) => message.kind), [MessageKind.Challenge, MessageKind.Welcome, MessageKind.Heartbeat]);
+});
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -93,6 +93,10 @@
         this.socket.terminate();
     }
 
+    private get isRemote(): boolean {
+        return this.identity !== undefined && this.identity.failureDomain !== this.options.identity.failureDomain;
+    }
+
     private get peerName(): string {
         return this.identity?.vm ?? this.options.address;
     }
@@ -102,6 +106,7 @@
             const data = this.encode(envelope);
             if (data !== undefined) {
                 this.options.bytes.sent += data.length;
+                this.options.bytes.sentToOtherDomains += this.isRemote ? data.length : 0;
                 this.options.budget.send(this.socket, data);
             }
         }
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -93,6 +93,11 @@
         return [
             { name: "links", help: "VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "link_buffered_bytes", help: "Bytes that linked VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
+            {
+                name: "other_domain_sent_bytes",
+                help: "Bytes sent to other failure domains since the start",
+                read: () => this.links?.bytesSentToOtherDomains ?? 0,
+            },
             { name: "subscribers", help: "Proxies that take their news here", read: () => this.updateRelay.subscriberCount },
             { name: "items", help: "Configuration items applied", read: () => this.itemController?.items.length ?? 0 },
             { name: "position", help: "Position in the log of the latest change applied", read: () => this.itemController?.position ?? 0 },
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -110,6 +110,11 @@
         return this.links.bufferedBytes;
     }
 
+    /** Bytes that this process has sent to other failure domains over its links. */
+    get bytesSentToOtherDomains(): number {
+        return this.links.bytes.sentToOtherDomains;
+    }
+
     /** Sets the seeds of new settings and connects to them. */
     setSeeds(settings: MeshSettings): void {
         const { firstPort, seeds } = settings.links;
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -162,11 +162,17 @@
             { name: "callers", help: "Requests of callers that have no answer yet", read: () => this.dispatcher.activeCount },
             { name: "running", help: "Requests that the endpoint runs", read: () => this.gate.load.running },
             { name: "queued", help: "Requests that wait for the endpoint", read: () => this.gate.load.queued },
+            { name: "usable_slots", help: "Requests that the endpoint may run at the same time", read: () => this.gate.load.slots },
             { name: "grade", help: "Trust in the endpoint: 0 trusted, 1 doubted, 2 ejected", read: () => this.gate.load.grade },
             { name: "backend_connections_opened", help: "Connections opened to the endpoint", read: () => this.gate.openedConnections },
             { name: "endpoint_body_bytes", help: "Bytes of request bodies for the endpoint", read: () => this.gate.bodyBytes },
             { name: "endpoint_body_budget_bytes", help: "Bytes of request bodies that the endpoint may hold", read: () => this.gate.bodyBudgetBytes },
             { name: "response_buffer_bytes", help: "Bytes of incomplete responses that are held", read: () => this.gate.responseBufferBytes },
+            {
+                name: "other_domain_sent_bytes",
+                help: "Bytes sent to other failure domains since the start: requests, responses and messages",
+                read: () => this.bytesSentToOtherDomains,
+            },
             { name: "links", help: "Control VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "news_sources", help: "Control VMs that news are taken from", read: () => this.updateSources.count },
             { name: "tunnel_buffered_bytes", help: "Bytes that other proxies have not read", read: () => this.tunnelBudget.bufferedBytes },
@@ -180,6 +186,11 @@
         ];
     }
 
+    private get bytesSentToOtherDomains(): number {
+        const { fleetView, tunnelServer, links } = this;
+        return fleetView.bytesSentToOtherDomains + (tunnelServer?.bytesSentToOtherDomains ?? 0) + (links?.bytesSentToOtherDomains ?? 0);
+    }
+
     /** Service that runs on this VM. */
     get callerService(): string {
         return this.endpointTracker.report?.service ?? this.settings.proxy?.service ?? "";
--- a/src/tunnel/TunnelCallbacks.ts
+++ b/src/tunnel/TunnelCallbacks.ts
@@ -6,6 +6,8 @@
     onReachabilityChange(isReachable: boolean, problem: string): void;
     /** Called when the gate asks for a request for its endpoint, and when it no longer does. */
     onInvitation(invitation: Invitation): void;
+    /** Called with the size of each frame that is sent to the gate; absent if nobody counts them. */
+    onSent?(lengthBytes: number): void;
     /** Called with each unexpected error, which affects only the frame that caused it. */
     onError(error: Error): void;
 }
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -211,6 +211,7 @@
             (frame) => this.handleFrame(socket, frame),
             (problem) => this.handleClose(socket, problem),
             (error) => this.callbacks.onError(error),
+            (lengthBytes) => this.callbacks.onSent?.(lengthBytes),
         );
         this.socket = socket;
     }
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -301,6 +301,7 @@
     const [local, remote, unstated] = received.map((invitations) => invitations[0]);
     t.deepEqual(local, { load: { ...load, vm: address }, waitedMs: 700 });
     t.deepEqual(remote, { load: { ...load, vm: address }, waitedMs: 700 });
+    t.true(server.bytesSentToOtherDomains > 30 && server.bytesSentToOtherDomains < 2_000, `${server.bytesSentToOtherDomains}`);
     t.deepEqual(unstated, { load, waitedMs: 700.4 });
     server.withdrawInvitations(load);
     await waitUntil(() => received.every((invitations) => invitations.at(-1)?.waitedMs === undefined));
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -61,6 +61,7 @@
     /** Tunnels of entries that have stated their failure domain, and so read packed invitations. */
     private readonly packedSockets = new WeakSet<TunnelSocket>();
     private readonly cleanupTimer = setInterval(() => this.retainedReplies.removeExpired(nowMs()), CLEANUP_INTERVAL_MS);
+    private sentToOtherDomains = 0;
     private server: PeerServer | undefined;
 
     private constructor(private readonly options: TunnelServerOptions) {
@@ -119,6 +120,11 @@
         return this.retainedReplies.sizeBytes;
     }
 
+    /** Bytes that the gate has sent to entries in other failure domains. */
+    get bytesSentToOtherDomains(): number {
+        return this.sentToOtherDomains;
+    }
+
     /** True while replies have not been handed to the operating system. */
     get hasUnsentReplies(): boolean {
         return [...this.clients].some(({ bufferedAmount }) => bufferedAmount > 0);
@@ -156,18 +162,22 @@
 
     private handleConnection(webSocket: WebSocket, networkSocket: Socket, headers: IncomingHttpHeaders): void {
         this.options.budget.watch(webSocket, networkSocket);
+        const failureDomain = headers[FAILURE_DOMAIN_HEADER];
+        const isLocal = failureDomain === undefined || failureDomain === encodeURIComponent(this.options.failureDomain);
         const socket = TunnelSocket.create(
             webSocket,
             this.options.budget,
             (frame) => this.handleFrame(socket, frame),
             () => this.handleConnectionLoss(socket),
             (error) => this.options.onError(error),
+            (lengthBytes) => {
+                this.sentToOtherDomains += isLocal ? 0 : lengthBytes;
+            },
         );
-        const failureDomain = headers[FAILURE_DOMAIN_HEADER];
         if (failureDomain !== undefined) {
             this.packedSockets.add(socket);
         }
-        this.invitations.addEntry(socket, failureDomain === undefined || failureDomain === encodeURIComponent(this.options.failureDomain));
+        this.invitations.addEntry(socket, isLocal);
         socket.send({ kind: FrameKind.Welcome, gateRun: this.options.gateRun });
     }
 
--- a/src/tunnel/TunnelSocket/index.ts
+++ b/src/tunnel/TunnelSocket/index.ts
@@ -9,7 +9,11 @@
 
 /** WebSocket that carries frames, encoded as MessagePack. */
 export class TunnelSocket {
-    private constructor(private readonly socket: WebSocket, private readonly budget: SocketBudget) {}
+    private constructor(
+        private readonly socket: WebSocket,
+        private readonly budget: SocketBudget,
+        private readonly onSent: ((lengthBytes: number) => void) | undefined,
+    ) {}
 
     /**
      * Wraps a WebSocket.
@@ -19,6 +23,7 @@
      * @param onFrame - Called with each frame.
      * @param onClose - Called once with the reason when the socket is closed.
      * @param onError - Called with the error if a frame cannot be handled; the socket stays open for the others.
+     * @param onSent - Called with the size of each frame that is sent.
      */
     static create(
         socket: WebSocket,
@@ -26,8 +31,9 @@
         onFrame: (frame: Frame) => void,
         onClose: (problem: string) => void,
         onError: (error: Error) => void,
+        onSent?: (lengthBytes: number) => void,
     ): TunnelSocket {
-        const tunnelSocket = new TunnelSocket(socket, budget);
+        const tunnelSocket = new TunnelSocket(socket, budget, onSent);
         let problem = "the connection was closed";
         socket.on("message", (data: Buffer) => {
             let frame: Frame;
@@ -62,7 +68,9 @@
     /** Sends a frame. Drops it if the socket is not open; closes the socket if its peer does not read. */
     send(frame: Frame): void {
         if (this.isOpen) {
-            this.budget.send(this.socket, packr.pack(frame));
+            const data = packr.pack(frame);
+            this.onSent?.(data.length);
+            this.budget.send(this.socket, data);
         }
     }
 
