--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import { nowMs } from "../../clock/nowMs/index.js";
+import { CallerKind } from "../../decisions/dispatch/CallerKind.js";
 import { DispatchEffect } from "../../decisions/dispatch/DispatchEffect.js";
 import { DispatchEffectKind } from "../../decisions/dispatch/DispatchEffectKind.js";
 import { DispatchEvent } from "../../decisions/dispatch/DispatchEvent.js";
@@ -11,6 +12,7 @@
 import { pickService } from "../../decisions/items/pickService/index.js";
 import { RouteItem } from "../../decisions/items/RouteItem.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
+import { QuotaDecisionKind } from "../../decisions/quotas/QuotaDecisionKind.js";
 import { QuarantineTracker } from "../../decisions/quarantine/QuarantineTracker/index.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
@@ -24,6 +26,7 @@
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
 import { CallerExchange } from "../CallerExchange.js";
 import { FleetView } from "../FleetView/index.js";
+import { QuotaPort } from "../QuotaPort.js";
 import { RequestDispatcherOptions } from "../RequestDispatcherOptions.js";
 
 /** Retry-after of requests that are refused before they are offered to a gate, in ms. */
@@ -36,6 +39,7 @@
 const MIN_FAILED_STATUS = 500;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
+const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_SERVICE_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -45,17 +49,23 @@
 const HIGHEST_PRIORITY = 0;
 const PORT_SUFFIX = /:\d+$/;
 
-/** Request in progress. */
-interface ActiveRequest {
+/** Request with a key that has passed, and whose service is chosen. */
+interface IdentifiedRequest {
     readonly exchange: CallerExchange;
     readonly route: RouteItem;
     readonly service: string;
     /** Organisation of the caller, or undefined if the request needs none. */
     readonly organisation: OrganisationItem | undefined;
+    readonly fingerprint: string;
+}
+
+/** Request in progress. */
+interface ActiveRequest extends IdentifiedRequest {
+    /** Time until which the token of its organisation may be used if it does not run, in ms; undefined without a token. */
+    readonly tokenExpiresAtMs: number | undefined;
     /** Header fields that are forwarded to the endpoint. */
     readonly headers: HeaderList;
     readonly stateMachine: DispatchMachine;
-    readonly fingerprint: string;
     readonly callOfRepeatShare: number;
     readonly deadlineAtMs: number;
     readonly targetAtMs: number;
@@ -86,6 +96,8 @@
     private routeTable: RouteTable | undefined;
     private offersMade = 0;
     private readonly activeRequests = new Set<ActiveRequest>();
+    /** Requests that wait for a token of their organisation. */
+    private readonly waitingExchanges = new Set<CallerExchange>();
     private stopAtMs = Number.POSITIVE_INFINITY;
     private failureAtMs = Number.NEGATIVE_INFINITY;
     private isRefusingAll = false;
@@ -109,7 +121,7 @@
 
     /** Number of requests in progress. */
     get activeCount(): number {
-        return this.activeRequests.size;
+        return this.activeRequests.size + this.waitingExchanges.size;
     }
 
     /** Time at which a repeatable request of this entry last failed, in ms. */
@@ -143,6 +155,8 @@
 
     /** Responds to all callers now, with a refusal if their request has not been executed. */
     finishAll(): void {
+        this.waitingExchanges.forEach((exchange) => this.refuse(exchange, RefusalCause.Stopping, DEFAULT_RETRY_AFTER_MS));
+        this.waitingExchanges.clear();
         [...this.activeRequests].forEach((active) => this.applyEvent(active, { kind: DispatchEventKind.Stop }));
     }
 
@@ -182,7 +196,33 @@
             this.refuse(exchange, RefusalCause.Quarantined, DEFAULT_RETRY_AFTER_MS);
             return;
         }
-        this.start(exchange, route, service, organisation, fingerprint);
+        const identified = { exchange, route, service, organisation, fingerprint };
+        const { quota } = this.options;
+        if (quota === undefined || organisation === undefined || route.isKeyExempt || organisation.ratePerSecond <= 0) {
+            this.start(identified, undefined);
+            return;
+        }
+        this.startWithinQuota(identified, organisation, quota);
+    }
+
+    /** Starts a request once it has a token of its organisation, unless the caller has gone or the process has stopped by then. */
+    private startWithinQuota(identified: IdentifiedRequest, organisation: OrganisationItem, quota: QuotaPort): void {
+        const { exchange } = identified;
+        this.waitingExchanges.add(exchange);
+        exchange.onDisconnect(() => this.waitingExchanges.delete(exchange));
+        quota.acquire(organisation, deadlineOf(identified), (decision) => {
+            const isWaiting = this.waitingExchanges.delete(exchange);
+            if (decision.kind === QuotaDecisionKind.Granted) {
+                if (isWaiting) {
+                    this.start(identified, decision.expiresAtMs);
+                    return;
+                }
+                quota.giveBack(organisation.name, decision.expiresAtMs);
+            }
+            else if (isWaiting) {
+                this.refuse(exchange, RefusalCause.Quota, decision.retryAfterMs, organisation.name);
+            }
+        });
     }
 
     /** Finds the organisation that holds the key of a request, also if its route needs none. */
@@ -203,18 +243,13 @@
             : request.headers;
     }
 
-    private start(
-        exchange: CallerExchange,
-        route: RouteItem,
-        service: string,
-        organisation: OrganisationItem | undefined,
-        fingerprint: string,
-    ): void {
-        const { arrivedAtMs, patienceMs } = exchange.request;
-        const deadlineAtMs = arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
+    private start(identified: IdentifiedRequest, tokenExpiresAtMs: number | undefined): void {
+        const { exchange, route, service, organisation } = identified;
+        const { arrivedAtMs } = exchange.request;
+        const deadlineAtMs = deadlineOf(identified);
         const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.routeServiceMs(service, route.name));
         const stateMachine = DispatchMachine.create(
-            { requestKind: route.requestKind, maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
+            { requestKind: route.requestKind, callerKind: this.callerKindOf(organisation), maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
                 rank: (refused) => this.fleetView.rankCandidates(service, {
                     requestKind: route.requestKind,
@@ -223,17 +258,15 @@
                     targetRemainingMs: targetAtMs - nowMs(),
                 }, refused),
                 shouldProbe: () => Math.random() < PROBE_SHARE,
+                random: () => Math.random(),
                 serviceMs: this.fleetView.routeServiceMs(service, route.name),
             },
         );
         const active: ActiveRequest = {
-            exchange,
-            route,
-            service,
-            organisation,
+            ...identified,
+            tokenExpiresAtMs,
             headers: this.forwardedHeaders(exchange, organisation),
             stateMachine,
-            fingerprint,
             callOfRepeatShare: this.options.callOfRepeatShare(),
             deadlineAtMs,
             targetAtMs,
@@ -248,6 +281,13 @@
         this.applyEvent(active, { kind: DispatchEventKind.Begin });
     }
 
+    private callerKindOf(organisation: OrganisationItem | undefined): CallerKind {
+        if (organisation !== undefined) {
+            return CallerKind.Organisation;
+        }
+        return this.routeTable?.hasOrganisations === true ? CallerKind.RunningRequest : CallerKind.Unknown;
+    }
+
     private applyEvent(active: ActiveRequest, event: DispatchEvent): void {
         if (active.stateMachine.isFinished || active.hasFailed) {
             return;
@@ -306,7 +346,8 @@
                 return;
             case DispatchEffectKind.Refuse:
                 this.recordFailure(active, true);
-                this.refuse(active.exchange, effect.cause, effect.retryAfterMs);
+                this.giveBackToken(active);
+                this.refuse(active.exchange, effect.cause, effect.retryAfterMs, active.organisation?.name);
                 return;
             case DispatchEffectKind.Fail:
                 this.recordFailure(active, true);
@@ -317,6 +358,12 @@
         }
     }
 
+    private giveBackToken({ organisation, tokenExpiresAtMs }: ActiveRequest): void {
+        if (organisation !== undefined && tokenExpiresAtMs !== undefined) {
+            this.options.quota?.giveBack(organisation.name, tokenExpiresAtMs);
+        }
+    }
+
     private recordFailure(active: ActiveRequest, isFailure: boolean): void {
         if (isFailure && active.route.requestKind === RequestKind.Repeatable) {
             this.failureAtMs = nowMs();
@@ -414,6 +461,7 @@
         this.events.record(EventNumber.RequestAnswered, {
             requestId: exchange.request.requestId,
             service: active.service,
+            organisation: active.organisation?.name,
             status: answer.status,
             peer: active.vmsByAttempt.get(attempt),
             offers: active.stateMachine.offerCount,
@@ -428,6 +476,7 @@
         this.events.record(EventNumber.RequestFailed, {
             requestId: exchange.request.requestId,
             service: active.service,
+            organisation: active.organisation?.name,
             failure,
             problem,
             peers: [...active.vmsByAttempt.values()],
@@ -438,10 +487,11 @@
         this.respondDirectly(exchange, failure === DispatchFailure.TimedOut ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY, undefined);
     }
 
-    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number): void {
+    private refuse(exchange: CallerExchange, cause: RefusalCause, retryAfterMs: number, organisation?: string): void {
         const { requestId, arrivedAtMs } = exchange.request;
-        this.events.record(EventNumber.RequestRefused, { requestId, cause, retryAfterMs, tookMs: Math.round(nowMs() - arrivedAtMs) });
-        this.respondDirectly(exchange, STATUS_SERVICE_UNAVAILABLE, retryAfterMs);
+        const tookMs = Math.round(nowMs() - arrivedAtMs);
+        this.events.record(EventNumber.RequestRefused, { requestId, organisation, cause, retryAfterMs, tookMs });
+        this.respondDirectly(exchange, cause === RefusalCause.Quota ? STATUS_TOO_MANY_REQUESTS : STATUS_SERVICE_UNAVAILABLE, retryAfterMs);
     }
 
     private respondDirectly(exchange: CallerExchange, status: number, retryAfterMs: number | undefined): void {
@@ -460,3 +510,8 @@
         active.timers.add(timer);
     }
 }
+
+function deadlineOf({ exchange, route }: IdentifiedRequest): number {
+    const { arrivedAtMs, patienceMs } = exchange.request;
+    return arrivedAtMs + Math.min(patienceMs ?? route.timeoutMs, route.timeoutMs);
+}
--- a/src/links/LinkController/test.ts
+++ b/src/links/LinkController/test.ts
@@ -127,8 +127,9 @@
     const [local, address] = await start(t, "vm-1", {}, []);
     const [near] = await start(t, "vm-2", {}, []);
     const [far] = await start(t, "vm-3", {}, [], "b");
-    await near.connect(address);
-    await far.connect(address);
+    for (let attempt = 0; local.linkedVms.size < 2 && attempt < 5; attempt += 1) {
+        await Promise.all([near, far].map((peer) => peer.connect(address)));
+    }
     near.sendTo("vm-1", { kind: MessageKind.StrikesCleared, fingerprint: "f".repeat(500) });
     far.sendTo("vm-1", { kind: MessageKind.StrikesCleared, fingerprint: "f".repeat(500) });
     t.is(near.bytes.sentToOtherDomains, 0);
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -51,6 +51,10 @@
     ItemsRefused = 331,
     ItemsInForce = 332,
     ItemsUndecided = 333,
+    QuotaExceeded = 340,
+    QuotaRestored = 341,
+    QuotaContactLost = 342,
+    QuotaContactRegained = 343,
     CallFailed = 105,
     LinesDropped = 106,
     UnexpectedError = 107,
@@ -71,5 +75,6 @@
     BackendBroken = 530,
     RequestAnswered = 531,
     RequestFailed = 532,
+    RequestDisplaced = 533,
     RequestStruck = 521,
 }
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -15,6 +15,7 @@
 import { FleetRetryBudget } from "../../decisions/requests/FleetRetryBudget/index.js";
 import { AdmissionKind } from "../../decisions/serving/AdmissionKind.js";
 import { ConcurrencyLimit } from "../../decisions/serving/ConcurrencyLimit/index.js";
+import { DisplacementCause } from "../../decisions/serving/DisplacementCause.js";
 import { isBlockedByGrade } from "../../decisions/serving/isBlockedByGrade/index.js";
 import { ServingQueue } from "../../decisions/serving/ServingQueue/index.js";
 import { ServingRequest } from "../../decisions/serving/ServingRequest.js";
@@ -164,6 +165,11 @@
         return this.options.backend.openedCount;
     }
 
+    /** Bytes of the bodies of requests that the endpoint has not answered. */
+    get requestBytes(): number {
+        return this.options.backend.requestBytes;
+    }
+
     /** Bytes of request bodies that wait for the endpoint or are there. */
     get bodyBytes(): number {
         return this.bodyLimit.heldBytes;
@@ -282,6 +288,7 @@
                 });
                 onReply({ kind: GateReplyKind.Queued });
                 this.startNext();
+                this.refuseDisplaced(atMs);
                 break;
             case AdmissionKind.Start:
                 this.acceptedOffers.set(offer.key, {
@@ -424,7 +431,7 @@
         const heldBytes = this.bodyLimit.heldBytes;
         this.remove(key, result.kind === BackendResultKind.Answered);
         const atMs = nowMs();
-        if (result.kind === BackendResultKind.NotConnected) {
+        if (result.kind === BackendResultKind.NotConnected || result.kind === BackendResultKind.NotSent) {
             this.queue.release(key);
         }
         else {
@@ -491,6 +498,9 @@
             case BackendResultKind.NotConnected:
                 this.outlierDetector.observe(ObservedOutcome.Failure, atMs, startedAtMs);
                 return this.createRefusal(RefusalCause.Unreachable, 0, false);
+            case BackendResultKind.NotSent:
+                this.budgetLog.recordRefusal("requests at the endpoint", result.heldBytes, result.limitBytes, this.options.backendAddress);
+                return this.createRefusal(RefusalCause.Busy, 0, false);
             case BackendResultKind.Broken:
                 this.outlierDetector.observe(ObservedOutcome.Failure, atMs, startedAtMs);
                 this.options.events.record(EventNumber.BackendBroken, {
@@ -570,13 +580,35 @@
         accepted?.onReply(this.createRefusal(cause, retryAfterMs, reachedEndpoint));
     }
 
+    /** Refuses the waiting requests that others have overtaken, so that they are no longer expected to be served in time. */
+    private refuseDisplaced(atMs: number): void {
+        this.queue.removeDisplaced(atMs).forEach((request) => this.refuseWaiting(request, DisplacementCause.Overtaken, atMs));
+    }
+
+    private refuseWaiting(request: ServingRequest, cause: DisplacementCause, atMs: number): void {
+        const { key, organisation } = request;
+        if (organisation === "") {
+            this.refuse(key, RefusalCause.Busy, Math.round(this.queue.serviceMs), false);
+            return;
+        }
+        const accepted = this.acceptedOffers.get(key);
+        this.options.events.record(EventNumber.RequestDisplaced, {
+            requestId: accepted?.offer.requestId,
+            organisation,
+            cause,
+            waitedMs: accepted === undefined ? undefined : Math.round(atMs - accepted.deadlineAtMs + accepted.offer.remainingMs),
+        });
+        this.refuse(key, RefusalCause.Busy, this.queue.roomDelayMs(request, atMs), false);
+    }
+
     private createRefusal(cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): GateReply {
         return { kind: GateReplyKind.Refused, cause, retryAfterMs, reachedEndpoint, load: this.load };
     }
 
     private tick(): void {
         const atMs = nowMs();
-        this.queue.removeOverdue(atMs).forEach(({ key }) => this.refuse(key, RefusalCause.Busy, Math.round(this.queue.serviceMs), false));
+        this.queue.removeOverdue(atMs).forEach((request) => this.refuseWaiting(request, DisplacementCause.Overdue, atMs));
+        this.refuseDisplaced(atMs);
         const hungAfterMs = Math.max(MIN_HANG_MS, HANG_FACTOR * this.queue.serviceMs);
         this.acceptedOffers.forEach((accepted) => {
             if (accepted.startedAtMs > 0 && atMs > accepted.deadlineAtMs + ABANDON_DELAY_MS) {
