--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -101,6 +101,11 @@
         return [
             { name: "links", help: "VMs that are linked", read: () => this.links?.linkedVms.size ?? 0 },
             { name: "link_buffered_bytes", help: "Bytes that linked VMs have not read", read: () => this.links?.bufferedBytes ?? 0 },
+            {
+                name: "other_domain_sent_bytes",
+                help: "Bytes sent to other failure domains since the start",
+                read: () => this.links?.bytesSentToOtherDomains ?? 0,
+            },
             {
                 name: "unfinished_header_bytes",
                 help: "Bytes of header sections that clients of all ports have not finished",
