--- a/src/backend/CreditedBody/index.ts
+++ b/src/backend/CreditedBody/index.ts
@@ -6,7 +6,7 @@
 
 /** Maximum size of a piece, in bytes. */
 const MAX_CHUNK_BYTES = 64 * 1_024;
-/** Size from which on a piece is passed on without a copy, in bytes; smaller ones are joined, and would each hold a whole read. */
+/** Size from which on a piece is held and passed on without a copy, in bytes; smaller ones are joined, and would each hold a whole read. */
 const MIN_DIRECT_BYTES = 16 * 1_024;
 const EMPTY = Buffer.alloc(0);
 
@@ -63,15 +63,12 @@
             this.callbacks.onTaken(piece.length);
             return;
         }
-        const directBytes = this.heldBytes > 0 || this.sink === undefined ? 0 : Math.min(piece.length, this.creditBytes, MAX_CHUNK_BYTES);
-        if (directBytes < MIN_DIRECT_BYTES) {
+        if (this.heldBytes > 0 || piece.length < MIN_DIRECT_BYTES) {
             this.received.add(piece);
             return;
         }
-        if (directBytes < piece.length) {
-            this.received.add(piece.subarray(directBytes));
-        }
-        this.pass(piece.subarray(0, directBytes));
+        this.rest = piece;
+        this.flush();
     }
 
     /** Passes on what the credit allows. */
--- a/src/callers/CallerServer/test.ts
+++ b/src/callers/CallerServer/test.ts
@@ -4,6 +4,8 @@
 import test, { type ExecutionContext } from "ava";
 import { SILENT_STATEMENT } from "../../../test/fixtures/silentStatement.js";
 import { CreditedBody } from "../../backend/CreditedBody/index.js";
+import { nowMs } from "../../clock/nowMs/index.js";
+import { HoldingBudget } from "../../memory/HoldingBudget/index.js";
 import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { CallerDialect } from "../CallerDialect.js";
 import { CallerExchange } from "../CallerExchange.js";
@@ -494,3 +496,52 @@
         t.deepEqual(calls, ["cancel"]);
     });
 });
+
+// Guards against ordinary callers that are refused because of others that do not read, and against memory that those fill.
+test("under pressure a caller with an unread response is refused, above the limit it is closed, and others are served", async (t) => {
+    const probe = createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const { port } = probe.address() as AddressInfo;
+    probe.close();
+    await once(probe, "close");
+    const exchanges: CallerExchange[] = [];
+    const closures: unknown[] = [];
+    const budget = HoldingBudget.create(nowMs, (closure) => closures.push(closure), 20 * 1_024 * 1_024);
+    const fail = (error: Error): void => t.fail(error.message);
+    const server = await CallerServer.create(`127.0.0.1:${port}`, DIALECT, (exchange) => exchanges.push(exchange), fail, undefined, undefined, budget);
+    const slow = connect(port, "127.0.0.1").pause();
+    const ordinary = connect(port, "127.0.0.1");
+    const received = collect(ordinary);
+    [slow, ordinary].forEach((socket) => socket.on("error", () => undefined));
+    try {
+        slow.write(get("1"));
+        await waitUntil(() => exchanges.length === 1);
+        exchanges[0]?.respond({ status: 200, headers: [], body: Buffer.alloc(16 * 1_024 * 1_024, "x") });
+        t.true(budget.isUnderPressure);
+        slow.write(get("2"));
+        ordinary.write(get("3"));
+        await waitUntil(() => exchanges.length === 2);
+        exchanges[1]?.respond(okResponse("ok"));
+        await waitUntil(() => received.text.endsWith("ok"));
+        t.is(exchanges[1]?.request.requestId, "3");
+        t.regex(received.text, /^HTTP\/1.1 200 /);
+        t.is(server.openRequestCount, 2);
+        ordinary.write(get("4"));
+        await waitUntil(() => exchanges.length === 3);
+        const other = connect(port, "127.0.0.1").pause();
+        other.on("error", () => undefined).write(get("5"));
+        await waitUntil(() => exchanges.length === 4);
+        exchanges[3]?.respond({ status: 200, headers: [], body: Buffer.alloc(8 * 1_024 * 1_024, "x") });
+        await waitUntil(() => closures.length > 0);
+        t.like(closures[0], { part: "unread responses", count: 1 });
+        exchanges[2]?.respond(okResponse("again"));
+        await waitUntil(() => received.text.endsWith("again"));
+        t.true(received.text.endsWith("again"));
+        t.is(server.connectionCount, 2);
+        other.destroy();
+    }
+    finally {
+        [slow, ordinary].forEach((socket) => socket.destroy());
+        server.close();
+    }
+});
--- a/src/memory/HoldingBudget/index.ts
+++ b/src/memory/HoldingBudget/index.ts
@@ -7,7 +7,7 @@
 /** Share of the limit from which on callers that hold unread responses get no further ones. */
 const PRESSURE_SHARE = 0.75;
 /** Share of the limit that requests may take; the rest is left for responses, without which no request ends. */
-const REQUEST_SHARE = 0.75;
+const REQUEST_SHARE = 0.5;
 /** Minimum time between two reports about one part, in ms. */
 const REPORT_INTERVAL_MS = 1_000;
 
--- a/src/memory/HoldingBudget/test.ts
+++ b/src/memory/HoldingBudget/test.ts
@@ -67,10 +67,10 @@
 });
 
 // Guards against requests that take the room of the responses without which they do not end, and against a request that is never admitted.
-test("requests take three quarters of the limit, and unread responses none of it", (t) => {
+test("requests take half of the limit, and unread responses none of it", (t) => {
     const { budget, hold, requests } = createFixture();
     t.true(budget.hasRoomForRequest(5_000));
-    requests.bytes = 700;
+    requests.bytes = 450;
     t.true(budget.hasRoomForRequest(50));
     t.false(budget.hasRoomForRequest(51));
     hold("unread", 900, 0);
