Do not refuse offers for an entry's own pause

Cause: TunnelClient judges by the clock whether a gate has replied to an offer within 150 ms. An entry that was held up for longer, as on a busy machine, refused offers whose replies it had not read yet, as unreachable, and took the gate for unresponsive. Change: a time of more than 150 ms between two checks, which come every 100 ms, counts 50 ms against the gate. A gate that does not reply is refused after at most four such checks. Pings are judged as before.

--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -24,6 +24,10 @@
 const PING_AFTER_MS = 400;
 /** Time without any frame after a ping after which a connection counts as dead, in ms. */
 const PONG_TIMEOUT_MS = 600;
+/** Time between two calls of `tick` from which this process itself was held up, in ms; they come every 100 ms. */
+const HELD_UP_AFTER_MS = 150;
+/** What such a time counts against a gate, in ms: its reply may have arrived meanwhile and not be read yet. */
+const HELD_UP_COUNTED_MS = 50;
 /** Delay before the next attempt to reach an unreachable gate, in ms; doubles with each failure. */
 const MIN_RETRY_DELAY_MS = 700;
 /** Maximum delay between two attempts, in ms. */
@@ -46,6 +50,8 @@
     /** Run of the gate that the offer was sent to, or undefined if it was not sent. */
     gateRun: string | undefined;
     sentAtMs: number;
+    /** Time without a reply in which this process could have read one. */
+    unansweredMs: number;
     hasReply: boolean;
     needsResume: boolean;
 }
@@ -63,6 +69,7 @@
     private failedConnects = 0;
     private lastFrameAtMs = 0;
     private lastPingAtMs = 0;
+    private lastTickAtMs = 0;
     private isUnreachable = false;
     private isUnresponsive = false;
     private isClosed = false;
@@ -104,6 +111,7 @@
             isConfirmed: false,
             gateRun: undefined,
             sentAtMs: 0,
+            unansweredMs: 0,
             hasReply: false,
             needsResume: false,
         };
@@ -126,6 +134,8 @@
     /** Handles timeouts. Call it several times a second while `isWaiting`. */
     tick(): void {
         const atMs = nowMs();
+        const previousAtMs = this.lastTickAtMs;
+        this.lastTickAtMs = atMs;
         this.failExpired(atMs);
         if (this.socket === undefined) {
             if ((this.outstanding.size > 0 || this.isUnreachable) && atMs - this.lastConnectAtMs >= this.retryDelayMs) {
@@ -136,7 +146,7 @@
         if (this.gateRun === undefined) {
             return;
         }
-        this.refuseUnanswered(atMs);
+        this.refuseUnanswered(atMs, previousAtMs);
         this.pingIfOverdue(this.socket, atMs);
     }
 
@@ -235,6 +245,7 @@
 
     private transmit(outstanding: OutstandingOffer): void {
         outstanding.sentAtMs = nowMs();
+        outstanding.unansweredMs = 0;
         outstanding.hasReply = false;
         if (outstanding.needsResume) {
             this.socket?.send({ kind: FrameKind.Resume, key: outstanding.offer.key, gateRun: outstanding.gateRun ?? "" });
@@ -303,9 +314,12 @@
     }
 
     /** Refuses offers without a timely reply. They were not confirmed and so cannot run; the entry can offer them elsewhere. */
-    private refuseUnanswered(atMs: number): void {
-        const unanswered = [...this.outstanding].filter(([, { hasReply, isConfirmed, sentAtMs }]) =>
-            !hasReply && !isConfirmed && atMs - sentAtMs > FIRST_REPLY_TIMEOUT_MS);
+    private refuseUnanswered(atMs: number, previousAtMs: number): void {
+        const waiting = [...this.outstanding].filter(([, { hasReply, isConfirmed }]) => !hasReply && !isConfirmed);
+        waiting.forEach(([, outstanding]) => {
+            outstanding.unansweredMs += countedMs(atMs - Math.max(previousAtMs, outstanding.sentAtMs));
+        });
+        const unanswered = waiting.filter(([, { unansweredMs }]) => unansweredMs > FIRST_REPLY_TIMEOUT_MS);
         unanswered.forEach(([key, { onReply }]) => {
             this.isUnresponsive = true;
             this.cancel(key);
@@ -327,3 +341,8 @@
         }
     }
 }
+
+/** Part of a time between two calls of `tick` that counts as silence of the gate. */
+function countedMs(elapsedMs: number): number {
+    return elapsedMs > HELD_UP_AFTER_MS ? HELD_UP_COUNTED_MS : elapsedMs;
+}
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -187,6 +187,32 @@
     });
 });
 
+/** Keeps this process from doing anything else, as a busy machine does. */
+function holdUp(forMs: number): void {
+    const untilMs = performance.now() + forMs;
+    while (performance.now() < untilMs) { /* until then */ }
+}
+
+// Guards against an entry that blames its gates for its own pause: it refused offers whose replies it had not read.
+[1, 2].forEach((pauses) => {
+    test.serial(`an offer starts although its entry was held up ${pauses === 1 ? "once" : "twice"} for longer than a gate may take to reply`, async (t) => {
+        await withTunnel(t, async ({ gate, client, replies, offer }) => {
+            offer("1", RequestKind.Once);
+            await waitUntil(() => gate.started.length === 1);
+            offer("2", RequestKind.Repeatable);
+            for (let pause = 0; pause < pauses; pause += 1) {
+                holdUp(300);
+                await delay(0);
+            }
+            await waitUntil(() => gate.started.length === 2);
+            gate.replies.get("2")?.(RESPONSE);
+            await waitUntil(() => replies.length === 3);
+            t.deepEqual(kindsOf(replies), [GateReplyKind.Started, GateReplyKind.Started, GateReplyKind.Answered]);
+            t.true(client.isReachable);
+        });
+    });
+});
+
 // Guards against callers that get no answer or an invented one: such a status cannot be written, or ends as another one.
 test("a reply with a status that no final response has is reported as broken", async (t) => {
     const statuses: unknown[] = [0, 99, 103, 600, 1_000, 200.5, -200, "200", undefined, null];
