Place by bytes and speed only where the configuration asks for it

Downloads lost their fixed penalty while few slots were free, and slots were adapted. Change: the placement policy follows from the configuration (organisations, or routes for large bodies). Without either, gates are ranked, and slots and service times are taken, as before the work.

--- a/bench/fleetModel/createRoutes/index.ts
+++ b/bench/fleetModel/createRoutes/index.ts
@@ -21,7 +21,8 @@
     return [...createRoutesUnder(service, ""), ...service.shortShare === undefined ? [] : createRoutesUnder(service, "short/")];
 }
 
-function createRoutesUnder({ name, targetLatencyMs }: ModelService, suffix: string): readonly VersionedItem[] {
+function createRoutesUnder(service: ModelService, suffix: string): readonly VersionedItem[] {
+    const { name, targetLatencyMs, bodyBytes, responseBytes, fullSlowness } = service;
     return [RequestKind.Repeatable, RequestKind.Once].map((requestKind) => ({
         key: `route/${name}-${requestKind}${suffix}`,
         version: 1,
@@ -36,6 +37,7 @@
             targetLatencyMs: targetLatencyMs ?? TARGET_LATENCY_MS,
             priority: 1,
             maxAttempts: MAX_ATTEMPTS,
+            hasLargeBodies: bodyBytes !== undefined || responseBytes !== undefined || fullSlowness !== undefined,
             isKeyExempt: false,
             services: [{ service: name, weight: 1 }],
         },
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -185,7 +185,7 @@
     }
 
     /** Returns the mean time that a request of a service occupies a slot, in ms. */
-    private meanServiceMs(service: string): number {
+    meanServiceMs(service: string): number {
         const times = this.index.serving(service).slice(0, MAX_SAMPLED_GATES).flatMap(({ vm }) => this.loads.get(vm)?.load.serviceMs ?? []);
         return times.length === 0 ? DEFAULT_SERVICE_MS : times.reduce((sum, time) => sum + time, 0) / times.length;
     }
--- a/src/callers/RequestDispatcher/index.ts
+++ b/src/callers/RequestDispatcher/index.ts
@@ -8,6 +8,7 @@
 import { DispatchFailure } from "../../decisions/dispatch/DispatchFailure.js";
 import { DispatchMachine } from "../../decisions/dispatch/DispatchMachine/index.js";
 import { EndpointReport } from "../../decisions/fleet/EndpointReport.js";
+import { PlacementPolicy } from "../../decisions/placement/PlacementPolicy.js";
 import { OrganisationItem } from "../../decisions/items/OrganisationItem.js";
 import { pickService } from "../../decisions/items/pickService/index.js";
 import { RouteItem } from "../../decisions/items/RouteItem.js";
@@ -247,19 +248,23 @@
         const { exchange, route, service, organisation } = identified;
         const { arrivedAtMs } = exchange.request;
         const deadlineAtMs = deadlineOf(identified);
-        const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - this.fleetView.routeServiceMs(service, route.name));
+        const policy = this.placementPolicy;
+        const isByTransfer = policy === PlacementPolicy.NearestInTime;
+        const serviceMs = this.serviceMsOf(service, route);
+        const targetAtMs = Math.min(arrivedAtMs + route.targetLatencyMs, this.stopAtMs - serviceMs);
         const stateMachine = DispatchMachine.create(
             { requestKind: route.requestKind, callerKind: this.callerKindOf(organisation), maxAttempts: route.maxAttempts, deadlineAtMs, targetAtMs },
             {
                 rank: (refused) => this.fleetView.rankCandidates(service, {
+                    policy,
                     requestKind: route.requestKind,
-                    transferBytes: exchange.request.body.length + this.fleetView.responseSizes.usualBytes(route.name),
-                    serviceRatio: this.fleetView.routeTimes.ratioOf(route.name),
+                    transferBytes: exchange.request.body.length + (isByTransfer ? this.fleetView.responseSizes.usualBytes(route.name) : 0),
+                    serviceRatio: isByTransfer ? this.fleetView.routeTimes.ratioOf(route.name) : 1,
                     targetRemainingMs: targetAtMs - nowMs(),
                 }, refused),
                 shouldProbe: () => Math.random() < PROBE_SHARE,
                 random: () => Math.random(),
-                serviceMs: this.fleetView.routeServiceMs(service, route.name),
+                serviceMs,
             },
         );
         const active: ActiveRequest = {
@@ -281,6 +286,17 @@
         this.applyEvent(active, { kind: DispatchEventKind.Begin });
     }
 
+    private get placementPolicy(): PlacementPolicy {
+        return this.routeTable?.placementPolicy ?? PlacementPolicy.Soonest;
+    }
+
+    /** Time that a request is expected to run, in ms. */
+    private serviceMsOf(service: string, route: RouteItem): number {
+        return this.placementPolicy === PlacementPolicy.NearestInTime
+            ? this.fleetView.routeServiceMs(service, route.name)
+            : this.fleetView.meanServiceMs(service);
+    }
+
     private callerKindOf(organisation: OrganisationItem | undefined): CallerKind {
         if (organisation !== undefined) {
             return CallerKind.Organisation;
@@ -398,7 +414,7 @@
             hasBody: request.hasBody,
             remainingMs: active.deadlineAtMs - atMs,
             targetRemainingMs: active.targetAtMs - atMs,
-            usualMs: Math.round(this.fleetView.routeServiceMs(active.service, active.route.name)),
+            usualMs: Math.round(this.serviceMsOf(active.service, active.route)),
             needsGo: false,
             callOfRepeatShare: active.callOfRepeatShare,
             limitPerSecond: this.fleetView.limitOf(vm),
--- a/src/callers/RequestDispatcher/test.ts
+++ b/src/callers/RequestDispatcher/test.ts
@@ -37,6 +37,7 @@
     targetLatencyMs: 30_000,
     priority: 1,
     maxAttempts: 1,
+    hasLargeBodies: false,
     isKeyExempt: false,
     services: [{ service: "s", weight: 1 }],
 };
--- a/src/decisions/items/ItemStore/test.ts
+++ b/src/decisions/items/ItemStore/test.ts
@@ -21,6 +21,7 @@
         targetLatencyMs: 500,
         priority: 1,
         maxAttempts: 2,
+        hasLargeBodies: false,
         isKeyExempt: false,
         services: [{ service: target, weight: 1 }],
     };
--- a/src/decisions/items/RouteItem.ts
+++ b/src/decisions/items/RouteItem.ts
@@ -18,6 +18,8 @@
     readonly priority: number;
     /** Maximum number of endpoints that may run one request. */
     readonly maxAttempts: number;
+    /** True if its requests have large bodies. */
+    readonly hasLargeBodies: boolean;
     /** True if its requests need no key of an organisation. */
     readonly isKeyExempt: boolean;
     /** Services that share the requests in proportion to their weights; one element if there is no traffic split. */
--- a/src/decisions/items/RouteTable/index.ts
+++ b/src/decisions/items/RouteTable/index.ts
@@ -3,6 +3,7 @@
 import { LimitsItem } from "../LimitsItem.js";
 import { OrganisationItem } from "../OrganisationItem.js";
 import { RouteItem } from "../RouteItem.js";
+import { PlacementPolicy } from "../../placement/PlacementPolicy.js";
 import { ServiceItem } from "../ServiceItem.js";
 import { VersionedItem } from "../VersionedItem.js";
 
@@ -13,6 +14,11 @@
     private readonly organisationsByKey = new Map<string, OrganisationItem>();
     /** True if the configuration holds organisations, so that requests need a key. */
     readonly hasOrganisations: boolean;
+    /**
+     * Placement by bytes and speed is for configurations with organisations or large request bodies. Others had more refusals and more
+     * bytes between failure domains with it.
+     */
+    readonly placementPolicy: PlacementPolicy;
     /** Limits on callers, or undefined if none are set. */
     readonly limits: LimitsItem | undefined;
 
@@ -21,6 +27,8 @@
         contents.forEach((content) => this.index(content));
         this.routesByHost.forEach((routes) => routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length));
         this.hasOrganisations = contents.some(({ kind }) => kind === ItemKind.Organisation);
+        const hasLargeBodies = contents.some((content) => content.kind === ItemKind.Route && content.hasLargeBodies);
+        this.placementPolicy = this.hasOrganisations || hasLargeBodies ? PlacementPolicy.NearestInTime : PlacementPolicy.Soonest;
         this.limits = contents.find((content) => content.kind === ItemKind.Limits);
     }
 
--- a/src/decisions/placement/rankGates/index.ts
+++ b/src/decisions/placement/rankGates/index.ts
@@ -3,6 +3,7 @@
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { crossingMarginMs } from "../crossingMarginMs/index.js";
 import { PlacementCandidate } from "../PlacementCandidate.js";
+import { PlacementPolicy } from "../PlacementPolicy.js";
 import { PlacementRequest } from "../PlacementRequest.js";
 
 /** Service time assumed if no gate has reported one, in ms. */
@@ -23,6 +24,10 @@
 const EJECTED_PENALTY_MS = 100_000;
 /** Penalty for a gate in another failure domain, in ms: about one round trip. */
 const CROSS_DOMAIN_PENALTY_MS = 20;
+/** The same for downloads and large bodies where requests are placed by the soonest answer, in ms. */
+const CROSS_DOMAIN_LARGE_PENALTY_MS = 600;
+/** Size from which a request body counts as large there. */
+const LARGE_BODY_BYTES = 16 * 1_024;
 /**
  * Share of the time until the latency target within which a request must be expected to finish to count as in time: service
  * times vary by some 30 %, and reports of load are up to half a second old.
@@ -83,6 +88,9 @@
     failureDomain: string,
     random: () => number,
 ): readonly PlacementCandidate[] {
+    if (request.policy === PlacementPolicy.Soonest) {
+        return rankBySoonestAnswer(candidates, request, failureDomain, random);
+    }
     const { requestKind, transferBytes, serviceRatio, targetRemainingMs } = request;
     const defaultServiceMs = meanServiceMs(candidates);
     const marginMs = crossingMarginMs(transferBytes, requestKind);
@@ -111,7 +119,30 @@
         score: Math.round(scoreMs(candidate) / WAIT_RESOLUTION_MS),
         tieBreaker: random(),
     }));
-    return scored
+    return sortByScore(scored);
+}
+
+function rankBySoonestAnswer(
+    candidates: readonly PlacementCandidate[],
+    request: PlacementRequest,
+    failureDomain: string,
+    random: () => number,
+): readonly PlacementCandidate[] {
+    const defaultServiceMs = meanServiceMs(candidates);
+    const isLarge = request.requestKind === RequestKind.Download || request.transferBytes >= LARGE_BODY_BYTES;
+    const crossDomainMs = isLarge ? CROSS_DOMAIN_LARGE_PENALTY_MS : CROSS_DOMAIN_PENALTY_MS;
+    const scoreMs = (candidate: PlacementCandidate): number => score(candidate, defaultServiceMs, request)
+        + (candidate.record.failureDomain === failureDomain ? 0 : crossDomainMs)
+        - (hasIdleBonus(candidate, request.requestKind) ? IDLE_BONUS_MS : 0);
+    return sortByScore(candidates.map((candidate): ScoredCandidate => ({
+        candidate,
+        score: Math.round(scoreMs(candidate) / WAIT_RESOLUTION_MS),
+        tieBreaker: random(),
+    })));
+}
+
+function sortByScore(scored: readonly ScoredCandidate[]): readonly PlacementCandidate[] {
+    return [...scored]
         .sort((left, right) => left.score - right.score || left.tieBreaker - right.tieBreaker)
         .map(({ candidate }) => candidate);
 }
--- a/src/decisions/placement/rankGates/test.ts
+++ b/src/decisions/placement/rankGates/test.ts
@@ -10,6 +10,7 @@
 import { OutlierDetector } from "../../outliers/OutlierDetector/index.js";
 import { ProbeDemand } from "../../outliers/ProbeDemand.js";
 import { PlacementCandidate } from "../PlacementCandidate.js";
+import { PlacementPolicy } from "../PlacementPolicy.js";
 import { PlacementRequest } from "../PlacementRequest.js";
 import { rankGates } from "./index.js";
 
@@ -36,7 +37,7 @@
 }
 
 function request(requestKind: RequestKind, transferBytes = 0, targetRemainingMs = 4_000): PlacementRequest {
-    return { requestKind, transferBytes, serviceRatio: 1, targetRemainingMs };
+    return { policy: PlacementPolicy.NearestInTime, requestKind, transferBytes, serviceRatio: 1, targetRemainingMs };
 }
 
 function bestVm(candidates: readonly PlacementCandidate[], requestKind = RequestKind.Once): string | undefined {
@@ -343,3 +344,16 @@
     t.true(packed.served >= spread.served);
     t.true(packed.longestIdleS <= 2, "a healthy endpoint gets a request within 2 s");
 });
+
+// Guards against more bytes between failure domains and more refusals where the configuration does not ask for placement by bytes.
+test("without placement by bytes, a large body avoids other failure domains by a fixed penalty, whatever its target", (t) => {
+    const inDomain = (placed: PlacementCandidate, failureDomain: string): PlacementCandidate =>
+        ({ ...placed, record: { ...placed.record, failureDomain } });
+    const gates = [inDomain(candidate("remote", { serviceMs: 100 }), "y"), inDomain(candidate("local", { serviceMs: 400 }), "z")];
+    const best = (transferBytes: number): string | undefined => {
+        const placed = { ...request(RequestKind.Once, transferBytes, 100), policy: PlacementPolicy.Soonest };
+        return rankGates(gates, placed, "z", createRandom(3))[0]?.record.vm;
+    };
+    t.is(best(0), "remote");
+    t.is(best(16 * 1_024), "local");
+});
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -19,6 +19,7 @@
 import { ItemStore } from "../../decisions/items/ItemStore/index.js";
 import { RouteTable } from "../../decisions/items/RouteTable/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
+import { PlacementPolicy } from "../../decisions/placement/PlacementPolicy.js";
 import { LaggingControls } from "../../decisions/quotas/LaggingControls/index.js";
 import { QuotaView } from "../../decisions/quotas/QuotaView.js";
 import { RequestDispatcher } from "../../callers/RequestDispatcher/index.js";
@@ -79,6 +80,8 @@
     private readonly timerStops: (() => void)[] = [];
     private record: GateRecord;
     private hasItems = false;
+    /** True if the configuration asks for placement by the speed of endpoints. */
+    private adaptsSlots = false;
     private hasFleetRecords = false;
     private isOpen = true;
     private loadSource: string | undefined;
@@ -134,6 +137,7 @@
             dialect,
             events,
             retryBudgetLimits: { windowMs: terms.retryWindow, ratio: terms.retryRatio, slack: terms.retrySlack },
+            adaptsSlots: () => roleReference.role?.adaptsSlots ?? false,
             countGates: () => roleReference.role?.countGates(roleReference.role.callerService) ?? 1,
             hasFailedCallSince: (sinceMs) => (roleReference.role?.dispatcher.lastFailureAtMs ?? Number.NEGATIVE_INFINITY) >= sinceMs,
             onLoadChange: (isUrgent) => roleReference.role?.handleLoadChange(isUrgent),
@@ -473,6 +477,7 @@
         if (this.hasItems) {
             const routeTable = RouteTable.create(this.itemStore.all);
             this.dispatcher.setRouteTable(routeTable);
+            this.adaptsSlots = routeTable.placementPolicy === PlacementPolicy.NearestInTime;
             this.callerServer?.setLimits(routeTable.limits);
             this.quotaClient.setItems(this.itemStore.all);
             this.events.record(EventNumber.ItemsInForce, { news: changed.length, items: this.itemStore.size });
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -498,7 +498,8 @@
     /** Sets how many requests run at the same time. */
     private updateSlots(atMs: number): void {
         if (this.endpoint !== undefined) {
-            this.queue.setSlots(this.concurrencyLimit.limit(this.endpoint.slots, atMs));
+            const { slots } = this.endpoint;
+            this.queue.setSlots(this.options.adaptsSlots?.() === false ? slots : this.concurrencyLimit.limit(slots, atMs));
         }
     }
 
--- a/src/serving/ServingGateOptions.ts
+++ b/src/serving/ServingGateOptions.ts
@@ -15,6 +15,8 @@
     readonly events: EventLog;
     /** Retry budget of the service. */
     readonly retryBudgetLimits: RetryBudgetLimits;
+    /** Returns whether an endpoint that slows down when nearly full gets fewer requests at a time; it does without this. */
+    readonly adaptsSlots?: () => boolean;
     /** Returns the number of gates that share the budget. */
     readonly countGates: () => number;
     /** Returns whether a repeatable request from this VM, such as a call of the endpoint, has failed since a time. */
