--- a/src/decisions/items/RouteTable/index.ts
+++ b/src/decisions/items/RouteTable/index.ts
@@ -15,8 +15,7 @@
     /** True if the configuration holds organisations, so that requests need a key. */
     readonly hasOrganisations: boolean;
     /**
-     * Placement by bytes and speed is for configurations with organisations or large request bodies. Others had more refusals and more
-     * bytes between failure domains with it.
+     * Placement by bytes and speed is for configurations with organisations or large request bodies; for others, no gain from it was shown.
      */
     readonly placementPolicy: PlacementPolicy;
     /** Limits on callers, or undefined if none are set. */
