Get tokens of organisations through other proxies while cut off from the control VMs

Cause: a proxy without a link to a control VM grants only its part of the permitted excess.

Change: such a proxy asks the control VMs through a proxy that reaches them. RelaySearch chooses whom to query, QuotaRelay passes asks and replies on over the tunnels. The relay grants nothing itself, so that the bound does not depend on it.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -342,6 +342,7 @@
             isReachable: true,
             isWaiting: false,
             open: () => undefined,
+            sendMessage: () => false,
             tick: () => undefined,
             resetBackoff: () => undefined,
             close: () => undefined,
--- a/bench/quotaModel/QuotaModel/index.ts
+++ b/bench/quotaModel/QuotaModel/index.ts
@@ -5,10 +5,13 @@
 import { QuotaDecisionKind } from "../../../src/decisions/quotas/QuotaDecisionKind.js";
 import { QuotaEffect } from "../../../src/decisions/quotas/QuotaEffect.js";
 import { QuotaEffectKind } from "../../../src/decisions/quotas/QuotaEffectKind.js";
+import { QuotaGrant } from "../../../src/decisions/quotas/QuotaGrant.js";
+import { QuotaPath } from "../../../src/decisions/quotas/QuotaPath.js";
 import { QuotaShare } from "../../../src/decisions/quotas/QuotaShare/index.js";
 import { QuotaStock } from "../../../src/decisions/quotas/QuotaStock/index.js";
 import { QuotaTerms } from "../../../src/decisions/quotas/QuotaTerms.js";
 import { QuotaView } from "../../../src/decisions/quotas/QuotaView.js";
+import { RelaySearch } from "../../../src/decisions/quotas/RelaySearch/index.js";
 import { createRandom } from "../../soak/createRandom/index.js";
 import { VirtualClock } from "../../soak/VirtualClock/index.js";
 import { ModelRequest } from "../ModelRequest.js";
@@ -38,6 +41,7 @@
 interface ModelProxy {
     readonly vm: string;
     stock: QuotaStock;
+    relaySearch: RelaySearch;
     readonly lagging: LaggingControls;
     /** Control VMs that it cannot reach, and since when. */
     readonly cutSinceMs: Map<string, number>;
@@ -81,6 +85,7 @@
         this.proxies = Array.from({ length: options.proxyCount }, (_, index) => ({
             vm: `proxy-${index}`,
             stock: this.createStock(index),
+            relaySearch: RelaySearch.create(this.random),
             lagging: LaggingControls.create(),
             cutSinceMs: new Map(),
             positions: new Map(),
@@ -151,7 +156,7 @@
     killControl(index: number): void {
         const control = this.requireControl(index);
         control.share = undefined;
-        this.proxies.forEach((proxy) => proxy.stock.removeControl(control.vm));
+        this.proxies.forEach((proxy) => proxy.stock.removePath({ vm: control.vm }));
     }
 
     /** Starts the process of a control VM again. */
@@ -174,6 +179,7 @@
 
     /** Starts the process of a proxy again: its tokens and its state are gone, and so are its waiting requests. */
     restartProxy(index: number): void {
+        this.requireProxy(index).relaySearch = RelaySearch.create(this.random);
         this.requireProxy(index).stock = this.createStock(index + this.proxies.length * Math.ceil(this.clock.nowMs));
     }
 
@@ -240,11 +246,16 @@
 
     private viewOf(proxy: ModelProxy): QuotaView {
         const atMs = this.clock.nowMs;
-        const controls = this.controls.filter(({ vm, share }) => {
+        const controls = [...this.linkedControls(proxy), ...proxy.relaySearch.controls(atMs)];
+        return { controls, proxyCount: this.proxies.length, mayFindRelay: proxy.relaySearch.mayFind(atMs) };
+    }
+
+    private linkedControls(proxy: ModelProxy): readonly ModelControl[] {
+        const atMs = this.clock.nowMs;
+        return this.controls.filter(({ vm, share }) => {
             const isLive = atMs - (proxy.cutSinceMs.get(vm) ?? atMs) < CONTROL_TIMEOUT_MS;
             return share !== undefined && isLive && !proxy.lagging.isLagging(vm, atMs);
         });
-        return { controls, proxyCount: this.proxies.length };
     }
 
     private call(name: string, index: number, returnShare: number, isReturn: boolean, sentAtMs = this.clock.nowMs): void {
@@ -281,7 +292,14 @@
     private execute(proxy: ModelProxy, effects: readonly QuotaEffect[]): void {
         effects.forEach((effect) => {
             if (effect.kind === QuotaEffectKind.Ask) {
-                this.sendAsk(proxy, effect.controlVm, effect.id, [{ organisation: effect.organisation, count: effect.count }]);
+                this.sendAsk(proxy, effect.path, effect.id, [{ organisation: effect.organisation, count: effect.count }]);
+            }
+            else if (effect.kind === QuotaEffectKind.FindRelays) {
+                const others = this.proxies.filter((other) => other !== proxy).map(({ vm }) => vm);
+                proxy.relaySearch.start(others, this.clock.nowMs).forEach((vm) => this.queryRelay(proxy, vm));
+            }
+            else if (effect.kind === QuotaEffectKind.RelaySilent) {
+                proxy.relaySearch.remove(effect.relay);
             }
             else if (effect.kind === QuotaEffectKind.Decide) {
                 this.listeners.get(`${effect.request}`)?.(effect.decision);
@@ -291,33 +309,82 @@
         this.scheduleWake(proxy);
     }
 
-    private sendAsk(proxy: ModelProxy, controlVm: string, id: number, asks: readonly QuotaAsk[]): void {
-        const { stock } = proxy;
-        const control = this.controls.find(({ vm }) => vm === controlVm);
+    /** Runs an action after the time of a message to a process, and after the pause of that process. */
+    private deliver(receiver: { readonly pausedUntilMs: number }, action: () => void): void {
+        const run = (): void => {
+            if (receiver.pausedUntilMs > this.clock.nowMs) {
+                this.clock.at(receiver.pausedUntilMs, run);
+            }
+            else {
+                action();
+            }
+        };
         this.messages += 1;
-        this.clock.after(this.options.oneWayMs * (0.5 + this.random()), () => this.handleAsk(proxy, stock, control, id, asks));
+        this.clock.after(this.options.oneWayMs * (0.5 + this.random()), run);
     }
 
-    private handleAsk(proxy: ModelProxy, stock: QuotaStock, control: ModelControl | undefined, id: number, asks: readonly QuotaAsk[]): void {
-        const atMs = this.clock.nowMs;
-        if (control?.share === undefined || proxy.cutSinceMs.has(control.vm)) {
-            return;
-        }
-        if (control.pausedUntilMs > atMs) {
-            this.clock.at(control.pausedUntilMs, () => this.handleAsk(proxy, stock, control, id, asks));
-            return;
-        }
-        const grants = control.share.grant(asks, atMs);
-        this.messages += 1;
-        const deliver = (): void => {
-            if (proxy.pausedUntilMs > this.clock.nowMs) {
-                this.clock.at(proxy.pausedUntilMs, deliver);
+    /** Asks a proxy which control VMs it reaches; it replies once one of them has replied to it. */
+    private queryRelay(proxy: ModelProxy, vm: string): void {
+        const { relaySearch } = proxy;
+        const relay = this.proxies.find((other) => other.vm === vm) as ModelProxy;
+        const apply = (controls: readonly ModelControl[]): void => {
+            relaySearch.recordStatement(vm, controls, this.clock.nowMs);
+            this.execute(proxy, proxy.stock.serve(this.viewOf(proxy), this.clock.nowMs));
+        };
+        this.deliver(relay, () => {
+            const controls = this.linkedControls(relay);
+            const [probed] = controls;
+            if (probed === undefined) {
+                this.deliver(proxy, () => apply([]));
+                return;
             }
-            else if (proxy.stock === stock && !proxy.cutSinceMs.has(control.vm)) {
-                this.execute(proxy, stock.applyGrants(control.vm, id, grants, this.viewOf(proxy), this.clock.nowMs));
+            this.deliver(probed, () => this.handleAsk(relay, probed, [], () => this.deliver(relay, () => {
+                if (!relay.cutSinceMs.has(probed.vm)) {
+                    this.deliver(proxy, () => apply(controls));
+                }
+            })));
+        });
+    }
+
+    private sendAsk(proxy: ModelProxy, path: QuotaPath, id: number, asks: readonly QuotaAsk[]): void {
+        const { stock } = proxy;
+        const control = this.controls.find(({ vm }) => vm === path.vm);
+        const relay = this.proxies.find(({ vm }) => vm === path.relay);
+        const sender = relay ?? proxy;
+        const apply = (grants: readonly QuotaGrant[]): void => {
+            if (proxy.stock === stock) {
+                this.execute(proxy, stock.applyGrants(path, id, grants, this.viewOf(proxy), this.clock.nowMs));
             }
         };
-        this.clock.after(this.options.oneWayMs * (0.5 + this.random()), deliver);
+        const reply = (grants: readonly QuotaGrant[]): void => this.deliver(sender, () => {
+            if (sender.cutSinceMs.has(path.vm)) {
+                return;
+            }
+            if (relay === undefined) {
+                apply(grants);
+            }
+            else {
+                this.deliver(proxy, () => apply(grants));
+            }
+        });
+        const ask = (): void => {
+            if (control !== undefined) {
+                this.deliver(control, () => this.handleAsk(sender, control, asks, reply));
+            }
+        };
+        if (relay === undefined) {
+            ask();
+        }
+        else {
+            this.deliver(relay, ask);
+        }
+    }
+
+    /** Grants tokens, unless the control VM is down or cut off from the proxy that has sent the ask. */
+    private handleAsk(sender: ModelProxy, control: ModelControl, asks: readonly QuotaAsk[], reply: (grants: readonly QuotaGrant[]) => void): void {
+        if (control.share !== undefined && !sender.cutSinceMs.has(control.vm)) {
+            reply(control.share.grant(asks, this.clock.nowMs));
+        }
     }
 
     private scheduleWake(proxy: ModelProxy): void {
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -21,6 +21,7 @@
 import { GatePort } from "../../tunnel/GatePort.js";
 import { GateTunnel } from "../../tunnel/GateTunnel.js";
 import { Invitation } from "../../tunnel/Invitation.js";
+import { ProxyMessage } from "../../tunnel/ProxyMessage.js";
 import { FleetViewOptions } from "../FleetViewOptions.js";
 
 /** Interval at which tunnels are checked for timeouts while any is waiting, in ms. */
@@ -169,6 +170,16 @@
         return latest === undefined ? undefined : Math.round(nowMs() - latest.atMs);
     }
 
+    /** VMs of the other proxies that this entry has a tunnel to. */
+    get tunnelledVms(): readonly string[] {
+        return [...this.tunnels].filter(([, { isReachable }]) => isReachable).map(([vm]) => vm);
+    }
+
+    /** Sends a message that concerns no request to another proxy; returns false if there is no connection. */
+    sendMessage(vm: string, message: ProxyMessage): boolean {
+        return this.tunnels.get(vm)?.sendMessage(message) ?? false;
+    }
+
     /** Counts an offer to a gate, so that its load is estimated correctly until its next report. */
     recordOffer(vm: string): void {
         this.offersSinceLoad.set(vm, (this.offersSinceLoad.get(vm) ?? 0) + 1);
@@ -292,6 +303,7 @@
             },
             // A packed load does not name the VM; a gate speaks for itself only in any case.
             onInvitation: ({ load, waitedMs }) => this.applyInvitation({ load: { ...load, vm }, waitedMs }),
+            onMessage: (message) => this.options.onMessage?.(vm, message),
             onSent: (lengthBytes) => {
                 this.sentToOtherDomains += failureDomain === this.options.failureDomain ? 0 : lengthBytes;
             },
--- a/src/decisions/quotas/QuotaStock/index.ts
+++ b/src/decisions/quotas/QuotaStock/index.ts
@@ -1,6 +1,7 @@
 import { OrganisationItem } from "../../items/OrganisationItem.js";
 import { controlOrder } from "../controlOrder/index.js";
 import { LocalQuota } from "../LocalQuota/index.js";
+import { pathKey } from "../pathKey/index.js";
 import { quotaBounds } from "../quotaBounds/index.js";
 import { QuotaBounds } from "../QuotaBounds.js";
 import { QuotaControl } from "../QuotaControl.js";
@@ -8,6 +9,7 @@
 import { QuotaEffect } from "../QuotaEffect.js";
 import { QuotaEffectKind } from "../QuotaEffectKind.js";
 import { QuotaGrant } from "../QuotaGrant.js";
+import { QuotaPath } from "../QuotaPath.js";
 import { QuotaRequest } from "../QuotaRequest.js";
 import { QuotaStockOptions } from "../QuotaStockOptions.js";
 import { QuotaView } from "../QuotaView.js";
@@ -16,10 +18,14 @@
 const REPLY_TIMEOUT_MS = 150;
 /** Time for which such a control VM is not asked, in ms. */
 const SILENCE_MS = 1_000;
+/** Number of silent control VMs from which others are asked through relays; one alone may have stopped. */
+const MIN_SILENT_CONTROLS = 2;
 /** Maximum time that a request waits for its decision, in ms. */
 const MAX_ASKING_MS = 400;
 /** Time after which a reply is not expected any more, in ms; a link that is silent for less is still open. */
 const MAX_REPLY_MS = 4_000;
+/** Number of paths from which those are forgotten that say nothing any more; a proxy uses few at a time. */
+const MAX_PATHS = 32;
 /** Time of the recent rate of an organisation for which tokens are fetched ahead, in ms. */
 const PREFETCH_MS = 250;
 /** Time constant of the recent rate, in ms. */
@@ -55,11 +61,11 @@
     /** Tokens in the order of their expiry. */
     tokens: Token[];
     waiting: WaitingRequest[];
-    /** Control VM that is being asked. */
-    asked: string | undefined;
-    /** Asks without a reply, by control VM, the latest last. */
+    /** Path on which a control VM is being asked. */
+    asked: QuotaPath | undefined;
+    /** Asks without a reply, by the key of their path, the latest last. */
     readonly sentAsks: Map<string, SentAsk[]>;
-    /** Time until which each control VM has no token, in ms. */
+    /** Time until which the control VM has no token, in ms, by the key of the path on which it was asked. */
     readonly emptyUntilMs: Map<string, number>;
     readonly local: LocalQuota;
     /** Decaying number of granted requests. */
@@ -82,7 +88,7 @@
     private readonly accounts = new Map<string, Account>();
     /** Accounts with requests that wait, or whose refusals have not ended. */
     private readonly activeAccounts = new Set<Account>();
-    /** Time until which control VMs that did not reply are not asked, in ms. */
+    /** Time until which control VMs that did not reply are not asked, in ms, by the key of the path. */
     private readonly silentUntilMs = new Map<string, number>();
     private hasBeenInContact = false;
     private hasContact = true;
@@ -110,6 +116,11 @@
         return [...this.accounts.values()].reduce((total, { waiting }) => total + waiting.length, 0);
     }
 
+    /** Number of paths to control VMs about which something is remembered, for all organisations. */
+    get pathCount(): number {
+        return [...this.accounts.values()].reduce((total, { emptyUntilMs, sentAsks }) => total + emptyUntilMs.size + sentAsks.size, 0);
+    }
+
     /** Number of requests granted without contact with a control VM. */
     get localCount(): number {
         return this.localTotal;
@@ -143,24 +154,27 @@
     /**
      * Applies the reply of a control VM.
      *
-     * @param controlVm - Control VM that has replied.
+     * @param path - Path on which the reply came.
      * @param id - Number of the ask that it replies to.
      * @param grants - What it grants.
      * @param view - What is known about the fleet.
      * @param nowMs - Current time.
      * @returns The actions to carry out.
      */
-    applyGrants(controlVm: string, id: number, grants: readonly QuotaGrant[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+    applyGrants(path: QuotaPath, id: number, grants: readonly QuotaGrant[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        const key = pathKey(path);
         return grants.flatMap((grant) => {
             const account = this.accounts.get(grant.organisation);
-            const asks = account?.sentAsks.get(controlVm) ?? [];
+            const asks = account?.sentAsks.get(key) ?? [];
             const ask = asks.find((sent) => sent.id === id);
             if (account === undefined || ask === undefined) {
                 return [];
             }
-            account.asked = account.asked === controlVm && asks.at(-1) === ask ? undefined : account.asked;
-            account.sentAsks.set(controlVm, asks.filter((sent) => sent !== ask));
-            account.emptyUntilMs.set(controlVm, nowMs + grant.waitMs);
+            if (asks.at(-1) === ask) {
+                clearAsked(account, key);
+            }
+            account.sentAsks.set(key, asks.filter((sent) => sent !== ask));
+            account.emptyUntilMs.set(key, nowMs + grant.waitMs);
             // Counted from the ask: this process may have been paused before it read the reply.
             this.addTokens(account, Math.min(grant.count, ask.count), ask.sentAtMs + account.bounds.leaseMs);
             return this.advanceAccount(account, view, nowMs);
@@ -173,10 +187,11 @@
      */
     advance(view: QuotaView, nowMs: number): readonly QuotaEffect[] {
         return [...this.activeAccounts].flatMap((account) => {
-            this.recordSilence(account, nowMs);
+            const silence = this.recordSilence(account, nowMs);
             const late = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs <= nowMs);
             account.waiting = account.waiting.filter(({ giveUpAtMs }) => giveUpAtMs > nowMs);
             return [
+                ...silence,
                 ...late.flatMap((waiting) => this.decideLocally(account, waiting, view, nowMs)),
                 ...this.advanceAccount(account, view, nowMs),
                 ...this.endRefusals(account, nowMs),
@@ -191,8 +206,8 @@
     restartWaits(nowMs: number): void {
         this.activeAccounts.forEach((account) => {
             account.waiting = account.waiting.map((waiting) => ({ ...waiting, giveUpAtMs: Math.min(waiting.deadlineAtMs, nowMs + MAX_ASKING_MS) }));
-            account.sentAsks.forEach((asks, vm) => {
-                account.sentAsks.set(vm, asks.map((ask) => ({ ...ask, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS })));
+            account.sentAsks.forEach((asks, key) => {
+                account.sentAsks.set(key, asks.map((ask) => ({ ...ask, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS })));
             });
         });
     }
@@ -213,13 +228,14 @@
         }
     }
 
-    /** Forgets what a control VM was asked, because its link is closed. */
-    removeControl(controlVm: string): void {
-        this.silentUntilMs.delete(controlVm);
+    /** Forgets what was asked on a path, because its link is closed or its proxy cannot be reached. */
+    removePath(path: QuotaPath): void {
+        const key = pathKey(path);
+        this.silentUntilMs.delete(key);
         this.accounts.forEach((account) => {
-            account.sentAsks.delete(controlVm);
-            account.emptyUntilMs.delete(controlVm);
-            account.asked = account.asked === controlVm ? undefined : account.asked;
+            account.sentAsks.delete(key);
+            account.emptyUntilMs.delete(key);
+            clearAsked(account, key);
         });
     }
 
@@ -296,49 +312,77 @@
 
     /** Asks the next control VM for the tokens of the requests that wait, or decides on them without it. */
     private serveWaiting(account: Account, view: QuotaView, nowMs: number): readonly QuotaEffect[] {
-        const reachable = view.controls.filter(({ vm }) => (this.silentUntilMs.get(vm) ?? 0) <= nowMs);
-        const contact = this.recordContact(reachable.length > 0);
-        if (account.asked !== undefined && view.controls.every(({ vm }) => vm !== account.asked)) {
-            account.asked = undefined;
+        const usable = this.usableControls(view, nowMs);
+        const search: readonly QuotaEffect[] = this.needsRelay(view, nowMs) ? [{ kind: QuotaEffectKind.FindRelays }] : [];
+        if (usable.length === 0 && view.mayFindRelay === true) {
+            return search;
         }
-        if (account.asked !== undefined) {
+        const contact = [...search, ...this.recordContact(usable.length > 0)];
+        const { asked } = account;
+        if (asked !== undefined && view.controls.some((control) => pathKey(control) === pathKey(asked))) {
             return contact;
         }
-        if (reachable.length === 0) {
+        account.asked = undefined;
+        if (usable.length === 0) {
             return [...contact, ...account.waiting.splice(0).flatMap((waiting) => this.decideLocally(account, waiting, view, nowMs))];
         }
-        const target = this.chooseControl(account, reachable, nowMs);
-        const next = target === undefined ? this.refuseWaiting(account, reachable, view, nowMs) : [this.ask(account, target, nowMs)];
+        const target = this.chooseControl(account, usable, nowMs);
+        const next = target === undefined ? this.refuseWaiting(account, usable, view, nowMs) : [this.ask(account, target, nowMs)];
         return [...contact, ...next];
     }
 
-    private chooseControl(account: Account, reachable: readonly QuotaControl[], nowMs: number): string | undefined {
-        const ready = reachable.filter(({ vm }) => (account.emptyUntilMs.get(vm) ?? 0) <= nowMs);
-        return controlOrder(ready, this.options, account.organisation.name)[0]?.vm;
+    /** Control VMs that can be asked: those with a link, unless too many of these are silent and there is a relay. */
+    private usableControls({ controls }: QuotaView, nowMs: number): readonly QuotaControl[] {
+        const reachable = controls.filter((control) => !this.isSilent(control, nowMs));
+        const linked = reachable.filter(({ relay }) => relay === undefined);
+        const relayed = reachable.filter(({ relay }) => relay !== undefined);
+        const silentCount = controls.filter((control) => control.relay === undefined && this.isSilent(control, nowMs)).length;
+        return linked.length === 0 || (silentCount >= MIN_SILENT_CONTROLS && relayed.length > 0) ? relayed : linked;
     }
 
-    private ask(account: Account, controlVm: string, nowMs: number): QuotaEffect {
+    /** True from the first silent control VM, so that relays are known once they are used. */
+    private needsRelay({ controls }: QuotaView, nowMs: number): boolean {
+        const linked = controls.filter(({ relay }) => relay === undefined);
+        return linked.length === 0 || linked.some((control) => this.isSilent(control, nowMs));
+    }
+
+    private isSilent(path: QuotaPath, nowMs: number): boolean {
+        return (this.silentUntilMs.get(pathKey(path)) ?? 0) > nowMs;
+    }
+
+    private chooseControl(account: Account, usable: readonly QuotaControl[], nowMs: number): QuotaControl | undefined {
+        const ready = usable.filter((control) => (account.emptyUntilMs.get(pathKey(control)) ?? 0) <= nowMs);
+        return controlOrder(ready, this.options, account.organisation.name)[0];
+    }
+
+    private ask(account: Account, { vm, relay }: QuotaControl, nowMs: number): QuotaEffect {
         const horizonMs = Math.min(PREFETCH_MS, account.bounds.leaseMs / 2);
         const ahead = Math.floor(this.recentPerSecond(account, nowMs) * horizonMs / MS_PER_SECOND);
         const count = account.waiting.length + ahead;
         const id = this.askCount += 1;
-        account.asked = controlVm;
-        const unanswered = (account.sentAsks.get(controlVm) ?? []).filter(({ sentAtMs }) => sentAtMs > nowMs - MAX_REPLY_MS);
-        account.sentAsks.set(controlVm, [...unanswered, { id, count, sentAtMs: nowMs, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS }]);
-        return { kind: QuotaEffectKind.Ask, id, controlVm, organisation: account.organisation.name, count };
+        const path = { vm, relay };
+        const key = pathKey(path);
+        account.asked = path;
+        forgetFormerPaths(account, nowMs);
+        const unanswered = (account.sentAsks.get(key) ?? []).filter(({ sentAtMs }) => sentAtMs > nowMs - MAX_REPLY_MS);
+        account.sentAsks.set(key, [...unanswered, { id, count, sentAtMs: nowMs, replyDueAtMs: nowMs + REPLY_TIMEOUT_MS }]);
+        return { kind: QuotaEffectKind.Ask, id, path, organisation: account.organisation.name, count };
     }
 
     /** Counts a control VM that has not replied in time as out of contact. A later reply still brings its tokens. */
-    private recordSilence(account: Account, nowMs: number): void {
+    private recordSilence(account: Account, nowMs: number): readonly QuotaEffect[] {
         const { asked } = account;
-        if (asked !== undefined && this.replyDueAtMs(account).some((dueAtMs) => dueAtMs <= nowMs)) {
-            this.silentUntilMs.set(asked, nowMs + SILENCE_MS);
-            account.asked = undefined;
+        if (asked === undefined || this.replyDueAtMs(account).every((dueAtMs) => dueAtMs > nowMs)) {
+            return [];
         }
+        [...this.silentUntilMs].filter(([, untilMs]) => untilMs <= nowMs).forEach(([key]) => this.silentUntilMs.delete(key));
+        this.silentUntilMs.set(pathKey(asked), nowMs + SILENCE_MS);
+        account.asked = undefined;
+        return asked.relay === undefined ? [] : [{ kind: QuotaEffectKind.RelaySilent, relay: asked.relay }];
     }
 
     private replyDueAtMs({ asked, sentAsks }: Account): readonly number[] {
-        const latest = asked === undefined ? undefined : sentAsks.get(asked)?.at(-1);
+        const latest = asked === undefined ? undefined : sentAsks.get(pathKey(asked))?.at(-1);
         return latest === undefined ? [] : [latest.replyDueAtMs];
     }
 
@@ -366,8 +410,8 @@
      * Refuses all requests that wait. The first caller is told when a token is due. Once callers are refused, others compete for that
      * token, so that the next ones are told times as far apart as the tokens that this proxy gets.
      */
-    private refuseWaiting(account: Account, reachable: readonly QuotaControl[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
-        const earliestAtMs = Math.min(...reachable.map(({ vm }) => account.emptyUntilMs.get(vm) ?? nowMs));
+    private refuseWaiting(account: Account, usable: readonly QuotaControl[], view: QuotaView, nowMs: number): readonly QuotaEffect[] {
+        const earliestAtMs = Math.min(...usable.map((control) => account.emptyUntilMs.get(pathKey(control)) ?? nowMs));
         const { ratePerSecond } = account.organisation;
         const perSecond = Math.min(ratePerSecond, Math.max(ratePerSecond / view.proxyCount, this.recentPerSecond(account, nowMs)));
         return account.waiting.splice(0).flatMap((waiting) => {
@@ -420,3 +464,18 @@
         return recentGrants * Math.exp((recentAtMs - nowMs) / RATE_WINDOW_MS) * MS_PER_SECOND / RATE_WINDOW_MS;
     }
 }
+
+function clearAsked(account: Account, key: string): void {
+    if (account.asked !== undefined && pathKey(account.asked) === key) {
+        account.asked = undefined;
+    }
+}
+
+/** Drops waits that have ended and asks that get no reply any more, since the proxies that pass asks on change. */
+function forgetFormerPaths({ emptyUntilMs, sentAsks }: Account, nowMs: number): void {
+    if (emptyUntilMs.size <= MAX_PATHS && sentAsks.size <= MAX_PATHS) {
+        return;
+    }
+    [...emptyUntilMs].filter(([, untilMs]) => untilMs <= nowMs).forEach(([key]) => emptyUntilMs.delete(key));
+    [...sentAsks].filter(([, asks]) => asks.every(({ sentAtMs }) => sentAtMs <= nowMs - MAX_REPLY_MS)).forEach(([key]) => sentAsks.delete(key));
+}
--- a/src/decisions/quotas/QuotaStock/test.ts
+++ b/src/decisions/quotas/QuotaStock/test.ts
@@ -2,6 +2,7 @@
 import { ItemKind } from "../../items/ItemKind.js";
 import { OrganisationItem } from "../../items/OrganisationItem.js";
 import { controlOrder } from "../controlOrder/index.js";
+import { pathKey } from "../pathKey/index.js";
 import { QuotaDecisionKind } from "../QuotaDecisionKind.js";
 import { QuotaEffect } from "../QuotaEffect.js";
 import { QuotaEffectKind } from "../QuotaEffectKind.js";
@@ -35,7 +36,7 @@
 /** Replies to the oldest ask that a control VM has not replied to. */
 function reply(stock: QuotaStock, controlVm: string, count: number, waitMs: number, nowMs: number, view = VIEW): readonly string[] {
     const id = sentIds.get(stock)?.get(controlVm)?.shift() ?? 0;
-    return describe(stock.applyGrants(controlVm, id, [{ organisation: "org-1", count, waitMs }], view, nowMs), stock);
+    return describe(stock.applyGrants({ vm: controlVm }, id, [{ organisation: "org-1", count, waitMs }], view, nowMs), stock);
 }
 
 /** Describes effects in short: `ask c-1 2`, `grant 1`, `refuse 1 500`. */
@@ -43,12 +44,16 @@
     return effects.flatMap((effect) => {
         switch (effect.kind) {
             case QuotaEffectKind.Ask:
-                recordAsk(stock, effect.controlVm, effect.id);
-                return [`ask ${effect.controlVm} ${effect.count}`];
+                recordAsk(stock, pathKey(effect.path), effect.id);
+                return [`ask ${effect.path.vm}${effect.path.relay === undefined ? "" : ` through ${effect.path.relay}`} ${effect.count}`];
             case QuotaEffectKind.Decide:
                 return effect.decision.kind === QuotaDecisionKind.Granted
                     ? [`grant ${effect.request}`]
                     : [`refuse ${effect.request} ${effect.decision.retryAfterMs}`];
+            case QuotaEffectKind.FindRelays:
+                return ["find relays"];
+            case QuotaEffectKind.RelaySilent:
+                return [`${effect.relay} is silent`];
             case QuotaEffectKind.ContactChanged:
                 return [effect.hasContact ? "contact" : "no contact"];
             case QuotaEffectKind.RefusalsChanged:
@@ -105,9 +110,9 @@
     const stock = createStock();
     acquire(stock, 1, 0);
     t.is(stock.wakeAtMs, 150);
-    t.deepEqual(describe(stock.advance(VIEW, 150), stock), [`ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.advance(VIEW, 150), stock), ["find relays", `ask ${SECOND} 1`]);
     t.deepEqual(reply(stock, SECOND, 1, 0, 160), ["grant 1"]);
-    t.deepEqual(acquire(stock, 2, 1_149), [`ask ${SECOND} 1`]);
+    t.deepEqual(acquire(stock, 2, 1_149), ["find relays", `ask ${SECOND} 1`]);
     t.deepEqual(reply(stock, SECOND, 1, 0, 1_149), ["grant 2"]);
     t.deepEqual(acquire(stock, 3, 1_150), [`ask ${FIRST} 1`]);
 });
@@ -167,7 +172,7 @@
     stock.restartWaits(600);
     t.deepEqual(describe(stock.advance(VIEW, 600), stock), []);
     t.is(stock.wakeAtMs, 750);
-    t.deepEqual(describe(stock.advance(VIEW, 750), stock), [`ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.advance(VIEW, 750), stock), ["find relays", `ask ${SECOND} 1`]);
     stock.restartWaits(800);
     t.is(stock.wakeAtMs, 900);
 });
@@ -179,14 +184,14 @@
     describe(stock.advance(VIEW, 150), stock);
     describe(stock.advance(VIEW, 400), stock);
     sentIds.get(stock)?.clear();
-    t.deepEqual(acquire(stock, 2, 1_300), [`ask ${FIRST} 1`]);
+    t.deepEqual(acquire(stock, 2, 1_300), ["find relays", `ask ${FIRST} 1`]);
     t.deepEqual(reply(stock, FIRST, 1, 0, 1_305), ["grant 2"]);
 });
 
 test("the closed link of a control VM does not keep a request waiting", (t) => {
     const stock = createStock();
     acquire(stock, 1, 0);
-    stock.removeControl(FIRST);
+    stock.removePath({ vm: FIRST });
     const view = { ...VIEW, controls: CONTROLS.filter(({ vm }) => vm !== FIRST) };
     t.deepEqual(describe(stock.serve(view, 10), stock), [`ask ${SECOND} 1`]);
 });
@@ -236,7 +241,61 @@
 // Guards against a proxy that restarts again and again and has a token each time.
 test("before its first contact, a proxy grants nothing", (t) => {
     const stock = createStock();
-    t.deepEqual(acquire(stock, 1, 0, NO_CONTACT), ["no contact", "refusals start", "refuse 1 1000"]);
+    t.deepEqual(acquire(stock, 1, 0, NO_CONTACT), ["find relays", "no contact", "refusals start", "refuse 1 1000"]);
+});
+
+const RELAYED: QuotaView = { controls: CONTROLS.map((control) => ({ ...control, relay: "p-1" })), proxyCount: 104 };
+const RELAY_ORDER = controlOrder(RELAYED.controls, PROXY, "org-1").map(({ vm }) => vm);
+
+// Load: a proxy that is cut off from all control VMs, but not from other proxies. Guards against refusals below the limit.
+test("without a link, a proxy asks control VMs through another proxy", (t) => {
+    const stock = createStock();
+    const [first = ""] = RELAY_ORDER;
+    t.deepEqual(acquire(stock, 1, 0, RELAYED), ["find relays", `ask ${first} through p-1 1`]);
+    const grants = [{ organisation: "org-1", count: 1, waitMs: 0 }];
+    t.deepEqual(describe(stock.applyGrants({ vm: first }, 1, grants, RELAYED, 5), stock), []);
+    t.deepEqual(describe(stock.applyGrants({ vm: first, relay: "p-1" }, 1, grants, RELAYED, 5), stock), ["grant 1"]);
+});
+
+test("requests wait while a relay may be found, and are decided once the search has ended", (t) => {
+    const stock = createStock();
+    const searching: QuotaView = { ...NO_CONTACT, mayFindRelay: true };
+    t.deepEqual(acquire(stock, 1, 0, searching), ["find relays"]);
+    t.deepEqual(describe(stock.advance(NO_CONTACT, 150), stock), ["find relays", "no contact", "refusals start", "refuse 1 1000"]);
+});
+
+test("a request does not wait for a relay beyond the time that it may wait for its decision", (t) => {
+    const stock = createStock();
+    const searching: QuotaView = { ...NO_CONTACT, mayFindRelay: true };
+    acquire(stock, 1, 0, searching);
+    t.is(stock.wakeAtMs, 400);
+    t.deepEqual(describe(stock.advance(searching, 400), stock), ["refusals start", "refuse 1 1000"]);
+});
+
+// Load: a cut that the links have not noticed yet. Guards against requests that spend all their time on control VMs that do not reply.
+test("after two silent control VMs, the next one is asked through a relay", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0);
+    const both: QuotaView = { ...VIEW, controls: [...CONTROLS, ...RELAYED.controls] };
+    t.deepEqual(describe(stock.advance(both, 150), stock), ["find relays", `ask ${SECOND} 1`]);
+    t.deepEqual(describe(stock.advance(both, 300), stock), ["find relays", `ask ${RELAY_ORDER[0]} through p-1 1`]);
+});
+
+test("a relay that has not replied in time is reported, so that another one is used", (t) => {
+    const stock = createStock();
+    acquire(stock, 1, 0, RELAYED);
+    t.true(describe(stock.advance(RELAYED, 150), stock).includes("p-1 is silent"));
+});
+
+// Guards against memory that grows while relays change.
+test("what was asked through former relays is forgotten", (t) => {
+    const stock = createStock();
+    for (let index = 0; index < 500; index += 1) {
+        const view: QuotaView = { controls: [{ vm: "c-1", failureDomain: "b", relay: `p-${index}` }], proxyCount: 104 };
+        acquire(stock, index, 10_000 * index, view);
+        stock.applyGrants({ vm: "c-1", relay: `p-${index}` }, index + 1, [{ organisation: "org-1", count: 1, waitMs: 1 }], view, 10_000 * index + 5);
+    }
+    t.true(stock.pathCount <= 66);
 });
 
 test("the end of refusals and of an outage is told once", (t) => {
--- a/src/decisions/quotas/controlOrder/index.ts
+++ b/src/decisions/quotas/controlOrder/index.ts
@@ -1,4 +1,5 @@
 import { crc32 } from "node:zlib";
+import { pathKey } from "../pathKey/index.js";
 import { QuotaControl } from "../QuotaControl.js";
 
 /** Multipliers and shifts of the final mix of MurmurHash3; checksums of similar names alone would be ordered alike. */
@@ -24,7 +25,7 @@
     const ranked = controls.map((control) => ({
         control,
         isForeign: Number(control.failureDomain !== proxy.failureDomain),
-        score: mix(crc32(`${proxy.vm} ${organisation} ${control.vm}`)),
+        score: mix(crc32(`${proxy.vm} ${organisation} ${pathKey(control)}`)),
     }));
     return ranked.sort((left, right) => left.isForeign - right.isForeign || right.score - left.score).map(({ control }) => control);
 }
--- a/src/mesh/QuotaClient/test.ts
+++ b/src/mesh/QuotaClient/test.ts
@@ -8,6 +8,8 @@
 import { Message } from "../../links/Message.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { ProxyMessage } from "../../tunnel/ProxyMessage.js";
+import { ProxyMessageKind } from "../../tunnel/ProxyMessageKind.js";
 import { QuotaClient } from "./index.js";
 
 const ORGANISATION: OrganisationItem = { kind: ItemKind.Organisation, name: "org-1", apiKeys: [], priority: 0, ratePerSecond: 10, burst: 10 };
@@ -38,6 +40,8 @@
                 sent.push([vm, message]);
                 return isLinked(vm);
             },
+            proxies: () => [],
+            sendToProxy: () => false,
         },
         events,
     );
@@ -51,7 +55,7 @@
     t.is(sent.length, 1);
     client.handleGrants(sent[0]?.[0] ?? "", 1, [{ organisation: "org-1", count: 1, waitMs: 0 }]);
     t.deepEqual(decisions.map(({ kind }) => kind), [QuotaDecisionKind.Granted]);
-    t.deepEqual(client.gauges.map(({ read }) => read()), [0, 0, 0]);
+    t.deepEqual(client.gauges.map(({ read }) => read()), [0, 0, 0, 0]);
     client.close();
 });
 
@@ -120,3 +124,71 @@
     t.deepEqual([sent, events.find("vm-1"), countTimers()], [[], [], timers]);
     client.close();
 });
+
+// Load: a proxy that is cut off from all control VMs, but not from other proxies.
+test.serial("without a link, another proxy is found that passes the ask on", (t) => {
+    const sent: [string, ProxyMessage][] = [];
+    const decisions: QuotaDecision[] = [];
+    const client = QuotaClient.create(
+        { vm: "vm-1", failureDomain: "a", terms: { windowMs: 5_000, overshoot: 0.1, slack: 20 }, random: () => 0.9 },
+        {
+            view: () => ({ controls: [], proxyCount: 3 }),
+            send: () => false,
+            proxies: () => ["p-1", "p-2"],
+            sendToProxy: (vm, message) => {
+                sent.push([vm, message]);
+                return true;
+            },
+        },
+        EventLog.create("vm-1", undefined),
+    );
+    client.acquire(ORGANISATION, nowMs() + DEADLINE_MS, (decision) => decisions.push(decision));
+    t.deepEqual(sent.splice(0), ["p-1", "p-2"].map((vm) => [vm, { kind: ProxyMessageKind.RelayQuery }]));
+    client.handleProxyMessage("p-1", { kind: ProxyMessageKind.RelayStatement, controls: [] });
+    client.handleProxyMessage("p-2", { kind: ProxyMessageKind.RelayStatement, controls: [{ vm: "c-1", failureDomain: "b" }] });
+    const asks = [{ organisation: "org-1", count: 1 }];
+    t.deepEqual(sent, [["p-2", { kind: ProxyMessageKind.RelayedAsk, controlVm: "c-1", id: 1, asks }]]);
+    const grants = [{ organisation: "org-1", count: 1, waitMs: 0 }];
+    client.handleProxyMessage("p-2", { kind: ProxyMessageKind.RelayedGrant, controlVm: "c-1", id: 1, grants });
+    t.deepEqual(decisions.map(({ kind }) => kind), [QuotaDecisionKind.Granted]);
+    client.close();
+});
+
+// Guards against requests that hang or a process that spins while no proxy replies.
+test.serial("a request is decided although no proxy states that it reaches a control VM", async (t) => {
+    const decisions: QuotaDecision[] = [];
+    let queries = 0;
+    const client = QuotaClient.create(
+        { vm: "vm-1", failureDomain: "a", terms: { windowMs: 5_000, overshoot: 0.1, slack: 20 }, random: () => 0.9 },
+        {
+            view: () => ({ controls: [], proxyCount: 3 }),
+            send: () => false,
+            proxies: () => ["p-1"],
+            sendToProxy: () => {
+                queries += 1;
+                return true;
+            },
+        },
+        EventLog.create("vm-1", undefined),
+    );
+    client.acquire(ORGANISATION, nowMs() + DEADLINE_MS, (decision) => decisions.push(decision));
+    t.deepEqual(decisions, []);
+    await delay(DECIDED_MS);
+    t.deepEqual(decisions.map(({ kind }) => kind), [QuotaDecisionKind.Refused]);
+    t.true(queries <= 2);
+    client.close();
+});
+
+test.serial("malformed messages of other proxies are ignored", (t) => {
+    const { client } = create();
+    const messages: unknown[] = [
+        {},
+        { kind: ProxyMessageKind.RelayStatement, controls: "c-1" },
+        { kind: ProxyMessageKind.RelayStatement, controls: [undefined, { vm: 1 }, { vm: "c-1", failureDomain: "x".repeat(300) }] },
+        { kind: ProxyMessageKind.RelayedGrant, controlVm: "c-1", id: "1", grants: [{}] },
+        { kind: ProxyMessageKind.RelayedGrant, controlVm: "c-1", id: 1 },
+    ];
+    messages.forEach((message) => t.notThrows(() => client.handleProxyMessage("p-1", message as ProxyMessage)));
+    t.is(client.gauges.find(({ name }) => name === "quota_relays")?.read(), 0);
+    client.close();
+});
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -49,6 +49,7 @@
 import { MeshLinks } from "../MeshLinks/index.js";
 import { MeshSettings } from "../MeshSettings.js";
 import { QuotaClient } from "../QuotaClient/index.js";
+import { QuotaRelay } from "../QuotaRelay/index.js";
 import { quotaTermsOf } from "../quotaTermsOf/index.js";
 
 /** Time without a message after which a subscription moves to another control VM, in ms: two heartbeats and a round trip. */
@@ -77,6 +78,7 @@
     private readonly updateSources: UpdateSources;
     private readonly laggingControls = LaggingControls.create();
     private readonly loadReporter: LoadReporter;
+    private readonly quotaRelay: QuotaRelay;
     private readonly timerStops: (() => void)[] = [];
     private record: GateRecord;
     private hasItems = false;
@@ -102,6 +104,10 @@
     ) {
         const { vm, links } = settings;
         this.roleReference.role = this;
+        this.quotaRelay = QuotaRelay.create({
+            controls: () => this.quotaView.controls,
+            send: (to, message) => this.links?.sendTo(to, message) ?? false,
+        });
         this.updateSources = UpdateSources.create(vm.failureDomain, Math.random);
         this.loadReporter = LoadReporter.create(() => gate.load, (load) => this.sendLoad(load), () => fleetView.gateCount);
         this.record = {
@@ -153,6 +159,7 @@
             vm: vm.name,
             failureDomain: vm.failureDomain,
             localGate: gate,
+            onMessage: (proxy, message) => roleReference.role?.quotaClient.handleProxyMessage(proxy, message),
             openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget, vm.failureDomain),
         }, events);
         const quotaClient = QuotaClient.create(
@@ -165,6 +172,8 @@
             {
                 view: () => roleReference.role?.quotaView ?? { controls: [], proxyCount: 1 },
                 send: (to, message) => roleReference.role?.links?.sendTo(to, message) ?? false,
+                proxies: () => fleetView.tunnelledVms,
+                sendToProxy: (to, message) => fleetView.sendMessage(to, message),
             },
             events,
         );
@@ -234,6 +243,7 @@
             { name: "held_limit_bytes", help: "Limit on the bytes that the process holds for others", read: () => this.holdingBudget.limitBytes },
             { name: "caller_connections", help: "Connections of callers", read: () => this.callerServer?.connectionCount ?? 0 },
             ...this.quotaClient.gauges,
+            ...this.quotaRelay.gauges,
             { name: "ready", help: "1 if callers should send their requests here", read: () => Number(this.isReady) },
         ];
     }
@@ -335,6 +345,7 @@
             gateRun: this.gateRun,
             gate: this.gate,
             failureDomain: vm.failureDomain,
+            onMessage: (message, reply) => this.quotaRelay.handleMessage(message, reply),
             budget: this.tunnelBudget,
             holdingBudget: this.holdingBudget,
             recordRefusal,
@@ -422,7 +433,9 @@
                 this.applyItems(message.items, message.isComplete);
                 return;
             case MessageKind.QuotaGrant:
-                this.quotaClient.handleGrants(link.peer.vm, message.id, message.grants);
+                if (!this.quotaRelay.handleGrants(link.peer.vm, message.id, message.grants)) {
+                    this.quotaClient.handleGrants(link.peer.vm, message.id, message.grants);
+                }
                 return;
             default:
         }
--- a/src/tunnel/Frame.ts
+++ b/src/tunnel/Frame.ts
@@ -3,6 +3,7 @@
 import { FrameKind } from "./FrameKind.js";
 import { GateReply } from "./GateReply.js";
 import { Invitation } from "./Invitation.js";
+import { ProxyMessage } from "./ProxyMessage.js";
 import { WorkOffer } from "./WorkOffer.js";
 
 /** Frame on a tunnel between an entry and a gate. */
@@ -26,5 +27,6 @@
     | { readonly kind: FrameKind.Invitation; readonly invitation: Invitation }
     /** `load` is encoded by `packLoads`. */
     | { readonly kind: FrameKind.PackedInvitation; readonly load: Uint8Array; readonly waitedMs: number | undefined }
+    | { readonly kind: FrameKind.Message; readonly message: ProxyMessage }
     | { readonly kind: FrameKind.Ping }
     | { readonly kind: FrameKind.Pong };
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -21,6 +21,8 @@
     Invitation = "i",
     /** The same with a packed load, for an entry that has stated its failure domain. */
     PackedInvitation = "j",
+    /** Message that concerns no request; a proxy that does not know it ignores it. */
+    Message = "m",
     Ping = "p",
     Pong = "q",
 }
--- a/src/tunnel/GateTunnel.ts
+++ b/src/tunnel/GateTunnel.ts
@@ -1,4 +1,5 @@
 import { GatePort } from "./GatePort.js";
+import { ProxyMessage } from "./ProxyMessage.js";
 
 /** Connection of an entry to a gate on another VM. */
 export interface GateTunnel extends GatePort {
@@ -8,6 +9,8 @@
     readonly isWaiting: boolean;
     /** Connects if there is no connection, so that the gate can invite this entry before it has sent a request. */
     open(): void;
+    /** Sends a message that concerns no request; returns false if there is no connection. */
+    sendMessage(message: ProxyMessage): boolean;
     /** Handles timeouts. Call it several times a second while `isWaiting`. */
     tick(): void;
     /** Resets the reconnect delay, for example after an update about the gate. */
--- a/src/tunnel/TunnelCallbacks.ts
+++ b/src/tunnel/TunnelCallbacks.ts
@@ -1,4 +1,5 @@
 import { Invitation } from "./Invitation.js";
+import { ProxyMessage } from "./ProxyMessage.js";
 
 /** Functions of an entry that a tunnel calls. */
 export interface TunnelCallbacks {
@@ -6,6 +7,8 @@
     onReachabilityChange(isReachable: boolean, problem: string): void;
     /** Called when the gate asks for a request for its endpoint, and when it no longer does. */
     onInvitation(invitation: Invitation): void;
+    /** Called with each message that concerns no request; absent if nobody handles them. */
+    onMessage?(message: ProxyMessage): void;
     /** Called with the size of each frame that is sent to the gate; absent if nobody counts them. */
     onSent?(lengthBytes: number): void;
     /** Called with each unexpected error, which affects only the frame that caused it. */
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -14,6 +14,7 @@
 import { GateTunnel } from "../GateTunnel.js";
 import { isFinalReply } from "../isFinalReply/index.js";
 import { OfferHandle } from "../OfferHandle.js";
+import { ProxyMessage } from "../ProxyMessage.js";
 import { TunnelBody } from "../TunnelBody/index.js";
 import { TunnelCallbacks } from "../TunnelCallbacks.js";
 import { TunnelSocket } from "../TunnelSocket/index.js";
@@ -139,6 +140,14 @@
         }
     }
 
+    sendMessage(message: ProxyMessage): boolean {
+        if (this.socket === undefined || this.gateRun === undefined) {
+            return false;
+        }
+        this.socket.send({ kind: FrameKind.Message, message });
+        return true;
+    }
+
     /** Handles timeouts. Call it several times a second while `isWaiting`. */
     tick(): void {
         const atMs = nowMs();
@@ -255,6 +264,9 @@
         else if (frame.kind === FrameKind.End) {
             this.endBody(frame.key, frame.problem);
         }
+        else if (frame.kind === FrameKind.Message) {
+            this.callbacks.onMessage?.(frame.message);
+        }
         else if (frame.kind === FrameKind.Invitation) {
             this.callbacks.onInvitation(frame.invitation);
         }
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -14,7 +14,10 @@
 import { GateReplyKind } from "../GateReplyKind.js";
 import { Invitation } from "../Invitation.js";
 import { OfferHandle } from "../OfferHandle.js";
+import { ProxyMessage } from "../ProxyMessage.js";
+import { ProxyMessageKind } from "../ProxyMessageKind.js";
 import { TunnelServer } from "../TunnelServer/index.js";
+import { TunnelServerOptions } from "../TunnelServerOptions.js";
 import { TUNNEL_LIMITS } from "../tunnelLimits.js";
 import { WorkOffer } from "../WorkOffer.js";
 import { TunnelClient } from "./index.js";
@@ -95,7 +98,7 @@
     }
 }
 
-function createServerOn(port: number, gate: GatePort): Promise<TunnelServer> {
+function createServerOn(port: number, gate: GatePort, onMessage?: TunnelServerOptions["onMessage"]): Promise<TunnelServer> {
     return TunnelServer.create({
         host: "127.0.0.1",
         port,
@@ -103,6 +106,7 @@
         gateRun: "run-1",
         failureDomain: "zone ä",
         gate,
+        onMessage,
         budget: createBudget(),
         recordRefusal: failOnRefusal,
         onError: throwError,
@@ -306,6 +310,31 @@
     client.close();
 });
 
+test("a message that concerns no request reaches the other proxy, and its reply comes back", async (t) => {
+    const probe = createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const { port } = probe.address() as AddressInfo;
+    probe.close();
+    await once(probe, "close");
+    const controls = [{ vm: "c-1", failureDomain: "a" }];
+    const server = await createServerOn(port, new FakeGate(), (message, reply) => {
+        t.deepEqual(message, { kind: ProxyMessageKind.RelayQuery });
+        reply({ kind: ProxyMessageKind.RelayStatement, controls });
+    });
+    const received: ProxyMessage[] = [];
+    const onMessage = (message: ProxyMessage): unknown => received.push(message);
+    const client = TunnelClient.create(`127.0.0.1:${port}`, TOKEN, { ...CALLBACKS, onMessage }, createBudget());
+    t.teardown(() => {
+        client.close();
+        server.close();
+    });
+    t.false(client.sendMessage({ kind: ProxyMessageKind.RelayQuery }));
+    client.open();
+    await waitUntil(() => client.sendMessage({ kind: ProxyMessageKind.RelayQuery }));
+    await waitUntil(() => received.length > 0);
+    t.deepEqual(received, [{ kind: ProxyMessageKind.RelayStatement, controls }]);
+});
+
 test("a process without the token of the fleet cannot open a tunnel", async (t) => {
     await withTunnel(t, async ({ tcpProxy, gate }) => {
         const replies: GateReply[] = [];
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -215,6 +215,9 @@
             case FrameKind.Credit:
                 this.handleCredit(socket, frame.key, frame.bytes);
                 return;
+            case FrameKind.Message:
+                this.options.onMessage?.(frame.message, (message) => socket.send({ kind: FrameKind.Message, message }));
+                return;
             case FrameKind.Ping:
                 socket.send({ kind: FrameKind.Pong });
                 return;
--- a/src/tunnel/TunnelServerOptions.ts
+++ b/src/tunnel/TunnelServerOptions.ts
@@ -3,6 +3,7 @@
 import { SocketBudget } from "../frames/SocketBudget/index.js";
 import { StartWaits } from "../starts/StartWaits/index.js";
 import { GatePort } from "./GatePort.js";
+import { ProxyMessage } from "./ProxyMessage.js";
 
 /** Settings and dependencies of `TunnelServer`. */
 export interface TunnelServerOptions {
@@ -15,6 +16,8 @@
     readonly gate: GatePort;
     /** Failure domain of the gate. */
     readonly failureDomain: string;
+    /** Called with each message of an entry that concerns no request, and a function that replies; absent if nobody handles them. */
+    readonly onMessage?: (message: ProxyMessage, reply: (message: ProxyMessage) => void) => void;
     /** Bounds what the tunnels of this process hold. */
     readonly budget: SocketBudget;
     /** Bounds what the process holds in all; without it, only the limits of the tunnels apply. */
--- a/test/quotaModel.test.ts
+++ b/test/quotaModel.test.ts
@@ -179,6 +179,22 @@
     }
 }
 
+// Load: the usual one while nine of ten proxies reach no control VM, but still reach the other proxies. Guards against refusals below the
+// limit for as long as that lasts.
+test("organisations below their limits are admitted while most proxies are cut off from all control VMs", (t) => {
+    const model = createModel();
+    const cutUntilMs = RISE_AT_MS + 14_000;
+    sendLoad(model);
+    model.at(RISE_AT_MS, () => model.cut(ALL_PROXIES.slice(10), ALL_CONTROLS));
+    model.at(cutUntilMs, () => model.mend(ALL_PROXIES));
+    model.run(END_MS);
+    const requests = model.requests.filter(({ sentAtMs }) => sentAtMs >= RISE_AT_MS && sentAtMs < cutUntilMs);
+    const admitted = requests.filter(({ isAdmitted }) => isAdmitted).length;
+    t.log(`${admitted} of ${requests.length} admitted, ${model.localCount} without contact`);
+    t.true(admitted >= 0.95 * requests.length);
+    ORGANISATIONS.forEach((limited) => assertWithinBound(t, model, limited));
+});
+
 // Load: eight times the usual load while the limit is lowered to a quarter. Guards against a control VM that does not hear of the change,
 // and against tokens, waits and buckets of the former limit.
 for (const [description, isolated] of [["", []], [" at all control VMs but one that is cut off from the others", [3]]] as const) {
