Keep the configuration from filling the links of proxies

Cause: while a large change was on its way, proxies replaced their sources of updates every 150 to 400 ms, and each new source sent all items.

Change: the wait before a replacement doubles while the proxy is not up to date; subscribers state digests and get what differs; large frames are compressed for peers that read them.

--- a/src/decisions/fleet/UpdateSources/index.ts
+++ b/src/decisions/fleet/UpdateSources/index.ts
@@ -5,18 +5,24 @@
 const MAX_SOURCES = 2;
 /** Time for which a control VM may be ahead of the received updates before it becomes a source, in ms: several round trips. */
 const MAX_LAG_MS = 150;
+/** Number of times that this wait doubles with each replacement, while the updates of the new source do not arrive either. */
+const MAX_DOUBLINGS = 4;
 
 /**
  * Decides from which control VMs a proxy receives updates of the configuration and the fleet. Every control VM reports its
  * log position with each heartbeat. If one stays ahead of the updates that the sources have sent, the sources are
- * partitioned from it, and it replaces the source that lags most.
+ * partitioned from it, and it replaces the source that lags most. Each replacement has items sent again, which delays updates on a slow
+ * link, so that the next one waits longer.
  *
- * Designed for network partitions among the control VMs in which the proxy can still reach all of them.
+ * Designed for network partitions among the control VMs in which the proxy can still reach all of them, and for links that take a
+ * second for a large change.
  */
 export class UpdateSources {
     private sources: string[] = [];
     private position = 0;
     private laggingSinceMs: number | undefined;
+    /** Replacements since the received updates were up to date. */
+    private replacements = 0;
 
     private constructor(private readonly failureDomain: string, private readonly random: () => number) {}
 
@@ -104,13 +110,15 @@
         );
         if (mostAdvanced === undefined || mostAdvanced.position <= this.position) {
             this.laggingSinceMs = undefined;
+            this.replacements = 0;
             return undefined;
         }
         this.laggingSinceMs ??= nowMs;
-        if (nowMs - this.laggingSinceMs < MAX_LAG_MS) {
+        if (nowMs - this.laggingSinceMs < MAX_LAG_MS * 2 ** Math.min(MAX_DOUBLINGS, this.replacements)) {
             return undefined;
         }
         this.laggingSinceMs = nowMs;
+        this.replacements += 1;
         return mostAdvanced;
     }
 
--- a/src/decisions/fleet/UpdateSources/test.ts
+++ b/src/decisions/fleet/UpdateSources/test.ts
@@ -44,6 +44,23 @@
     t.deepEqual(sources.selectSources(candidates, 300), { toSubscribe: ["a-1"], toUnsubscribe: [], loadSource: "b-1" });
 });
 
+// Load: a change of thousands of items on a link that takes seconds for it. Guards against sources that are replaced several times a second, each
+// of which sends items again, so that the link is never free.
+test("while updates do not arrive, sources are replaced less and less often", (t) => {
+    const sources = create();
+    const candidates = ["b-1", "a-1", "c-1", "c-2"].map((vm) => candidate(vm));
+    sources.selectSources(candidates, 0);
+    const ahead = candidates.map(({ vm }) => candidate(vm, 9));
+    const subscribedAtMs = Array.from({ length: 20 }, (_, index) => 200 * index)
+        .filter((atMs) => sources.selectSources(ahead, atMs).toSubscribe.length > 0);
+    t.deepEqual(subscribedAtMs, [200, 600, 1_200, 2_400]);
+    sources.advancePosition(9);
+    sources.selectSources(ahead, 5_000);
+    const next = ahead.map(({ vm }) => candidate(vm, 10));
+    sources.selectSources(next, 5_200);
+    t.is(sources.selectSources(next, 5_400).toSubscribe.length, 1);
+});
+
 test("updates that arrive in time change nothing", (t) => {
     const sources = create();
     sources.selectSources([candidate("a-1"), candidate("b-1")], 0);
--- a/src/links/Message.ts
+++ b/src/links/Message.ts
@@ -72,14 +72,17 @@
     | { readonly kind: MessageKind.ClaimsFetch }
     /** The control VMs known to a process. All processes exchange them, so that outdated seeds soon cease to matter. */
     | { readonly kind: MessageKind.ControlPeers; readonly self: ControlPeer | undefined; readonly peers: readonly ControlPeer[] }
-    /** Starts or ends the sender's subscription to updates of the fleet and of the configuration items from this control VM. */
-    | { readonly kind: MessageKind.Subscribe; readonly wants: boolean; readonly wantsLoads: boolean }
+    /**
+     * Starts or ends the sender's subscription to updates of the fleet and of the configuration items from this control VM. `digests`
+     * are those of the items that it has; a process of an earlier version states none and gets all items.
+     */
+    | { readonly kind: MessageKind.Subscribe; readonly wants: boolean; readonly wantsLoads: boolean; readonly digests?: readonly number[] }
     /** `loads` is encoded by `packLoads`. */
     | { readonly kind: MessageKind.FleetUpdate; readonly records: readonly GateRecord[]; readonly loads: Uint8Array }
     /** Gives a proxy that has restarted the record that its former run published. */
     | { readonly kind: MessageKind.FormerRecord; readonly record: GateRecord }
     /**
-     * `isComplete` is true if these are all items, so that any other item does not exist. `position` is the log position up
+     * `isComplete` is true if the receiver has all items with these, so that any other item does not exist. `position` is the log position up
      * to which the sender has now sent all changes.
      */
     | {
--- a/src/links/PeerIdentity.ts
+++ b/src/links/PeerIdentity.ts
@@ -10,4 +10,6 @@
     readonly linkAddress: string;
     /** True if the process reads packed heartbeats; absent in processes of earlier versions. */
     readonly readsPackedHeartbeats?: boolean;
+    /** True if the process reads compressed frames; absent in processes of earlier versions. */
+    readonly readsDeflatedFrames?: boolean;
 }
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -14,6 +14,8 @@
 import { packHeartbeat } from "../packHeartbeat/index.js";
 import { unpackHeartbeat } from "../unpackHeartbeat/index.js";
 import { computeKeyProof } from "../computeKeyProof/index.js";
+import { deflateFrame } from "../deflateFrame/index.js";
+import { inflateFrame } from "../inflateFrame/index.js";
 import { WsLinkOptions } from "../WsLinkOptions.js";
 
 /** Maximum number of messages of one link per second that are reported as not handled. */
@@ -115,7 +117,8 @@
     /** Encodes an envelope. What cannot be encoded is reported and not sent; most messages are sent by timers, which handle no errors. */
     private encode(envelope: Envelope): Buffer | undefined {
         try {
-            return packr.pack(this.compact(envelope));
+            const frame = packr.pack(this.compact(envelope));
+            return this.identity?.readsDeflatedFrames === true ? deflateFrame(frame) : frame;
         }
         catch (thrown) {
             this.reportMessageError(thrown);
@@ -138,8 +141,11 @@
         this.options.bytes.received += data.length;
         let envelope: Envelope;
         try {
-            this.options.budget.checkDecodedSize(data);
-            envelope = this.decode(data);
+            const { budget } = this.options;
+            // Only members of the fleet may have this process inflate a frame.
+            const frame = this.isOpen ? inflateFrame(data, budget.maxFrameBytes) : data;
+            budget.checkDecodedSize(frame);
+            envelope = this.decode(frame);
             if (!this.isOpen) {
                 this.handleHandshake(envelope.message);
                 return;
@@ -189,7 +195,7 @@
 
     private handleHandshake(message: Message): void {
         const { fleetKey } = this.options;
-        const identity: PeerIdentity = { ...this.options.identity, readsPackedHeartbeats: true };
+        const identity: PeerIdentity = { ...this.options.identity, readsPackedHeartbeats: true, readsDeflatedFrames: true };
         switch (message.kind) {
             case MessageKind.Challenge:
                 this.send({ kind: MessageKind.Hello, identity, nonce: this.nonce, proof: computeKeyProof(fleetKey, message.nonce, identity.vm) });
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -2,6 +2,7 @@
 import { nowMs } from "../../clock/nowMs/index.js";
 import { ItemController } from "../../controllers/ItemController/index.js";
 import { ItemOutcome } from "../../decisions/items/ItemOutcome.js";
+import { selectDifferingItems } from "../../decisions/items/selectDifferingItems/index.js";
 import { VersionedItem } from "../../decisions/items/VersionedItem.js";
 import { chooseVoterChange } from "../../decisions/quorum/chooseVoterChange/index.js";
 import { QuorumMessage } from "../../decisions/quorum/QuorumMessage.js";
@@ -267,7 +268,7 @@
                 this.updateRelay.sendToSubscribers(message);
                 return;
             case MessageKind.Subscribe:
-                this.handleSubscribe(link, message.wants, message.wantsLoads);
+                this.handleSubscribe(link, message);
                 return;
             case MessageKind.QuotaRequest:
                 link.send(this.quotaGranter.handleRequest(message.id, message.asks));
@@ -305,14 +306,14 @@
         }
     }
 
-    private handleSubscribe(link: PeerLink, wants: boolean, wantsLoads: boolean): void {
+    private handleSubscribe(link: PeerLink, { wants, wantsLoads, digests }: Extract<Message, { kind: MessageKind.Subscribe }>): void {
         if (!wants) {
             this.updateRelay.unsubscribe(link.peer.vm);
             return;
         }
         this.updateRelay.subscribe(link.peer.vm, wantsLoads);
         if (this.hasSentSnapshot) {
-            link.send(this.createSnapshotMessage());
+            link.send(this.createSnapshotMessage(digests));
         }
     }
 
@@ -325,8 +326,10 @@
         this.updateRelay.sendToSubscribers({ kind: MessageKind.ItemUpdate, items: items.map(withoutDocument), isComplete: false, position });
     }
 
-    private createSnapshotMessage(): Message {
-        const items = (this.itemController?.items ?? []).map(withoutDocument);
+    /** Brings a subscriber up to date: with all items, or with those that its digests show that it may lack. */
+    private createSnapshotMessage(digests?: readonly number[]): Message {
+        const all = this.itemController?.items ?? [];
+        const items = (Array.isArray(digests) ? selectDifferingItems(all, digests) : all).map(withoutDocument);
         return { kind: MessageKind.ItemUpdate, items, isComplete: true, position: this.itemController?.position ?? 0 };
     }
 
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -14,6 +14,7 @@
 import { packLoads } from "../../decisions/fleet/packLoads/index.js";
 import { ReportVerdict } from "../../decisions/fleet/ReportVerdict.js";
 import { UpdateSources } from "../../decisions/fleet/UpdateSources/index.js";
+import { digestItems } from "../../decisions/items/digestItems/index.js";
 import { itemKey } from "../../decisions/items/itemKey/index.js";
 import { ItemKind } from "../../decisions/items/ItemKind.js";
 import { ItemStore } from "../../decisions/items/ItemStore/index.js";
@@ -587,6 +588,10 @@
         return links === undefined ? [] : [...links.linkedVms].filter((vm) => nowMs() - links.lastMessageAtMs(vm) < CONTROL_TIMEOUT_MS);
     }
 
+    private createSubscription(wantsLoads: boolean): Message {
+        return { kind: MessageKind.Subscribe, wants: true, wantsLoads, digests: digestItems(this.itemStore.all) };
+    }
+
     private reviewSubscriptions(): void {
         const { links, liveVms } = this;
         if (links === undefined) {
@@ -599,13 +604,13 @@
         const { toSubscribe, toUnsubscribe, loadSource } = this.updateSources.selectSources(liveControls, nowMs());
         toUnsubscribe.forEach((vm) => links.sendTo(vm, { kind: MessageKind.Subscribe, wants: false, wantsLoads: false }));
         toSubscribe.forEach((vm) => {
-            links.sendTo(vm, { kind: MessageKind.Subscribe, wants: true, wantsLoads: vm === loadSource });
+            links.sendTo(vm, this.createSubscription(vm === loadSource));
             this.events.record(EventNumber.ControlRegained, { peer: vm, subscribed: this.updateSources.count });
         });
         if (loadSource !== this.loadSource) {
             this.loadSource = loadSource;
             if (loadSource !== undefined && !toSubscribe.includes(loadSource)) {
-                links.sendTo(loadSource, { kind: MessageKind.Subscribe, wants: true, wantsLoads: true });
+                links.sendTo(loadSource, this.createSubscription(true));
             }
         }
     }
