Let proxies that are cut off name the relays that they have found

A proxy that answers a query now names up to three relays, which are queried in the same search; a message to a proxy without a tunnel opens one.

--- a/bench/quotaModel/QuotaModel/index.ts
+++ b/bench/quotaModel/QuotaModel/index.ts
@@ -295,7 +295,7 @@
                 this.sendAsk(proxy, effect.path, effect.id, [{ organisation: effect.organisation, count: effect.count }]);
             }
             else if (effect.kind === QuotaEffectKind.FindRelays) {
-                const others = this.proxies.filter((other) => other !== proxy).map(({ vm }) => vm);
+                const others = this.tunnelledProxies(proxy).map(({ vm }) => vm);
                 proxy.relaySearch.start(others, this.clock.nowMs).forEach((vm) => this.queryRelay(proxy, vm));
             }
             else if (effect.kind === QuotaEffectKind.RelaySilent) {
@@ -323,24 +323,35 @@
         this.clock.after(this.options.oneWayMs * (0.5 + this.random()), run);
     }
 
+    /** Proxies to which a proxy has tunnels: some, which differ from proxy to proxy. */
+    private tunnelledProxies(proxy: ModelProxy): readonly ModelProxy[] {
+        const { length } = this.proxies;
+        const index = this.proxies.indexOf(proxy);
+        const count = Math.min(this.options.tunnelCount, length - 1);
+        return Array.from({ length: count }, (_, step) => this.requireProxy((index + 1 + 7 * step) % length)).filter((other) => other !== proxy);
+    }
+
     /** Asks a proxy which control VMs it reaches; it replies once one of them has replied to it. */
     private queryRelay(proxy: ModelProxy, vm: string): void {
         const { relaySearch } = proxy;
         const relay = this.proxies.find((other) => other.vm === vm) as ModelProxy;
-        const apply = (controls: readonly ModelControl[]): void => {
-            relaySearch.recordStatement(vm, controls, this.clock.nowMs);
+        const apply = (controls: readonly ModelControl[], named: readonly string[]): void => {
+            relaySearch.recordStatement(vm, controls, named, this.clock.nowMs).forEach((next) => this.queryRelay(proxy, next));
             this.execute(proxy, proxy.stock.serve(this.viewOf(proxy), this.clock.nowMs));
         };
         this.deliver(relay, () => {
             const controls = this.linkedControls(relay);
             const [probed] = controls;
+            const named = relay.relaySearch.relays;
+            if (probed === undefined || named.length > 0) {
+                this.deliver(proxy, () => apply([], named));
+            }
             if (probed === undefined) {
-                this.deliver(proxy, () => apply([]));
                 return;
             }
             this.deliver(probed, () => this.handleAsk(relay, probed, [], () => this.deliver(relay, () => {
                 if (!relay.cutSinceMs.has(probed.vm)) {
-                    this.deliver(proxy, () => apply(controls));
+                    this.deliver(proxy, () => apply(controls, []));
                 }
             })));
         });
--- a/bench/quotaModel/QuotaModelOptions.ts
+++ b/bench/quotaModel/QuotaModelOptions.ts
@@ -4,6 +4,8 @@
 export interface QuotaModelOptions {
     readonly proxyCount: number;
     readonly controlCount: number;
+    /** Number of proxies that each proxy has tunnels to. */
+    readonly tunnelCount: number;
     readonly failureDomainCount: number;
     /** Time of a message in one direction, in ms. */
     readonly oneWayMs: number;
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -175,9 +175,10 @@
         return [...this.tunnels].filter(([, { isReachable }]) => isReachable).map(([vm]) => vm);
     }
 
-    /** Sends a message that concerns no request to another proxy; returns false if there is no connection. */
+    /** Sends a message that concerns no request to another proxy; returns false if it cannot be reached. */
     sendMessage(vm: string, message: ProxyMessage): boolean {
-        return this.tunnels.get(vm)?.sendMessage(message) ?? false;
+        const record = this.table.find(vm);
+        return record !== undefined && record.isOpen && vm !== this.options.vm && this.getOrCreateTunnel(record).sendMessage(message);
     }
 
     /** Counts an offer to a gate, so that its load is estimated correctly until its next report. */
--- a/src/decisions/quotas/RelaySearch/index.ts
+++ b/src/decisions/quotas/RelaySearch/index.ts
@@ -6,6 +6,8 @@
 const SEARCH_INTERVAL_MS = 1_000;
 /** Number of proxies that are queried in a search. If one in ten reaches a control VM, 9 of 10 searches find one. */
 const MAX_QUERIED = 24;
+/** Number of relays that a proxy names to others. */
+const MAX_NAMED = 3;
 /** Number of relays after which a search queries only those that are known. */
 const ENOUGH_RELAYS = 2;
 /** Time for which the statement of a proxy holds, in ms; longer than the interval of the searches. */
@@ -25,6 +27,10 @@
     /** Latest statements of the proxies that reach a control VM, by proxy. */
     private readonly statements = new Map<string, Statement>();
     private startedAtMs = Number.NEGATIVE_INFINITY;
+    /** Time until which the current search goes on, in ms. */
+    private untilMs = Number.NEGATIVE_INFINITY;
+    /** Proxies queried in the current search. */
+    private queried = new Set<string>();
 
     private constructor(private readonly random: () => number) {}
 
@@ -42,6 +48,11 @@
         return this.statements.size;
     }
 
+    /** Proxies that reach a control VM, to be named to others that search. */
+    get relays(): readonly string[] {
+        return [...this.statements.keys()].slice(0, MAX_NAMED);
+    }
+
     /** Returns whether a proxy may still be found without waiting for the next search. */
     mayFind(nowMs: number): boolean {
         return nowMs < this.endsAtMs || nowMs >= this.startedAtMs + SEARCH_INTERVAL_MS;
@@ -49,7 +60,7 @@
 
     /** Time until which the current search goes on, in ms. */
     get endsAtMs(): number {
-        return this.startedAtMs + STATEMENT_TIMEOUT_MS;
+        return this.untilMs;
     }
 
     /**
@@ -64,10 +75,13 @@
             return [];
         }
         this.startedAtMs = nowMs;
+        this.untilMs = nowMs + STATEMENT_TIMEOUT_MS;
         this.dropExpired(nowMs);
         const known = [...this.statements.keys()];
         const others = candidates.filter((vm) => !this.statements.has(vm));
-        return known.length >= ENOUGH_RELAYS ? known : [...known, ...this.choose(others, MAX_QUERIED - known.length)];
+        const chosen = known.length >= ENOUGH_RELAYS ? known : [...known, ...this.choose(others, MAX_QUERIED - known.length)];
+        this.queried = new Set(chosen);
+        return chosen;
     }
 
     /**
@@ -75,15 +89,25 @@
      *
      * @param relay - Proxy that states it.
      * @param controls - Control VMs that it has live links to; empty if there are none.
+     * @param named - Other proxies that reach a control VM according to it.
      * @param nowMs - Current time.
+     * @returns The named proxies to query, unless enough relays are known.
      */
-    recordStatement(relay: string, controls: readonly QuotaControl[], nowMs: number): void {
+    recordStatement(relay: string, controls: readonly QuotaControl[], named: readonly string[], nowMs: number): readonly string[] {
         if (controls.length === 0) {
             this.statements.delete(relay);
         }
         else if (this.statements.has(relay) || this.statements.size < MAX_QUERIED) {
             this.statements.set(relay, { controls, atMs: nowMs });
         }
+        const isOver = nowMs >= this.startedAtMs + SEARCH_INTERVAL_MS;
+        if (isOver || this.statements.size >= ENOUGH_RELAYS) {
+            return [];
+        }
+        const further = named.slice(0, MAX_NAMED).filter((vm) => !this.queried.has(vm) && this.queried.size < 2 * MAX_QUERIED);
+        further.forEach((vm) => this.queried.add(vm));
+        this.untilMs = further.length === 0 ? this.untilMs : nowMs + STATEMENT_TIMEOUT_MS;
+        return further;
     }
 
     /** Forgets a proxy, because it has not passed a reply on. */
--- a/src/mesh/QuotaClient/index.ts
+++ b/src/mesh/QuotaClient/index.ts
@@ -59,6 +59,11 @@
         return new QuotaClient(options, dependencies, events);
     }
 
+    /** Proxies that pass asks on to control VMs, as far as known. */
+    get relays(): readonly string[] {
+        return this.relaySearch.relays;
+    }
+
     /** Gauges of the state of the quotas. */
     get gauges(): readonly GaugeSource[] {
         return [
@@ -89,7 +94,9 @@
     /** Handles a message of another proxy about control VMs that it reaches; malformed ones are ignored. */
     handleProxyMessage(proxy: string, message: ProxyMessage): void {
         if (message.kind === ProxyMessageKind.RelayStatement && Array.isArray(message.controls)) {
-            this.relaySearch.recordStatement(proxy, message.controls.slice(0, MAX_CONTROLS).filter(isQuotaControl), nowMs());
+            const controls = message.controls.slice(0, MAX_CONTROLS).filter(isQuotaControl);
+            const named = Array.isArray(message.relays) ? message.relays.filter(isShortText) : [];
+            this.query(this.relaySearch.recordStatement(proxy, controls, named, nowMs()));
             this.serve();
         }
         else if (message.kind === ProxyMessageKind.RelayedGrant && Array.isArray(message.grants)) {
@@ -127,6 +134,10 @@
         return { ...view, controls: [...view.controls, ...this.relaySearch.controls(atMs)], mayFindRelay };
     }
 
+    private query(proxies: readonly string[]): void {
+        proxies.forEach((proxy) => this.dependencies.sendToProxy(proxy, { kind: ProxyMessageKind.RelayQuery }));
+    }
+
     private serve(): void {
         this.run(this.stock.serve(this.view(), nowMs()));
     }
@@ -146,9 +157,7 @@
             case QuotaEffectKind.Ask:
                 return this.sendAsk(effect) ? [] : [effect.path];
             case QuotaEffectKind.FindRelays:
-                this.relaySearch.start(this.dependencies.proxies(), nowMs()).forEach((proxy) => {
-                    this.dependencies.sendToProxy(proxy, { kind: ProxyMessageKind.RelayQuery });
-                });
+                this.query(this.relaySearch.start(this.dependencies.proxies(), nowMs()));
                 return [];
             case QuotaEffectKind.RelaySilent:
                 this.relaySearch.remove(effect.relay);
--- a/src/mesh/QuotaClient/test.ts
+++ b/src/mesh/QuotaClient/test.ts
@@ -144,9 +144,10 @@
     );
     client.acquire(ORGANISATION, nowMs() + DEADLINE_MS, (decision) => decisions.push(decision));
     t.deepEqual(sent.splice(0), ["p-1", "p-2"].map((vm) => [vm, { kind: ProxyMessageKind.RelayQuery }]));
-    client.handleProxyMessage("p-1", { kind: ProxyMessageKind.RelayStatement, controls: [] });
-    client.handleProxyMessage("p-2", { kind: ProxyMessageKind.RelayStatement, controls: [{ vm: "c-1", failureDomain: "b" }] });
+    client.handleProxyMessage("p-1", { kind: ProxyMessageKind.RelayStatement, controls: [], relays: ["p-3"] });
+    client.handleProxyMessage("p-2", { kind: ProxyMessageKind.RelayStatement, controls: [{ vm: "c-1", failureDomain: "b" }], relays: [] });
     const asks = [{ organisation: "org-1", count: 1 }];
+    t.deepEqual(sent.shift(), ["p-3", { kind: ProxyMessageKind.RelayQuery }]);
     t.deepEqual(sent, [["p-2", { kind: ProxyMessageKind.RelayedAsk, controlVm: "c-1", id: 1, asks }]]);
     const grants = [{ organisation: "org-1", count: 1, waitMs: 0 }];
     client.handleProxyMessage("p-2", { kind: ProxyMessageKind.RelayedGrant, controlVm: "c-1", id: 1, grants });
@@ -185,6 +186,8 @@
         {},
         { kind: ProxyMessageKind.RelayStatement, controls: "c-1" },
         { kind: ProxyMessageKind.RelayStatement, controls: [undefined, { vm: 1 }, { vm: "c-1", failureDomain: "x".repeat(300) }] },
+        { kind: ProxyMessageKind.RelayStatement, controls: [], relays: [1, undefined] },
+        { kind: ProxyMessageKind.RelayStatement, controls: [], relays: "p-9" },
         { kind: ProxyMessageKind.RelayedGrant, controlVm: "c-1", id: "1", grants: [{}] },
         { kind: ProxyMessageKind.RelayedGrant, controlVm: "c-1", id: 1 },
     ];
--- a/src/mesh/QuotaRelay/index.ts
+++ b/src/mesh/QuotaRelay/index.ts
@@ -31,6 +31,8 @@
 interface QuotaRelayDependencies {
     /** Control VMs that this proxy has live links to. */
     controls(): readonly QuotaControl[];
+    /** Other proxies that reach control VMs, as far as known. */
+    relays(): readonly string[];
     /** Sends a message to a control VM; returns false if there is no link. */
     send(vm: string, message: Message): boolean;
 }
@@ -107,6 +109,9 @@
             this.state(reply);
             return;
         }
+        if (this.dependencies.relays().length > 0) {
+            this.state(reply, []);
+        }
         if (atMs >= this.probedAtMs + PROBE_TIMEOUT_MS) {
             this.probedAtMs = atMs;
             this.queries = [];
@@ -137,9 +142,9 @@
         this.pending.set(ownId, { controlVm, id, atMs: nowMs(), reply });
     }
 
-    private state(reply: (message: ProxyMessage) => void): void {
-        const controls = this.dependencies.controls().map(({ vm, failureDomain }) => ({ vm, failureDomain }));
-        reply({ kind: ProxyMessageKind.RelayStatement, controls });
+    private state(reply: (message: ProxyMessage) => void, reached = this.dependencies.controls()): void {
+        const controls = reached.map(({ vm, failureDomain }) => ({ vm, failureDomain }));
+        reply({ kind: ProxyMessageKind.RelayStatement, controls, relays: this.dependencies.relays() });
     }
 
     private dropOldest(): void {
--- a/src/mesh/QuotaRelay/test.ts
+++ b/src/mesh/QuotaRelay/test.ts
@@ -17,11 +17,12 @@
     readonly ask: (id: number, controlVm?: string) => void;
 }
 
-function create(isLinked = true): Fixture {
+function create(isLinked = true, relays: readonly string[] = []): Fixture {
     const sent: [string, Message][] = [];
     const replies: ProxyMessage[] = [];
     const relay = QuotaRelay.create({
         controls: () => isLinked ? [CONTROL] : [],
+        relays: () => relays,
         send: (vm, message) => {
             sent.push([vm, message]);
             return isLinked;
@@ -65,10 +66,10 @@
     const { sent, replies, ask } = create(false);
     ask(1);
     t.deepEqual(sent, []);
-    t.deepEqual(replies, [{ kind: ProxyMessageKind.RelayStatement, controls: [] }]);
+    t.deepEqual(replies, [{ kind: ProxyMessageKind.RelayStatement, controls: [], relays: [] }]);
     const linked = create();
     linked.ask(1, "c-9");
-    t.deepEqual(linked.replies, [{ kind: ProxyMessageKind.RelayStatement, controls: [CONTROL] }]);
+    t.deepEqual(linked.replies, [{ kind: ProxyMessageKind.RelayStatement, controls: [CONTROL], relays: [] }]);
 });
 
 // Guards against proxies that are cut off together and point to each other, because their links have not noticed the cut.
@@ -80,12 +81,18 @@
     t.deepEqual(sent, [["c-1", { kind: MessageKind.QuotaRequest, id: -1, asks: [] }]]);
     t.deepEqual(replies, []);
     t.true(relay.handleGrants("c-1", -1, []));
-    t.deepEqual(replies, [1, 2].map(() => ({ kind: ProxyMessageKind.RelayStatement, controls: [CONTROL] })));
+    t.deepEqual(replies, [1, 2].map(() => ({ kind: ProxyMessageKind.RelayStatement, controls: [CONTROL], relays: [] })));
     query();
     t.is(replies.length, 3);
     t.is(sent.length, 1);
 });
 
+test("a proxy that is cut off itself names the relays that it has found", (t) => {
+    const { relay, replies } = create(true, ["p-1"]);
+    relay.handleMessage({ kind: ProxyMessageKind.RelayQuery }, (reply) => replies.push(reply));
+    t.deepEqual(replies, [{ kind: ProxyMessageKind.RelayStatement, controls: [], relays: ["p-1"] }]);
+});
+
 // Guards against memory that grows while control VMs reply to nothing.
 test("asks without a reply are forgotten, the oldest first", (t) => {
     const { relay, sent, replies, ask } = create();
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -107,6 +107,7 @@
         this.roleReference.role = this;
         this.quotaRelay = QuotaRelay.create({
             controls: () => this.quotaView.controls,
+            relays: () => this.quotaClient.relays,
             send: (to, message) => this.links?.sendTo(to, message) ?? false,
         });
         this.updateSources = UpdateSources.create(vm.failureDomain, Math.random);
--- a/src/tunnel/GateTunnel.ts
+++ b/src/tunnel/GateTunnel.ts
@@ -9,7 +9,7 @@
     readonly isWaiting: boolean;
     /** Connects if there is no connection, so that the gate can invite this entry before it has sent a request. */
     open(): void;
-    /** Sends a message that concerns no request; returns false if there is no connection. */
+    /** Sends a message that concerns no request, once it is connected; returns false if the gate cannot be reached. */
     sendMessage(message: ProxyMessage): boolean;
     /** Handles timeouts. Call it several times a second while `isWaiting`. */
     tick(): void;
--- a/src/tunnel/ProxyMessage.ts
+++ b/src/tunnel/ProxyMessage.ts
@@ -6,6 +6,7 @@
 /** Message between two proxies that concerns no request, carried by the tunnel of the one that asks. */
 export type ProxyMessage =
     | { readonly kind: ProxyMessageKind.RelayQuery }
-    | { readonly kind: ProxyMessageKind.RelayStatement; readonly controls: readonly QuotaControl[] }
+    /** `relays` are other proxies that reach control VMs, as far as the sender knows. */
+    | { readonly kind: ProxyMessageKind.RelayStatement; readonly controls: readonly QuotaControl[]; readonly relays: readonly string[] }
     | { readonly kind: ProxyMessageKind.RelayedAsk; readonly controlVm: string; readonly id: number; readonly asks: readonly QuotaAsk[] }
     | { readonly kind: ProxyMessageKind.RelayedGrant; readonly controlVm: string; readonly id: number; readonly grants: readonly QuotaGrant[] };
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -37,6 +37,9 @@
 /** Maximum delay between two attempts, in ms. */
 const MAX_RETRY_DELAY_MS = 4_000;
 
+/** Maximum number of messages that wait for the connection; their senders send them again. */
+const MAX_PENDING_MESSAGES = 16;
+
 const EMPTY = Buffer.alloc(0);
 const UNREACHABLE: GateReply = {
     kind: GateReplyKind.Refused,
@@ -68,6 +71,8 @@
  */
 export class TunnelClient implements GateTunnel {
     private readonly outstanding = new Map<string, OutstandingOffer>();
+    /** Messages that are sent once the connection is open. */
+    private pendingMessages: ProxyMessage[] = [];
     /** Bodies of long responses that are being received. */
     private readonly bodies = new Map<string, TunnelBody>();
     private socket: TunnelSocket | undefined;
@@ -141,10 +146,15 @@
     }
 
     sendMessage(message: ProxyMessage): boolean {
-        if (this.socket === undefined || this.gateRun === undefined) {
+        if (this.socket !== undefined && this.gateRun !== undefined) {
+            this.socket.send({ kind: FrameKind.Message, message });
+            return true;
+        }
+        if (this.isUnreachable || this.isClosed || this.pendingMessages.length >= MAX_PENDING_MESSAGES) {
             return false;
         }
-        this.socket.send({ kind: FrameKind.Message, message });
+        this.pendingMessages.push(message);
+        this.connect();
         return true;
     }
 
@@ -280,6 +290,7 @@
         this.failedConnects = 0;
         this.setUnreachable(false, "");
         this.outstanding.forEach((outstanding) => this.transmit(outstanding));
+        this.pendingMessages.splice(0).forEach((message) => this.socket?.send({ kind: FrameKind.Message, message }));
     }
 
     private transmit(outstanding: OutstandingOffer): void {
@@ -358,6 +369,7 @@
 
     private handleConnectFailure(problem: string): void {
         this.failedConnects += 1;
+        this.pendingMessages = [];
         this.setUnreachable(true, problem);
         this.settleAfterClose(problem);
     }
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -319,7 +319,7 @@
     const controls = [{ vm: "c-1", failureDomain: "a" }];
     const server = await createServerOn(port, new FakeGate(), (message, reply) => {
         t.deepEqual(message, { kind: ProxyMessageKind.RelayQuery });
-        reply({ kind: ProxyMessageKind.RelayStatement, controls });
+        reply({ kind: ProxyMessageKind.RelayStatement, controls, relays: [] });
     });
     const received: ProxyMessage[] = [];
     const onMessage = (message: ProxyMessage): unknown => received.push(message);
@@ -328,11 +328,21 @@
         client.close();
         server.close();
     });
-    t.false(client.sendMessage({ kind: ProxyMessageKind.RelayQuery }));
-    client.open();
-    await waitUntil(() => client.sendMessage({ kind: ProxyMessageKind.RelayQuery }));
+    t.true(client.sendMessage({ kind: ProxyMessageKind.RelayQuery }));
     await waitUntil(() => received.length > 0);
-    t.deepEqual(received, [{ kind: ProxyMessageKind.RelayStatement, controls }]);
+    t.true(client.sendMessage({ kind: ProxyMessageKind.RelayQuery }));
+    await waitUntil(() => received.length > 1);
+    t.deepEqual(received, [1, 2].map(() => ({ kind: ProxyMessageKind.RelayStatement, controls, relays: [] })));
+});
+
+// Guards against memory that grows while messages wait for a gate that does not answer.
+test("a limited number of messages waits for the connection, and none once the gate is unreachable", async (t) => {
+    const client = TunnelClient.create("127.0.0.1:1", TOKEN, CALLBACKS, createBudget());
+    const send = (): boolean => client.sendMessage({ kind: ProxyMessageKind.RelayQuery });
+    t.is(Array.from({ length: 20 }, send).filter((isSent) => isSent).length, 16);
+    await waitUntil(() => !client.isReachable);
+    t.false(send());
+    client.close();
 });
 
 test("a process without the token of the fleet cannot open a tunnel", async (t) => {
--- a/test/quotaModel.test.ts
+++ b/test/quotaModel.test.ts
@@ -34,6 +34,7 @@
     const model = QuotaModel.create({
         proxyCount: PROXIES,
         controlCount: CONTROLS,
+        tunnelCount: 16,
         failureDomainCount: 3,
         oneWayMs: 3,
         organisations: ORGANISATIONS,
