Send large bodies only to gates that have granted a slot

Cause: an offer carried its body. A gate that refused the offer had received the body for nothing, and a body of 360 kB takes 0.3 s to 1.3 s on links of 10.5 and 2.24 Mbit/s: the offer got no reply within 150 ms, counted as unanswered, and was offered to the next gate with its body again. Pings behind a body were answered after the 600 ms from which a tunnel counts as dead.

Change: a body of 8 KB or more comes with the confirmation of the slot. The gate reserves the slot and the room for the body meanwhile, for the time that the body takes at half of 2.24 Mbit/s. Waits for first replies and for pongs are longer by the time that the bytes sent before them take. A gate of an earlier version does not say that it takes deferred bodies, and gets them with the offer.

Result: two new tests of TunnelClient failed before (the body passed the link although the gate refused; the request was offered again while its body was on its way) and pass now.

--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -34,6 +34,8 @@
 import { GateReplyKind } from "../../tunnel/GateReplyKind.js";
 import { Invitation } from "../../tunnel/Invitation.js";
 import { OfferHandle } from "../../tunnel/OfferHandle.js";
+import { bodyBytesOf } from "../../tunnel/bodyBytesOf/index.js";
+import { MIN_LINK_BYTES_PER_MS } from "../../tunnel/minLinkRate.js";
 import { WorkOffer } from "../../tunnel/WorkOffer.js";
 import { GatePort } from "../../tunnel/GatePort.js";
 import { EndpointStatements } from "../EndpointStatements/index.js";
@@ -84,6 +86,8 @@
 /** Maximum number of responses that are passed on at the same time; each takes a connection to the endpoint. */
 const MAX_OPEN_RESPONSES = 256;
 
+const EMPTY = Buffer.alloc(0);
+
 /** Handle of an offer that was refused immediately. */
 const FINISHED_HANDLE: OfferHandle = { cancel: () => undefined, confirm: () => undefined };
 
@@ -92,6 +96,8 @@
 
 interface AcceptedOffer {
     readonly offer: WorkOffer;
+    /** Body of the request; undefined until the confirmation brings it. */
+    body: Buffer | undefined;
     readonly deadlineAtMs: number;
     readonly onReply: (reply: GateReply) => void;
     grantedAtMs: number;
@@ -304,6 +310,7 @@
             case AdmissionKind.Queue:
                 this.acceptedOffers.set(offer.key, {
                     offer,
+                    body: offer.deferredBodyBytes === undefined ? offer.body : undefined,
                     deadlineAtMs,
                     onReply,
                     grantedAtMs: 0,
@@ -320,6 +327,7 @@
             case AdmissionKind.Start:
                 this.acceptedOffers.set(offer.key, {
                     offer,
+                    body: offer.deferredBodyBytes === undefined ? offer.body : undefined,
                     deadlineAtMs,
                     onReply,
                     grantedAtMs: 0,
@@ -336,7 +344,7 @@
         }
         this.scheduleTick();
         this.options.onLoadChange(false);
-        return { cancel: () => this.cancel(offer.key), confirm: () => this.confirm(offer.key) };
+        return { cancel: () => this.cancel(offer.key), confirm: (body) => this.confirm(offer.key, body) };
     }
 
     /** Records that a request ends a time without any that was too long. */
@@ -383,12 +391,15 @@
         }
     }
 
-    private confirm(key: string): void {
+    private confirm(key: string, body: Buffer | undefined): void {
         const accepted = this.acceptedOffers.get(key);
         if (accepted === undefined || accepted.grantedAtMs === 0 || accepted.startedAtMs > 0) {
             return;
         }
-        const cause = this.findLateRefusalCause(accepted);
+        const { deferredBodyBytes } = accepted.offer;
+        accepted.body = deferredBodyBytes === undefined ? accepted.body : body;
+        const isIncomplete = deferredBodyBytes !== undefined && body?.length !== deferredBodyBytes;
+        const cause = isIncomplete ? RefusalCause.Voided : this.findLateRefusalCause(accepted);
         if (cause !== undefined) {
             this.refuseGranted(key, cause);
             this.startNext();
@@ -402,7 +413,7 @@
         if (this.isBlocked(accepted)) {
             return RefusalCause.Untrusted;
         }
-        if (nowMs() - accepted.grantedAtMs > CONFIRM_TIMEOUT_MS) {
+        if (nowMs() - accepted.grantedAtMs > confirmTimeoutMs(accepted)) {
             return RefusalCause.Voided;
         }
         return this.findRefusalCause(accepted.offer);
@@ -433,7 +444,7 @@
             method: offer.method,
             path: offer.path,
             headers: this.options.dialect.requestHeaders({ ...offer, endpointId }, remainingMs),
-            body: offer.body,
+            body: accepted.body ?? EMPTY,
             hasBody: offer.hasBody,
             requestId: offer.requestId,
             canStream: offer.acceptsStream === true,
@@ -693,8 +704,8 @@
 
     /** Frees slots that entries did not confirm in time. */
     private reclaimUnconfirmedSlots(atMs: number): void {
-        const isUnconfirmed = ({ grantedAtMs, startedAtMs }: AcceptedOffer): boolean =>
-            grantedAtMs > 0 && startedAtMs === 0 && atMs - grantedAtMs > CONFIRM_TIMEOUT_MS;
+        const isUnconfirmed = (accepted: AcceptedOffer): boolean =>
+            accepted.grantedAtMs > 0 && accepted.startedAtMs === 0 && atMs - accepted.grantedAtMs > confirmTimeoutMs(accepted);
         [...this.acceptedOffers].filter(([, accepted]) => isUnconfirmed(accepted)).forEach(([key]) => this.refuseGranted(key, RefusalCause.Voided));
     }
 
@@ -744,9 +755,9 @@
     }
 }
 
-/** Size of a body; a malformed offer of another process may have none. */
-function bodyBytesOf({ body }: WorkOffer): number {
-    return Buffer.isBuffer(body) ? body.length : 0;
+/** Time for which a granted slot is reserved for an offer, in ms; a body that comes with the confirmation takes its time on the link. */
+function confirmTimeoutMs({ offer: { deferredBodyBytes = 0 } }: AcceptedOffer): number {
+    return CONFIRM_TIMEOUT_MS + deferredBodyBytes / MIN_LINK_BYTES_PER_MS;
 }
 
 /** Reads an offer; one of an entry of an earlier version, during an update, carries no organisation. */
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -81,7 +81,7 @@
 
 async function withGate(
     t: ExecutionContext,
-    onRequest: (socket: Socket) => void,
+    onRequest: (socket: Socket, data: Buffer) => void,
     run: (fixture: Fixture) => Promise<void>,
     maxRequestBytes?: number,
 ): Promise<void> {
@@ -90,9 +90,9 @@
     const presences: [string, boolean][] = [];
     const server = createServer((socket) => {
         socket.on("error", () => undefined);
-        socket.on("data", () => {
+        socket.on("data", (data) => {
             arrivals += 1;
-            onRequest(socket);
+            onRequest(socket, data);
         });
     });
     server.listen(0, "127.0.0.1");
@@ -159,6 +159,26 @@
     });
 });
 
+test("a body that comes with the confirmation is sent to the endpoint, and one of another size is not", async (t) => {
+    const received: Buffer[] = [];
+    const onRequest = (_socket: Socket, data: Buffer): unknown => received.push(data);
+    await withGate(t, onRequest, async ({ offer, arrivals }) => {
+        const body = Buffer.alloc(20_000, "b");
+        const overrides = { needsGo: true, hasBody: true, method: "PUT", requestKind: RequestKind.Once, deferredBodyBytes: body.length };
+        const incomplete = offer("1", { ...overrides, requestId: "1" });
+        incomplete.handle.confirm(body.subarray(1));
+        const missing = offer("2", { ...overrides, requestId: "2" });
+        missing.handle.confirm();
+        [incomplete, missing].forEach(({ replies }) => {
+            t.true(replies[1]?.kind === GateReplyKind.Refused && replies[1].cause === RefusalCause.Voided);
+        });
+        t.is(arrivals(), 0);
+        offer("3", { ...overrides, requestId: "3" }).handle.confirm(body);
+        await waitUntil(() => Buffer.concat(received).includes(body));
+        t.true(Buffer.concat(received).includes(body));
+    });
+});
+
 test("a confirmation that comes after a pause of the process runs nothing", async (t) => {
     await withGate(t, (socket) => respond(socket, 200), async ({ arrivals, offer }) => {
         const paused = offer("1", { needsGo: true });
--- a/src/tunnel/Frame.ts
+++ b/src/tunnel/Frame.ts
@@ -8,10 +8,10 @@
 
 /** Frame on a tunnel between an entry and a gate. */
 export type Frame =
-    | { readonly kind: FrameKind.Welcome; readonly gateRun: string }
+    | { readonly kind: FrameKind.Welcome; readonly gateRun: string; readonly takesDeferredBodies?: boolean }
     | { readonly kind: FrameKind.Offer; readonly offer: WorkOffer }
     | { readonly kind: FrameKind.Resume; readonly key: string; readonly gateRun: string }
-    | { readonly kind: FrameKind.Confirm; readonly key: string }
+    | { readonly kind: FrameKind.Confirm; readonly key: string; readonly body?: Buffer }
     | { readonly kind: FrameKind.Cancel; readonly key: string }
     | { readonly kind: FrameKind.Reply; readonly key: string; readonly reply: GateReply }
     | {
--- a/src/tunnel/FrameKind.ts
+++ b/src/tunnel/FrameKind.ts
@@ -1,11 +1,11 @@
 /** Kinds of frames on a tunnel. */
 export enum FrameKind {
-    /** First frame from a gate; identifies the run of its proxy. */
+    /** First frame from a gate; identifies the run of its proxy, and says whether bodies may come with confirmations. */
     Welcome = "w",
     Offer = "o",
     /** Asks on a new connection for the state of an offer whose connection failed. */
     Resume = "u",
-    /** Confirms an offer that was granted a slot, so that the gate sends it to the endpoint. */
+    /** Confirms an offer that was granted a slot, so that the gate sends it to the endpoint; brings a large body. */
     Confirm = "g",
     Cancel = "c",
     Reply = "r",
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -6,6 +6,7 @@
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
 import { toError } from "../../model/toError/index.js";
+import { bodyBytesOf } from "../bodyBytesOf/index.js";
 import { FAILURE_DOMAIN_HEADER } from "../failureDomainHeader.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
@@ -13,6 +14,7 @@
 import { GateReplyKind } from "../GateReplyKind.js";
 import { GateTunnel } from "../GateTunnel.js";
 import { isFinalReply } from "../isFinalReply/index.js";
+import { MIN_LINK_BYTES_PER_MS } from "../minLinkRate.js";
 import { OfferHandle } from "../OfferHandle.js";
 import { ProxyMessage } from "../ProxyMessage.js";
 import { TunnelBody } from "../TunnelBody/index.js";
@@ -37,6 +39,8 @@
 /** Maximum delay between two attempts, in ms. */
 const MAX_RETRY_DELAY_MS = 4_000;
 
+/** Size from which a body is sent only once the gate has granted a slot, in bytes; smaller ones take less than a round trip to send. */
+const MIN_DEFERRED_BODY_BYTES = 8_192;
 /** Maximum number of messages that wait for the connection; their senders send them again. */
 const MAX_PENDING_MESSAGES = 16;
 
@@ -53,6 +57,8 @@
     readonly offer: WorkOffer;
     readonly onReply: (reply: GateReply) => void;
     readonly deadlineAtMs: number;
+    /** True if the body was left out of the offer. */
+    isBodyDeferred: boolean;
     /** True once the entry has confirmed the offer, so that the gate may send it to the endpoint. */
     isConfirmed: boolean;
     /** Run of the gate that the offer was sent to, or undefined if it was not sent. */
@@ -77,6 +83,9 @@
     private readonly bodies = new Map<string, TunnelBody>();
     private socket: TunnelSocket | undefined;
     private gateRun: string | undefined;
+    private takesDeferredBodies = false;
+    /** Size of the frames sent since the last frame from the gate, which may be behind them on the link. */
+    private unansweredBytes = 0;
     private lastConnectAtMs = Number.NEGATIVE_INFINITY;
     private failedConnects = 0;
     private lastFrameAtMs = 0;
@@ -122,6 +131,7 @@
             offer,
             onReply,
             deadlineAtMs: nowMs() + offer.remainingMs,
+            isBodyDeferred: false,
             isConfirmed: false,
             gateRun: undefined,
             sentAtMs: 0,
@@ -180,7 +190,7 @@
     /** Pings the gate only if a response is overdue; most responses are on time and prove that the connection is alive. */
     private pingIfOverdue(socket: TunnelSocket, atMs: number): void {
         const isAwaitingPong = this.lastPingAtMs > this.lastFrameAtMs;
-        if (isAwaitingPong && atMs - this.lastPingAtMs > PONG_TIMEOUT_MS) {
+        if (isAwaitingPong && atMs - this.lastPingAtMs > PONG_TIMEOUT_MS + this.transferMs) {
             socket.close();
         }
         else if (!isAwaitingPong && atMs - this.lastFrameAtMs >= PING_AFTER_MS && (this.isUnresponsive || this.hasOverdueResponse(atMs))) {
@@ -189,6 +199,11 @@
         }
     }
 
+    /** Time that what was sent since the last frame from the gate may take on the link, in ms. */
+    private get transferMs(): number {
+        return this.unansweredBytes < MIN_DEFERRED_BODY_BYTES ? 0 : this.unansweredBytes / MIN_LINK_BYTES_PER_MS;
+    }
+
     private hasOverdueResponse(atMs: number): boolean {
         const awaitsData = [...this.bodies.values()].some(({ isAwaitingData }) => isAwaitingData);
         return awaitsData || [...this.outstanding.values()].some(({ offer, sentAtMs }) => atMs - sentAtMs >= Math.max(PING_AFTER_MS, offer.usualMs));
@@ -248,7 +263,10 @@
             (frame) => this.handleFrame(socket, frame),
             (problem) => this.handleClose(socket, problem),
             (error) => this.callbacks.onError(error),
-            (lengthBytes) => this.callbacks.onSent?.(lengthBytes),
+            (lengthBytes) => {
+                this.unansweredBytes += lengthBytes;
+                this.callbacks.onSent?.(lengthBytes);
+            },
         );
         this.socket = socket;
     }
@@ -258,8 +276,10 @@
             return;
         }
         this.lastFrameAtMs = nowMs();
+        this.unansweredBytes = 0;
         this.isUnresponsive = false;
         if (frame.kind === FrameKind.Welcome) {
+            this.takesDeferredBodies = frame.takesDeferredBodies === true;
             this.handleWelcome(frame.gateRun);
         }
         else if (frame.kind === FrameKind.Reply) {
@@ -303,7 +323,11 @@
         }
         outstanding.gateRun = this.gateRun;
         const remainingMs = outstanding.deadlineAtMs - nowMs();
-        this.socket?.send({ kind: FrameKind.Offer, offer: { ...outstanding.offer, remainingMs } });
+        const { offer } = outstanding;
+        const bodyBytes = bodyBytesOf(offer);
+        outstanding.isBodyDeferred = this.takesDeferredBodies && bodyBytes >= MIN_DEFERRED_BODY_BYTES;
+        const body = outstanding.isBodyDeferred ? { body: EMPTY, deferredBodyBytes: bodyBytes } : {};
+        this.socket?.send({ kind: FrameKind.Offer, offer: { ...offer, ...body, remainingMs } });
     }
 
     private handleReply(key: string, reply: GateReply): void {
@@ -314,7 +338,7 @@
         outstanding.hasReply = true;
         if (reply.kind === GateReplyKind.Granted) {
             outstanding.isConfirmed = true;
-            this.socket?.send({ kind: FrameKind.Confirm, key });
+            this.socket?.send({ kind: FrameKind.Confirm, key, ...outstanding.isBodyDeferred ? { body: outstanding.offer.body } : {} });
             outstanding.onReply({ kind: GateReplyKind.Started });
             return;
         }
@@ -397,7 +421,7 @@
         waiting.forEach(([, outstanding]) => {
             outstanding.unansweredMs += countedMs(atMs - Math.max(previousAtMs, outstanding.sentAtMs));
         });
-        const unanswered = waiting.filter(([, { unansweredMs }]) => unansweredMs > FIRST_REPLY_TIMEOUT_MS);
+        const unanswered = waiting.filter(([, { unansweredMs }]) => unansweredMs > FIRST_REPLY_TIMEOUT_MS + this.transferMs);
         unanswered.forEach(([key, { onReply }]) => {
             this.isUnresponsive = true;
             this.cancel(key);
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -31,19 +31,31 @@
 const CALLBACKS = { onReachabilityChange: (): void => undefined, onInvitation: (): void => undefined, onError: throwError };
 const RESPONSE: GateReply = { kind: GateReplyKind.Answered, answer: { status: 200, headers: [], body: Buffer.from("ok") }, load: undefined };
 
-/** Gate that grants every offer and records which offers are started and cancelled. Tests reply through `replies`. */
+const REFUSAL: GateReply = { kind: GateReplyKind.Refused, cause: RefusalCause.Busy, retryAfterMs: 0, reachedEndpoint: false, load: undefined };
+
+/** Gate that grants every offer unless it is full, and records which offers are started and cancelled. Tests reply through `replies`. */
 class FakeGate implements GatePort {
+    readonly offers: WorkOffer[] = [];
     readonly started: string[] = [];
+    /** Bodies that came with confirmations, by key. */
+    readonly bodies = new Map<string, Buffer | undefined>();
     readonly cancelled: string[] = [];
     readonly replies = new Map<string, (reply: GateReply) => void>();
+    isFull = false;
 
     offer(offer: WorkOffer, onReply: (reply: GateReply) => void): OfferHandle {
+        this.offers.push(offer);
         this.replies.set(offer.key, onReply);
+        if (this.isFull) {
+            onReply(REFUSAL);
+            return { cancel: () => undefined, confirm: () => undefined };
+        }
         onReply({ kind: GateReplyKind.Granted });
         return {
             cancel: () => void this.cancelled.push(offer.key),
-            confirm: () => {
+            confirm: (body) => {
                 this.started.push(offer.key);
+                this.bodies.set(offer.key, body);
                 onReply({ kind: GateReplyKind.Started });
             },
         };
@@ -54,6 +66,10 @@
 class TcpProxy {
     private readonly pairs: [Socket, Socket][] = [];
     private readonly droppedSockets = new Set<Socket>();
+    /** Rate at which bytes pass towards the port; unlimited if undefined. */
+    bytesPerMs: number | undefined;
+    /** Bytes that have passed towards the port. */
+    passedBytes = 0;
 
     constructor(readonly server: Server) {}
 
@@ -88,10 +104,26 @@
         this.server.close();
     }
 
+    private pass(from: Socket, to: Socket, chunk: Buffer, isTowardsPort: boolean): void {
+        if (this.droppedSockets.has(from)) {
+            return;
+        }
+        this.passedBytes += isTowardsPort ? chunk.length : 0;
+        if (!isTowardsPort || this.bytesPerMs === undefined) {
+            to.write(chunk);
+            return;
+        }
+        from.pause();
+        setTimeout(() => {
+            to.write(chunk);
+            from.resume();
+        }, chunk.length / this.bytesPerMs);
+    }
+
     private join(near: Socket, far: Socket): void {
         this.pairs.push([near, far]);
         [[near, far] as const, [far, near] as const].forEach(([from, to]) => {
-            from.on("data", (chunk: Buffer) => this.droppedSockets.has(from) || to.write(chunk));
+            from.on("data", (chunk: Buffer) => this.pass(from, to, chunk, from === near));
             from.on("error", () => undefined);
             from.on("close", () => this.droppedSockets.has(from) || to.destroy());
         });
@@ -165,6 +197,58 @@
     return replies.map(({ kind }) => kind);
 }
 
+const LARGE_BODY = Buffer.alloc(360_000, "b");
+
+function offerBody(client: TunnelClient, key: string, body: Buffer, replies: GateReply[]): OfferHandle {
+    const offer = { key, requestKind: RequestKind.Once, body, hasBody: true, remainingMs: 20_000, usualMs: 500 } as WorkOffer;
+    return client.offer(offer, (reply) => replies.push(reply));
+}
+
+// Guards against bodies that cross a link for nothing: a busy gate refuses most offers.
+test("a large body is sent only to a gate that has granted a slot", async (t) => {
+    await withTunnel(t, async ({ gate, tcpProxy, client, replies }) => {
+        gate.isFull = true;
+        offerBody(client, "1", LARGE_BODY, replies);
+        await waitUntil(() => replies.length > 0);
+        t.deepEqual(replies, [REFUSAL]);
+        t.true(tcpProxy.passedBytes < 5_000);
+        gate.isFull = false;
+        offerBody(client, "2", LARGE_BODY, replies);
+        await waitUntil(() => gate.started.length > 0);
+        t.is(gate.offers[1]?.deferredBodyBytes, LARGE_BODY.length);
+        t.deepEqual(gate.bodies.get("2"), LARGE_BODY);
+    });
+});
+
+test("a small body is sent with the offer", async (t) => {
+    await withTunnel(t, async ({ gate, client, replies }) => {
+        offerBody(client, "1", LARGE_BODY.subarray(0, 8_191), replies);
+        await waitUntil(() => gate.started.length > 0);
+        t.is(gate.offers[0]?.body.length, 8_191);
+        t.is(gate.offers[0]?.deferredBodyBytes, undefined);
+        t.is(gate.bodies.get("1"), undefined);
+    });
+});
+
+// Load: a body of 360 kB on a link of 200 kB/s. Guards against offers that count as unanswered, and tunnels that count as dead, while a body is on
+// its way: the request was offered to the next gate, and its body sent again.
+test("a large body that takes seconds on a slow link starts its request once", async (t) => {
+    await withTunnel(t, async ({ gate, tcpProxy, client, replies, offer }) => {
+        offer("0", RequestKind.Once);
+        await waitUntil(() => gate.started.length > 0);
+        tcpProxy.bytesPerMs = 200;
+        offerBody(client, "1", LARGE_BODY, replies);
+        await delay(200);
+        offer("2", RequestKind.Once);
+        await waitUntil(() => gate.started.length === 3);
+        t.deepEqual([...gate.started].sort(), ["0", "1", "2"]);
+        t.deepEqual(gate.cancelled, []);
+        t.deepEqual(kindsOf(replies), [1, 2, 3].map(() => GateReplyKind.Started));
+        t.is(tcpProxy.count, 1);
+        t.true(client.isReachable);
+    });
+});
+
 // Guards against one bad answer that interrupts the requests of all others on the tunnel.
 test("an error while one reply is handled leaves the tunnel open for other offers", async (t) => {
     const errors: Error[] = [];
--- a/src/tunnel/TunnelServer/index.ts
+++ b/src/tunnel/TunnelServer/index.ts
@@ -12,6 +12,7 @@
 import { estimateHeaderBytes } from "../../http/estimateHeaderBytes/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
+import { bodyBytesOf } from "../bodyBytesOf/index.js";
 import { FAILURE_DOMAIN_HEADER } from "../failureDomainHeader.js";
 import { Frame } from "../Frame.js";
 import { FrameKind } from "../FrameKind.js";
@@ -195,7 +196,7 @@
             this.packedSockets.add(socket);
         }
         this.invitations.addEntry(socket, isLocal);
-        socket.send({ kind: FrameKind.Welcome, gateRun: this.options.gateRun });
+        socket.send({ kind: FrameKind.Welcome, gateRun: this.options.gateRun, takesDeferredBodies: true });
     }
 
     private handleFrame(socket: TunnelSocket, frame: Frame): void {
@@ -207,7 +208,7 @@
                 this.handleResume(socket, frame.key, frame.gateRun);
                 return;
             case FrameKind.Confirm:
-                this.offers.get(frame.key)?.handle?.confirm();
+                this.offers.get(frame.key)?.handle?.confirm(frame.body);
                 return;
             case FrameKind.Cancel:
                 this.handleCancel(frame.key);
@@ -237,7 +238,7 @@
         if (this.resume(socket, offer.key)) {
             return;
         }
-        const bodyBytes = Buffer.isBuffer(offer.body) ? offer.body.length : 0;
+        const bodyBytes = bodyBytesOf(offer);
         const lengthBytes = bodyBytes + (Array.isArray(offer.headers) ? estimateHeaderBytes(offer.headers) : 0);
         const holdingBudget = bodyBytes > 0 ? this.options.holdingBudget : undefined;
         if (this.offers.size >= MAX_OFFERS) {
--- a/src/tunnel/WorkOffer.ts
+++ b/src/tunnel/WorkOffer.ts
@@ -24,7 +24,10 @@
     readonly path: string;
     /** Header fields of the caller that are forwarded to the endpoint. */
     readonly headers: HeaderList;
+    /** Body; empty if it comes with the confirmation. */
     readonly body: Buffer;
+    /** Size of a body that comes with the confirmation, in bytes; absent if there is none. */
+    readonly deferredBodyBytes?: number;
     readonly hasBody: boolean;
     /** Time until the deadline, after which the caller no longer waits. */
     readonly remainingMs: number;
