Serve an endpoint while the proxy beside it stops

Cause: a gate refused all work from the SIGTERM on, although its process runs for 2.5 to 5.0 s more for its callers, and nothing else can reach the endpoint.

Change: the gate takes requests that are expected to finish in time until the callers are done, 1.6 s before the process stops at the latest.

--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -63,6 +63,8 @@
 const STOP_LISTENING_DELAY_MS = 2_500;
 /** Margin before the end of the grace period at which the process stops in any case, in ms. */
 const STOP_MARGIN_MS = 900;
+/** Time before the process stops in any case at which its endpoint gets no further requests, in ms, so that the running ones can finish. */
+const GATE_FINISH_MS = 1_600;
 const STOP_POLL_INTERVAL_MS = 50;
 /** Margin before the end of the grace period up to which callers may read the last responses, in ms. */
 const CLOSE_MARGIN_MS = 400;
@@ -298,13 +300,18 @@
         const stopAtMs = startedAtMs + this.settings.terms.grace - STOP_MARGIN_MS;
         this.events.record(EventNumber.DaemonStopping, { callers: this.dispatcher.activeCount, work: this.gate.offerCount });
         this.isOpen = false;
-        this.gate.stop();
-        this.publishRecord({ isOpen: false });
+        this.gate.startStopping(stopAtMs);
         this.dispatcher.startDraining(stopAtMs);
         this.callerServer?.startDraining();
         await delay(STOP_LISTENING_DELAY_MS);
         this.dispatcher.refuseAll();
         this.callerServer?.stopListening();
+        // Nothing else can reach the endpoint, so that it gets requests for as long as this process runs for its callers.
+        while (nowMs() < stopAtMs - GATE_FINISH_MS && this.hasCallers) {
+            await delay(STOP_POLL_INTERVAL_MS);
+        }
+        this.gate.stop();
+        this.publishRecord({ isOpen: false });
         while (nowMs() < stopAtMs && this.hasPendingRequests) {
             await delay(STOP_POLL_INTERVAL_MS);
         }
@@ -328,10 +335,14 @@
         return named.includes(service) || this.itemStore.hasContent(itemKey(ItemKind.Service, service));
     }
 
-    /** True while callers wait for responses, including requests that are still being read, or the endpoint has requests. */
+    /** True while callers wait for responses, including requests that are still being read. */
+    private get hasCallers(): boolean {
+        return (this.callerServer?.openRequestCount ?? 0) > 0 || this.dispatcher.activeCount > 0;
+    }
+
+    /** True while callers wait for responses, or the endpoint has requests. */
     private get hasPendingRequests(): boolean {
-        const isAnswering = (this.callerServer?.openRequestCount ?? 0) > 0 || this.tunnelServer?.hasUnsentReplies === true;
-        return isAnswering || this.dispatcher.activeCount > 0 || this.gate.offerCount > 0;
+        return this.hasCallers || this.tunnelServer?.hasUnsentReplies === true || this.gate.offerCount > 0;
     }
 
     private async start(token: string, dialect: MeshDialect, waits: StartWaits | undefined): Promise<void> {
--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -59,6 +59,8 @@
 const MIN_HANG_MS = 1_500;
 /** Multiple of the mean service time that is ample for a request: missing a deadline after that long is a failure of the endpoint. */
 const AMPLE_TIME_FACTOR = 2.5;
+/** Multiple of the usual time of a request that a stopping process must have left to accept it; few requests take longer. */
+const STOP_TIME_FACTOR = 2;
 /** Weight of the latest request in the moving average of the share of shed requests. */
 const SHED_WEIGHT = 0.1;
 /** Time for which a granted slot is reserved until the entry confirms it, in ms: several round trips. */
@@ -141,6 +143,7 @@
     private endpoint: EndpointReport | undefined;
     private lastGrade = Grade.Trusted;
     private isStopping = false;
+    private stopAtMs = Number.POSITIVE_INFINITY;
 
     private constructor(private readonly options: ServingGateOptions) {
         this.retryBudget = FleetRetryBudget.create(options.retryBudgetLimits);
@@ -255,6 +258,15 @@
         return this.statements.limiter.perSecond;
     }
 
+    /**
+     * Refuses offers from now on that are not expected to finish in time.
+     *
+     * @param stopAtMs - Time at which the process stops.
+     */
+    startStopping(stopAtMs: number): void {
+        this.stopAtMs = stopAtMs;
+    }
+
     /** Refuses queued and new offers from now on. Running requests continue. */
     stop(): void {
         this.isStopping = true;
@@ -361,7 +373,7 @@
     }
 
     private findRefusalCause(offer: WorkOffer): RefusalCause | undefined {
-        if (this.isStopping) {
+        if (this.isStopping || nowMs() + STOP_TIME_FACTOR * offer.usualMs > this.stopAtMs) {
             return RefusalCause.Stopping;
         }
         if (this.endpoint?.phase !== EndpointPhase.Ready) {
