Encode a large message once for all peers

A control VM packed and compressed an update of many items for each of its subscribers in turn: with 40 of them and 30,000 routes that would hold up its heartbeats. The compressed frame is kept with the message.

--- a/src/links/LinkController/test.ts
+++ b/src/links/LinkController/test.ts
@@ -169,3 +169,29 @@
     }
     t.deepEqual(received.map(({ message }) => message.kind), [MessageKind.Challenge, MessageKind.Welcome, MessageKind.Heartbeat]);
 });
+
+// Load: a configuration of many items that goes to all subscribers. Guards against a control VM that is held up by encoding it for each of them.
+test("a large message reaches all peers whole, and is encoded once", async (t) => {
+    const received: Message[] = [];
+    const addresses = await Promise.all(["vm-1", "vm-2", "vm-3"].map(async (vm) => {
+        const [, address] = await start(t, vm, { onMessage: (_link, message) => received.push(message) }, []);
+        return address;
+    }));
+    const [sender] = await start(t, "vm-4", {}, []);
+    const links = await Promise.all(addresses.map((address) => sender.connect(address)));
+    let reads = 0;
+    const document = "x".repeat(20_000);
+    const item = { key: "route/r", version: 1, content: undefined, get document() {
+        reads += 1;
+        return document;
+    } };
+    const message: Message = { kind: MessageKind.ItemUpdate, items: [item], isComplete: true, position: 1 };
+    links.forEach((link) => link?.send(message));
+    const isItemUpdate = ({ kind }: Message): boolean => kind === MessageKind.ItemUpdate;
+    for (let waitedMs = 0; received.filter(isItemUpdate).length < 3 && waitedMs < 3_000; waitedMs += 10) {
+        await delay(10);
+    }
+    const expected: Message = { kind: MessageKind.ItemUpdate, items: [{ key: "route/r", version: 1, content: undefined, document }], isComplete: true, position: 1 };
+    t.deepEqual(received.filter(isItemUpdate), [expected, expected, expected]);
+    t.is(reads, 1);
+});
--- a/src/links/WsLink/index.ts
+++ b/src/links/WsLink/index.ts
@@ -22,6 +22,8 @@
 const ERROR_REPORTS_PER_SECOND = 5;
 const packr = new Packr({ useRecords: true });
 const unpackr = new Unpackr({ useRecords: true });
+/** Compressed frames of large messages, for as long as their senders hold the messages. */
+const deflatedFrames = new WeakMap<Message, Buffer>();
 
 interface PendingCall {
     readonly resolve: (message: Message | undefined) => void;
@@ -117,8 +119,7 @@
     /** Encodes an envelope. What cannot be encoded is reported and not sent; most messages are sent by timers, which handle no errors. */
     private encode(envelope: Envelope): Buffer | undefined {
         try {
-            const frame = packr.pack(this.compact(envelope));
-            return this.identity?.readsDeflatedFrames === true ? deflateFrame(frame) : frame;
+            return this.identity?.readsDeflatedFrames === true ? this.encodeDeflated(envelope) : packr.pack(this.compact(envelope));
         }
         catch (thrown) {
             this.reportMessageError(thrown);
@@ -126,6 +127,22 @@
         }
     }
 
+    /** Encodes and compresses an envelope; a large message that goes to many peers only once. */
+    private encodeDeflated(envelope: Envelope): Buffer {
+        const { message, call, reply } = envelope;
+        const isShared = call === undefined && reply === undefined;
+        const known = isShared ? deflatedFrames.get(message) : undefined;
+        if (known !== undefined) {
+            return known;
+        }
+        const frame = packr.pack(this.compact(envelope));
+        const data = deflateFrame(frame);
+        if (isShared && data !== frame) {
+            deflatedFrames.set(message, data);
+        }
+        return data;
+    }
+
     /** Packs a heartbeat if the peer reads packed ones. */
     private compact(envelope: Envelope): Envelope | readonly number[] {
         const { message } = envelope;
