Connect to a gate again after a cut, and do not take invitations for replies

Callers saw: requests that lost 150 ms at one gate after the other, and 503 while endpoints had room.

Causes: invitations, which a gate sends although it receives nothing, made an unresponsive gate reachable again; and a connection that was closed for want of a pong was never opened again while no offer was outstanding.

--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -26,9 +26,9 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Timeout for the first reply to an offer, in ms; a gate decides at once. */
 const FIRST_REPLY_TIMEOUT_MS = 150;
-/** Time without any frame after which a connection is pinged if a response is overdue or an offer got no reply, in ms. */
+/** Time without a reply after which a connection is pinged if a response is overdue or an offer got no reply, in ms. */
 const PING_AFTER_MS = 400;
-/** Time without any frame after a ping after which a connection counts as dead, in ms. */
+/** Time without a reply after a ping after which a connection counts as dead, in ms. */
 const PONG_TIMEOUT_MS = 600;
 /** Time between two calls of `tick` from which this process itself was held up, in ms; they come every 100 ms. */
 const HELD_UP_AFTER_MS = 150;
@@ -84,11 +84,11 @@
     private socket: TunnelSocket | undefined;
     private gateRun: string | undefined;
     private takesDeferredBodies = false;
-    /** Size of the frames sent since the last frame from the gate, which may be behind them on the link. */
+    /** Size of the frames sent since the last reply from the gate, which may be behind them on the link. */
     private unansweredBytes = 0;
     private lastConnectAtMs = Number.NEGATIVE_INFINITY;
     private failedConnects = 0;
-    private lastFrameAtMs = 0;
+    private lastReplyAtMs = 0;
     private lastPingAtMs = 0;
     private lastTickAtMs = 0;
     private isUnreachable = false;
@@ -116,7 +116,7 @@
         return new TunnelClient(address, token, callbacks, budget, failureDomain);
     }
 
-    /** False while the gate cannot be connected to, or has sent no frame since it failed to reply to an offer in time. */
+    /** False while the gate cannot be connected to, or has sent no reply since it failed to reply to an offer in time. */
     get isReachable(): boolean {
         return !this.isUnreachable && !this.isUnresponsive;
     }
@@ -175,7 +175,7 @@
         this.lastTickAtMs = atMs;
         this.failExpired(atMs);
         if (this.socket === undefined) {
-            if ((this.outstanding.size > 0 || this.isUnreachable) && atMs - this.lastConnectAtMs >= this.retryDelayMs) {
+            if ((this.outstanding.size > 0 || !this.isReachable) && atMs - this.lastConnectAtMs >= this.retryDelayMs) {
                 this.connect();
             }
             return;
@@ -189,17 +189,17 @@
 
     /** Pings the gate only if a response is overdue; most responses are on time and prove that the connection is alive. */
     private pingIfOverdue(socket: TunnelSocket, atMs: number): void {
-        const isAwaitingPong = this.lastPingAtMs > this.lastFrameAtMs;
+        const isAwaitingPong = this.lastPingAtMs > this.lastReplyAtMs;
         if (isAwaitingPong && atMs - this.lastPingAtMs > PONG_TIMEOUT_MS + this.transferMs) {
             socket.close();
         }
-        else if (!isAwaitingPong && atMs - this.lastFrameAtMs >= PING_AFTER_MS && (this.isUnresponsive || this.hasOverdueResponse(atMs))) {
+        else if (!isAwaitingPong && atMs - this.lastReplyAtMs >= PING_AFTER_MS && (this.isUnresponsive || this.hasOverdueResponse(atMs))) {
             this.lastPingAtMs = atMs;
             socket.send({ kind: FrameKind.Ping });
         }
     }
 
-    /** Time that what was sent since the last frame from the gate may take on the link, in ms. */
+    /** Time that what was sent since the last reply from the gate may take on the link, in ms. */
     private get transferMs(): number {
         return this.unansweredBytes < MIN_DEFERRED_BODY_BYTES ? 0 : this.unansweredBytes / MIN_LINK_BYTES_PER_MS;
     }
@@ -275,9 +275,12 @@
         if (socket !== this.socket) {
             return;
         }
-        this.lastFrameAtMs = nowMs();
-        this.unansweredBytes = 0;
-        this.isUnresponsive = false;
+        if (frame.kind !== FrameKind.Invitation && frame.kind !== FrameKind.PackedInvitation) {
+            // A gate sends invitations by itself, also if it receives nothing from this entry.
+            this.lastReplyAtMs = nowMs();
+            this.unansweredBytes = 0;
+            this.isUnresponsive = false;
+        }
         if (frame.kind === FrameKind.Welcome) {
             this.takesDeferredBodies = frame.takesDeferredBodies === true;
             this.handleWelcome(frame.gateRun);
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -6,6 +6,7 @@
 import { RecordingSink } from "../../../test/fixtures/RecordingSink.js";
 import { BODY_WINDOW_BYTES } from "../../backend/bodyWindow.js";
 import { CreditedBody } from "../../backend/CreditedBody/index.js";
+import { ProbeDemand } from "../../decisions/outliers/ProbeDemand.js";
 import { SocketBudget } from "../../frames/SocketBudget/index.js";
 import { RefusalCause } from "../../model/RefusalCause.js";
 import { RequestKind } from "../../model/RequestKind.js";
@@ -66,6 +67,8 @@
 class TcpProxy {
     private readonly pairs: [Socket, Socket][] = [];
     private readonly droppedSockets = new Set<Socket>();
+    /** True while bytes towards the port are dropped, and those from it pass. */
+    dropsTowardsPort = false;
     /** Rate at which bytes pass towards the port; unlimited if undefined. */
     bytesPerMs: number | undefined;
     /** Bytes that have passed towards the port. */
@@ -105,7 +108,7 @@
     }
 
     private pass(from: Socket, to: Socket, chunk: Buffer, isTowardsPort: boolean): void {
-        if (this.droppedSockets.has(from)) {
+        if (this.droppedSockets.has(from) || (isTowardsPort && this.dropsTowardsPort)) {
             return;
         }
         this.passedBytes += isTowardsPort ? chunk.length : 0;
@@ -220,6 +223,42 @@
     });
 });
 
+// Guards against offers that each lose 150 ms at a gate that is cut off in one direction: its invitations arrive five times a second.
+test("a gate that did not reply stays unreachable although its invitations arrive", async (t) => {
+    await withTunnel(t, async ({ gate, server, tcpProxy, client, replies, invitations, offer }) => {
+        offer("0", RequestKind.Once);
+        await waitUntil(() => gate.started.length > 0);
+        tcpProxy.dropsTowardsPort = true;
+        offer("1", RequestKind.Once);
+        await waitUntil(() => replies.length > 1);
+        t.is(replies[1]?.kind, GateReplyKind.Refused);
+        server.invite({ load: createLoadReport("gate", { trialWish: ProbeDemand.Any }), waitedMs: 1_000 });
+        await waitUntil(() => invitations.length > 0);
+        t.is(invitations.length, 1);
+        t.false(client.isReachable);
+    });
+});
+
+// Guards against capacity that an entry never uses again after a cut: it closed the silent connection and waited for a frame to come on it.
+test("after a cut without outstanding offers, the gate is connected to and reachable again", async (t) => {
+    await withTunnel(t, async ({ gate, tcpProxy, client, replies, offer }) => {
+        offer("0", RequestKind.Once);
+        await waitUntil(() => gate.started.length > 0);
+        gate.replies.get("0")?.(RESPONSE);
+        await waitUntil(() => replies.length > 1);
+        tcpProxy.dropBytes();
+        offer("1", RequestKind.Once);
+        await waitUntil(() => replies.length > 2);
+        t.false(client.isReachable);
+        await waitUntil(() => client.isReachable);
+        t.true(client.isReachable);
+        t.is(tcpProxy.count, 2);
+        offer("2", RequestKind.Once);
+        await waitUntil(() => gate.started.length > 1);
+        t.deepEqual(gate.started, ["0", "2"]);
+    });
+});
+
 test("a small body is sent with the offer", async (t) => {
     await withTunnel(t, async ({ gate, client, replies }) => {
         offerBody(client, "1", LARGE_BODY.subarray(0, 8_191), replies);
