Refuse requests that must not be repeated at a stopping gate

The gate of a stopping proxy took any request that was expected to finish in time. Requests that may be repeated are offered again in that case; others are refused as not run from the start of the stop, as they were before.

--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -259,7 +259,7 @@
     }
 
     /**
-     * Refuses offers from now on that are not expected to finish in time.
+     * Refuses offers from now on that must not be repeated, since the stop may cut them off, and those that are not expected to finish in time.
      *
      * @param stopAtMs - Time at which the process stops.
      */
@@ -373,7 +373,8 @@
     }
 
     private findRefusalCause(offer: WorkOffer): RefusalCause | undefined {
-        if (this.isStopping || nowMs() + STOP_TIME_FACTOR * offer.usualMs > this.stopAtMs) {
+        const isAtRisk = offer.requestKind === RequestKind.Once || nowMs() + STOP_TIME_FACTOR * offer.usualMs > this.stopAtMs;
+        if (this.isStopping || (Number.isFinite(this.stopAtMs) && isAtRisk)) {
             return RefusalCause.Stopping;
         }
         if (this.endpoint?.phase !== EndpointPhase.Ready) {
