Refuse queued requests as soon as a gate starts to stop

Found in the read-through: since gates take requests while their proxies stop, those that were queued at the start of the stop waited on, and the ones that must not be repeated were refused only once a slot was free. They are refused at once again, as not run. A malformed size of a deferred body made the time for which a slot is reserved NaN, so that it was never freed; it counts as none. Both new tests of ServingGate fail without the change of the code.

--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -238,7 +238,7 @@
         this.endpoint = endpoint;
         this.updateSlots(nowMs());
         if (endpoint.phase !== EndpointPhase.Ready || isNewRun) {
-            this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, RefusalCause.NotServing, 0, false));
+            this.refuseAllWaiting(RefusalCause.NotServing);
         }
         this.startNext();
     }
@@ -259,18 +259,20 @@
     }
 
     /**
-     * Refuses offers from now on that must not be repeated, since the stop may cut them off, and those that are not expected to finish in time.
+     * Refuses queued offers, and from now on those that must not be repeated, since the stop may cut them off, and those that are not expected to
+     * finish in time.
      *
      * @param stopAtMs - Time at which the process stops.
      */
     startStopping(stopAtMs: number): void {
         this.stopAtMs = stopAtMs;
+        this.refuseAllWaiting(RefusalCause.Stopping);
     }
 
     /** Refuses queued and new offers from now on. Running requests continue. */
     stop(): void {
         this.isStopping = true;
-        this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, RefusalCause.Stopping, 0, false));
+        this.refuseAllWaiting(RefusalCause.Stopping);
     }
 
     /** Stops the timers and cancels running requests. */
@@ -661,6 +663,10 @@
         this.options.onLoadChange(false);
     }
 
+    private refuseAllWaiting(cause: RefusalCause): void {
+        this.queue.removeAllWaiting().forEach(({ key }) => this.refuse(key, cause, 0, false));
+    }
+
     private refuse(key: string, cause: RefusalCause, retryAfterMs: number, reachedEndpoint: boolean): void {
         const accepted = this.remove(key, false);
         accepted?.onReply(this.createRefusal(cause, retryAfterMs, reachedEndpoint));
@@ -769,8 +775,8 @@
 }
 
 /** Time for which a granted slot is reserved for an offer, in ms; a body that comes with the confirmation takes its time on the link. */
-function confirmTimeoutMs({ offer: { deferredBodyBytes = 0 } }: AcceptedOffer): number {
-    return CONFIRM_TIMEOUT_MS + deferredBodyBytes / MIN_LINK_BYTES_PER_MS;
+function confirmTimeoutMs({ offer }: AcceptedOffer): number {
+    return CONFIRM_TIMEOUT_MS + (offer.deferredBodyBytes === undefined ? 0 : bodyBytesOf(offer) / MIN_LINK_BYTES_PER_MS);
 }
 
 /** Reads an offer; one of an entry of an earlier version, during an update, carries no organisation. */
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -179,6 +179,33 @@
     });
 });
 
+// Guards against requests that wait at a stopping gate although they can be served elsewhere, and against those that its stop would cut off.
+test("a gate that starts to stop refuses queued requests at once, and takes only new ones that may be repeated and finish in time", async (t) => {
+    await withGate(t, () => undefined, async ({ gate, offer }) => {
+        ["1", "2"].forEach((key) => offer(key));
+        const queued = offer("3");
+        t.is(queued.replies[0]?.kind, GateReplyKind.Queued);
+        gate.startStopping(nowMs() + 2_000);
+        const once = offer("4", { requestKind: RequestKind.Once });
+        const long = offer("5", { usualMs: 1_500 });
+        [queued.replies[1], once.replies[0], long.replies[0]].forEach((reply) => {
+            t.true(reply?.kind === GateReplyKind.Refused && reply.cause === RefusalCause.Stopping);
+        });
+        t.is(offer("6").replies[0]?.kind, GateReplyKind.Queued);
+        await delay(1);
+    });
+});
+
+// Guards against slots that a malformed offer of another process holds for ever.
+test("a slot of an offer with a malformed size of its body is freed like any other", async (t) => {
+    await withGate(t, (socket) => respond(socket, 200), async ({ offer }) => {
+        const malformed = offer("1", { needsGo: true, deferredBodyBytes: "large" as unknown as number });
+        t.is(malformed.replies[0]?.kind, GateReplyKind.Granted);
+        await waitUntil(() => malformed.replies.length === 2);
+        t.true(malformed.replies[1]?.kind === GateReplyKind.Refused && malformed.replies[1].cause === RefusalCause.Voided);
+    });
+});
+
 test("a confirmation that comes after a pause of the process runs nothing", async (t) => {
     await withGate(t, (socket) => respond(socket, 200), async ({ arrivals, offer }) => {
         const paused = offer("1", { needsGo: true });
