Log elections, refused votes and slow writes of control VMs

The logs could not tell votes that did not come from votes that came too late, a slow disk, or a missing path.

Events 317 to 319 and 321, at most one line a second each (ThrottledLog), a reason in 313, gauges of term, rounds, writes and queue, and the latest lost round in the refusal of a request. No decision changes: the refusals of votes are the same conditions, with a name each.

--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -1,3 +1,4 @@
+import { emptySnapshot } from "../../../src/decisions/quorum/emptySnapshot.js";
 import { EntryKind } from "../../../src/decisions/quorum/EntryKind.js";
 import { LogEntry } from "../../../src/decisions/quorum/LogEntry.js";
 import { QuorumEvent } from "../../../src/decisions/quorum/QuorumEvent.js";
@@ -25,19 +26,7 @@
 const FREEZE_EVERY_MS = 2_500;
 const DISK_LOSS_EVERY_MS = 9_000;
 
-const EMPTY: QuorumDisk = {
-    hardState: { term: 0, votedFor: undefined },
-    entries: [],
-    snapshot: {
-        lastIndex: 0,
-        lastTerm: 0,
-        voters: [],
-        parts: [],
-        items: [],
-        retained: [],
-        position: { term: 0, version: 0, manifestVersion: 0 },
-    },
-};
+const EMPTY: QuorumDisk = { hardState: { term: 0, votedFor: undefined }, entries: [], snapshot: emptySnapshot };
 
 interface ControlVm {
     identity: string;
@@ -305,7 +294,7 @@
         vm.queue.unshift({
             kind: QuorumEventKind.Compact,
             snapshot: {
-                ...EMPTY.snapshot,
+                ...emptySnapshot,
                 lastIndex: last.index,
                 lastTerm: last.term,
                 voters: voters?.kind === EntryKind.Voters ? voters.voters : vm.disk.snapshot.voters,
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -5,18 +5,25 @@
 import { QuorumEvent } from "../../decisions/quorum/QuorumEvent.js";
 import { QuorumEventKind } from "../../decisions/quorum/QuorumEventKind.js";
 import { QuorumMachine } from "../../decisions/quorum/QuorumMachine/index.js";
+import { QuorumNotice } from "../../decisions/quorum/QuorumNotice.js";
+import { QuorumNoticeKind } from "../../decisions/quorum/QuorumNoticeKind.js";
 import { QuorumMessage } from "../../decisions/quorum/QuorumMessage.js";
 import { QuorumOutput } from "../../decisions/quorum/QuorumOutput.js";
 import { QuorumSnapshot } from "../../decisions/quorum/QuorumSnapshot.js";
 import { EventLog } from "../../logs/EventLog/index.js";
 import { EventNumber } from "../../logs/EventNumber.js";
+import { ThrottledLog } from "../../logs/ThrottledLog/index.js";
+import { GaugeSource } from "../../metrics/GaugeSource.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
+import { assertNever } from "../../model/assertNever/index.js";
 import { toError } from "../../model/toError/index.js";
 import { QuorumStore } from "../QuorumStore/index.js";
 import { QuorumCallbacks } from "../QuorumCallbacks.js";
 
 const TICK_MS = 50;
+/** Time of a write to the data folder above which it is logged, in ms. */
+const SLOW_WRITE_MS = 100;
 /** Number of applied entries after the snapshot that triggers a new snapshot. */
 const COMPACTION_THRESHOLD_ENTRIES = 1_000;
 /** Size of the documents in applied entries after the snapshot that triggers a new snapshot, in characters. */
@@ -36,6 +43,17 @@
     private queue: Promise<void> = Promise.resolve();
     private failure: FleetError | undefined;
     private wasLeader = false;
+    private stepDownReason = "";
+    /** Events that wait for the disk. */
+    private queueLength = 0;
+    private writeStartedAtMs: number | undefined;
+    private lastWriteMs = 0;
+    private longestWriteMs = 0;
+    private roundsStarted = 0;
+    private roundsLost = 0;
+    /** Latest lost round of an election, for the error of a request that finds no leader. */
+    private lostRound = "";
+    private readonly throttledLog: ThrottledLog;
     /** Size of the documents in applied entries since the last compaction, in characters. */
     private uncompactedCharacters = 0;
 
@@ -44,6 +62,7 @@
         private readonly callbacks: QuorumCallbacks,
         private readonly events: EventLog,
     ) {
+        this.throttledLog = ThrottledLog.create(events);
         this.machine = QuorumMachine.create(store.identity, store.state, Math.random, nowMs());
         this.timer = setInterval(() => void this.handleEvent({ kind: QuorumEventKind.Tick }), TICK_MS);
     }
@@ -99,6 +118,26 @@
         return this.machine.voters;
     }
 
+    /** Gauges of the elections and of the writes to the data folder. */
+    get gauges(): readonly GaugeSource[] {
+        return [
+            { name: "term", help: "Current term", read: () => this.term },
+            { name: "leader_known", help: "1 if this VM leads or knows the leader", read: () => Number(this.leader !== undefined) },
+            { name: "election_rounds", help: "Rounds of pre-votes and elections that this VM has started", read: () => this.roundsStarted },
+            { name: "election_rounds_lost", help: "Rounds of pre-votes and elections that ended without a majority", read: () => this.roundsLost },
+            { name: "log_write_queue", help: "Events that wait for the data folder", read: () => this.queueLength },
+            { name: "log_write_ms", help: "Time of the latest write to the data folder", read: () => this.lastWriteMs },
+            { name: "log_write_longest_ms", help: "Longest time of a write to the data folder", read: () => this.longestWriteMs },
+            { name: "log_write_pending_ms", help: "Age of the write to the data folder that is in progress", read: () => this.pendingWriteMs },
+        ];
+    }
+
+    /** Why this VM knows no leader, for the operator whose request is refused. */
+    get leaderlessReason(): string {
+        const writing = this.pendingWriteMs >= SLOW_WRITE_MS ? `; a write to the data folder has taken ${Math.round(this.pendingWriteMs)} ms so far` : "";
+        return `term ${this.term}; ${this.lostRound === "" ? "no election has been lost" : this.lostRound}${writing}`;
+    }
+
     /** Returns true on the leader if another control VM has caught up with the log, so that it can become a voter. */
     hasCaughtUp(identity: string): boolean {
         return this.machine.hasCaughtUp(identity, nowMs());
@@ -185,7 +224,11 @@
     }
 
     private enqueue(action: () => Promise<void>): Promise<void> {
-        const done = this.queue.then(action);
+        this.queueLength += 1;
+        const done = this.queue.then(async () => {
+            this.queueLength -= 1;
+            await action();
+        });
         this.queue = done.catch(() => undefined);
         return done;
     }
@@ -198,6 +241,7 @@
             this.handleStorageFailure(toError(thrown));
             throw thrown;
         }
+        output.notices.forEach((notice) => this.recordNotice(notice));
         output.messages.forEach(({ to, message }) => this.callbacks.send(to, message));
         if (output.receivedSnapshot !== undefined) {
             this.callbacks.restore(output.receivedSnapshot);
@@ -209,9 +253,56 @@
 
     private async save(output: QuorumOutput): Promise<void> {
         const isNeeded = output.hardState !== undefined || output.entries.length > 0 || output.snapshot !== undefined;
-        if (isNeeded) {
+        if (!isNeeded) {
+            return;
+        }
+        this.writeStartedAtMs = nowMs();
+        try {
             await this.store.save(output, this.machine.entriesAfterSnapshot());
         }
+        finally {
+            this.recordWrite(this.pendingWriteMs);
+            this.writeStartedAtMs = undefined;
+        }
+    }
+
+    private get pendingWriteMs(): number {
+        return this.writeStartedAtMs === undefined ? 0 : nowMs() - this.writeStartedAtMs;
+    }
+
+    private recordWrite(durationMs: number): void {
+        this.lastWriteMs = durationMs;
+        this.longestWriteMs = Math.max(this.longestWriteMs, durationMs);
+        if (durationMs >= SLOW_WRITE_MS) {
+            this.throttledLog.record(EventNumber.WriteSlow, { durationMs: Math.round(durationMs), queue: this.queueLength });
+        }
+    }
+
+    private recordNotice(notice: QuorumNotice): void {
+        const { term } = notice;
+        switch (notice.kind) {
+            case QuorumNoticeKind.RoundStarted:
+                this.roundsStarted += 1;
+                this.throttledLog.record(EventNumber.ElectionStarted, { term, isPreVote: notice.isPreVote });
+                return;
+            case QuorumNoticeKind.RoundLost: {
+                const { isPreVote, granted, missing } = notice;
+                this.roundsLost += 1;
+                this.lostRound = `the ${isPreVote ? "pre-vote" : "election"} for term ${term} got no vote of ${missing.join(", ")}`;
+                this.throttledLog.record(EventNumber.ElectionLost, { term, isPreVote, granted, missing });
+                return;
+            }
+            case QuorumNoticeKind.VoteRefused: {
+                const { isPreVote, candidate, reason } = notice;
+                this.throttledLog.record(EventNumber.VoteRefused, { term, isPreVote, candidate, reason });
+                return;
+            }
+            case QuorumNoticeKind.SteppedDown:
+                this.stepDownReason = [notice.reason, ...notice.silent].join(" ");
+                return;
+            default:
+                assertNever(notice);
+        }
     }
 
     private applyEntry(entry: LogEntry): void {
@@ -247,10 +338,11 @@
     private trackLeadership(): void {
         const { isLeader, term } = this.machine;
         if (isLeader && !this.wasLeader) {
+            this.lostRound = "";
             this.events.record(EventNumber.LeaderElected, { term });
         }
         if (!isLeader && this.wasLeader) {
-            this.events.record(EventNumber.LeaderSteppedDown, { term });
+            this.events.record(EventNumber.LeaderSteppedDown, { term, reason: this.stepDownReason });
             this.pendingCommits.forEach((pending) => pending.reject(this.createError("the leader stepped down; retry with the same change id")));
             this.pendingCommits.clear();
         }
--- a/src/controllers/QuorumStore/index.ts
+++ b/src/controllers/QuorumStore/index.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from "node:crypto";
 import { Packr, Unpackr } from "msgpackr";
+import { emptySnapshot } from "../../decisions/quorum/emptySnapshot.js";
 import { HardState } from "../../decisions/quorum/HardState.js";
 import { LogEntry } from "../../decisions/quorum/LogEntry.js";
 import { QuorumOutput } from "../../decisions/quorum/QuorumOutput.js";
@@ -21,16 +22,6 @@
 const packr = new Packr({ useRecords: false });
 const unpackr = new Unpackr({ useRecords: false });
 
-const EMPTY_SNAPSHOT: QuorumSnapshot = {
-    lastIndex: 0,
-    lastTerm: 0,
-    voters: [],
-    position: { term: 0, version: 0, manifestVersion: 0 },
-    parts: [],
-    items: [],
-    retained: [],
-};
-
 /** Persistent store of a control VM's quorum: its identity, term and vote, a snapshot, and the log after the snapshot. */
 export class QuorumStore {
     private constructor(
@@ -52,7 +43,7 @@
     static async create(disk: Disk, vm: string): Promise<QuorumStore> {
         const identity = await readIdentity(disk, vm);
         const hardState = await readFile<HardState>(disk, HARD_STATE_FILE) ?? { term: 0, votedFor: undefined };
-        const snapshot = { ...EMPTY_SNAPSHOT, ...await readFile<QuorumSnapshot>(disk, SNAPSHOT_FILE) };
+        const snapshot = { ...emptySnapshot, ...await readFile<QuorumSnapshot>(disk, SNAPSHOT_FILE) };
         const log = await RecordLog.create(disk, LOG_FILE);
         const state = { hardState, snapshot, entries: replayEntries(log.recovered) };
         return new QuorumStore(disk, log, identity, state);
@@ -70,7 +61,7 @@
      * @param remaining - Log entries after the snapshot; stored if the output has a snapshot.
      * @throws FleetError if the disk fails; the output's messages must not be sent then.
      */
-    async save(output: QuorumOutput, remaining: readonly LogEntry[]): Promise<void> {
+    async save(output: Pick<QuorumOutput, "hardState" | "entries" | "snapshot">, remaining: readonly LogEntry[]): Promise<void> {
         if (output.hardState !== undefined) {
             await this.disk.replace(HARD_STATE_FILE, packr.pack(output.hardState));
         }
--- a/src/decisions/quorum/PeerProgress/index.ts
+++ b/src/decisions/quorum/PeerProgress/index.ts
@@ -66,8 +66,12 @@
 
     /** Returns true if a majority of the voters, including the leader, has replied within the election timeout. */
     isQuorumActive(voters: readonly string[], nowMs: number): boolean {
-        const active = voters.filter((voter) => voter === this.self || this.isActive(voter, nowMs));
-        return active.length >= majorityOf(voters.length);
+        return voters.length - this.silentVoters(voters, nowMs).length >= majorityOf(voters.length);
+    }
+
+    /** Returns the voters that have not replied within the election timeout. */
+    silentVoters(voters: readonly string[], nowMs: number): readonly string[] {
+        return voters.filter((voter) => voter !== this.self && !this.isActive(voter, nowMs));
     }
 
     /** Returns the highest index that is stored on a majority of the voters. */
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -11,10 +11,14 @@
 import { QuorumLog } from "../QuorumLog/index.js";
 import { QuorumMessage } from "../QuorumMessage.js";
 import { QuorumMessageKind } from "../QuorumMessageKind.js";
+import { QuorumNotice } from "../QuorumNotice.js";
+import { QuorumNoticeKind } from "../QuorumNoticeKind.js";
 import { QuorumOutput } from "../QuorumOutput.js";
 import { QuorumRole } from "../QuorumRole.js";
 import { QuorumSnapshot } from "../QuorumSnapshot.js";
 import { QuorumState } from "../QuorumState.js";
+import { StepDownReason } from "../StepDownReason.js";
+import { VoteRefusal } from "../VoteRefusal.js";
 
 /** Time between a leader's append messages to a peer, in ms; they serve as heartbeats. */
 const HEARTBEAT_INTERVAL_MS = 100;
@@ -62,6 +66,7 @@
     private newSnapshot: QuorumSnapshot | undefined;
     private receivedSnapshot: QuorumSnapshot | undefined;
     private messages: { to: string; message: QuorumMessage }[] = [];
+    private notices: QuorumNotice[] = [];
     private appliedIndex: number;
 
     private constructor(
@@ -199,11 +204,13 @@
             messages: this.messages,
             committed,
             receivedSnapshot: this.receivedSnapshot,
+            notices: this.notices,
         };
         this.persistedState = this.hardState;
         this.newSnapshot = undefined;
         this.newEntries = [];
         this.messages = [];
+        this.notices = [];
         this.receivedSnapshot = undefined;
         return output;
     }
@@ -229,6 +236,7 @@
 
     private tickLeader(nowMs: number): void {
         if (!this.progress.isQuorumActive(this.voters, nowMs)) {
+            this.recordStepDown(StepDownReason.SilentMajority, nowMs);
             this.becomeFollower(this.hardState.term, undefined, nowMs);
             return;
         }
@@ -239,10 +247,12 @@
     }
 
     private startPreVote(nowMs: number): void {
+        this.recordLostRound();
         this.resetElectionTimer(nowMs);
         this.role = QuorumRole.PreCandidate;
         this.leader = undefined;
         this.votes = new Set([this.self]);
+        this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term + 1, isPreVote: true });
         this.requestVotes(QuorumMessageKind.PreVote, this.hardState.term + 1);
         this.countVotes(nowMs);
     }
@@ -252,6 +262,7 @@
         this.role = QuorumRole.Candidate;
         this.hardState = { term: this.hardState.term + 1, votedFor: this.self };
         this.votes = new Set([this.self]);
+        this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term, isPreVote: false });
         this.requestVotes(QuorumMessageKind.Vote, this.hardState.term);
         this.countVotes(nowMs);
     }
@@ -302,6 +313,9 @@
 
     private handleMessage(from: string, message: QuorumMessage, nowMs: number): void {
         if (message.term > this.hardState.term && !this.shouldIgnoreTerm(message, nowMs)) {
+            if (this.isLeader) {
+                this.recordStepDown(StepDownReason.HigherTerm, nowMs);
+            }
             this.becomeFollower(message.term, undefined, nowMs);
         }
         switch (message.kind) {
@@ -346,14 +360,20 @@
     }
 
     private handlePreVote(from: string, message: VoteRequest, nowMs: number): void {
-        const granted = message.term > this.hardState.term && !this.hasLeaderContact(nowMs) && this.isUpToDate(message);
+        const refusal = message.term > this.hardState.term ? this.findRefusal(message, nowMs) : VoteRefusal.OldTerm;
+        const granted = refusal === undefined;
+        this.recordRefusal(from, message, refusal);
         this.send(from, { kind: QuorumMessageKind.PreVoteReply, term: granted ? message.term : this.hardState.term, granted });
     }
 
     private handleVote(from: string, message: VoteRequest, nowMs: number): void {
         const { term, votedFor } = this.hardState;
-        const canVote = message.term === term && (votedFor === undefined || votedFor === from);
-        const granted = canVote && !this.hasLeaderContact(nowMs) && this.isUpToDate(message);
+        const hasVotedForOther = votedFor !== undefined && votedFor !== from;
+        const refusal = message.term !== term
+            ? message.term < term ? VoteRefusal.OldTerm : VoteRefusal.LeaderContact
+            : hasVotedForOther ? VoteRefusal.VotedForOther : this.findRefusal(message, nowMs);
+        const granted = refusal === undefined;
+        this.recordRefusal(from, message, refusal);
         if (granted) {
             this.hardState = { term, votedFor: from };
             this.resetElectionTimer(nowMs);
@@ -368,11 +388,40 @@
         }
     }
 
+    private findRefusal(message: VoteRequest, nowMs: number): VoteRefusal | undefined {
+        if (this.hasLeaderContact(nowMs)) {
+            return VoteRefusal.LeaderContact;
+        }
+        return this.isUpToDate(message) ? undefined : VoteRefusal.OutdatedLog;
+    }
+
     private isUpToDate(message: VoteRequest): boolean {
         const { lastIndex, lastTerm } = this.log;
         return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= lastIndex);
     }
 
+    private recordRefusal(candidate: string, message: VoteRequest, reason: VoteRefusal | undefined): void {
+        if (reason !== undefined) {
+            const isPreVote = message.kind === QuorumMessageKind.PreVote;
+            this.notices.push({ kind: QuorumNoticeKind.VoteRefused, term: message.term, isPreVote, candidate, reason });
+        }
+    }
+
+    private recordLostRound(): void {
+        const isPreVote = this.role === QuorumRole.PreCandidate;
+        if (!isPreVote && this.role !== QuorumRole.Candidate) {
+            return;
+        }
+        const granted = this.voters.filter((voter) => this.votes.has(voter));
+        const missing = this.voters.filter((voter) => !this.votes.has(voter));
+        this.notices.push({ kind: QuorumNoticeKind.RoundLost, term: this.hardState.term + Number(isPreVote), isPreVote, granted, missing });
+    }
+
+    private recordStepDown(reason: StepDownReason, nowMs: number): void {
+        const silent = this.progress.silentVoters(this.voters, nowMs);
+        this.notices.push({ kind: QuorumNoticeKind.SteppedDown, term: this.hardState.term, reason, silent });
+    }
+
     private handleAppend(from: string, message: AppendMessage, nowMs: number): void {
         if (message.term < this.hardState.term) {
             this.sendAppendReply(from, false, 0);
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -5,6 +5,8 @@
 import { QuorumEventKind } from "../QuorumEventKind.js";
 import { QuorumMessage } from "../QuorumMessage.js";
 import { QuorumMessageKind } from "../QuorumMessageKind.js";
+import { QuorumNoticeKind } from "../QuorumNoticeKind.js";
+import { VoteRefusal } from "../VoteRefusal.js";
 import { QuorumMachine } from "./index.js";
 
 const VOTERS = ["a", "b", "c"];
@@ -160,3 +162,28 @@
     used.step({ kind: QuorumEventKind.Bootstrap }, 0);
     t.false(used.isLeader);
 });
+
+test("a lost round names the voters whose votes are missing", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    machine.step({ kind: QuorumEventKind.Tick }, 1_000);
+    const notices = [1_500, 2_000].flatMap((atMs) => machine.step({ kind: QuorumEventKind.Tick }, atMs).notices);
+    t.deepEqual(notices.find(({ kind }) => kind === QuorumNoticeKind.RoundLost), {
+        kind: QuorumNoticeKind.RoundLost,
+        term: 2,
+        isPreVote: true,
+        granted: ["a"],
+        missing: ["b", "c"],
+    });
+});
+
+test("a refused vote names the candidate and the reason", (t) => {
+    const machine = create({ term: 5, votedFor: "c" }, [barrier(1, 5)]);
+    const refusalOf = (message: QuorumMessage): VoteRefusal | undefined => {
+        const [notice] = machine.step({ kind: QuorumEventKind.Message, from: "b", message }, NO_LEADER_MS).notices;
+        return notice?.kind === QuorumNoticeKind.VoteRefused && notice.candidate === "b" ? notice.reason : undefined;
+    };
+    t.is(refusalOf(vote(QuorumMessageKind.PreVote, 5, 1, 5)), VoteRefusal.OldTerm);
+    t.is(refusalOf(vote(QuorumMessageKind.Vote, 5, 1, 5)), VoteRefusal.VotedForOther);
+    t.is(refusalOf(vote(QuorumMessageKind.PreVote, 6, 9, 4)), VoteRefusal.OutdatedLog);
+    t.is(refusalOf(vote(QuorumMessageKind.PreVote, 6, 1, 5)), undefined);
+});
--- a/src/decisions/quorum/QuorumOutput.ts
+++ b/src/decisions/quorum/QuorumOutput.ts
@@ -1,6 +1,7 @@
 import { HardState } from "./HardState.js";
 import { LogEntry } from "./LogEntry.js";
 import { QuorumMessage } from "./QuorumMessage.js";
+import { QuorumNotice } from "./QuorumNotice.js";
 import { QuorumSnapshot } from "./QuorumSnapshot.js";
 
 /**
@@ -19,4 +20,6 @@
     readonly committed: readonly LogEntry[];
     /** Snapshot received from the leader, to apply in place of the entries that it covers. */
     readonly receivedSnapshot: QuorumSnapshot | undefined;
+    /** Steps of elections, for the log of an operator. */
+    readonly notices: readonly QuorumNotice[];
 }
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -117,10 +117,17 @@
             { name: "position", help: "Position in the log of the latest change applied", read: () => this.itemController?.position ?? 0 },
             { name: "voters", help: "Control VMs that vote", read: () => this.itemController?.quorum.voters.length ?? 0 },
             { name: "leads", help: "1 if this VM leads", read: () => Number(this.itemController?.quorum.isReady ?? false) },
+            ...this.quorumGauges,
             ...this.quotaGranter.gauges,
         ];
     }
 
+    /** Gauges of the quorum, which is replaced when the data folder is opened again. */
+    private get quorumGauges(): readonly GaugeSource[] {
+        const names = this.itemController?.quorum.gauges ?? [];
+        return names.map(({ name, help }, index) => ({ name, help, read: () => this.itemController?.quorum.gauges[index]?.read() ?? 0 }));
+    }
+
     /** Applies new settings. */
     reload(settings: MeshSettings): void {
         this.links?.setSeeds(settings);
@@ -239,10 +246,12 @@
     }
 
     private async callLeader(message: Message): Promise<Message | undefined> {
-        const leader = this.itemController?.quorum.leader;
+        const quorum = this.itemController?.quorum;
+        const leader = quorum?.leader;
         const peer = this.livePeers().find(({ identity }) => identity === leader);
         if (peer === undefined) {
-            throw this.createError("no leader is known; try another control VM");
+            const reason = leader === undefined ? `no leader is known (${quorum?.leaderlessReason ?? ""})` : `the leader ${leader} cannot be reached`;
+            throw this.createError(`${reason}; try another control VM`);
         }
         return this.links?.call(peer, message, LEADER_TIMEOUT_MS);
     }
