Do not let control VMs wait for their own disks

Hypothesis 1: the controller handled one event at a time and waited for the sync of each, so that heartbeats, replies and timers stood behind the disk and the time of the own write counted as silence of the peers.

The quorum machine now goes on while its state is being written. Votes, requests for votes and acknowledgements of new entries are durable messages, sent once their write and all earlier ones are synced; heartbeats, pre-votes and refusals promise nothing and leave at once. A VM counts its own vote and its own copy of an entry when they are on disk (Ongaro's thesis, section 10.2.1). Outputs that wait are written together (LogWriter).

The test of bootstrap expected a leader before its log was written; it now asserts that there is none until the write is reported.

--- a/bench/quorum/ControlGroup/index.ts
+++ b/bench/quorum/ControlGroup/index.ts
@@ -36,7 +36,7 @@
         const stores = await Promise.all(vms.map(({ disk, name }) => QuorumStore.create(disk, name)));
         const voters = stores.map(({ identity }) => identity);
         const snapshot = { ...emptySnapshot, lastIndex: 1, lastTerm: 1, voters };
-        await Promise.all(stores.map((store) => store.save({ hardState: { term: 1, votedFor: undefined }, entries: [], snapshot }, [])));
+        await Promise.all(stores.map((store) => store.save([{ hardState: { term: 1, votedFor: undefined }, entries: [], snapshot, remaining: [] }])));
         return new ControlGroup(vms, events);
     }
 
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -18,6 +18,7 @@
 import { Step } from "../../model/Step.js";
 import { assertNever } from "../../model/assertNever/index.js";
 import { toError } from "../../model/toError/index.js";
+import { LogWriter } from "../LogWriter/index.js";
 import { QuorumStore } from "../QuorumStore/index.js";
 import { QuorumCallbacks } from "../QuorumCallbacks.js";
 
@@ -40,15 +41,10 @@
     private readonly machine: QuorumMachine;
     private readonly timer: NodeJS.Timeout;
     private readonly pendingCommits = new Map<number, PendingCommit>();
-    private queue: Promise<void> = Promise.resolve();
+    private readonly writer: LogWriter;
     private failure: FleetError | undefined;
     private wasLeader = false;
     private stepDownReason = "";
-    /** Events that wait for the disk. */
-    private queueLength = 0;
-    private writeStartedAtMs: number | undefined;
-    private lastWriteMs = 0;
-    private longestWriteMs = 0;
     private roundsStarted = 0;
     private roundsLost = 0;
     /** Latest lost round of an election, for the error of a request that finds no leader. */
@@ -63,8 +59,13 @@
         private readonly events: EventLog,
     ) {
         this.throttledLog = ThrottledLog.create(events);
+        this.writer = LogWriter.create(store, {
+            handleWritten: (outputs) => this.handleWritten(outputs),
+            handleDuration: (durationMs) => this.recordWrite(durationMs),
+            handleFailure: (error) => this.handleStorageFailure(error),
+        });
         this.machine = QuorumMachine.create(store.identity, store.state, Math.random, nowMs());
-        this.timer = setInterval(() => void this.handleEvent({ kind: QuorumEventKind.Tick }), TICK_MS);
+        this.timer = setInterval(() => this.handleEvent({ kind: QuorumEventKind.Tick }), TICK_MS);
     }
 
     /**
@@ -125,16 +126,17 @@
             { name: "leader_known", help: "1 if this VM leads or knows the leader", read: () => Number(this.leader !== undefined) },
             { name: "election_rounds", help: "Rounds of pre-votes and elections that this VM has started", read: () => this.roundsStarted },
             { name: "election_rounds_lost", help: "Rounds of pre-votes and elections that ended without a majority", read: () => this.roundsLost },
-            { name: "log_write_queue", help: "Events that wait for the data folder", read: () => this.queueLength },
-            { name: "log_write_ms", help: "Time of the latest write to the data folder", read: () => this.lastWriteMs },
-            { name: "log_write_longest_ms", help: "Longest time of a write to the data folder", read: () => this.longestWriteMs },
-            { name: "log_write_pending_ms", help: "Age of the write to the data folder that is in progress", read: () => this.pendingWriteMs },
+            { name: "log_write_queue", help: "Outputs that wait for the data folder", read: () => this.writer.waitingCount },
+            { name: "log_write_ms", help: "Time of the latest write to the data folder", read: () => this.writer.lastDurationMs },
+            { name: "log_write_longest_ms", help: "Longest time of a write to the data folder", read: () => this.writer.longestDurationMs },
+            { name: "log_write_pending_ms", help: "Age of the write to the data folder that is in progress", read: () => this.writer.pendingMs },
         ];
     }
 
     /** Why this VM knows no leader, for the operator whose request is refused. */
     get leaderlessReason(): string {
-        const writing = this.pendingWriteMs >= SLOW_WRITE_MS ? `; a write to the data folder has taken ${Math.round(this.pendingWriteMs)} ms so far` : "";
+        const { pendingMs } = this.writer;
+        const writing = pendingMs >= SLOW_WRITE_MS ? `; a write to the data folder has taken ${Math.round(pendingMs)} ms so far` : "";
         return `term ${this.term}; ${this.lostRound === "" ? "no election has been lost" : this.lostRound}${writing}`;
     }
 
@@ -145,19 +147,22 @@
 
     /** Handles a message from another control VM. */
     handleMessage(from: string, message: QuorumMessage): void {
-        void this.handleEvent({ kind: QuorumEventKind.Message, from, message });
+        this.handleEvent({ kind: QuorumEventKind.Message, from, message });
     }
 
     /**
-     * Starts a new log with this VM as its only voter.
+     * Starts a new log with this VM as its only voter, and waits until it is on disk.
      *
-     * @throws FleetError if this VM already has a log.
+     * @throws FleetError if this VM already has a log, or its disk fails.
      */
     async bootstrap(): Promise<void> {
         if (this.machine.lastIndex > 0 || this.machine.term > 0) {
             throw this.createError("this control VM already has a log");
         }
-        await this.handleEvent({ kind: QuorumEventKind.Bootstrap });
+        const output = this.step({ kind: QuorumEventKind.Bootstrap });
+        const committed = this.waitForCommit(this.machine.lastIndex);
+        this.processOutput(output);
+        await committed;
     }
 
     /**
@@ -166,19 +171,16 @@
      * @throws FleetError if this VM is not the leader, or stops being the leader before the entry is committed.
      */
     async commit(content: EntryContent): Promise<void> {
-        let committed: Promise<void> | undefined;
-        await this.enqueue(async () => {
-            if (!this.isReady) {
-                throw this.createError("this control VM is not the leader; try another one");
-            }
-            const previousIndex = this.machine.lastIndex;
-            const output = this.machine.step({ kind: QuorumEventKind.Propose, content }, nowMs());
-            if (this.machine.lastIndex === previousIndex) {
-                throw this.createError("another change of voters is in progress; try again");
-            }
-            committed = this.waitForCommit(this.machine.lastIndex);
-            await this.processOutput(output);
-        });
+        if (!this.isReady) {
+            throw this.createError("this control VM is not the leader; try another one");
+        }
+        const previousIndex = this.machine.lastIndex;
+        const output = this.step({ kind: QuorumEventKind.Propose, content });
+        if (this.machine.lastIndex === previousIndex) {
+            throw this.createError("another change of voters is in progress; try again");
+        }
+        const committed = this.waitForCommit(this.machine.lastIndex);
+        this.processOutput(output);
         await committed;
     }
 
@@ -205,6 +207,7 @@
     /** Stops the timers. */
     close(): void {
         clearInterval(this.timer);
+        this.writer.close();
     }
 
     private waitForCommit(index: number): Promise<void> {
@@ -214,67 +217,52 @@
         return committed;
     }
 
-    private handleEvent(event: QuorumEvent): Promise<void> {
-        return this.enqueue(async () => {
-            if (this.failure === undefined) {
-                this.machine.setLearners(this.callbacks.learners());
-                await this.processOutput(this.machine.step(event, nowMs()));
-            }
-        }).catch((thrown: unknown) => this.events.record(EventNumber.DecisionDropped, { error: toError(thrown).message }));
-    }
-
-    private enqueue(action: () => Promise<void>): Promise<void> {
-        this.queueLength += 1;
-        const done = this.queue.then(async () => {
-            this.queueLength -= 1;
-            await action();
-        });
-        this.queue = done.catch(() => undefined);
-        return done;
+    private handleEvent(event: QuorumEvent): void {
+        if (this.failure === undefined) {
+            this.runGuarded(() => this.processOutput(this.step(event)));
+        }
     }
 
-    private async processOutput(output: QuorumOutput): Promise<void> {
+    private runGuarded(action: () => void): void {
         try {
-            await this.save(output);
+            action();
         }
         catch (thrown) {
-            this.handleStorageFailure(toError(thrown));
-            throw thrown;
+            this.events.record(EventNumber.DecisionDropped, { error: toError(thrown).message });
         }
+    }
+
+    private step(event: QuorumEvent): QuorumOutput {
+        this.machine.setLearners(this.callbacks.learners());
+        return this.machine.step(event, nowMs());
+    }
+
+    private processOutput(output: QuorumOutput): void {
         output.notices.forEach((notice) => this.recordNotice(notice));
         output.messages.forEach(({ to, message }) => this.callbacks.send(to, message));
+        if (output.writeNumber !== undefined || output.durableMessages.length > 0) {
+            this.writer.write(output);
+        }
         if (output.receivedSnapshot !== undefined) {
             this.callbacks.restore(output.receivedSnapshot);
         }
         output.committed.forEach((entry) => this.applyEntry(entry));
         this.trackLeadership();
-        await this.compact();
+        this.compact();
     }
 
-    private async save(output: QuorumOutput): Promise<void> {
-        const isNeeded = output.hardState !== undefined || output.entries.length > 0 || output.snapshot !== undefined;
-        if (!isNeeded) {
-            return;
+    private handleWritten(outputs: readonly QuorumOutput[]): void {
+        const messages = outputs.flatMap(({ durableMessages }) => durableMessages);
+        this.runGuarded(() => messages.forEach(({ to, message }) => this.callbacks.send(to, message)));
+        const writeNumber = outputs.findLast((output) => output.writeNumber !== undefined)?.writeNumber;
+        if (writeNumber !== undefined) {
+            this.handleEvent({ kind: QuorumEventKind.Persisted, writeNumber });
         }
-        this.writeStartedAtMs = nowMs();
-        try {
-            await this.store.save(output, this.machine.entriesAfterSnapshot());
-        }
-        finally {
-            this.recordWrite(this.pendingWriteMs);
-            this.writeStartedAtMs = undefined;
-        }
-    }
-
-    private get pendingWriteMs(): number {
-        return this.writeStartedAtMs === undefined ? 0 : nowMs() - this.writeStartedAtMs;
     }
 
     private recordWrite(durationMs: number): void {
-        this.lastWriteMs = durationMs;
-        this.longestWriteMs = Math.max(this.longestWriteMs, durationMs);
         if (durationMs >= SLOW_WRITE_MS) {
-            this.throttledLog.record(EventNumber.WriteSlow, { durationMs: Math.round(durationMs), queue: this.queueLength });
+            this.throttledLog.record(EventNumber.WriteSlow, { durationMs: Math.round(durationMs), queue: this.writer.waitingCount });
         }
     }
 
@@ -325,13 +313,13 @@
         }
     }
 
-    private async compact(): Promise<void> {
+    private compact(): void {
         const isLarge = this.uncompactedCharacters >= COMPACTION_THRESHOLD_CHARACTERS;
         if (isLarge || this.machine.uncompactedEntryCount >= COMPACTION_THRESHOLD_ENTRIES) {
             this.uncompactedCharacters = 0;
             const position = this.machine.appliedPosition();
             const snapshot: QuorumSnapshot = { ...this.callbacks.createSnapshot(), ...position };
-            await this.processOutput(this.machine.step({ kind: QuorumEventKind.Compact, snapshot }, nowMs()));
+            this.processOutput(this.machine.step({ kind: QuorumEventKind.Compact, snapshot }, nowMs()));
         }
     }
 
--- a/src/controllers/QuorumStore/index.ts
+++ b/src/controllers/QuorumStore/index.ts
@@ -22,6 +22,8 @@
 const packr = new Packr({ useRecords: false });
 const unpackr = new Unpackr({ useRecords: false });
 
+type PersistentState = Pick<QuorumOutput, "hardState" | "entries" | "snapshot" | "remaining">;
+
 /** Persistent store of a control VM's quorum: its identity, term and vote, a snapshot, and the log after the snapshot. */
 export class QuorumStore {
     private constructor(
@@ -55,22 +57,24 @@
     }
 
     /**
-     * Persists the state in an output of the quorum machine.
+     * Persists the state in consecutive outputs of the quorum machine.
      *
-     * @param output - Output of the quorum machine.
-     * @param remaining - Log entries after the snapshot; stored if the output has a snapshot.
-     * @throws FleetError if the disk fails; the output's messages must not be sent then.
+     * @param outputs - The outputs, in order; only the last one may have a snapshot.
+     * @throws FleetError if the disk fails; the durable messages of the outputs must not be sent then.
      */
-    async save(output: Pick<QuorumOutput, "hardState" | "entries" | "snapshot">, remaining: readonly LogEntry[]): Promise<void> {
-        if (output.hardState !== undefined) {
-            await this.disk.replace(HARD_STATE_FILE, packr.pack(output.hardState));
+    async save(outputs: readonly PersistentState[]): Promise<void> {
+        const hardState = outputs.findLast((output) => output.hardState !== undefined)?.hardState;
+        if (hardState !== undefined) {
+            await this.disk.replace(HARD_STATE_FILE, packr.pack(hardState));
         }
-        if (output.entries.length > 0) {
-            await this.log.append([packr.pack(output.entries)]);
+        const records = outputs.filter(({ entries }) => entries.length > 0).map(({ entries }) => packr.pack(entries));
+        if (records.length > 0) {
+            await this.log.append(records);
         }
-        if (output.snapshot !== undefined) {
-            await this.disk.replace(SNAPSHOT_FILE, packr.pack(output.snapshot));
-            await this.log.rewrite(remaining.length > 0 ? [packr.pack(remaining)] : []);
+        const last = outputs.at(-1);
+        if (last?.snapshot !== undefined) {
+            await this.disk.replace(SNAPSHOT_FILE, packr.pack(last.snapshot));
+            await this.log.rewrite(last.remaining.length > 0 ? [packr.pack(last.remaining)] : []);
         }
     }
 }
--- a/src/decisions/quorum/PeerProgress/index.ts
+++ b/src/decisions/quorum/PeerProgress/index.ts
@@ -39,6 +39,14 @@
         return known.nextIndex;
     }
 
+    /** Records entries that were sent to a peer. They are sent again only if the peer's reply shows that it lacks them. */
+    recordSent(peer: string, lastIndex: number): void {
+        const known = this.peers.get(peer);
+        if (known !== undefined) {
+            known.nextIndex = Math.max(known.nextIndex, lastIndex + 1);
+        }
+    }
+
     /**
      * Updates a peer's progress from its reply to an append message.
      *
--- a/src/decisions/quorum/QuorumEvent.ts
+++ b/src/decisions/quorum/QuorumEvent.ts
@@ -11,5 +11,7 @@
     | { readonly kind: QuorumEventKind.Propose; readonly content: EntryContent }
     /** Start a new log with this VM as its only voter; ignored unless the log is empty. */
     | { readonly kind: QuorumEventKind.Bootstrap }
+    /** The writes up to and including a number are synced to disk. */
+    | { readonly kind: QuorumEventKind.Persisted; readonly writeNumber: number }
     /** Replace the log up to the snapshot's last entry with the snapshot, which holds committed state. */
     | { readonly kind: QuorumEventKind.Compact; readonly snapshot: QuorumSnapshot };
--- a/src/decisions/quorum/QuorumEventKind.ts
+++ b/src/decisions/quorum/QuorumEventKind.ts
@@ -4,5 +4,6 @@
     Message = "message",
     Propose = "propose",
     Bootstrap = "bootstrap",
+    Persisted = "persisted",
     Compact = "compact",
 }
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -33,6 +33,13 @@
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
 type AppendReply = Extract<QuorumMessage, { kind: QuorumMessageKind.AppendReply }>;
+interface PendingWrite {
+    readonly number: number;
+    readonly hasHardState: boolean;
+    /** Index from which on the stored log may differ from the one in memory. */
+    readonly firstIndex: number;
+}
+
 type VoteRequest = Extract<QuorumMessage, { kind: QuorumMessageKind.PreVote | QuorumMessageKind.Vote }>;
 type SnapshotMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Snapshot }>;
 
@@ -42,8 +49,9 @@
  * election (section 9.6); leaders that step down after an election timeout without replies from a majority (section 6.2);
  * and single-server membership changes (section 4.1).
  *
- * Deterministic: it reads no clock and does no input or output. The caller must persist an output's state before it sends
- * the output's messages.
+ * Deterministic: it reads no clock and does no input or output. It goes on while its state is being written, so that the time of a
+ * disk does not count as silence of a peer: votes and acknowledgements of entries are messages that wait for their write, and the
+ * machine counts its own vote and its own copy of an entry only once they are persisted (Ongaro's thesis, section 10.2.1).
  */
 export class QuorumMachine {
     private readonly log: QuorumLog;
@@ -66,6 +74,9 @@
     private newSnapshot: QuorumSnapshot | undefined;
     private receivedSnapshot: QuorumSnapshot | undefined;
     private messages: { to: string; message: QuorumMessage }[] = [];
+    private durableMessages: { to: string; message: QuorumMessage }[] = [];
+    private readonly pendingWrites: PendingWrite[] = [];
+    private writeCount = 0;
     private notices: QuorumNotice[] = [];
     private appliedIndex: number;
 
@@ -138,11 +149,6 @@
         return this.appliedIndex - this.log.snapshot.lastIndex;
     }
 
-    /** Returns all entries that the snapshot does not cover. */
-    entriesAfterSnapshot(): readonly LogEntry[] {
-        return this.log.slice(this.log.snapshot.lastIndex + 1, this.log.lastIndex);
-    }
-
     /** Returns the last applied position and its voters, for a new snapshot. */
     appliedPosition(): Pick<QuorumSnapshot, "lastIndex" | "lastTerm" | "voters"> {
         const voters = this.log.slice(0, this.appliedIndex).findLast((entry) => entry.kind === EntryKind.Voters);
@@ -184,6 +190,9 @@
             case QuorumEventKind.Bootstrap:
                 this.bootstrap(nowMs);
                 break;
+            case QuorumEventKind.Persisted:
+                this.handlePersisted(event.writeNumber, nowMs);
+                break;
             case QuorumEventKind.Compact:
                 this.log.compact(event.snapshot);
                 this.newSnapshot = event.snapshot;
@@ -197,11 +206,16 @@
     private drainOutput(): QuorumOutput {
         const committed = this.log.slice(this.appliedIndex + 1, this.commitIndex);
         this.appliedIndex = this.commitIndex;
+        const hardState = this.hardState === this.persistedState ? undefined : this.hardState;
+        const { snapshot } = this.log;
         const output = {
-            hardState: this.hardState === this.persistedState ? undefined : this.hardState,
+            writeNumber: this.startWrite(hardState !== undefined),
+            hardState,
             snapshot: this.newSnapshot,
             entries: this.newEntries,
+            remaining: this.newSnapshot === undefined ? [] : this.log.slice(snapshot.lastIndex + 1, this.log.lastIndex),
             messages: this.messages,
+            durableMessages: this.durableMessages,
             committed,
             receivedSnapshot: this.receivedSnapshot,
             notices: this.notices,
@@ -210,11 +224,45 @@
         this.newSnapshot = undefined;
         this.newEntries = [];
         this.messages = [];
+        this.durableMessages = [];
         this.notices = [];
         this.receivedSnapshot = undefined;
         return output;
     }
 
+    private startWrite(hasHardState: boolean): number | undefined {
+        if (!hasHardState && this.newEntries.length === 0 && this.newSnapshot === undefined) {
+            return undefined;
+        }
+        this.writeCount += 1;
+        this.pendingWrites.push({ number: this.writeCount, hasHardState, firstIndex: this.firstNewIndex });
+        return this.writeCount;
+    }
+
+    /** Index from which on the output of this step will change the stored log. */
+    private get firstNewIndex(): number {
+        return this.receivedSnapshot === undefined ? this.newEntries[0]?.index ?? Number.POSITIVE_INFINITY : 1;
+    }
+
+    private handlePersisted(writeNumber: number, nowMs: number): void {
+        while (this.pendingWrites[0] !== undefined && this.pendingWrites[0].number <= writeNumber) {
+            this.pendingWrites.shift();
+        }
+        if (this.isLeader) {
+            this.advanceCommit();
+        }
+        else if (this.role === QuorumRole.Candidate && !this.pendingWrites.some(({ hasHardState }) => hasHardState)) {
+            this.votes.add(this.self);
+            this.countVotes(nowMs);
+        }
+    }
+
+    /** Index up to which the log in memory is stored as well. */
+    private get persistedIndex(): number {
+        const firstIndexes = [this.firstNewIndex, ...this.pendingWrites.map(({ firstIndex }) => firstIndex)];
+        return Math.min(this.log.lastIndex, ...firstIndexes.map((index) => index - 1));
+    }
+
     private bootstrap(nowMs: number): void {
         if (this.log.lastIndex > 0 || this.hardState.term > 0) {
             return;
@@ -261,15 +309,15 @@
         this.resetElectionTimer(nowMs);
         this.role = QuorumRole.Candidate;
         this.hardState = { term: this.hardState.term + 1, votedFor: this.self };
-        this.votes = new Set([this.self]);
+        this.votes = new Set();
         this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term, isPreVote: false });
         this.requestVotes(QuorumMessageKind.Vote, this.hardState.term);
-        this.countVotes(nowMs);
     }
 
     private requestVotes(kind: QuorumMessageKind.PreVote | QuorumMessageKind.Vote, term: number): void {
         const { lastIndex, lastTerm } = this.log;
-        this.otherVoters().forEach((to) => this.send(to, { kind, term, lastIndex, lastTerm }));
+        const messages = kind === QuorumMessageKind.Vote ? this.durableMessages : this.messages;
+        this.otherVoters().forEach((to) => messages.push({ to, message: { kind, term, lastIndex, lastTerm } }));
     }
 
     private countVotes(nowMs: number): void {
@@ -378,7 +426,8 @@
             this.hardState = { term, votedFor: from };
             this.resetElectionTimer(nowMs);
         }
-        this.send(from, { kind: QuorumMessageKind.VoteReply, term: this.hardState.term, granted });
+        const reply = { to: from, message: { kind: QuorumMessageKind.VoteReply, term: this.hardState.term, granted } } as const;
+        (granted ? this.durableMessages : this.messages).push(reply);
     }
 
     private recordVote(from: string, role: QuorumRole, granted: boolean, nowMs: number): void {
@@ -435,20 +484,27 @@
             this.sendAppendReply(from, false, Math.min(previousIndex - 1, this.log.lastIndex));
             return;
         }
-        this.mergeEntries(entries);
+        const hasAdded = this.mergeEntries(entries);
         const matchIndex = Math.max(previousIndex + entries.length, this.log.snapshot.lastIndex);
         this.commitIndex = Math.max(this.commitIndex, Math.min(commitIndex, matchIndex));
-        this.sendAppendReply(from, true, matchIndex);
+        if (hasAdded) {
+            this.sendDurableAppendReply(from, matchIndex);
+        }
+        else {
+            this.sendAppendReply(from, true, Math.min(matchIndex, this.persistedIndex));
+        }
     }
 
-    private mergeEntries(entries: readonly LogEntry[]): void {
+    /** Returns true if there were new entries. */
+    private mergeEntries(entries: readonly LogEntry[]): boolean {
         const added = this.log.merge(entries);
         const first = added[0];
         if (first === undefined) {
-            return;
+            return false;
         }
         assertInvariant(first.index > this.commitIndex, "a committed entry never changes", `${this.self} entry ${first.index}`);
         this.newEntries.push(...added);
+        return true;
     }
 
     private handleSnapshot(from: string, message: SnapshotMessage, nowMs: number): void {
@@ -464,8 +520,11 @@
             this.receivedSnapshot = snapshot;
             this.commitIndex = snapshot.lastIndex;
             this.appliedIndex = snapshot.lastIndex;
+            this.sendDurableAppendReply(from, snapshot.lastIndex);
+        }
+        else {
+            this.sendAppendReply(from, true, Math.min(snapshot.lastIndex, this.persistedIndex));
         }
-        this.sendAppendReply(from, true, snapshot.lastIndex);
     }
 
     private acceptLeader(leader: string, nowMs: number): void {
@@ -490,7 +549,7 @@
     }
 
     private advanceCommit(): void {
-        const index = this.progress.majorityIndex(this.voters, this.log.lastIndex);
+        const index = this.progress.majorityIndex(this.voters, this.persistedIndex);
         if (index > this.commitIndex && this.log.termAt(index) === this.hardState.term) {
             this.commitIndex = index;
             this.heartbeatDueAtMs = 0;
@@ -504,9 +563,11 @@
         const { term } = this.hardState;
         if (previousTerm === undefined) {
             this.send(to, { kind: QuorumMessageKind.Snapshot, term, snapshot: this.log.snapshot });
+            this.progress.recordSent(to, this.log.snapshot.lastIndex);
             return;
         }
         const entries = this.log.slice(nextIndex, previousIndex + MAX_ENTRIES_PER_APPEND);
+        this.progress.recordSent(to, previousIndex + entries.length);
         this.send(to, { kind: QuorumMessageKind.Append, term, previousIndex, previousTerm, entries, commitIndex: this.commitIndex });
     }
 
@@ -514,6 +575,10 @@
         this.send(to, { kind: QuorumMessageKind.AppendReply, term: this.hardState.term, accepted, matchIndex });
     }
 
+    private sendDurableAppendReply(to: string, matchIndex: number): void {
+        this.durableMessages.push({ to, message: { kind: QuorumMessageKind.AppendReply, term: this.hardState.term, accepted: true, matchIndex } });
+    }
+
     private becomeFollower(term: number, leader: string | undefined, nowMs: number): void {
         if (term > this.hardState.term) {
             this.hardState = { term, votedFor: undefined };
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -93,7 +93,7 @@
     test(title, (t) => {
         const machine = create(hardState, entries);
         const output = machine.step({ kind: QuorumEventKind.Message, from: "b", message }, NO_LEADER_MS);
-        const reply = output.messages[0]?.message;
+        const reply = [...output.messages, ...output.durableMessages][0]?.message;
         t.true(reply !== undefined && "granted" in reply);
         t.is(reply !== undefined && "granted" in reply && reply.granted, granted);
     });
@@ -103,6 +103,8 @@
     const machine = create({ term: 1, votedFor: undefined }, []);
     const output = machine.step({ kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.Vote, 2, 0, 0) }, NO_LEADER_MS);
     t.deepEqual(output.hardState, { term: 2, votedFor: "b" });
+    t.deepEqual(output.messages, []);
+    t.deepEqual(output.durableMessages.map(({ message }) => message.kind), [QuorumMessageKind.VoteReply]);
 });
 
 test("a pre-vote changes neither term nor vote", (t) => {
@@ -156,7 +158,9 @@
             position: { term: 0, version: 0, manifestVersion: 0 },
         },
     }, () => 0, 0);
-    empty.step({ kind: QuorumEventKind.Bootstrap }, 0);
+    const { writeNumber = 0 } = empty.step({ kind: QuorumEventKind.Bootstrap }, 0);
+    t.false(empty.isReady, "not before the log is on disk");
+    empty.step({ kind: QuorumEventKind.Persisted, writeNumber }, 0);
     t.true(empty.isReady);
     const used = create({ term: 3, votedFor: undefined }, [barrier(1, 3)]);
     used.step({ kind: QuorumEventKind.Bootstrap }, 0);
