Give elections of control VMs the time that votes take

Callers saw no leader for a minute after a restart of all control VMs with slow disks (docs/incidents/missing-leader.md). Hypothesis 2: until the first contact with a leader a new round began after 200 to 400 ms, for ever, and votes that came later were discarded. Others stood in the meantime, so that all voted for themselves.

Votes of a term now count as long as the term lasts, and pre-votes for an election timeout. The timeout of a candidate begins when its own vote is stored and doubles from one election to the next, up to four times; a candidate that a majority has refused does not wait for it. A voter that grants a pre-vote or a vote waits an election timeout before it stands, and refuses pre-votes of others for that time after its vote. A VM whose disk is busy does not stand, since it could not store its own vote.

--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -29,6 +29,8 @@
  * control VMs there is no leader to wait for, and pre-votes do not disturb an existing leader.
  */
 const FIRST_ELECTION_TIMEOUT_MS = 200;
+/** Number of times that the timeout of a candidate doubles from one election to the next. */
+const MAX_TIMEOUT_DOUBLINGS = 2;
 const MAX_ENTRIES_PER_APPEND = 64;
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
@@ -41,6 +43,7 @@
 }
 
 type VoteRequest = Extract<QuorumMessage, { kind: QuorumMessageKind.PreVote | QuorumMessageKind.Vote }>;
+type VoteReply = Extract<QuorumMessage, { kind: QuorumMessageKind.PreVoteReply | QuorumMessageKind.VoteReply }>;
 type SnapshotMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Snapshot }>;
 
 /**
@@ -60,7 +63,16 @@
     private role = QuorumRole.Follower;
     private leader: string | undefined;
     private commitIndex: number;
+    /** Times of the pre-votes granted to this VM for the next term, by voter. */
+    private readonly preVotes = new Map<string, number>();
+    /** Term in which this VM is or was a candidate since its start. Votes of that term count as long as the term lasts. */
+    private candidacyTerm: number | undefined;
     private votes = new Set<string>();
+    private refusals = new Set<string>();
+    /** Elections since the last contact with a leader. */
+    private electionCount = 0;
+    /** Time at which the vote in the current term was stored. */
+    private votedAtMs = Number.NEGATIVE_INFINITY;
     private leaderContactAtMs: number;
     private electionDueAtMs: number;
     private heartbeatDueAtMs = 0;
@@ -245,18 +257,34 @@
     }
 
     private handlePersisted(writeNumber: number, nowMs: number): void {
+        const wasVotePending = this.hasPendingHardState();
         while (this.pendingWrites[0] !== undefined && this.pendingWrites[0].number <= writeNumber) {
             this.pendingWrites.shift();
         }
         if (this.isLeader) {
             this.advanceCommit();
         }
-        else if (this.role === QuorumRole.Candidate && !this.pendingWrites.some(({ hasHardState }) => hasHardState)) {
+        else if (wasVotePending && !this.hasPendingHardState()) {
+            this.handleStoredVote(nowMs);
+        }
+    }
+
+    private handleStoredVote(nowMs: number): void {
+        if (this.hardState.votedFor === undefined) {
+            return;
+        }
+        this.votedAtMs = nowMs;
+        if (this.role === QuorumRole.Candidate) {
+            this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS * 2 ** Math.min(this.electionCount - 1, MAX_TIMEOUT_DOUBLINGS));
             this.votes.add(this.self);
             this.countVotes(nowMs);
         }
     }
 
+    private hasPendingHardState(): boolean {
+        return this.pendingWrites.some(({ hasHardState }) => hasHardState);
+    }
+
     /** Index up to which the log in memory is stored as well. */
     private get persistedIndex(): number {
         const firstIndexes = [this.firstNewIndex, ...this.pendingWrites.map(({ firstIndex }) => firstIndex)];
@@ -277,7 +305,8 @@
             this.tickLeader(nowMs);
             return;
         }
-        if (nowMs >= this.electionDueAtMs && this.isVoter(this.self)) {
+        // A VM whose disk is busy could not store its own vote.
+        if (nowMs >= this.electionDueAtMs && this.isVoter(this.self) && this.pendingWrites.length === 0) {
             this.startPreVote(nowMs);
         }
     }
@@ -295,21 +324,25 @@
     }
 
     private startPreVote(nowMs: number): void {
-        this.recordLostRound();
+        this.recordLostRound(nowMs);
         this.resetElectionTimer(nowMs);
         this.role = QuorumRole.PreCandidate;
         this.leader = undefined;
-        this.votes = new Set([this.self]);
-        this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term + 1, isPreVote: true });
-        this.requestVotes(QuorumMessageKind.PreVote, this.hardState.term + 1);
-        this.countVotes(nowMs);
+        const term = this.hardState.term + 1;
+        this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term, isPreVote: true });
+        this.requestVotes(QuorumMessageKind.PreVote, term);
+        this.countPreVotes(nowMs);
     }
 
     private startElection(nowMs: number): void {
         this.resetElectionTimer(nowMs);
         this.role = QuorumRole.Candidate;
         this.hardState = { term: this.hardState.term + 1, votedFor: this.self };
+        this.candidacyTerm = this.hardState.term;
         this.votes = new Set();
+        this.refusals = new Set();
+        this.preVotes.clear();
+        this.electionCount += 1;
         this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term, isPreVote: false });
         this.requestVotes(QuorumMessageKind.Vote, this.hardState.term);
     }
@@ -320,22 +353,36 @@
         this.otherVoters().forEach((to) => messages.push({ to, message: { kind, term, lastIndex, lastTerm } }));
     }
 
-    private countVotes(nowMs: number): void {
-        const votes = this.voters.filter((voter) => this.votes.has(voter)).length;
-        if (votes < majorityOf(this.voters.length)) {
-            return;
-        }
-        if (this.role === QuorumRole.PreCandidate) {
+    private countPreVotes(nowMs: number): void {
+        if (this.freshPreVoters(nowMs).length >= majorityOf(this.voters.length)) {
             this.startElection(nowMs);
         }
-        else if (this.role === QuorumRole.Candidate) {
+    }
+
+    /** Voters whose pre-votes are younger than an election timeout, so that a round may be shorter than a reply takes. */
+    private freshPreVoters(nowMs: number): readonly string[] {
+        const isFresh = (voter: string): boolean => nowMs - (this.preVotes.get(voter) ?? Number.NEGATIVE_INFINITY) < ELECTION_TIMEOUT_MS;
+        return this.voters.filter((voter) => voter === this.self || isFresh(voter));
+    }
+
+    private countVotes(nowMs: number): void {
+        const majority = majorityOf(this.voters.length);
+        if (this.voters.filter((voter) => this.votes.has(voter)).length >= majority) {
             this.becomeLeader(nowMs);
         }
+        else if (this.role === QuorumRole.Candidate && this.hasLostElection) {
+            this.resetElectionTimer(nowMs);
+        }
+    }
+
+    private get hasLostElection(): boolean {
+        return this.voters.filter((voter) => !this.refusals.has(voter)).length < majorityOf(this.voters.length);
     }
 
     private becomeLeader(nowMs: number): void {
         this.role = QuorumRole.Leader;
         this.leader = this.self;
+        this.electionCount = 0;
         this.progress.reset(this.peers(), this.log.lastIndex, nowMs);
         this.heartbeatDueAtMs = nowMs;
         this.propose({ kind: EntryKind.Barrier }, nowMs);
@@ -371,13 +418,13 @@
                 this.handlePreVote(from, message, nowMs);
                 return;
             case QuorumMessageKind.PreVoteReply:
-                this.recordVote(from, QuorumRole.PreCandidate, message.granted && message.term === this.hardState.term + 1, nowMs);
+                this.handlePreVoteReply(from, message, nowMs);
                 return;
             case QuorumMessageKind.Vote:
                 this.handleVote(from, message, nowMs);
                 return;
             case QuorumMessageKind.VoteReply:
-                this.recordVote(from, QuorumRole.Candidate, message.granted && message.term === this.hardState.term, nowMs);
+                this.handleVoteReply(from, message, nowMs);
                 return;
             case QuorumMessageKind.Append:
                 this.handleAppend(from, message, nowMs);
@@ -408,12 +455,26 @@
     }
 
     private handlePreVote(from: string, message: VoteRequest, nowMs: number): void {
-        const refusal = message.term > this.hardState.term ? this.findRefusal(message, nowMs) : VoteRefusal.OldTerm;
+        const refusal = message.term <= this.hardState.term
+            ? VoteRefusal.OldTerm
+            : this.hasRecentVoteForOther(from, nowMs) ? VoteRefusal.RecentVote : this.findRefusal(message, nowMs);
         const granted = refusal === undefined;
+        if (granted && this.role !== QuorumRole.Candidate) {
+            this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS);
+        }
         this.recordRefusal(from, message, refusal);
         this.send(from, { kind: QuorumMessageKind.PreVoteReply, term: granted ? message.term : this.hardState.term, granted });
     }
 
+    /** Returns true if this VM's vote may still elect another candidate than the one that asks for a pre-vote. */
+    private hasRecentVoteForOther(from: string, nowMs: number): boolean {
+        const { votedFor } = this.hardState;
+        if (votedFor === undefined || votedFor === from || (votedFor === this.self && this.hasLostElection)) {
+            return false;
+        }
+        return this.hasPendingHardState() || nowMs - this.votedAtMs < ELECTION_TIMEOUT_MS;
+    }
+
     private handleVote(from: string, message: VoteRequest, nowMs: number): void {
         const { term, votedFor } = this.hardState;
         const hasVotedForOther = votedFor !== undefined && votedFor !== from;
@@ -424,17 +485,26 @@
         this.recordRefusal(from, message, refusal);
         if (granted) {
             this.hardState = { term, votedFor: from };
-            this.resetElectionTimer(nowMs);
+            this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS);
         }
         const reply = { to: from, message: { kind: QuorumMessageKind.VoteReply, term: this.hardState.term, granted } } as const;
         (granted ? this.durableMessages : this.messages).push(reply);
     }
 
-    private recordVote(from: string, role: QuorumRole, granted: boolean, nowMs: number): void {
-        if (this.role === role && granted) {
-            this.votes.add(from);
-            this.countVotes(nowMs);
+    private handlePreVoteReply(from: string, message: VoteReply, nowMs: number): void {
+        if (this.role === QuorumRole.PreCandidate && message.granted && message.term === this.hardState.term + 1) {
+            this.preVotes.set(from, nowMs);
+            this.countPreVotes(nowMs);
+        }
+    }
+
+    private handleVoteReply(from: string, message: VoteReply, nowMs: number): void {
+        const isCandidate = this.role === QuorumRole.Candidate || this.role === QuorumRole.PreCandidate;
+        if (!isCandidate || message.term !== this.hardState.term || message.term !== this.candidacyTerm) {
+            return;
         }
+        (message.granted ? this.votes : this.refusals).add(from);
+        this.countVotes(nowMs);
     }
 
     private findRefusal(message: VoteRequest, nowMs: number): VoteRefusal | undefined {
@@ -456,13 +526,13 @@
         }
     }
 
-    private recordLostRound(): void {
+    private recordLostRound(nowMs: number): void {
         const isPreVote = this.role === QuorumRole.PreCandidate;
         if (!isPreVote && this.role !== QuorumRole.Candidate) {
             return;
         }
-        const granted = this.voters.filter((voter) => this.votes.has(voter));
-        const missing = this.voters.filter((voter) => !this.votes.has(voter));
+        const granted = isPreVote ? this.freshPreVoters(nowMs) : this.voters.filter((voter) => this.votes.has(voter));
+        const missing = this.voters.filter((voter) => !granted.includes(voter));
         this.notices.push({ kind: QuorumNoticeKind.RoundLost, term: this.hardState.term + Number(isPreVote), isPreVote, granted, missing });
     }
 
@@ -532,6 +602,8 @@
         this.role = QuorumRole.Follower;
         this.leader = leader;
         this.leaderContactAtMs = nowMs;
+        this.electionCount = 0;
+        this.preVotes.clear();
         this.resetElectionTimer(nowMs);
     }
 
@@ -582,17 +654,21 @@
     private becomeFollower(term: number, leader: string | undefined, nowMs: number): void {
         if (term > this.hardState.term) {
             this.hardState = { term, votedFor: undefined };
+            this.preVotes.clear();
         }
         this.role = QuorumRole.Follower;
         this.leader = leader;
         this.resetElectionTimer(nowMs);
     }
 
-    private resetElectionTimer(nowMs: number): void {
-        const timeoutMs = this.leaderContactAtMs === Number.NEGATIVE_INFINITY ? FIRST_ELECTION_TIMEOUT_MS : ELECTION_TIMEOUT_MS;
+    private resetElectionTimer(nowMs: number, timeoutMs = this.electionTimeoutMs): void {
         this.electionDueAtMs = nowMs + timeoutMs + this.random() * timeoutMs;
     }
 
+    private get electionTimeoutMs(): number {
+        return this.leaderContactAtMs === Number.NEGATIVE_INFINITY ? FIRST_ELECTION_TIMEOUT_MS : ELECTION_TIMEOUT_MS;
+    }
+
     private isVoter(identity: string): boolean {
         return this.voters.includes(identity);
     }
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -2,6 +2,7 @@
 import { EntryKind } from "../EntryKind.js";
 import { HardState } from "../HardState.js";
 import { LogEntry } from "../LogEntry.js";
+import { QuorumEvent } from "../QuorumEvent.js";
 import { QuorumEventKind } from "../QuorumEventKind.js";
 import { QuorumMessage } from "../QuorumMessage.js";
 import { QuorumMessageKind } from "../QuorumMessageKind.js";
@@ -191,3 +192,114 @@
     t.is(refusalOf(vote(QuorumMessageKind.PreVote, 6, 9, 4)), VoteRefusal.OutdatedLog);
     t.is(refusalOf(vote(QuorumMessageKind.PreVote, 6, 1, 5)), undefined);
 });
+
+function voteReply(from: string, kind: QuorumMessageKind.PreVoteReply | QuorumMessageKind.VoteReply, term: number, granted = true): QuorumEvent {
+    return { kind: QuorumEventKind.Message, from, message: { kind, term, granted } };
+}
+
+/** Makes machine `a` a candidate of term 2 whose own vote is stored. */
+function createCandidate(): { readonly machine: QuorumMachine; readonly atMs: number } {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    const { writeNumber = 0 } = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 2), 200);
+    machine.step({ kind: QuorumEventKind.Persisted, writeNumber }, 200);
+    return { machine, atMs: 200 };
+}
+
+test("a vote that arrives after the next pre-vote has begun still elects the candidate of its term", (t) => {
+    const { machine, atMs } = createCandidate();
+    const preVote = machine.step({ kind: QuorumEventKind.Tick }, atMs + 1_000);
+    t.deepEqual(preVote.messages.map(({ message }) => [message.kind, message.term]), VOTERS.slice(1).map(() => [QuorumMessageKind.PreVote, 3]));
+    machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), atMs + 1_100);
+    t.true(machine.isLeader);
+    t.is(machine.term, 2);
+});
+
+test("a vote of an earlier term does not elect a candidate", (t) => {
+    const { machine, atMs } = createCandidate();
+    machine.step({ kind: QuorumEventKind.Tick }, atMs + 1_000);
+    machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 3), atMs + 1_000);
+    machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), atMs + 1_100);
+    t.false(machine.isLeader);
+});
+
+test("a vote that was requested before a restart does not elect a voter", (t) => {
+    const machine = create({ term: 2, votedFor: "a" }, []);
+    machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), 10);
+    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), 210);
+    t.false(machine.isLeader);
+});
+
+test("a candidate does not win while its own vote is not stored", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    const election = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 2), 200);
+    t.deepEqual(election.messages, []);
+    t.is(election.durableMessages.length, 2);
+    machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), 210);
+    t.false(machine.isLeader);
+    machine.step({ kind: QuorumEventKind.Persisted, writeNumber: election.writeNumber ?? 0 }, 220);
+    t.true(machine.isLeader);
+});
+
+test("a candidate gives each further election more time, until it hears of a leader", (t) => {
+    const { machine } = createCandidate();
+    let nowMs = 200;
+    const electionLengthMs = (term: number): number => {
+        const startMs = nowMs;
+        let isPreVote = false;
+        while (!isPreVote) {
+            nowMs += 50;
+            isPreVote = machine.step({ kind: QuorumEventKind.Tick }, nowMs).messages.length > 0;
+        }
+        const lengthMs = nowMs - startMs;
+        const { writeNumber = 0 } = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, term + 1), nowMs);
+        machine.step({ kind: QuorumEventKind.Persisted, writeNumber }, nowMs);
+        return lengthMs;
+    };
+    t.deepEqual([2, 3, 4, 5].map(electionLengthMs), [1_000, 2_000, 4_000, 4_000]);
+});
+
+test("the time of a disk is not counted as silence of the voters", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    const election = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 2), 200);
+    for (let nowMs = 250; nowMs <= 5_000; nowMs += 50) {
+        t.deepEqual(machine.step({ kind: QuorumEventKind.Tick }, nowMs).messages, []);
+    }
+    machine.step({ kind: QuorumEventKind.Persisted, writeNumber: election.writeNumber ?? 0 }, 5_000);
+    t.deepEqual(machine.step({ kind: QuorumEventKind.Tick }, 5_950).messages, []);
+});
+
+test("a voter that has just voted refuses the pre-vote of another candidate, but not that of its own or after a second", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const granted = (from: string, nowMs: number): boolean => {
+        const event: QuorumEvent = { kind: QuorumEventKind.Message, from, message: vote(QuorumMessageKind.PreVote, 3, 0, 0) };
+        const reply = machine.step(event, nowMs).messages[0]?.message;
+        return reply !== undefined && "granted" in reply && reply.granted;
+    };
+    const { writeNumber = 0 } = machine.step({ kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.Vote, 2, 0, 0) }, 100);
+    t.false(granted("c", 150));
+    machine.step({ kind: QuorumEventKind.Persisted, writeNumber }, 200);
+    t.false(granted("c", 1_150));
+    t.true(granted("b", 1_150));
+    t.true(granted("c", 1_250));
+});
+
+test("a follower acknowledges entries only once they are stored, and answers heartbeats meanwhile", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const append = (previousIndex: number, previousTerm: number, entries: readonly LogEntry[]): QuorumEvent => ({
+        kind: QuorumEventKind.Message,
+        from: "b",
+        message: { kind: QuorumMessageKind.Append, term: 1, previousIndex, previousTerm, entries, commitIndex: 0 },
+    });
+    const output = machine.step(append(0, 0, [barrier(1, 1)]), 10);
+    t.deepEqual(output.messages, []);
+    t.deepEqual(output.durableMessages.map(({ message }) => message.kind === QuorumMessageKind.AppendReply && message.matchIndex), [1]);
+    const heartbeat = machine.step(append(1, 1, []), 20);
+    t.deepEqual(heartbeat.messages.map(({ message }) => message.kind === QuorumMessageKind.AppendReply && message.matchIndex), [0]);
+    machine.step({ kind: QuorumEventKind.Persisted, writeNumber: output.writeNumber ?? 0 }, 30);
+    const later = machine.step(append(1, 1, []), 40);
+    t.deepEqual(later.messages.map(({ message }) => message.kind === QuorumMessageKind.AppendReply && message.matchIndex), [1]);
+});
