Let a leader step down while its disk hangs

A leader no longer waits for its own disk, so that one whose disk hangs would lead for ever, with one copy of each entry less than it counts on, and without being able to keep a later vote. Event 322 says so every 4 s, on followers as well. Ticks are counted instead of time, so that a suspended process takes no hang for one of its disk.

--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -18,6 +18,8 @@
 const MEAN_PROPOSAL_INTERVAL_MS = 60;
 const SYNCS_PER_REPLACE = 2;
 const COMPACTION_THRESHOLD_ENTRIES = 20;
+/** Ticks during one write after which a leader steps down. */
+const HUNG_WRITE_TICKS = 80;
 const RECOVERY_MS = 8_000;
 const RECOVERY_ON_SLOW_DISKS_MS = 15_000;
 const LOSS_PROBABILITY = 0.02;
@@ -56,6 +58,8 @@
     profile: DiskProfile;
     /** Outputs that are being written. */
     writing: readonly QuorumOutput[];
+    /** Ticks during the write in progress. */
+    writeTicks: number;
     /** Outputs that wait for the write in progress. */
     waiting: QuorumOutput[];
 }
@@ -135,7 +139,7 @@
     }
 
     private scheduleAll(): void {
-        this.vms.forEach((vm) => this.repeat(TICK_MS, false, () => this.enqueueEvent(vm, { kind: QuorumEventKind.Tick })));
+        this.vms.forEach((vm) => this.repeat(TICK_MS, false, () => this.tick(vm)));
         this.repeat(MEAN_PROPOSAL_INTERVAL_MS, true, () => this.propose());
         this.repeat(200, false, () => this.maintainVoters());
         this.repeatFault(KILL_EVERY_MS, () => this.kill(this.randomVm()));
@@ -145,6 +149,16 @@
         this.repeatFault(DISK_CHANGE_EVERY_MS, () => this.changeDisk(this.randomVm()));
     }
 
+    private tick(vm: ControlVm): void {
+        if (vm.frozenUntilMs <= this.clock.nowMs) {
+            vm.writeTicks = vm.writing.length > 0 ? vm.writeTicks + 1 : 0;
+        }
+        if (vm.writeTicks >= HUNG_WRITE_TICKS) {
+            this.enqueueEvent(vm, { kind: QuorumEventKind.Resign });
+        }
+        this.enqueueEvent(vm, { kind: QuorumEventKind.Tick });
+    }
+
     private repeat(meanMs: number, isRandom: boolean, action: () => void): void {
         const delayMs = isRandom ? -Math.log(1 - this.random()) * meanMs : meanMs;
         this.clock.after(delayMs, () => {
@@ -172,6 +186,7 @@
             queue: [],
             profile: FAST_DISK,
             writing: [],
+            writeTicks: 0,
             waiting: [],
         };
     }
@@ -181,6 +196,7 @@
         vm.frozenUntilMs = 0;
         vm.queue = [];
         vm.writing = [];
+        vm.writeTicks = 0;
         vm.waiting = [];
         vm.machine = QuorumMachine.create(vm.identity, vm.disk, this.random, this.clock.nowMs);
     }
@@ -340,6 +356,7 @@
             return;
         }
         const snapshotAt = vm.waiting.findIndex(({ snapshot }) => snapshot !== undefined);
+        vm.writeTicks = 0;
         vm.writing = vm.waiting.splice(0, snapshotAt < 0 ? vm.waiting.length : snapshotAt + 1);
         this.sync(vm);
     }
--- a/src/controllers/LogWriter/index.ts
+++ b/src/controllers/LogWriter/index.ts
@@ -30,6 +30,11 @@
         return this.waiting.length;
     }
 
+    /** True while a write is in progress. */
+    get isWriting(): boolean {
+        return this.startedAtMs !== undefined;
+    }
+
     /** Age of the write in progress, in ms; 0 if there is none. */
     get pendingMs(): number {
         return this.startedAtMs === undefined ? 0 : nowMs() - this.startedAtMs;
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -25,6 +25,8 @@
 const TICK_MS = 50;
 /** Time of a write to the data folder above which it is logged, in ms. */
 const SLOW_WRITE_MS = 100;
+/** Time without progress of a write after which the disk counts as hung, in ms; a write of several syncs of 1 s goes on. */
+const HUNG_WRITE_MS = 4_000;
 /** Number of applied entries after the snapshot that triggers a new snapshot. */
 const COMPACTION_THRESHOLD_ENTRIES = 1_000;
 /** Size of the documents in applied entries after the snapshot that triggers a new snapshot, in characters. */
@@ -45,6 +47,9 @@
     private failure: FleetError | undefined;
     private wasLeader = false;
     private stepDownReason = "";
+    /** Ticks since the write in progress has last advanced. Ticks are counted, since a process that was suspended has not waited. */
+    private idleTicks = 0;
+    private seenOperationCount = 0;
     private roundsStarted = 0;
     private roundsLost = 0;
     /** Latest lost round of an election, for the error of a request that finds no leader. */
@@ -65,7 +70,7 @@
             handleFailure: (error) => this.handleStorageFailure(error),
         });
         this.machine = QuorumMachine.create(store.identity, store.state, Math.random, nowMs());
-        this.timer = setInterval(() => this.handleEvent({ kind: QuorumEventKind.Tick }), TICK_MS);
+        this.timer = setInterval(() => this.handleTick(), TICK_MS);
     }
 
     /**
@@ -217,6 +222,18 @@
         return committed;
     }
 
+    private handleTick(): void {
+        const { endedOperationCount } = this.store;
+        const isIdle = this.writer.isWriting && endedOperationCount === this.seenOperationCount;
+        this.idleTicks = isIdle ? this.idleTicks + 1 : 0;
+        this.seenOperationCount = endedOperationCount;
+        if (this.idleTicks > 0 && this.idleTicks % (HUNG_WRITE_MS / TICK_MS) === 0) {
+            this.events.record(EventNumber.WriteHung, { durationMs: Math.round(this.writer.pendingMs) });
+            this.handleEvent({ kind: QuorumEventKind.Resign });
+        }
+        this.handleEvent({ kind: QuorumEventKind.Tick });
+    }
+
     private handleEvent(event: QuorumEvent): void {
         if (this.failure === undefined) {
             this.runGuarded(() => this.processOutput(this.step(event)));
--- a/src/controllers/QuorumStore/index.ts
+++ b/src/controllers/QuorumStore/index.ts
@@ -26,6 +26,8 @@
 
 /** Persistent store of a control VM's quorum: its identity, term and vote, a snapshot, and the log after the snapshot. */
 export class QuorumStore {
+    private operationCount = 0;
+
     private constructor(
         private readonly disk: Disk,
         private readonly log: RecordLog,
@@ -51,6 +53,11 @@
         return new QuorumStore(disk, log, identity, state);
     }
 
+    /** Number of operations on the disk that have ended; a save takes up to four. */
+    get endedOperationCount(): number {
+        return this.operationCount;
+    }
+
     /** Bytes of a partially written record removed when the store was opened. */
     get droppedBytes(): number {
         return this.log.droppedBytes;
@@ -65,18 +72,23 @@
     async save(outputs: readonly PersistentState[]): Promise<void> {
         const hardState = outputs.findLast((output) => output.hardState !== undefined)?.hardState;
         if (hardState !== undefined) {
-            await this.disk.replace(HARD_STATE_FILE, packr.pack(hardState));
+            await this.run(() => this.disk.replace(HARD_STATE_FILE, packr.pack(hardState)));
         }
         const records = outputs.filter(({ entries }) => entries.length > 0).map(({ entries }) => packr.pack(entries));
         if (records.length > 0) {
-            await this.log.append(records);
+            await this.run(() => this.log.append(records));
         }
-        const last = outputs.at(-1);
-        if (last?.snapshot !== undefined) {
-            await this.disk.replace(SNAPSHOT_FILE, packr.pack(last.snapshot));
-            await this.log.rewrite(last.remaining.length > 0 ? [packr.pack(last.remaining)] : []);
+        const { snapshot, remaining = [] } = outputs.at(-1) ?? {};
+        if (snapshot !== undefined) {
+            await this.run(() => this.disk.replace(SNAPSHOT_FILE, packr.pack(snapshot)));
+            await this.run(() => this.log.rewrite(remaining.length > 0 ? [packr.pack(remaining)] : []));
         }
     }
+
+    private async run(operation: () => Promise<void>): Promise<void> {
+        await operation();
+        this.operationCount += 1;
+    }
 }
 
 async function readIdentity(disk: Disk, vm: string): Promise<string> {
--- a/src/decisions/quorum/QuorumEvent.ts
+++ b/src/decisions/quorum/QuorumEvent.ts
@@ -13,5 +13,7 @@
     | { readonly kind: QuorumEventKind.Bootstrap }
     /** The writes up to and including a number are synced to disk. */
     | { readonly kind: QuorumEventKind.Persisted; readonly writeNumber: number }
+    /** Step down, since the disk hangs; ignored unless this VM is the leader. */
+    | { readonly kind: QuorumEventKind.Resign }
     /** Replace the log up to the snapshot's last entry with the snapshot, which holds committed state. */
     | { readonly kind: QuorumEventKind.Compact; readonly snapshot: QuorumSnapshot };
--- a/src/decisions/quorum/QuorumEventKind.ts
+++ b/src/decisions/quorum/QuorumEventKind.ts
@@ -5,5 +5,6 @@
     Propose = "propose",
     Bootstrap = "bootstrap",
     Persisted = "persisted",
+    Resign = "resign",
     Compact = "compact",
 }
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -205,6 +205,9 @@
             case QuorumEventKind.Persisted:
                 this.handlePersisted(event.writeNumber, nowMs);
                 break;
+            case QuorumEventKind.Resign:
+                this.resign(nowMs);
+                break;
             case QuorumEventKind.Compact:
                 this.log.compact(event.snapshot);
                 this.newSnapshot = event.snapshot;
@@ -323,6 +326,13 @@
         }
     }
 
+    private resign(nowMs: number): void {
+        if (this.isLeader) {
+            this.recordStepDown(StepDownReason.HungDisk, nowMs);
+            this.becomeFollower(this.hardState.term, undefined, nowMs);
+        }
+    }
+
     private startPreVote(nowMs: number): void {
         this.recordLostRound(nowMs);
         this.resetElectionTimer(nowMs);
--- a/src/logs/EventNumber.ts
+++ b/src/logs/EventNumber.ts
@@ -28,6 +28,7 @@
     ElectionLost = 318,
     VoteRefused = 319,
     WriteSlow = 321,
+    WriteHung = 322,
     WitnessComplete = 320,
     EndpointAnnounced = 400,
     EndpointRefused = 401,
