Confirm reads by a round of heartbeats instead of a log entry

Each read of the items by an operator committed a barrier: a write with its syncs on the leader and on a majority, one read after the other, which took the time of slow disks from votes and changes.

A read is now confirmed by a majority's replies to heartbeats that were sent after it (Ongaro's thesis, section 6.4); reads that arrive during a round share the next one. Followers repeat the round of an append in their reply. If too many of them run an earlier version, whose replies have none, the leader commits a barrier as before. Closing a controller now waits for the write in progress, so that a data folder can be removed after it.

--- a/bench/quorum/ControlGroup/index.ts
+++ b/bench/quorum/ControlGroup/index.ts
@@ -70,7 +70,7 @@
     /** Ends all control VMs; writes that are not synced are lost. */
     losePower(): void {
         this.vms.forEach((vm) => {
-            vm.items?.close();
+            void vm.items?.close();
             vm.items = undefined;
             vm.disk.losePower();
         });
--- a/bench/quorum/QuorumReport.ts
+++ b/bench/quorum/QuorumReport.ts
@@ -7,6 +7,8 @@
     readonly elections: number;
     /** Entries committed. */
     readonly committed: number;
+    /** Reads that a leader confirmed. */
+    readonly reads: number;
     /** VMs that returned with an empty disk and were replaced as voters. */
     readonly replaced: number;
     readonly violations: readonly string[];
--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -14,6 +14,7 @@
 import { QuorumDisk } from "../QuorumDisk.js";
 import { QuorumReport } from "../QuorumReport.js";
 
+const FOUNDER = "control-1";
 const TICK_MS = 50;
 const MEAN_PROPOSAL_INTERVAL_MS = 60;
 const SYNCS_PER_REPLACE = 2;
@@ -24,6 +25,7 @@
 const RECOVERY_ON_SLOW_DISKS_MS = 15_000;
 const LOSS_PROBABILITY = 0.02;
 const SLOW_PROBABILITY = 0.03;
+const MEAN_READ_INTERVAL_MS = 100;
 const KILL_EVERY_MS = 300;
 const MAX_DOWN_MS = 300;
 const MAX_DOWN_AFTER_VOTE_MS = 3;
@@ -76,6 +78,10 @@
     private readonly committed = new Map<number, string>();
     private readonly leaders = new Map<number, string>();
     private readonly violations: string[] = [];
+    /** Index that was committed at each read, by the read's id. */
+    private readonly reads = new Map<number, number>();
+    private readCount = 0;
+    private confirmedReadCount = 0;
     private proposals = 0;
     private replaced = 0;
     private identities = 0;
@@ -100,10 +106,6 @@
 
     private runSteps(seed: number, steps: number): QuorumReport {
         this.vms.forEach((vm) => this.start(vm));
-        const [first] = this.vms;
-        if (first !== undefined) {
-            this.enqueueEvent(first, { kind: QuorumEventKind.Bootstrap });
-        }
         this.scheduleAll();
         let count = 0;
         try {
@@ -133,6 +135,7 @@
             virtualMs: Math.round(this.clock.nowMs),
             elections: this.leaders.size,
             committed: this.committed.size,
+            reads: this.confirmedReadCount,
             replaced: this.replaced,
             violations: this.violations,
         };
@@ -141,6 +144,7 @@
     private scheduleAll(): void {
         this.vms.forEach((vm) => this.repeat(TICK_MS, false, () => this.tick(vm)));
         this.repeat(MEAN_PROPOSAL_INTERVAL_MS, true, () => this.propose());
+        this.repeat(MEAN_READ_INTERVAL_MS, true, () => this.read());
         this.repeat(200, false, () => this.maintainVoters());
         this.repeatFault(KILL_EVERY_MS, () => this.kill(this.randomVm()));
         this.repeatFault(CUT_EVERY_MS, () => this.cut());
@@ -199,6 +203,10 @@
         vm.writeTicks = 0;
         vm.waiting = [];
         vm.machine = QuorumMachine.create(vm.identity, vm.disk, this.random, this.clock.nowMs);
+        // A founder that is killed before its first write is on disk founds the log again.
+        if (vm.identity === FOUNDER) {
+            this.enqueueEvent(vm, { kind: QuorumEventKind.Bootstrap });
+        }
     }
 
     private restart(vm: ControlVm): void {
@@ -293,6 +301,25 @@
             .forEach((vm) => this.enqueueEvent(vm, { kind: QuorumEventKind.Propose, content: { kind: EntryKind.Change, change } }));
     }
 
+    /** Reads at every VM that takes itself for a leader, among them one that is cut off and does not know it. */
+    private read(): void {
+        this.vms.filter((vm) => vm.machine?.isReady === true).forEach((vm) => {
+            this.readCount += 1;
+            this.reads.set(this.readCount, Math.max(0, ...this.committed.keys()));
+            this.enqueueEvent(vm, { kind: QuorumEventKind.Read, id: this.readCount });
+        });
+    }
+
+    private checkRead(vm: ControlVm, id: number): void {
+        const appliedIndex = vm.machine?.appliedPosition().lastIndex ?? 0;
+        const committedIndex = this.reads.get(id) ?? 0;
+        this.reads.delete(id);
+        this.confirmedReadCount += 1;
+        if (appliedIndex < committedIndex) {
+            this.violations.push(`a read at ${vm.identity} saw entry ${appliedIndex}, and ${committedIndex} had been committed before it`);
+        }
+    }
+
     /** Changes the voters as an operator would: adds VMs that have caught up, and removes identities whose disk was lost. */
     private maintainVoters(): void {
         const leader = this.vms.find((vm) => vm.machine?.isReady === true);
@@ -347,6 +374,7 @@
             this.write(vm);
         }
         output.committed.forEach((entry) => this.recordCommitted(vm, entry));
+        output.confirmedReads.forEach((id) => this.checkRead(vm, id));
         this.compact(vm, output);
     }
 
--- a/src/controllers/ControlController/index.ts
+++ b/src/controllers/ControlController/index.ts
@@ -101,13 +101,13 @@
         });
     }
 
-    /** Stops the timers. */
-    close(): void {
-        this.quorum.close();
+    /** Stops the timers, and waits for the end of the write in progress. */
+    close(): Promise<void> {
+        return this.quorum.close();
     }
 
     private async decide(request: ApplyRequest): Promise<ApplyDecision> {
-        await this.quorum.commit({ kind: EntryKind.Barrier });
+        await this.quorum.confirmRead();
         const decision = decideApply(this.configuration.view, this.versionsByChangeId, request, this.quorum.term);
         switch (decision.kind) {
             case ApplyDecisionKind.Accept:
--- a/src/controllers/ItemController/index.ts
+++ b/src/controllers/ItemController/index.ts
@@ -103,7 +103,7 @@
      * @throws FleetError if this VM is not the leader.
      */
     async read(): Promise<readonly VersionedItem[]> {
-        await this.quorum.commit({ kind: EntryKind.Barrier });
+        await this.quorum.confirmRead();
         return this.itemStore.all;
     }
 
@@ -112,9 +112,9 @@
         this.quorum.handleMessage(from, message);
     }
 
-    /** Stops the timers. */
-    close(): void {
-        this.quorum.close();
+    /** Stops the timers, and waits for the end of the write in progress. */
+    close(): Promise<void> {
+        return this.quorum.close();
     }
 
     private applyItems(proposal: string, changes: readonly VersionedItem[], position: number): void {
--- a/src/controllers/LogWriter/index.ts
+++ b/src/controllers/LogWriter/index.ts
@@ -8,6 +8,7 @@
 export class LogWriter {
     private waiting: QuorumOutput[] = [];
     private isRunning = false;
+    private running: Promise<void> = Promise.resolve();
     private startedAtMs: number | undefined;
     private isClosed = false;
     private lastMs = 0;
@@ -57,14 +58,15 @@
         }
         this.waiting.push(output);
         if (!this.isRunning) {
-            void this.writeWaiting();
+            this.running = this.writeWaiting();
         }
     }
 
-    /** Stops writing. The write in progress ends without a report. */
-    close(): void {
+    /** Stops writing, and waits for the end of the write in progress, which is not reported. */
+    async close(): Promise<void> {
         this.isClosed = true;
         this.waiting = [];
+        await this.running;
     }
 
     private async writeWaiting(): Promise<void> {
@@ -91,7 +93,8 @@
             await this.store.save(batch);
         }
         catch (thrown) {
-            this.close();
+            this.isClosed = true;
+            this.waiting = [];
             this.callbacks.handleFailure(toError(thrown));
             return false;
         }
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -32,17 +32,22 @@
 /** Size of the documents in applied entries after the snapshot that triggers a new snapshot, in characters. */
 const COMPACTION_THRESHOLD_CHARACTERS = 8 * 1_024 * 1_024;
 
-interface PendingCommit {
-    readonly term: number;
+interface Pending {
     readonly resolve: () => void;
     readonly reject: (error: FleetError) => void;
 }
 
+interface PendingCommit extends Pending {
+    readonly term: number;
+}
+
 /** Runs the quorum machine of a control VM: persists its state, sends its messages, and applies committed entries. */
 export class QuorumController {
     private readonly machine: QuorumMachine;
     private readonly timer: NodeJS.Timeout;
     private readonly pendingCommits = new Map<number, PendingCommit>();
+    private readonly pendingReads = new Map<number, Pending>();
+    private readCount = 0;
     private readonly writer: LogWriter;
     private failure: FleetError | undefined;
     private wasLeader = false;
@@ -189,6 +194,27 @@
         await committed;
     }
 
+    /**
+     * Waits until this VM has applied all entries that were committed before the call, and has proved since that it leads. Unlike a
+     * commit it writes nothing to disk.
+     *
+     * @throws FleetError if this VM is not the leader, or stops being the leader meanwhile.
+     */
+    async confirmRead(): Promise<void> {
+        if (!this.isReady) {
+            throw this.createError("this control VM is not the leader; try another one");
+        }
+        if (!this.machine.canConfirmReads) {
+            await this.commit({ kind: EntryKind.Barrier });
+            return;
+        }
+        this.readCount += 1;
+        const id = this.readCount;
+        const confirmed = new Promise<void>((resolve, reject) => this.pendingReads.set(id, { resolve, reject }));
+        this.handleEvent({ kind: QuorumEventKind.Read, id });
+        await confirmed;
+    }
+
     /**
      * Adds a voter that has caught up with the log, or removes one.
      *
@@ -209,10 +235,10 @@
         this.events.record(EventNumber.VoterChanged, { voters: this.machine.voters });
     }
 
-    /** Stops the timers. */
-    close(): void {
+    /** Stops the timers, and waits for the end of the write in progress. */
+    async close(): Promise<void> {
         clearInterval(this.timer);
-        this.writer.close();
+        await this.writer.close();
     }
 
     private waitForCommit(index: number): Promise<void> {
@@ -264,6 +290,7 @@
             this.callbacks.restore(output.receivedSnapshot);
         }
         output.committed.forEach((entry) => this.applyEntry(entry));
+        output.confirmedReads.forEach((id) => this.resolveRead(id));
         this.trackLeadership();
         this.compact();
     }
@@ -330,6 +357,18 @@
         }
     }
 
+    private resolveRead(id: number): void {
+        this.pendingReads.get(id)?.resolve();
+        this.pendingReads.delete(id);
+    }
+
+    private rejectPending(problem: string): void {
+        const error = this.createError(problem);
+        [...this.pendingCommits.values(), ...this.pendingReads.values()].forEach((pending) => pending.reject(error));
+        this.pendingCommits.clear();
+        this.pendingReads.clear();
+    }
+
     private compact(): void {
         const isLarge = this.uncompactedCharacters >= COMPACTION_THRESHOLD_CHARACTERS;
         if (isLarge || this.machine.uncompactedEntryCount >= COMPACTION_THRESHOLD_ENTRIES) {
@@ -348,8 +387,7 @@
         }
         if (!isLeader && this.wasLeader) {
             this.events.record(EventNumber.LeaderSteppedDown, { term, reason: this.stepDownReason });
-            this.pendingCommits.forEach((pending) => pending.reject(this.createError("the leader stepped down; retry with the same change id")));
-            this.pendingCommits.clear();
+            this.rejectPending("the leader stepped down; retry with the same change id");
         }
         this.wasLeader = isLeader;
     }
@@ -357,8 +395,7 @@
     private handleStorageFailure(cause: Error): void {
         this.failure = FleetError.create({ step: Step.Storage, peer: this.identity, cause }, cause.message);
         this.events.record(EventNumber.StorageFailed, { error: cause.message });
-        this.pendingCommits.forEach((pending) => pending.reject(this.createError("the disk failed; retry with the same change id")));
-        this.pendingCommits.clear();
+        this.rejectPending("the disk failed; retry with the same change id");
     }
 
     private createError(problem: string): FleetError {
--- a/src/daemon/ControlRole/index.ts
+++ b/src/daemon/ControlRole/index.ts
@@ -136,7 +136,7 @@
     /** Stops all timers of the role. */
     close(): void {
         this.roster?.close();
-        this.control.close();
+        void this.control.close();
     }
 
     private send(to: string, message: QuorumMessage): void {
--- a/src/decisions/quorum/PeerProgress/index.ts
+++ b/src/decisions/quorum/PeerProgress/index.ts
@@ -9,6 +9,8 @@
     nextIndex: number;
     matchIndex: number;
     lastContactAtMs: number;
+    /** Latest round of heartbeats that the peer has replied to; undefined if its replies have no round. */
+    round: number | undefined;
 }
 
 /** Tracks, on the leader, how far each peer's log has been replicated and when the peer last replied. */
@@ -29,12 +31,12 @@
     /** Starts a term: resets the replication state of all peers and counts them as active. */
     reset(peers: readonly string[], lastIndex: number, nowMs: number): void {
         this.peers.clear();
-        peers.forEach((peer) => this.peers.set(peer, { nextIndex: lastIndex + 1, matchIndex: 0, lastContactAtMs: nowMs }));
+        peers.forEach((peer) => this.peers.set(peer, { nextIndex: lastIndex + 1, matchIndex: 0, lastContactAtMs: nowMs, round: 0 }));
     }
 
     /** Returns the index of the next entry to send to a peer. */
     nextIndex(peer: string, lastIndex: number): number {
-        const known = this.peers.get(peer) ?? { nextIndex: lastIndex + 1, matchIndex: 0, lastContactAtMs: 0 };
+        const known = this.peers.get(peer) ?? { nextIndex: lastIndex + 1, matchIndex: 0, lastContactAtMs: 0, round: 0 };
         this.peers.set(peer, known);
         return known.nextIndex;
     }
@@ -72,6 +74,28 @@
         return true;
     }
 
+    /** Records the round of heartbeats that a peer has replied to, if its replies have one. */
+    recordRound(peer: string, round: number | undefined): void {
+        const known = this.peers.get(peer);
+        if (known !== undefined) {
+            known.round = round === undefined ? undefined : Math.max(known.round ?? 0, round);
+        }
+    }
+
+    /** Returns the latest round that a majority of the voters has replied to, of rounds up to the leader's own. */
+    majorityRound(voters: readonly string[], ownRound: number): number {
+        const rounds = voters
+            .map((voter) => voter === this.self ? ownRound : this.peers.get(voter)?.round ?? 0)
+            .sort((left, right) => right - left);
+        return rounds[majorityOf(voters.length) - 1] ?? 0;
+    }
+
+    /** Returns true unless the replies of too many voters have no round. */
+    canConfirmRounds(voters: readonly string[]): boolean {
+        const capable = voters.filter((voter) => voter === this.self || (this.peers.get(voter) ?? { round: 0 }).round !== undefined);
+        return capable.length >= majorityOf(voters.length);
+    }
+
     /** Returns true if a majority of the voters, including the leader, has replied within the election timeout. */
     isQuorumActive(voters: readonly string[], nowMs: number): boolean {
         return voters.length - this.silentVoters(voters, nowMs).length >= majorityOf(voters.length);
--- a/src/decisions/quorum/QuorumEvent.ts
+++ b/src/decisions/quorum/QuorumEvent.ts
@@ -13,6 +13,8 @@
     | { readonly kind: QuorumEventKind.Bootstrap }
     /** The writes up to and including a number are synced to disk. */
     | { readonly kind: QuorumEventKind.Persisted; readonly writeNumber: number }
+    /** Confirm that this VM still leads, for a read of the state; ignored unless it is a ready leader. */
+    | { readonly kind: QuorumEventKind.Read; readonly id: number }
     /** Step down, since the disk hangs; ignored unless this VM is the leader. */
     | { readonly kind: QuorumEventKind.Resign }
     /** Replace the log up to the snapshot's last entry with the snapshot, which holds committed state. */
--- a/src/decisions/quorum/QuorumEventKind.ts
+++ b/src/decisions/quorum/QuorumEventKind.ts
@@ -5,6 +5,7 @@
     Propose = "propose",
     Bootstrap = "bootstrap",
     Persisted = "persisted",
+    Read = "read",
     Resign = "resign",
     Compact = "compact",
 }
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -35,6 +35,11 @@
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
 type AppendReply = Extract<QuorumMessage, { kind: QuorumMessageKind.AppendReply }>;
+interface PendingRead {
+    readonly id: number;
+    readonly round: number;
+}
+
 interface PendingWrite {
     readonly number: number;
     readonly hasHardState: boolean;
@@ -76,6 +81,10 @@
     private leaderContactAtMs: number;
     private electionDueAtMs: number;
     private heartbeatDueAtMs = 0;
+    /** Latest round of heartbeats; a read is confirmed by the first one that starts after it. */
+    private round = 0;
+    private pendingReads: PendingRead[] = [];
+    private confirmedReads: number[] = [];
     /** Commit index in the latest message from the leader. */
     private leaderCommitIndex = Number.POSITIVE_INFINITY;
     private learners: readonly string[] = [];
@@ -176,6 +185,11 @@
         return this.progress.hasCaughtUp(peer, this.log.lastIndex, nowMs);
     }
 
+    /** False on a leader if too many voters run an earlier version, whose replies confirm no reads. */
+    get canConfirmReads(): boolean {
+        return this.progress.canConfirmRounds(this.voters);
+    }
+
     /** Sets the identities that receive the log without a vote, such as VMs that are about to become voters. */
     setLearners(learners: readonly string[]): void {
         this.learners = learners;
@@ -205,6 +219,9 @@
             case QuorumEventKind.Persisted:
                 this.handlePersisted(event.writeNumber, nowMs);
                 break;
+            case QuorumEventKind.Read:
+                this.handleRead(event.id);
+                break;
             case QuorumEventKind.Resign:
                 this.resign(nowMs);
                 break;
@@ -233,6 +250,7 @@
             durableMessages: this.durableMessages,
             committed,
             receivedSnapshot: this.receivedSnapshot,
+            confirmedReads: this.confirmedReads,
             notices: this.notices,
         };
         this.persistedState = this.hardState;
@@ -240,6 +258,7 @@
         this.newEntries = [];
         this.messages = [];
         this.durableMessages = [];
+        this.confirmedReads = [];
         this.notices = [];
         this.receivedSnapshot = undefined;
         return output;
@@ -326,6 +345,37 @@
         }
     }
 
+    /** Confirms reads by a round of heartbeats instead of an entry of the log (Ongaro's thesis, section 6.4). */
+    private handleRead(id: number): void {
+        if (!this.isReady) {
+            return;
+        }
+        const isRoundPending = this.confirmedRound < this.round;
+        this.pendingReads.push({ id, round: this.round + 1 });
+        if (!isRoundPending) {
+            this.startRound();
+        }
+    }
+
+    private startRound(): void {
+        this.round += 1;
+        this.peers().forEach((peer) => this.sendAppend(peer));
+        this.confirmReads();
+    }
+
+    private get confirmedRound(): number {
+        return this.progress.majorityRound(this.voters, this.round);
+    }
+
+    private confirmReads(): void {
+        const { confirmedRound } = this;
+        this.confirmedReads.push(...this.pendingReads.filter(({ round }) => round <= confirmedRound).map(({ id }) => id));
+        this.pendingReads = this.pendingReads.filter(({ round }) => round > confirmedRound);
+        if (this.pendingReads.length > 0 && confirmedRound === this.round) {
+            this.startRound();
+        }
+    }
+
     private resign(nowMs: number): void {
         if (this.isLeader) {
             this.recordStepDown(StepDownReason.HungDisk, nowMs);
@@ -394,6 +444,7 @@
         this.leader = this.self;
         this.electionCount = 0;
         this.progress.reset(this.peers(), this.log.lastIndex, nowMs);
+        this.pendingReads = [];
         this.heartbeatDueAtMs = nowMs;
         this.propose({ kind: EntryKind.Barrier }, nowMs);
     }
@@ -561,17 +612,17 @@
         const { previousIndex, previousTerm, entries, commitIndex } = message;
         const localTerm = this.log.termAt(previousIndex);
         if (previousIndex > this.log.snapshot.lastIndex && localTerm !== previousTerm) {
-            this.sendAppendReply(from, false, Math.min(previousIndex - 1, this.log.lastIndex));
+            this.sendAppendReply(from, false, Math.min(previousIndex - 1, this.log.lastIndex), message.round);
             return;
         }
         const hasAdded = this.mergeEntries(entries);
         const matchIndex = Math.max(previousIndex + entries.length, this.log.snapshot.lastIndex);
         this.commitIndex = Math.max(this.commitIndex, Math.min(commitIndex, matchIndex));
         if (hasAdded) {
-            this.sendDurableAppendReply(from, matchIndex);
+            this.sendDurableAppendReply(from, matchIndex, message.round);
         }
         else {
-            this.sendAppendReply(from, true, Math.min(matchIndex, this.persistedIndex));
+            this.sendAppendReply(from, true, Math.min(matchIndex, this.persistedIndex), message.round);
         }
     }
 
@@ -624,7 +675,9 @@
         if (!this.progress.recordReply(from, message.accepted, message.matchIndex, nowMs)) {
             return;
         }
+        this.progress.recordRound(from, message.round);
         this.advanceCommit();
+        this.confirmReads();
         if (this.progress.nextIndex(from, this.log.lastIndex) <= this.log.lastIndex) {
             this.sendAppend(from);
         }
@@ -650,15 +703,17 @@
         }
         const entries = this.log.slice(nextIndex, previousIndex + MAX_ENTRIES_PER_APPEND);
         this.progress.recordSent(to, previousIndex + entries.length);
-        this.send(to, { kind: QuorumMessageKind.Append, term, previousIndex, previousTerm, entries, commitIndex: this.commitIndex });
+        const { commitIndex, round } = this;
+        this.send(to, { kind: QuorumMessageKind.Append, term, previousIndex, previousTerm, entries, commitIndex, round });
     }
 
-    private sendAppendReply(to: string, accepted: boolean, matchIndex: number): void {
-        this.send(to, { kind: QuorumMessageKind.AppendReply, term: this.hardState.term, accepted, matchIndex });
+    private sendAppendReply(to: string, accepted: boolean, matchIndex: number, round = 0): void {
+        this.send(to, { kind: QuorumMessageKind.AppendReply, term: this.hardState.term, accepted, matchIndex, round });
     }
 
-    private sendDurableAppendReply(to: string, matchIndex: number): void {
-        this.durableMessages.push({ to, message: { kind: QuorumMessageKind.AppendReply, term: this.hardState.term, accepted: true, matchIndex } });
+    private sendDurableAppendReply(to: string, matchIndex: number, round = 0): void {
+        const { term } = this.hardState;
+        this.durableMessages.push({ to, message: { kind: QuorumMessageKind.AppendReply, term, accepted: true, matchIndex, round } });
     }
 
     private becomeFollower(term: number, leader: string | undefined, nowMs: number): void {
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -303,3 +303,47 @@
     const later = machine.step(append(1, 1, []), 40);
     t.deepEqual(later.messages.map(({ message }) => message.kind === QuorumMessageKind.AppendReply && message.matchIndex), [1]);
 });
+
+/** Makes machine `a` a ready leader of term 2 with `b` and `c` as followers. */
+function createLeader(): QuorumMachine {
+    const { machine, atMs } = createCandidate();
+    const { writeNumber = 0 } = machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), atMs);
+    machine.step({ kind: QuorumEventKind.Persisted, writeNumber }, atMs);
+    machine.step(appendReply("b", 0), atMs);
+    return machine;
+}
+
+function appendReply(from: string, round: number | undefined): QuorumEvent {
+    const message: QuorumMessage = { kind: QuorumMessageKind.AppendReply, term: 2, accepted: true, matchIndex: 1, round };
+    return { kind: QuorumEventKind.Message, from, message };
+}
+
+test("a read is confirmed by a reply to a heartbeat that was sent after it, and writes nothing", (t) => {
+    const machine = createLeader();
+    t.true(machine.isReady);
+    const read = machine.step({ kind: QuorumEventKind.Read, id: 7 }, 300);
+    t.deepEqual([read.writeNumber, read.confirmedReads], [undefined, []]);
+    t.deepEqual(read.messages.map(({ message }) => message.kind === QuorumMessageKind.Append && message.round), [1, 1]);
+    t.deepEqual(machine.step(appendReply("b", 0), 310).confirmedReads, []);
+    t.deepEqual(machine.step(appendReply("b", 1), 320).confirmedReads, [7]);
+});
+
+test("reads that arrive during a round share the next one", (t) => {
+    const machine = createLeader();
+    machine.step({ kind: QuorumEventKind.Read, id: 1 }, 300);
+    t.deepEqual(machine.step({ kind: QuorumEventKind.Read, id: 2 }, 301).messages, []);
+    machine.step({ kind: QuorumEventKind.Read, id: 3 }, 302);
+    const first = machine.step(appendReply("c", 1), 310);
+    t.deepEqual(first.confirmedReads, [1]);
+    t.deepEqual(first.messages.map(({ message }) => message.kind === QuorumMessageKind.Append && message.round), [2, 2]);
+    t.deepEqual(machine.step(appendReply("b", 2), 320).confirmedReads, [2, 3]);
+});
+
+test("a leader whose followers reply without rounds cannot confirm reads by them", (t) => {
+    const machine = createLeader();
+    t.true(machine.canConfirmReads);
+    machine.step(appendReply("b", undefined), 300);
+    t.true(machine.canConfirmReads, "a majority still can");
+    machine.step(appendReply("c", undefined), 300);
+    t.false(machine.canConfirmReads);
+});
--- a/src/decisions/quorum/QuorumMessage.ts
+++ b/src/decisions/quorum/QuorumMessage.ts
@@ -17,12 +17,15 @@
         readonly previousTerm: number;
         readonly entries: readonly LogEntry[];
         readonly commitIndex: number;
+        /** Latest round of heartbeats that confirms reads, repeated by the reply; earlier versions have none. */
+        readonly round?: number | undefined;
     }
     | {
         readonly kind: QuorumMessageKind.AppendReply;
         readonly accepted: boolean;
         /** If accepted, the last entry known to match the leader's log; otherwise, the last entry that may match. */
         readonly matchIndex: number;
+        readonly round?: number | undefined;
     }
     | { readonly kind: QuorumMessageKind.Snapshot; readonly snapshot: QuorumSnapshot }
 );
--- a/src/decisions/quorum/QuorumOutput.ts
+++ b/src/decisions/quorum/QuorumOutput.ts
@@ -32,6 +32,8 @@
     readonly committed: readonly LogEntry[];
     /** Snapshot received from the leader, to apply in place of the entries that it covers. */
     readonly receivedSnapshot: QuorumSnapshot | undefined;
+    /** Ids of reads that may be served once the committed entries are applied. */
+    readonly confirmedReads: readonly number[];
     /** Steps of elections, for the log of an operator. */
     readonly notices: readonly QuorumNotice[];
 }
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -172,7 +172,7 @@
         this.isClosed = true;
         this.timers.forEach((timer) => clearInterval(timer));
         this.updateRelay.close();
-        this.itemController?.close();
+        void this.itemController?.close();
         this.links?.close();
         return Promise.resolve();
     }
@@ -191,7 +191,7 @@
 
     /** Reopens the data folder after a disk failure, and retries until the disk works. */
     private async reopen(): Promise<void> {
-        this.itemController?.close();
+        void this.itemController?.close();
         this.itemController = undefined;
         // Until the items are current again, a subscriber would take an outdated or empty snapshot for all items.
         this.hasSentSnapshot = false;
