Found the log again after a crash in the middle of founding it

Only a founder votes for itself in term 1 with an empty log, so that state counts as no log yet. A VM that has heard of a leader's term still founds nothing.

--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -116,7 +116,7 @@
 
     /** True if this VM has no log yet. */
     get isEmpty(): boolean {
-        return this.machine.lastIndex === 0 && this.machine.term === 0;
+        return this.machine.canBootstrap;
     }
 
     /** Current term. */
@@ -166,7 +166,7 @@
      * @throws FleetError if this VM already has a log, or its disk fails.
      */
     async bootstrap(): Promise<void> {
-        if (this.machine.lastIndex > 0 || this.machine.term > 0) {
+        if (!this.machine.canBootstrap) {
             throw this.createError("this control VM already has a log");
         }
         const output = this.step({ kind: QuorumEventKind.Bootstrap });
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -150,6 +150,15 @@
         return this.leader;
     }
 
+    /**
+     * True if this VM has no log yet. One that was killed while it founded the log may have stored its vote for itself in term 1, which
+     * only a founder casts.
+     */
+    get canBootstrap(): boolean {
+        const { term, votedFor } = this.hardState;
+        return this.log.lastIndex === 0 && (term === 0 || (term === 1 && votedFor === this.self));
+    }
+
     /** Current term. */
     get term(): number {
         return this.hardState.term;
@@ -314,7 +323,7 @@
     }
 
     private bootstrap(nowMs: number): void {
-        if (this.log.lastIndex > 0 || this.hardState.term > 0) {
+        if (!this.canBootstrap) {
             return;
         }
         this.hardState = { term: 1, votedFor: this.self };
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -1,11 +1,13 @@
 import test from "ava";
 import { EntryKind } from "../EntryKind.js";
+import { emptySnapshot } from "../emptySnapshot.js";
 import { HardState } from "../HardState.js";
 import { LogEntry } from "../LogEntry.js";
 import { QuorumEvent } from "../QuorumEvent.js";
 import { QuorumEventKind } from "../QuorumEventKind.js";
 import { QuorumMessage } from "../QuorumMessage.js";
 import { QuorumMessageKind } from "../QuorumMessageKind.js";
+import { QuorumState } from "../QuorumState.js";
 import { QuorumNoticeKind } from "../QuorumNoticeKind.js";
 import { VoteRefusal } from "../VoteRefusal.js";
 import { QuorumMachine } from "./index.js";
@@ -347,3 +349,14 @@
     machine.step(appendReply("c", undefined), 300);
     t.false(machine.canConfirmReads);
 });
+
+test("a founder that was killed between its first vote and its first entry founds the log again", (t) => {
+    const stateOf = (hardState: HardState): QuorumState => ({ hardState, entries: [], snapshot: emptySnapshot });
+    const killed = QuorumMachine.create("a", stateOf({ term: 1, votedFor: "a" }), () => 0, 0);
+    const { writeNumber = 0 } = killed.step({ kind: QuorumEventKind.Bootstrap }, 0);
+    killed.step({ kind: QuorumEventKind.Persisted, writeNumber }, 0);
+    t.true(killed.isReady);
+    const joining = QuorumMachine.create("a", stateOf({ term: 1, votedFor: undefined }), () => 0, 0);
+    joining.step({ kind: QuorumEventKind.Bootstrap }, 0);
+    t.false(joining.isLeader, "a VM that has heard of a leader's term founds no second log");
+});
