Sync the data folder only when the name of a file is new

Each append synced the folder as well as the file, and each replacement the folder twice, so that a vote took three syncs and an entry two on a disk whose syncs were the reason for lost elections (docs/incidents/missing-leader.md). The name of an existing file is durable already, and a replacement needs the folder once, after the rename.

--- a/src/storage/FolderDisk/index.ts
+++ b/src/storage/FolderDisk/index.ts
@@ -7,6 +7,9 @@
 
 /** The data folder of a process in the file system. */
 export class FolderDisk implements Disk {
+    /** Files whose names are durable, because the folder was synced after they had been created. */
+    private readonly durableNames = new Set<string>();
+
     private constructor(private readonly folder: string) {}
 
     /**
@@ -42,6 +45,10 @@
 
     async append(name: string, data: Buffer): Promise<void> {
         await this.writeFile(name, "a", data);
+        if (!this.durableNames.has(name)) {
+            await this.wrapErrors(name, () => this.syncFolder());
+            this.durableNames.add(name);
+        }
     }
 
     async replace(name: string, data: Buffer): Promise<void> {
@@ -49,6 +56,7 @@
         await this.wrapErrors(name, async () => {
             await rename(join(this.folder, `${name}.new`), join(this.folder, name));
             await this.syncFolder();
+            this.durableNames.add(name);
         });
     }
 
@@ -87,7 +95,6 @@
             finally {
                 await file.close();
             }
-            await this.syncFolder();
         });
     }
 
