Do not count the time in which a control VM does not run as silence of its peers

The timers of the quorum machine follow a clock that advances by at most 100 ms from one event to the next, two intervals of ticks. A process that runs rarely waits longer, in proportion.

Measured: the two tests of suspended VMs in QuorumMachine/test.ts fail with an unlimited step and pass now. Tests that jumped ahead in one step now tick.

--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -330,7 +330,7 @@
         const identities = this.vms.map((vm) => vm.identity);
         machine.setLearners(identities);
         const lostVoter = machine.voters.find((voter) => !identities.includes(voter));
-        const caughtUp = identities.find((identity) => !machine.voters.includes(identity) && machine.hasCaughtUp(identity, this.clock.nowMs));
+        const caughtUp = identities.find((identity) => !machine.voters.includes(identity) && machine.hasCaughtUp(identity));
         const voters = lostVoter === undefined
             ? caughtUp === undefined ? undefined : [...machine.voters, caughtUp]
             : machine.voters.filter((voter) => voter !== lostVoter);
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -152,7 +152,7 @@
 
     /** Returns true on the leader if another control VM has caught up with the log, so that it can become a voter. */
     hasCaughtUp(identity: string): boolean {
-        return this.machine.hasCaughtUp(identity, nowMs());
+        return this.machine.hasCaughtUp(identity);
     }
 
     /** Handles a message from another control VM. */
@@ -227,7 +227,7 @@
         if (isAddition === voters.includes(identity)) {
             return;
         }
-        if (isAddition && !this.machine.hasCaughtUp(identity, nowMs())) {
+        if (isAddition && !this.machine.hasCaughtUp(identity)) {
             throw this.createError(`${identity} has not caught up with the log; try again`);
         }
         const others = voters.filter((voter) => voter !== identity);
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -31,6 +31,8 @@
 const FIRST_ELECTION_TIMEOUT_MS = 200;
 /** Number of times that the timeout of a candidate doubles from one election to the next. */
 const MAX_TIMEOUT_DOUBLINGS = 2;
+/** Longest time that may pass between two events, in ms; two intervals of ticks. What exceeds it, this process did not run. */
+const MAX_ELAPSED_MS = 100;
 const MAX_ENTRIES_PER_APPEND = 64;
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
@@ -60,11 +62,17 @@
  * Deterministic: it reads no clock and does no input or output. It goes on while its state is being written, so that the time of a
  * disk does not count as silence of a peer: votes and acknowledgements of entries are messages that wait for their write, and the
  * machine counts its own vote and its own copy of an entry only once they are persisted (Ongaro's thesis, section 10.2.1).
+ *
+ * Its timers follow a clock that stops while the process does not run: after a pause the messages of the peers have arrived, but a timer
+ * is handled before them. The caller must send a `Tick` at least every 100 ms.
  */
 export class QuorumMachine {
     private readonly log: QuorumLog;
     private readonly progress: PeerProgress;
     private hardState: HardState;
+    private lastEventAtMs: number;
+    /** Time for which this process has run. */
+    private runningMs: number;
     private role = QuorumRole.Follower;
     private leader: string | undefined;
     private commitIndex: number;
@@ -115,6 +123,8 @@
         this.appliedIndex = state.snapshot.lastIndex;
         this.leaderContactAtMs = Number.NEGATIVE_INFINITY;
         this.electionDueAtMs = 0;
+        this.lastEventAtMs = nowMs;
+        this.runningMs = nowMs;
         this.resetElectionTimer(nowMs);
     }
 
@@ -190,8 +200,8 @@
     }
 
     /** Returns true on the leader if a peer replies and lacks only a few entries, so that it can become a voter. */
-    hasCaughtUp(peer: string, nowMs: number): boolean {
-        return this.progress.hasCaughtUp(peer, this.log.lastIndex, nowMs);
+    hasCaughtUp(peer: string): boolean {
+        return this.progress.hasCaughtUp(peer, this.log.lastIndex, this.runningMs);
     }
 
     /** False on a leader if too many voters run an earlier version, whose replies confirm no reads. */
@@ -212,6 +222,13 @@
      * @returns State to persist, messages to send and entries to apply, in this order.
      */
     step(event: QuorumEvent, nowMs: number): QuorumOutput {
+        this.runningMs += Math.min(nowMs - this.lastEventAtMs, MAX_ELAPSED_MS);
+        this.lastEventAtMs = nowMs;
+        this.handleEvent(event, this.runningMs);
+        return this.drainOutput();
+    }
+
+    private handleEvent(event: QuorumEvent, nowMs: number): void {
         switch (event.kind) {
             case QuorumEventKind.Tick:
                 this.tick(nowMs);
@@ -241,7 +258,6 @@
             default:
                 assertNever(event);
         }
-        return this.drainOutput();
     }
 
     private drainOutput(): QuorumOutput {
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -32,6 +32,15 @@
     return QuorumMachine.create("a", { hardState, snapshot, entries }, () => 0, 0);
 }
 
+/** Lets a machine run without events but ticks, and returns what it sent. */
+function runUntil(machine: QuorumMachine, fromMs: number, toMs: number): readonly QuorumMessage[] {
+    const messages: QuorumMessage[] = [];
+    for (let nowMs = fromMs; nowMs <= toMs; nowMs += 50) {
+        messages.push(...machine.step({ kind: QuorumEventKind.Tick }, nowMs).messages.map(({ message }) => message));
+    }
+    return messages;
+}
+
 function vote(kind: QuorumMessageKind.Vote | QuorumMessageKind.PreVote, term: number, lastIndex: number, lastTerm: number): QuorumMessage {
     return { kind, term, lastIndex, lastTerm };
 }
@@ -172,8 +181,8 @@
 
 test("a lost round names the voters whose votes are missing", (t) => {
     const machine = create({ term: 1, votedFor: undefined }, []);
-    machine.step({ kind: QuorumEventKind.Tick }, 1_000);
-    const notices = [1_500, 2_000].flatMap((atMs) => machine.step({ kind: QuorumEventKind.Tick }, atMs).notices);
+    runUntil(machine, 0, 200);
+    const notices = [250, 300, 350, 400].flatMap((atMs) => machine.step({ kind: QuorumEventKind.Tick }, atMs).notices);
     t.deepEqual(notices.find(({ kind }) => kind === QuorumNoticeKind.RoundLost), {
         kind: QuorumNoticeKind.RoundLost,
         term: 2,
@@ -202,7 +211,7 @@
 /** Makes machine `a` a candidate of term 2 whose own vote is stored. */
 function createCandidate(): { readonly machine: QuorumMachine; readonly atMs: number } {
     const machine = create({ term: 1, votedFor: undefined }, []);
-    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    runUntil(machine, 0, 200);
     const { writeNumber = 0 } = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 2), 200);
     machine.step({ kind: QuorumEventKind.Persisted, writeNumber }, 200);
     return { machine, atMs: 200 };
@@ -210,8 +219,8 @@
 
 test("a vote that arrives after the next pre-vote has begun still elects the candidate of its term", (t) => {
     const { machine, atMs } = createCandidate();
-    const preVote = machine.step({ kind: QuorumEventKind.Tick }, atMs + 1_000);
-    t.deepEqual(preVote.messages.map(({ message }) => [message.kind, message.term]), VOTERS.slice(1).map(() => [QuorumMessageKind.PreVote, 3]));
+    const preVotes = runUntil(machine, atMs, atMs + 1_000);
+    t.deepEqual(preVotes.map(({ kind, term }) => [kind, term]), VOTERS.slice(1).map(() => [QuorumMessageKind.PreVote, 3]));
     machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), atMs + 1_100);
     t.true(machine.isLeader);
     t.is(machine.term, 2);
@@ -219,7 +228,7 @@
 
 test("a vote of an earlier term does not elect a candidate", (t) => {
     const { machine, atMs } = createCandidate();
-    machine.step({ kind: QuorumEventKind.Tick }, atMs + 1_000);
+    runUntil(machine, atMs, atMs + 1_000);
     machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 3), atMs + 1_000);
     machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), atMs + 1_100);
     t.false(machine.isLeader);
@@ -228,14 +237,14 @@
 test("a vote that was requested before a restart does not elect a voter", (t) => {
     const machine = create({ term: 2, votedFor: "a" }, []);
     machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), 10);
-    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    runUntil(machine, 0, 200);
     machine.step(voteReply("b", QuorumMessageKind.VoteReply, 2), 210);
     t.false(machine.isLeader);
 });
 
 test("a candidate does not win while its own vote is not stored", (t) => {
     const machine = create({ term: 1, votedFor: undefined }, []);
-    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    runUntil(machine, 0, 200);
     const election = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 2), 200);
     t.deepEqual(election.messages, []);
     t.is(election.durableMessages.length, 2);
@@ -265,13 +274,14 @@
 
 test("the time of a disk is not counted as silence of the voters", (t) => {
     const machine = create({ term: 1, votedFor: undefined }, []);
-    machine.step({ kind: QuorumEventKind.Tick }, 200);
+    runUntil(machine, 0, 200);
     const election = machine.step(voteReply("b", QuorumMessageKind.PreVoteReply, 2), 200);
     for (let nowMs = 250; nowMs <= 5_000; nowMs += 50) {
         t.deepEqual(machine.step({ kind: QuorumEventKind.Tick }, nowMs).messages, []);
     }
     machine.step({ kind: QuorumEventKind.Persisted, writeNumber: election.writeNumber ?? 0 }, 5_000);
-    t.deepEqual(machine.step({ kind: QuorumEventKind.Tick }, 5_950).messages, []);
+    t.deepEqual(runUntil(machine, 5_050, 5_950), []);
+    t.not(runUntil(machine, 6_000, 6_050).length, 0);
 });
 
 test("a voter that has just voted refuses the pre-vote of another candidate, but not that of its own or after a second", (t) => {
@@ -284,6 +294,7 @@
     const { writeNumber = 0 } = machine.step({ kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.Vote, 2, 0, 0) }, 100);
     t.false(granted("c", 150));
     machine.step({ kind: QuorumEventKind.Persisted, writeNumber }, 200);
+    runUntil(machine, 250, 1_100);
     t.false(granted("c", 1_150));
     t.true(granted("b", 1_150));
     t.true(granted("c", 1_250));
@@ -360,3 +371,24 @@
     joining.step({ kind: QuorumEventKind.Bootstrap }, 0);
     t.false(joining.isLeader, "a VM that has heard of a leader's term founds no second log");
 });
+
+test("a leader that was suspended does not step down before it has read the replies that arrived meanwhile", (t) => {
+    const machine = createLeader();
+    machine.step({ kind: QuorumEventKind.Tick }, 5_000);
+    t.true(machine.isLeader);
+    machine.step(appendReply("b", 0), 5_001);
+    runUntil(machine, 5_050, 5_950);
+    t.true(machine.isLeader);
+    runUntil(machine, 6_000, 6_100);
+    t.false(machine.isLeader, "no majority has replied for 1 s in which it ran");
+});
+
+test("a follower that was suspended does not stand for election before it has read the heartbeats that arrived meanwhile", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const heartbeat: QuorumMessage = { kind: QuorumMessageKind.Append, term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0 };
+    machine.step({ kind: QuorumEventKind.Message, from: "b", message: heartbeat }, 10);
+    t.deepEqual(machine.step({ kind: QuorumEventKind.Tick }, 9_000).messages, []);
+    machine.step({ kind: QuorumEventKind.Message, from: "b", message: heartbeat }, 9_001);
+    t.deepEqual(runUntil(machine, 9_050, 9_950), []);
+    t.is(machine.knownLeader, "b");
+});
