Give the soak of processes and the tests disks that are slow, uneven or hang

Node.js loads a module before the program of a control VM, which delays the syncs of its data folder by a profile that a run changes at any time.

--- a/bench/processSoak.ts
+++ b/bench/processSoak.ts
@@ -11,9 +11,10 @@
     .option("--earliest-reload <ms>", "time after the start of a process before which it gets no SIGHUP", "300")
     .option("--abuse <kinds>", "kinds of faulty peers, separated by commas, or none", Object.values(AbuseKind).join(","))
     .option("--organisations", "callers need keys of organisations, one of which sends more than its limit", false)
+    .option("--disks", "the disks of control VMs are slow, uneven or hung at times", false)
     .option("--program <file>", "the platform program", "target/gypsumpulley.cjs")
     .parse()
-    .opts<Record<"seed" | "seeds" | "proxies" | "seconds" | "earliestReload" | "abuse" | "program", string> & { readonly organisations: boolean }>();
+    .opts<Record<"seed" | "seeds" | "proxies" | "seconds" | "earliestReload" | "abuse" | "program", string> & Record<"organisations" | "disks", boolean>>();
 
 const kinds = options.abuse.split(",");
 const unknownKinds = kinds.filter((kind) => kind !== "none" && !Object.values<string>(AbuseKind).includes(kind));
@@ -36,6 +37,7 @@
         program: options.program,
         abuseKinds,
         hasOrganisations: options.organisations,
+        hasDiskFaults: options.disks,
     });
     violations += report.violations.length;
     process.stdout.write(`${JSON.stringify(report, undefined, 1)}\n`);
--- a/bench/processes/ProcessFleet/index.ts
+++ b/bench/processes/ProcessFleet/index.ts
@@ -1,10 +1,13 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { appendFileSync, closeSync, existsSync, mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { appendFileSync, closeSync, existsSync, mkdirSync, mkdtempSync, openSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { DiskProfile } from "../../quorum/DiskProfile.js";
+import { DiskProfileKind } from "../../quorum/DiskProfileKind.js";
 import { catchesSignal } from "../catchesSignal/index.js";
 import { createSettings } from "../createSettings/index.js";
+import { diskProfileVariable } from "../diskProfileVariable.js";
 import { FaultKind } from "../FaultKind.js";
 import { FaultRecord } from "../FaultRecord.js";
 import { readRunCommand } from "../readRunCommand/index.js";
@@ -17,6 +20,8 @@
 /** Time to wait for a process that was killed, in ms. */
 const EXIT_TIMEOUT_MS = 5_000;
 
+const DISK_MODULE = new URL("../slowDisk/index.js", import.meta.url).href;
+const FAST_DISK: DiskProfile = { kind: DiskProfileKind.Steady, syncMs: 0 };
 const HEAP_OPTION = /^(--max-old-space-size=)\d+$/;
 /** Name of the file of `note`. */
 const SOAK_LOG = "soak.log";
@@ -48,6 +53,7 @@
         readonly graceMs: number,
         private readonly nowMs: () => number,
         private readonly heapMegabytes: number | undefined,
+        private readonly hasDiskProfiles: boolean,
     ) {}
 
     /**
@@ -59,9 +65,21 @@
      * @param graceMs - Time that a process has to stop.
      * @param nowMs - Clock of the soak.
      * @param heapMegabytes - Size of the old generation of the heap of each process, instead of the one in the deploy file.
+     * @param hasDiskProfiles - True if the sync times of the disks of control VMs can be set.
      */
-    static create(program: string, block: string, proxyCount: number, graceMs: number, nowMs: () => number, heapMegabytes?: number): ProcessFleet {
-        const fleet = new ProcessFleet(program, block, proxyCount, graceMs, nowMs, heapMegabytes);
+    static create(
+        program: string,
+        block: string,
+        proxyCount: number,
+        graceMs: number,
+        nowMs: () => number,
+        heapMegabytes?: number,
+        hasDiskProfiles = false,
+    ): ProcessFleet {
+        const fleet = new ProcessFleet(program, block, proxyCount, graceMs, nowMs, heapMegabytes, hasDiskProfiles);
+        if (hasDiskProfiles) {
+            fleet.controlNames.forEach((name) => fleet.setDiskProfile(name, FAST_DISK));
+        }
         process.once("exit", fleet.killAll);
         [...fleet.controlNames, ...fleet.proxyNames].forEach((name) => fleet.start(name, true));
         return fleet;
@@ -120,6 +138,15 @@
         return join(this.folder, `${name}-data`);
     }
 
+    /** Sets the sync times of the disk of a control process, from its next sync on. */
+    setDiskProfile(name: string, profile: DiskProfile): void {
+        const file = this.diskProfileFileOf(name);
+        // A sync may read the file at any time.
+        writeFileSync(`${file}.new`, JSON.stringify(profile));
+        renameSync(`${file}.new`, file);
+        this.note(name, `disk ${JSON.stringify(profile)}`);
+    }
+
     /** Service of the endpoint on the VM of a proxy. */
     serviceOf(vm: number): string {
         return vm % 2 === 0 ? "alpha" : "beta";
@@ -135,12 +162,14 @@
         const network = { ip: this.ipOf(name), seeds, linkPort: PORTS.link, ports: PORTS };
         writeFileSync(file, createSettings({ name, isFirstStart, ...network, graceMs: this.graceMs, role: this.roleOf(name) }));
         const log = openSync(join(this.folder, `${name}.log`), "a");
-        const command = readRunCommand(name.startsWith("control") ? "control" : "proxy", this.program);
+        const isControl = name.startsWith("control");
+        const hasDiskProfile = isControl && this.hasDiskProfiles;
+        const command = [...hasDiskProfile ? ["--import", DISK_MODULE] : [], ...readRunCommand(isControl ? "control" : "proxy", this.program)];
         const { heapMegabytes } = this;
         const argumentsOfNode = heapMegabytes === undefined ? command : command.map((word) => word.replace(HEAP_OPTION, `$1${heapMegabytes}`));
         const child = spawn(process.execPath, argumentsOfNode, {
             stdio: ["ignore", log, log],
-            env: { ...process.env, [SETTINGS_VARIABLE]: file },
+            env: { ...process.env, [SETTINGS_VARIABLE]: file, [diskProfileVariable]: this.diskProfileFileOf(name) },
         });
         closeSync(log);
         const running = { child, isEnding: false };
@@ -217,6 +246,10 @@
         appendFileSync(join(this.folder, SOAK_LOG), `${Math.round(this.nowMs())} ${process} ${description}\n`);
     }
 
+    private diskProfileFileOf(name: string): string {
+        return join(this.folder, `${name}-disk.json`);
+    }
+
     private roleOf(name: string): Parameters<typeof createSettings>[0]["role"] {
         if (name.startsWith("control")) {
             const dataFolder = this.dataFolderOf(name);
--- a/bench/processes/ProcessSoakOptions.ts
+++ b/bench/processes/ProcessSoakOptions.ts
@@ -15,4 +15,6 @@
     readonly abuseKinds: readonly AbuseKind[];
     /** True if callers need keys of organisations, one of which sends more than its limit. */
     readonly hasOrganisations?: boolean;
+    /** True if the disks of control VMs are slow, uneven or hung at times. */
+    readonly hasDiskFaults?: boolean;
 }
--- a/bench/processes/runProcessSoak/index.ts
+++ b/bench/processes/runProcessSoak/index.ts
@@ -7,6 +7,7 @@
 import { Period } from "../Period.js";
 import { callUntilDecided } from "../callUntilDecided/index.js";
 import { createConfigurationChange } from "../createConfigurationChange/index.js";
+import { DiskFaultSource } from "../DiskFaultSource/index.js";
 import { createStream } from "../createStream/index.js";
 import { EndpointServer } from "../EndpointServer/index.js";
 import { FaultSource } from "../FaultSource/index.js";
@@ -52,10 +53,10 @@
  * (await runProcessSoak({ seed: 1, proxyCount: 6, durationMs: 30_000, earliestReloadMs: 300, program, abuseKinds: [] })).violations;
  */
 export async function runProcessSoak(options: ProcessSoakOptions): Promise<ProcessSoakReport> {
-    const { seed, proxyCount, durationMs, earliestReloadMs, program, abuseKinds, hasOrganisations = false } = options;
+    const { seed, proxyCount, durationMs, earliestReloadMs, program, abuseKinds, hasOrganisations = false, hasDiskFaults = false } = options;
     const nowMs = (): number => performance.now();
     const block = `127.${20 + process.pid % 200}.${1 + seed % 250}`;
-    const fleet = ProcessFleet.create(program, block, proxyCount, GRACE_MS, nowMs);
+    const fleet = ProcessFleet.create(program, block, proxyCount, GRACE_MS, nowMs, undefined, hasDiskFaults);
     const runs: RunRecord[] = [];
     const calms: Period[] = [];
     const endpoints: EndpointServer[] = [];
@@ -101,11 +102,12 @@
         };
         const faultRandom = abuseKinds.length === 0 ? createRandom(seed) : createStream(seed, "faults");
         const faultSource = FaultSource.create(fleet, faultRandom, tryToChange, seed % 2 === 1, earliestReloadMs, startAgain);
+        const diskFaults = hasDiskFaults ? DiskFaultSource.create(fleet, createStream(seed, "disks")).run(durationMs) : Promise.resolve();
         if (abuseKinds.length === 0) {
-            await faultSource.run(durationMs);
+            await Promise.all([faultSource.run(durationMs), diskFaults]);
         }
         else {
-            await Promise.all([abuse.run(durationMs), runCycles(faultSource, durationMs, calms, nowMs)]);
+            await Promise.all([abuse.run(durationMs), runCycles(faultSource, durationMs, calms, nowMs), diskFaults]);
             watch.recordCalm();
             await delay(SETTLE_MS);
             violations.push(...await findUnready(traffic, proxyCount));
--- a/test/processSoak.test.ts
+++ b/test/processSoak.test.ts
@@ -16,6 +16,7 @@
     durationMs: number,
     abuseKinds: readonly AbuseKind[],
     hasOrganisations = false,
+    hasDiskFaults = false,
 ): Promise<void> {
     t.timeout(TIMEOUT_MS);
     const { violations, requests, served, peaksMb, folder } = await runProcessSoak({
@@ -26,6 +27,7 @@
         program: PROGRAM,
         abuseKinds,
         hasOrganisations,
+        hasDiskFaults,
     });
     t.log(`${served} of ${requests} requests served; MB: ${JSON.stringify(peaksMb)}; logs: ${folder ?? "none"}`);
     t.deepEqual(violations, []);
@@ -50,3 +52,9 @@
     test.serial(`processes under signals, restarts and changes keep keys and quotas of organisations (seed ${seed})`, (t) =>
         run(t, seed, DURATION_MS, [], true));
 }
+
+// Guards against control VMs that elect no leader, or lose an acknowledged change, while their disks are slow, uneven or hang.
+for (const seed of [5, 6]) {
+    test.serial(`processes under signals, restarts and changes keep their promises while disks of control VMs are slow or hang (seed ${seed})`, (t) =>
+        run(t, seed, DURATION_MS, [], false, true));
+}
