Do not count a pause of this process as silence of its peers

Links were closed for want of heartbeats, control VMs counted as gone for subscriptions and for calls to the leader, and a leader could replace voters that had not been silent.

LinkController and MeshLinks count the silence of a peer from the end of the latest one. A request for which this control VM itself is the leader, but without a majority that has stored the start of its term, is refused with that reason.

--- a/src/links/LinkController/index.ts
+++ b/src/links/LinkController/index.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { WebSocket } from "ws";
+import { PauseWatch } from "../../clock/PauseWatch/index.js";
 import { nowMs } from "../../clock/nowMs/index.js";
 import { HandshakeGuard } from "../../frames/HandshakeGuard/index.js";
 import { limitMessageRate } from "../../frames/limitMessageRate/index.js";
@@ -48,6 +49,7 @@
     private readonly links = new Map<WsLink, LinkHealth>();
     private readonly byVm = new Map<string, WsLink>();
     private readonly pendingConnects = new Map<string, Promise<WsLink | undefined>>();
+    private readonly pauseWatch = PauseWatch.create();
     private readonly timer = setInterval(() => this.sendHeartbeats(), HEARTBEAT_INTERVAL_MS);
     private readonly handshakeGuard: HandshakeGuard;
     private readonly budget: SocketBudget;
@@ -110,6 +112,11 @@
         return this.budget.bufferedBytes;
     }
 
+    /** Time since which this process has run without a pause, in ms; negative infinity if it never paused. */
+    get resumedAtMs(): number {
+        return this.pauseWatch.resumedAtMs;
+    }
+
     /** VMs with an open link. */
     get linkedVms(): ReadonlySet<string> {
         return new Set(this.byVm.keys());
@@ -164,6 +171,7 @@
     /** Closes all links and stops listening. */
     async close(): Promise<void> {
         clearInterval(this.timer);
+        this.pauseWatch.close();
         [...this.links.keys()].forEach((link) => link.close());
         await this.server?.close();
     }
@@ -276,8 +284,10 @@
 
     private sendHeartbeats(): void {
         const oldestAllowedMs = nowMs() - HEARTBEAT_TIMEOUT_MS;
+        const { resumedAtMs } = this;
         this.links.forEach((health, link) => {
-            if (health.receivedAtMs < oldestAllowedMs || health.acknowledgedAtMs < oldestAllowedMs) {
+            const heardAtMs = Math.max(resumedAtMs, Math.min(health.receivedAtMs, health.acknowledgedAtMs));
+            if (heardAtMs < oldestAllowedMs) {
                 link.close();
             }
             else {
--- a/src/mesh/ControlPlaneRole/index.ts
+++ b/src/mesh/ControlPlaneRole/index.ts
@@ -221,7 +221,7 @@
             return [];
         }
         const sinceMs = nowMs() - PEER_TIMEOUT_MS;
-        return links.controlAddresses.peers.filter(({ vm }) => links.linkedVms.has(vm) && links.lastMessageAtMs(vm) >= sinceMs);
+        return links.controlAddresses.peers.filter(({ vm }) => links.linkedVms.has(vm) && links.silentSinceMs(vm) >= sinceMs);
     }
 
     /** Applies the limits in force. While the items are being read from disk, the former limits stay. */
@@ -248,6 +248,9 @@
     private async callLeader(message: Message): Promise<Message | undefined> {
         const quorum = this.itemController?.quorum;
         const leader = quorum?.leader;
+        if (quorum !== undefined && leader === quorum.identity) {
+            throw this.createError(`this control VM leads, but no majority has stored the start of its term ${quorum.term}; try another control VM`);
+        }
         const peer = this.livePeers().find(({ identity }) => identity === leader);
         if (peer === undefined) {
             const reason = leader === undefined ? `no leader is known (${quorum?.leaderlessReason ?? ""})` : `the leader ${leader} cannot be reached`;
@@ -392,7 +395,7 @@
         }
         const live = [quorum.identity, ...this.livePeers().map(({ identity }) => identity)];
         const lostSinceMs = nowMs() - VOTER_TIMEOUT_MS;
-        const lost = quorum.voters.filter((voter) => !live.includes(voter) && links.lastMessageAtMs(vmOf(voter)) < lostSinceMs);
+        const lost = quorum.voters.filter((voter) => !live.includes(voter) && links.silentSinceMs(vmOf(voter)) < lostSinceMs);
         const voterChange = chooseVoterChange({
             voters: quorum.voters,
             live,
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -122,9 +122,10 @@
         this.dial();
     }
 
-    /** Returns the time of the last message from a VM, in ms. */
-    lastMessageAtMs(vm: string): number {
-        return this.peers.lastMessageAtMs(vm);
+    /** Returns the time since which a VM is silent while this process runs, in ms; negative infinity if it is not remembered. */
+    silentSinceMs(vm: string): number {
+        const messageAtMs = this.peers.lastMessageAtMs(vm);
+        return messageAtMs === Number.NEGATIVE_INFINITY ? messageAtMs : Math.max(messageAtMs, this.links.resumedAtMs);
     }
 
     /** Returns the log position that a VM stated in its last heartbeat. */
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -597,7 +597,7 @@
 
     private get liveVms(): readonly string[] {
         const { links } = this;
-        return links === undefined ? [] : [...links.linkedVms].filter((vm) => nowMs() - links.lastMessageAtMs(vm) < CONTROL_TIMEOUT_MS);
+        return links === undefined ? [] : [...links.linkedVms].filter((vm) => nowMs() - links.silentSinceMs(vm) < CONTROL_TIMEOUT_MS);
     }
 
     private createSubscription(wantsLoads: boolean): Message {
--- a/test/controlDisks.test.ts
+++ b/test/controlDisks.test.ts
@@ -15,6 +15,7 @@
 const GRACE_MS = 6_000;
 const EXIT_TIMEOUT_MS = 5_000;
 const PAUSE_MS = 5_000;
+const PAUSE_MS = 5_000;
 const SETTLE_MS = 3_000;
 
 async function startControls(t: ExecutionContext, block: string): Promise<ProcessFleet> {
@@ -57,3 +58,17 @@
     t.is(countEvents(fleet, "LeaderSteppedDown"), 0);
     t.is(countEvents(fleet, "LeaderElected"), before);
 });
+
+test.serial("processes that were suspended together keep their links, their leader and their voters", async (t) => {
+    const fleet = await startControls(t, "127.222.3");
+    await delay(SETTLE_MS);
+    const names = ["LinkClosed", "LeaderSteppedDown", "LeaderElected", "VoterChanged"];
+    const before = names.map((name) => countEvents(fleet, name));
+    const processes = [...fleet.controlNames, ...fleet.proxyNames];
+    processes.forEach((name) => fleet.signal(name, FaultKind.Freeze));
+    await delay(PAUSE_MS);
+    processes.forEach((name) => fleet.signal(name, FaultKind.Thaw));
+    await delay(SETTLE_MS);
+    t.deepEqual(names.map((name) => countEvents(fleet, name)), before);
+    await callUntilDecided(fleet, "GET", undefined);
+});
