Bound the changes that wait for a majority, and the time of an operator who waits

A leader keeps its office while the disks of a majority hang, since its heartbeats are answered. Each change of an operator was then appended and waited for without a limit of number, size or time: the picture in which a leader is known and nothing is decided (case 2 of docs/incidents/missing-leader.md), and memory that operators could grow without end.

A change that no majority has stored within 4 s, after which an operator's order counts as unanswered, is refused as undecided, with the names of the voters that lack it. At most 256 changes and 16 million characters wait; what counts is undecided, not waited for. Changes of voters still wait.

Measured: 'while the disks of a majority hang, changes are refused in bounded time and number, and accepted once they work again': of 300 changes 44 are refused at once, the others after 4 s, and the leader is the same one when the disks work again.

--- a/bench/quorum/ControlGroup/index.ts
+++ b/bench/quorum/ControlGroup/index.ts
@@ -40,6 +40,11 @@
         return new ControlGroup(vms, events);
     }
 
+    /** Names of all control VMs. */
+    get names(): readonly string[] {
+        return this.vms.map(({ name }) => name);
+    }
+
     /** Names of the control VMs that run and are ready leaders. */
     get readyLeaders(): readonly string[] {
         return this.vms.filter(({ items }) => items?.quorum.isReady === true).map(({ name }) => name);
@@ -51,7 +56,7 @@
     }
 
     /** Sets the sync times of the disks of some control VMs; all, if none is named. */
-    setProfile(profile: DiskProfile, names: readonly string[] = this.vms.map(({ name }) => name)): void {
+    setProfile(profile: DiskProfile, names: readonly string[] = this.names): void {
         this.vms.filter(({ name }) => names.includes(name)).forEach(({ disk }) => disk.profile = profile);
     }
 
--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -27,6 +27,11 @@
 const SLOW_WRITE_MS = 100;
 /** Time without progress of a write after which the disk counts as hung, in ms; a write of several syncs of 1 s goes on. */
 const HUNG_WRITE_MS = 4_000;
+/** Time after which a change that is not committed is reported as undecided, in ms; it may still be committed later. */
+const COMMIT_TIMEOUT_MS = 4_000;
+/** Limits of the changes that wait for a majority of the voters: their number, and the size of their documents in characters. */
+const MAX_PENDING_COMMITS = 256;
+const MAX_PENDING_CHARACTERS = 16 * 1_024 * 1_024;
 /** Number of applied entries after the snapshot that triggers a new snapshot. */
 const COMPACTION_THRESHOLD_ENTRIES = 1_000;
 /** Size of the documents in applied entries after the snapshot that triggers a new snapshot, in characters. */
@@ -39,6 +44,9 @@
 
 interface PendingCommit extends Pending {
     readonly term: number;
+    /** Size of the documents of the entry, in characters. */
+    readonly size: number;
+    readonly timer: NodeJS.Timeout | undefined;
 }
 
 /** Runs the quorum machine of a control VM: persists its state, sends its messages, and applies committed entries. */
@@ -170,7 +178,7 @@
             throw this.createError("this control VM already has a log");
         }
         const output = this.step({ kind: QuorumEventKind.Bootstrap });
-        const committed = this.waitForCommit(this.machine.lastIndex);
+        const committed = this.waitForCommit(this.machine.lastIndex, 0, undefined);
         this.processOutput(output);
         await committed;
     }
@@ -178,20 +186,11 @@
     /**
      * Appends an entry and waits until it is committed.
      *
-     * @throws FleetError if this VM is not the leader, or stops being the leader before the entry is committed.
+     * @throws FleetError if this VM is not the leader or too many entries wait already; or if it is unknown whether the entry will be
+     * committed, since no majority has stored it in time, or this VM has stopped being the leader.
      */
-    async commit(content: EntryContent): Promise<void> {
-        if (!this.isReady) {
-            throw this.createError("this control VM is not the leader; try another one");
-        }
-        const previousIndex = this.machine.lastIndex;
-        const output = this.step({ kind: QuorumEventKind.Propose, content });
-        if (this.machine.lastIndex === previousIndex) {
-            throw this.createError("another change of voters is in progress; try again");
-        }
-        const committed = this.waitForCommit(this.machine.lastIndex);
-        this.processOutput(output);
-        await committed;
+    commit(content: EntryContent): Promise<void> {
+        return this.append(content, COMMIT_TIMEOUT_MS);
     }
 
     /**
@@ -231,19 +230,44 @@
             throw this.createError(`${identity} has not caught up with the log; try again`);
         }
         const others = voters.filter((voter) => voter !== identity);
-        await this.commit({ kind: EntryKind.Voters, voters: isAddition ? [...others, identity] : others });
+        await this.append({ kind: EntryKind.Voters, voters: isAddition ? [...others, identity] : others }, undefined);
         this.events.record(EventNumber.VoterChanged, { voters: this.machine.voters });
     }
 
     /** Stops the timers, and waits for the end of the write in progress. */
     async close(): Promise<void> {
         clearInterval(this.timer);
+        this.pendingCommits.forEach(({ timer }) => clearTimeout(timer));
         await this.writer.close();
     }
 
-    private waitForCommit(index: number): Promise<void> {
+    private async append(content: EntryContent, timeoutMs: number | undefined): Promise<void> {
+        if (!this.isReady) {
+            throw this.createError("this control VM is not the leader; try another one");
+        }
+        const size = sizeOf(content);
+        const pendingSize = [...this.pendingCommits.values()].reduce((sum, pending) => sum + pending.size, 0);
+        if (this.pendingCommits.size >= MAX_PENDING_COMMITS || (pendingSize > 0 && pendingSize + size > MAX_PENDING_CHARACTERS)) {
+            throw this.createError(`${this.pendingCommits.size} changes wait for a majority of the control VMs; try again`);
+        }
+        const previousIndex = this.machine.lastIndex;
+        const output = this.step({ kind: QuorumEventKind.Propose, content });
+        if (this.machine.lastIndex === previousIndex) {
+            throw this.createError("another change of voters is in progress; try again");
+        }
+        const committed = this.waitForCommit(this.machine.lastIndex, size, timeoutMs);
+        this.processOutput(output);
+        await committed;
+    }
+
+    /** A commit that is late is rejected, but counts for the limits until it is decided. */
+    private waitForCommit(index: number, size: number, timeoutMs: number | undefined): Promise<void> {
         const { term } = this.machine;
-        const committed = new Promise<void>((resolve, reject) => this.pendingCommits.set(index, { term, resolve, reject }));
+        const committed = new Promise<void>((resolve, reject) => {
+            const handleTimeout = (): void => reject(this.createError(`not stored yet by ${this.machine.votersWithout(index).join(", ")}; retry`));
+            const timer = timeoutMs === undefined ? undefined : setTimeout(handleTimeout, timeoutMs);
+            this.pendingCommits.set(index, { term, size, timer, resolve, reject });
+        });
         committed.catch(() => undefined);
         return committed;
     }
@@ -342,12 +366,13 @@
             this.callbacks.applyChange(entry.change);
         }
         if (entry.kind === EntryKind.Items) {
-            this.uncompactedCharacters += entry.changes.reduce((sum, { document }) => sum + document.length, 0);
+            this.uncompactedCharacters += sizeOf(entry);
             this.callbacks.applyItems(entry.proposal, entry.changes, entry.index);
         }
         const pending = this.pendingCommits.get(entry.index);
         if (pending !== undefined) {
             this.pendingCommits.delete(entry.index);
+            clearTimeout(pending.timer);
             if (pending.term === entry.term) {
                 pending.resolve();
             }
@@ -365,6 +390,7 @@
     private rejectPending(problem: string): void {
         const error = this.createError(problem);
         [...this.pendingCommits.values(), ...this.pendingReads.values()].forEach((pending) => pending.reject(error));
+        this.pendingCommits.forEach(({ timer }) => clearTimeout(timer));
         this.pendingCommits.clear();
         this.pendingReads.clear();
     }
@@ -402,3 +428,8 @@
         return FleetError.create({ step: Step.Apply, peer: this.identity }, problem);
     }
 }
+
+/** Size of the documents of an entry, in characters. */
+function sizeOf(content: EntryContent): number {
+    return content.kind === EntryKind.Items ? content.changes.reduce((sum, { document }) => sum + document.length, 0) : 0;
+}
--- a/src/decisions/quorum/PeerProgress/index.ts
+++ b/src/decisions/quorum/PeerProgress/index.ts
@@ -114,6 +114,11 @@
         return indexes[majorityOf(voters.length) - 1] ?? 0;
     }
 
+    /** Returns the other voters that have not stored the log up to an index. */
+    lackingVoters(voters: readonly string[], index: number): readonly string[] {
+        return voters.filter((voter) => voter !== this.self && (this.peers.get(voter)?.matchIndex ?? 0) < index);
+    }
+
     /** Returns true if a peer replies and lacks only a few entries, so that it can become a voter. */
     hasCaughtUp(peer: string, lastIndex: number, nowMs: number): boolean {
         const matchIndex = this.peers.get(peer)?.matchIndex ?? 0;
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -209,6 +209,12 @@
         return this.progress.canConfirmRounds(this.voters);
     }
 
+    /** Returns, on the leader, the voters that are not known to have stored an entry, this VM among them. */
+    votersWithout(index: number): readonly string[] {
+        const own = this.persistedIndex < index ? [this.self] : [];
+        return [...own, ...this.progress.lackingVoters(this.voters, index)];
+    }
+
     /** Sets the identities that receive the log without a vote, such as VMs that are about to become voters. */
     setLearners(learners: readonly string[]): void {
         this.learners = learners;
--- a/test/controlDisks.test.ts
+++ b/test/controlDisks.test.ts
@@ -15,7 +15,6 @@
 const GRACE_MS = 6_000;
 const EXIT_TIMEOUT_MS = 5_000;
 const PAUSE_MS = 5_000;
-const PAUSE_MS = 5_000;
 const SETTLE_MS = 3_000;
 
 async function startControls(t: ExecutionContext, block: string): Promise<ProcessFleet> {
--- a/test/slowDisks.test.ts
+++ b/test/slowDisks.test.ts
@@ -156,3 +156,23 @@
     const reads = await Promise.all(Array.from({ length: 20 }, () => isDone(run, run.group.read(), 1_000)));
     t.deepEqual(reads, Array.from({ length: 20 }, () => true));
 });
+
+test.serial("while the disks of a majority hang, changes are refused in bounded time and number, and accepted once they work again", async (t) => {
+    const run = await create(t, 1);
+    await run.group.start();
+    t.true(await waitForLeader(run, RECOVERY_MS) < RECOVERY_MS);
+    const { term, readyLeaders } = run.group;
+    const followers = run.group.names.filter((name) => !readyLeaders.includes(name));
+    run.group.setProfile({ kind: DiskProfileKind.Hung }, followers.slice(1));
+    const outcomes: boolean[] = [];
+    const changes = Array.from({ length: 300 }, () => run.group.change().then((isAccepted) => void outcomes.push(isAccepted)));
+    await advance(run, 200);
+    t.is(outcomes.length, 300 - 256, "no more wait than the limit");
+    await advance(run, 5_000);
+    await Promise.all(changes);
+    t.false(outcomes.includes(true));
+    run.group.setProfile(steady(0));
+    await advance(run, 1_000);
+    t.true(await isDone(run, run.group.change(), RECOVERY_MS));
+    t.deepEqual([run.group.term, run.group.readyLeaders], [term, readyLeaders]);
+});
