Let no voter keep the others from standing for election

A VM whose requests arrive, but that no reply reaches, would ask every 0.2 to 0.4 s and keep all others waiting for as long as it is cut off. And with two of five VMs missing, a candidate whose vote was split waited for the two missing ones.

A candidate is given time once a term. A candidate counts its election as lost when those that had granted its pre-vote, and have not refused their vote, are no majority; votes of others still count.

Measured: the test of a VM that no reply reaches fails without the first change.

--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -76,12 +76,16 @@
     private role = QuorumRole.Follower;
     private leader: string | undefined;
     private commitIndex: number;
+    /** Candidates for the next term that this VM has given time. */
+    private readonly favouredCandidates = new Set<string>();
     /** Times of the pre-votes granted to this VM for the next term, by voter. */
     private readonly preVotes = new Map<string, number>();
     /** Term in which this VM is or was a candidate since its start. Votes of that term count as long as the term lasts. */
     private candidacyTerm: number | undefined;
     private votes = new Set<string>();
     private refusals = new Set<string>();
+    /** Voters that had granted a pre-vote when the latest candidacy began; the others may not be there at all. */
+    private electorate: readonly string[] = [];
     /** Elections since the last contact with a leader. */
     private electionCount = 0;
     /** Time at which the vote in the current term was stored. */
@@ -432,7 +436,8 @@
         this.candidacyTerm = this.hardState.term;
         this.votes = new Set();
         this.refusals = new Set();
-        this.preVotes.clear();
+        this.electorate = this.freshPreVoters(nowMs);
+        this.forgetPreVotes();
         this.electionCount += 1;
         this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term, isPreVote: false });
         this.requestVotes(QuorumMessageKind.Vote, this.hardState.term);
@@ -444,6 +449,11 @@
         this.otherVoters().forEach((to) => messages.push({ to, message: { kind, term, lastIndex, lastTerm } }));
     }
 
+    private forgetPreVotes(): void {
+        this.preVotes.clear();
+        this.favouredCandidates.clear();
+    }
+
     private countPreVotes(nowMs: number): void {
         if (this.freshPreVoters(nowMs).length >= majorityOf(this.voters.length)) {
             this.startElection(nowMs);
@@ -467,7 +477,7 @@
     }
 
     private get hasLostElection(): boolean {
-        return this.voters.filter((voter) => !this.refusals.has(voter)).length < majorityOf(this.voters.length);
+        return this.electorate.filter((voter) => !this.refusals.has(voter)).length < majorityOf(this.voters.length);
     }
 
     private becomeLeader(nowMs: number): void {
@@ -551,7 +561,9 @@
             ? VoteRefusal.OldTerm
             : this.hasRecentVoteForOther(from, nowMs) ? VoteRefusal.RecentVote : this.findRefusal(message, nowMs);
         const granted = refusal === undefined;
-        if (granted && this.role !== QuorumRole.Candidate) {
+        // Only once: a VM whose requests arrive, but that no reply reaches, would keep all others from standing.
+        if (granted && this.role !== QuorumRole.Candidate && !this.favouredCandidates.has(from)) {
+            this.favouredCandidates.add(from);
             this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS);
         }
         this.recordRefusal(from, message, refusal);
@@ -695,7 +707,7 @@
         this.leader = leader;
         this.leaderContactAtMs = nowMs;
         this.electionCount = 0;
-        this.preVotes.clear();
+        this.forgetPreVotes();
         this.resetElectionTimer(nowMs);
     }
 
@@ -750,7 +762,7 @@
     private becomeFollower(term: number, leader: string | undefined, nowMs: number): void {
         if (term > this.hardState.term) {
             this.hardState = { term, votedFor: undefined };
-            this.preVotes.clear();
+            this.forgetPreVotes();
         }
         this.role = QuorumRole.Follower;
         this.leader = leader;
--- a/src/decisions/quorum/QuorumMachine/test.ts
+++ b/src/decisions/quorum/QuorumMachine/test.ts
@@ -392,3 +392,14 @@
     t.deepEqual(runUntil(machine, 9_050, 9_950), []);
     t.is(machine.knownLeader, "b");
 });
+
+test("a voter stands for election although a VM that no reply reaches keeps asking for pre-votes", (t) => {
+    const machine = create({ term: 1, votedFor: undefined }, []);
+    const sent: QuorumMessage[] = [];
+    for (let nowMs = 0; nowMs <= 3_000; nowMs += 50) {
+        const event: QuorumEvent = { kind: QuorumEventKind.Message, from: "b", message: vote(QuorumMessageKind.PreVote, 2, 0, 0) };
+        const outputs = [machine.step(event, nowMs), machine.step({ kind: QuorumEventKind.Tick }, nowMs)];
+        sent.push(...outputs.flatMap(({ messages }) => messages.map(({ message }) => message)));
+    }
+    t.true(sent.some(({ kind }) => kind === QuorumMessageKind.PreVote));
+});
