--- a/test/controlDisks.test.ts
+++ b/test/controlDisks.test.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from "node:fs";
+import { readFileSync, rmSync } from "node:fs";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import { setTimeout as delay } from "node:timers/promises";
@@ -36,15 +36,22 @@
     return logs.join("").split(`"name":"${name}"`).length - 1;
 }
 
-test.serial("control VMs with disks of 200 ms a sync elect a leader after all processes were killed, and still have what they acknowledged", async (t) => {
-    const fleet = await startControls(t, "127.222.1");
-    await callUntilDecided(fleet, "PATCH", createConfigurationChange(2, TIMEOUT_MS));
-    fleet.controlNames.forEach((name) => fleet.setDiskProfile(name, { kind: DiskProfileKind.Steady, syncMs: 200 }));
-    await killAll(fleet);
-    [...fleet.controlNames, ...fleet.proxyNames].forEach((name) => fleet.start(name));
-    const items = await callUntilDecided(fleet, "GET", undefined);
-    t.deepEqual([...new Set(items.match(/"r\d+"/g))], ["\"r2\""]);
-});
+for (const lostDisk of [undefined, "control-0"]) {
+    const loss = lostDisk === undefined ? "all processes were killed" : "all processes were killed and one disk was lost";
+    test.serial(`control VMs with disks of 200 ms a sync elect a leader after ${loss}, and still have what they acknowledged`, async (t) => {
+        const fleet = await startControls(t, "127.222.1");
+        await delay(SETTLE_MS);
+        await callUntilDecided(fleet, "PATCH", createConfigurationChange(2, TIMEOUT_MS));
+        fleet.controlNames.forEach((name) => fleet.setDiskProfile(name, { kind: DiskProfileKind.Steady, syncMs: 200 }));
+        await killAll(fleet);
+        if (lostDisk !== undefined) {
+            rmSync(fleet.dataFolderOf(lostDisk), { recursive: true });
+        }
+        [...fleet.controlNames, ...fleet.proxyNames].forEach((name) => fleet.start(name));
+        const items = await callUntilDecided(fleet, "GET", undefined);
+        t.deepEqual([...new Set(items.match(/"r\d+"/g))], ["\"r2\""]);
+    });
+}
 
 test.serial("control VMs whose disks turn to 250 ms a sync keep their leader and answer operators", async (t) => {
     const fleet = await startControls(t, "127.222.2");
