--- a/src/controllers/QuorumController/index.ts
+++ b/src/controllers/QuorumController/index.ts
@@ -5,8 +5,6 @@
 import { QuorumEvent } from "../../decisions/quorum/QuorumEvent.js";
 import { QuorumEventKind } from "../../decisions/quorum/QuorumEventKind.js";
 import { QuorumMachine } from "../../decisions/quorum/QuorumMachine/index.js";
-import { QuorumNotice } from "../../decisions/quorum/QuorumNotice.js";
-import { QuorumNoticeKind } from "../../decisions/quorum/QuorumNoticeKind.js";
 import { QuorumMessage } from "../../decisions/quorum/QuorumMessage.js";
 import { QuorumOutput } from "../../decisions/quorum/QuorumOutput.js";
 import { QuorumSnapshot } from "../../decisions/quorum/QuorumSnapshot.js";
@@ -16,9 +14,10 @@
 import { GaugeSource } from "../../metrics/GaugeSource.js";
 import { FleetError } from "../../model/FleetError.js";
 import { Step } from "../../model/Step.js";
-import { assertNever } from "../../model/assertNever/index.js";
 import { toError } from "../../model/toError/index.js";
+import { ElectionLog } from "../ElectionLog/index.js";
 import { LogWriter } from "../LogWriter/index.js";
+import { PendingCommits } from "../PendingCommits/index.js";
 import { QuorumStore } from "../QuorumStore/index.js";
 import { QuorumCallbacks } from "../QuorumCallbacks.js";
 
@@ -27,47 +26,31 @@
 const SLOW_WRITE_MS = 100;
 /** Time without progress of a write after which the disk counts as hung, in ms; a write of several syncs of 1 s goes on. */
 const HUNG_WRITE_MS = 4_000;
-/** Time after which a change that is not committed is reported as undecided, in ms; it may still be committed later. */
-const COMMIT_TIMEOUT_MS = 4_000;
-/** Limits of the changes that wait for a majority of the voters: their number, and the size of their documents in characters. */
-const MAX_PENDING_COMMITS = 256;
-const MAX_PENDING_CHARACTERS = 16 * 1_024 * 1_024;
 /** Number of applied entries after the snapshot that triggers a new snapshot. */
 const COMPACTION_THRESHOLD_ENTRIES = 1_000;
 /** Size of the documents in applied entries after the snapshot that triggers a new snapshot, in characters. */
 const COMPACTION_THRESHOLD_CHARACTERS = 8 * 1_024 * 1_024;
 
-interface Pending {
+interface PendingRead {
     readonly resolve: () => void;
     readonly reject: (error: FleetError) => void;
 }
 
-interface PendingCommit extends Pending {
-    readonly term: number;
-    /** Size of the documents of the entry, in characters. */
-    readonly size: number;
-    readonly timer: NodeJS.Timeout | undefined;
-}
-
 /** Runs the quorum machine of a control VM: persists its state, sends its messages, and applies committed entries. */
 export class QuorumController {
     private readonly machine: QuorumMachine;
     private readonly timer: NodeJS.Timeout;
-    private readonly pendingCommits = new Map<number, PendingCommit>();
-    private readonly pendingReads = new Map<number, Pending>();
+    private readonly pendingCommits = PendingCommits.create();
+    private readonly pendingReads = new Map<number, PendingRead>();
     private readCount = 0;
     private readonly writer: LogWriter;
     private failure: FleetError | undefined;
     private wasLeader = false;
-    private stepDownReason = "";
+    private readonly electionLog: ElectionLog;
+    private readonly throttledLog: ThrottledLog;
     /** Ticks since the write in progress has last advanced. Ticks are counted, since a process that was suspended has not waited. */
     private idleTicks = 0;
     private seenOperationCount = 0;
-    private roundsStarted = 0;
-    private roundsLost = 0;
-    /** Latest lost round of an election, for the error of a request that finds no leader. */
-    private lostRound = "";
-    private readonly throttledLog: ThrottledLog;
     /** Size of the documents in applied entries since the last compaction, in characters. */
     private uncompactedCharacters = 0;
 
@@ -76,6 +59,7 @@
         private readonly callbacks: QuorumCallbacks,
         private readonly events: EventLog,
     ) {
+        this.electionLog = ElectionLog.create(events);
         this.throttledLog = ThrottledLog.create(events);
         this.writer = LogWriter.create(store, {
             handleWritten: (outputs) => this.handleWritten(outputs),
@@ -142,8 +126,7 @@
         return [
             { name: "term", help: "Current term", read: () => this.term },
             { name: "leader_known", help: "1 if this VM leads or knows the leader", read: () => Number(this.leader !== undefined) },
-            { name: "election_rounds", help: "Rounds of pre-votes and elections that this VM has started", read: () => this.roundsStarted },
-            { name: "election_rounds_lost", help: "Rounds of pre-votes and elections that ended without a majority", read: () => this.roundsLost },
+            ...this.electionLog.gauges,
             { name: "log_write_queue", help: "Outputs that wait for the data folder", read: () => this.writer.waitingCount },
             { name: "log_write_ms", help: "Time of the latest write to the data folder", read: () => this.writer.lastDurationMs },
             { name: "log_write_longest_ms", help: "Longest time of a write to the data folder", read: () => this.writer.longestDurationMs },
@@ -155,7 +138,7 @@
     get leaderlessReason(): string {
         const { pendingMs } = this.writer;
         const writing = pendingMs >= SLOW_WRITE_MS ? `; a write to the data folder has taken ${Math.round(pendingMs)} ms so far` : "";
-        return `term ${this.term}; ${this.lostRound === "" ? "no election has been lost" : this.lostRound}${writing}`;
+        return `term ${this.term}; ${this.electionLog.lossReason}${writing}`;
     }
 
     /** Returns true on the leader if another control VM has caught up with the log, so that it can become a voter. */
@@ -178,7 +161,7 @@
             throw this.createError("this control VM already has a log");
         }
         const output = this.step({ kind: QuorumEventKind.Bootstrap });
-        const committed = this.waitForCommit(this.machine.lastIndex, 0, undefined);
+        const committed = this.pendingCommits.add(this.machine.lastIndex, this.machine.term, 0);
         this.processOutput(output);
         await committed;
     }
@@ -190,7 +173,7 @@
      * committed, since no majority has stored it in time, or this VM has stopped being the leader.
      */
     commit(content: EntryContent): Promise<void> {
-        return this.append(content, COMMIT_TIMEOUT_MS);
+        return this.append(content, true);
     }
 
     /**
@@ -230,48 +213,38 @@
             throw this.createError(`${identity} has not caught up with the log; try again`);
         }
         const others = voters.filter((voter) => voter !== identity);
-        await this.append({ kind: EntryKind.Voters, voters: isAddition ? [...others, identity] : others }, undefined);
+        await this.append({ kind: EntryKind.Voters, voters: isAddition ? [...others, identity] : others }, false);
         this.events.record(EventNumber.VoterChanged, { voters: this.machine.voters });
     }
 
     /** Stops the timers, and waits for the end of the write in progress. */
     async close(): Promise<void> {
         clearInterval(this.timer);
-        this.pendingCommits.forEach(({ timer }) => clearTimeout(timer));
+        this.pendingCommits.clear();
         await this.writer.close();
     }
 
-    private async append(content: EntryContent, timeoutMs: number | undefined): Promise<void> {
+    private async append(content: EntryContent, hasTimeout: boolean): Promise<void> {
         if (!this.isReady) {
             throw this.createError("this control VM is not the leader; try another one");
         }
         const size = sizeOf(content);
-        const pendingSize = [...this.pendingCommits.values()].reduce((sum, pending) => sum + pending.size, 0);
-        if (this.pendingCommits.size >= MAX_PENDING_COMMITS || (pendingSize > 0 && pendingSize + size > MAX_PENDING_CHARACTERS)) {
-            throw this.createError(`${this.pendingCommits.size} changes wait for a majority of the control VMs; try again`);
+        if (!this.pendingCommits.hasRoomFor(size)) {
+            throw this.createError(`${this.pendingCommits.count} changes wait for a majority of the control VMs; try again`);
         }
         const previousIndex = this.machine.lastIndex;
         const output = this.step({ kind: QuorumEventKind.Propose, content });
         if (this.machine.lastIndex === previousIndex) {
             throw this.createError("another change of voters is in progress; try again");
         }
-        const committed = this.waitForCommit(this.machine.lastIndex, size, timeoutMs);
+        const { lastIndex, term } = this.machine;
+        const createTimeoutError = (): FleetError =>
+            this.createError(`not stored yet by ${this.machine.votersWithout(lastIndex).join(", ")}; retry`);
+        const committed = this.pendingCommits.add(lastIndex, term, size, hasTimeout ? createTimeoutError : undefined);
         this.processOutput(output);
         await committed;
     }
 
-    /** A commit that is late is rejected, but counts for the limits until it is decided. */
-    private waitForCommit(index: number, size: number, timeoutMs: number | undefined): Promise<void> {
-        const { term } = this.machine;
-        const committed = new Promise<void>((resolve, reject) => {
-            const handleTimeout = (): void => reject(this.createError(`not stored yet by ${this.machine.votersWithout(index).join(", ")}; retry`));
-            const timer = timeoutMs === undefined ? undefined : setTimeout(handleTimeout, timeoutMs);
-            this.pendingCommits.set(index, { term, size, timer, resolve, reject });
-        });
-        committed.catch(() => undefined);
-        return committed;
-    }
-
     private handleTick(): void {
         const { endedOperationCount } = this.store;
         const isIdle = this.writer.isWriting && endedOperationCount === this.seenOperationCount;
@@ -305,7 +278,7 @@
     }
 
     private processOutput(output: QuorumOutput): void {
-        output.notices.forEach((notice) => this.recordNotice(notice));
+        output.notices.forEach((notice) => this.electionLog.record(notice));
         output.messages.forEach(({ to, message }) => this.callbacks.send(to, message));
         if (output.writeNumber !== undefined || output.durableMessages.length > 0) {
             this.writer.write(output);
@@ -334,33 +307,6 @@
         }
     }
 
-    private recordNotice(notice: QuorumNotice): void {
-        const { term } = notice;
-        switch (notice.kind) {
-            case QuorumNoticeKind.RoundStarted:
-                this.roundsStarted += 1;
-                this.throttledLog.record(EventNumber.ElectionStarted, { term, isPreVote: notice.isPreVote });
-                return;
-            case QuorumNoticeKind.RoundLost: {
-                const { isPreVote, granted, missing } = notice;
-                this.roundsLost += 1;
-                this.lostRound = `the ${isPreVote ? "pre-vote" : "election"} for term ${term} got no vote of ${missing.join(", ")}`;
-                this.throttledLog.record(EventNumber.ElectionLost, { term, isPreVote, granted, missing });
-                return;
-            }
-            case QuorumNoticeKind.VoteRefused: {
-                const { isPreVote, candidate, reason } = notice;
-                this.throttledLog.record(EventNumber.VoteRefused, { term, isPreVote, candidate, reason });
-                return;
-            }
-            case QuorumNoticeKind.SteppedDown:
-                this.stepDownReason = [notice.reason, ...notice.silent].join(" ");
-                return;
-            default:
-                assertNever(notice);
-        }
-    }
-
     private applyEntry(entry: LogEntry): void {
         if (entry.kind === EntryKind.Change) {
             this.callbacks.applyChange(entry.change);
@@ -369,17 +315,7 @@
             this.uncompactedCharacters += sizeOf(entry);
             this.callbacks.applyItems(entry.proposal, entry.changes, entry.index);
         }
-        const pending = this.pendingCommits.get(entry.index);
-        if (pending !== undefined) {
-            this.pendingCommits.delete(entry.index);
-            clearTimeout(pending.timer);
-            if (pending.term === entry.term) {
-                pending.resolve();
-            }
-            else {
-                pending.reject(this.createError("the change was not accepted: another leader's entry replaced it"));
-            }
-        }
+        this.pendingCommits.settle(entry, () => this.createError("the change was not accepted: another leader's entry replaced it"));
     }
 
     private resolveRead(id: number): void {
@@ -389,9 +325,8 @@
 
     private rejectPending(problem: string): void {
         const error = this.createError(problem);
-        [...this.pendingCommits.values(), ...this.pendingReads.values()].forEach((pending) => pending.reject(error));
-        this.pendingCommits.forEach(({ timer }) => clearTimeout(timer));
-        this.pendingCommits.clear();
+        this.pendingCommits.rejectAll(error);
+        this.pendingReads.forEach(({ reject }) => reject(error));
         this.pendingReads.clear();
     }
 
@@ -408,11 +343,11 @@
     private trackLeadership(): void {
         const { isLeader, term } = this.machine;
         if (isLeader && !this.wasLeader) {
-            this.lostRound = "";
+            this.electionLog.recordLeadership();
             this.events.record(EventNumber.LeaderElected, { term });
         }
         if (!isLeader && this.wasLeader) {
-            this.events.record(EventNumber.LeaderSteppedDown, { term, reason: this.stepDownReason });
+            this.events.record(EventNumber.LeaderSteppedDown, { term, reason: this.electionLog.stepDownReason });
             this.rejectPending("the leader stepped down; retry with the same change id");
         }
         this.wasLeader = isLeader;
--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -1,6 +1,7 @@
 import { assertInvariant } from "../../../invariants/assertInvariant/index.js";
 import { assertNever } from "../../../model/assertNever/index.js";
 import { majorityOf } from "../../claims/majorityOf/index.js";
+import { Candidacy } from "../Candidacy/index.js";
 import { EntryContent } from "../EntryContent.js";
 import { EntryKind } from "../EntryKind.js";
 import { HardState } from "../HardState.js";
@@ -17,8 +18,10 @@
 import { QuorumRole } from "../QuorumRole.js";
 import { QuorumSnapshot } from "../QuorumSnapshot.js";
 import { QuorumState } from "../QuorumState.js";
+import { ReadRounds } from "../ReadRounds/index.js";
 import { StepDownReason } from "../StepDownReason.js";
 import { VoteRefusal } from "../VoteRefusal.js";
+import { WriteProgress } from "../WriteProgress/index.js";
 
 /** Time between a leader's append messages to a peer, in ms; they serve as heartbeats. */
 const HEARTBEAT_INTERVAL_MS = 100;
@@ -37,18 +40,6 @@
 
 type AppendMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Append }>;
 type AppendReply = Extract<QuorumMessage, { kind: QuorumMessageKind.AppendReply }>;
-interface PendingRead {
-    readonly id: number;
-    readonly round: number;
-}
-
-interface PendingWrite {
-    readonly number: number;
-    readonly hasHardState: boolean;
-    /** Index from which on the stored log may differ from the one in memory. */
-    readonly firstIndex: number;
-}
-
 type VoteRequest = Extract<QuorumMessage, { kind: QuorumMessageKind.PreVote | QuorumMessageKind.Vote }>;
 type VoteReply = Extract<QuorumMessage, { kind: QuorumMessageKind.PreVoteReply | QuorumMessageKind.VoteReply }>;
 type SnapshotMessage = Extract<QuorumMessage, { kind: QuorumMessageKind.Snapshot }>;
@@ -76,26 +67,13 @@
     private role = QuorumRole.Follower;
     private leader: string | undefined;
     private commitIndex: number;
-    /** Candidates for the next term that this VM has given time. */
-    private readonly favouredCandidates = new Set<string>();
-    /** Times of the pre-votes granted to this VM for the next term, by voter. */
-    private readonly preVotes = new Map<string, number>();
-    /** Term in which this VM is or was a candidate since its start. Votes of that term count as long as the term lasts. */
-    private candidacyTerm: number | undefined;
-    private votes = new Set<string>();
-    private refusals = new Set<string>();
-    /** Voters that had granted a pre-vote when the latest candidacy began; the others may not be there at all. */
-    private electorate: readonly string[] = [];
-    /** Elections since the last contact with a leader. */
-    private electionCount = 0;
+    private readonly candidacy: Candidacy;
     /** Time at which the vote in the current term was stored. */
     private votedAtMs = Number.NEGATIVE_INFINITY;
     private leaderContactAtMs: number;
     private electionDueAtMs: number;
     private heartbeatDueAtMs = 0;
-    /** Latest round of heartbeats; a read is confirmed by the first one that starts after it. */
-    private round = 0;
-    private pendingReads: PendingRead[] = [];
+    private readonly reads = ReadRounds.create();
     private confirmedReads: number[] = [];
     /** Commit index in the latest message from the leader. */
     private leaderCommitIndex = Number.POSITIVE_INFINITY;
@@ -108,9 +86,8 @@
     private receivedSnapshot: QuorumSnapshot | undefined;
     private messages: { to: string; message: QuorumMessage }[] = [];
     private durableMessages: { to: string; message: QuorumMessage }[] = [];
-    private readonly pendingWrites: PendingWrite[] = [];
-    private writeCount = 0;
     private notices: QuorumNotice[] = [];
+    private readonly writes = WriteProgress.create();
     private appliedIndex: number;
 
     private constructor(
@@ -121,6 +98,7 @@
     ) {
         this.log = QuorumLog.create(state.snapshot, state.entries);
         this.progress = PeerProgress.create(self);
+        this.candidacy = Candidacy.create(self);
         this.hardState = state.hardState;
         this.persistedState = state.hardState;
         this.commitIndex = state.snapshot.lastIndex;
@@ -303,9 +281,7 @@
         if (!hasHardState && this.newEntries.length === 0 && this.newSnapshot === undefined) {
             return undefined;
         }
-        this.writeCount += 1;
-        this.pendingWrites.push({ number: this.writeCount, hasHardState, firstIndex: this.firstNewIndex });
-        return this.writeCount;
+        return this.writes.start(hasHardState, this.firstNewIndex);
     }
 
     /** Index from which on the output of this step will change the stored log. */
@@ -314,14 +290,12 @@
     }
 
     private handlePersisted(writeNumber: number, nowMs: number): void {
-        const wasVotePending = this.hasPendingHardState();
-        while (this.pendingWrites[0] !== undefined && this.pendingWrites[0].number <= writeNumber) {
-            this.pendingWrites.shift();
-        }
+        const wasVotePending = this.writes.hasPendingHardState();
+        this.writes.recordSynced(writeNumber);
         if (this.isLeader) {
             this.advanceCommit();
         }
-        else if (wasVotePending && !this.hasPendingHardState()) {
+        else if (wasVotePending && !this.writes.hasPendingHardState()) {
             this.handleStoredVote(nowMs);
         }
     }
@@ -332,20 +306,15 @@
         }
         this.votedAtMs = nowMs;
         if (this.role === QuorumRole.Candidate) {
-            this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS * 2 ** Math.min(this.electionCount - 1, MAX_TIMEOUT_DOUBLINGS));
-            this.votes.add(this.self);
+            this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS * 2 ** Math.min(this.candidacy.elections - 1, MAX_TIMEOUT_DOUBLINGS));
+            this.candidacy.recordVote(this.self, this.hardState.term, true);
             this.countVotes(nowMs);
         }
     }
 
-    private hasPendingHardState(): boolean {
-        return this.pendingWrites.some(({ hasHardState }) => hasHardState);
-    }
-
     /** Index up to which the log in memory is stored as well. */
     private get persistedIndex(): number {
-        const firstIndexes = [this.firstNewIndex, ...this.pendingWrites.map(({ firstIndex }) => firstIndex)];
-        return Math.min(this.log.lastIndex, ...firstIndexes.map((index) => index - 1));
+        return Math.min(this.firstNewIndex - 1, this.writes.syncedIndex(this.log.lastIndex));
     }
 
     private bootstrap(nowMs: number): void {
@@ -363,7 +332,7 @@
             return;
         }
         // A VM whose disk is busy could not store its own vote.
-        if (nowMs >= this.electionDueAtMs && this.isVoter(this.self) && this.pendingWrites.length === 0) {
+        if (nowMs >= this.electionDueAtMs && this.isVoter(this.self) && !this.writes.isPending) {
             this.startPreVote(nowMs);
         }
     }
@@ -385,30 +354,19 @@
         if (!this.isReady) {
             return;
         }
-        const isRoundPending = this.confirmedRound < this.round;
-        this.pendingReads.push({ id, round: this.round + 1 });
-        if (!isRoundPending) {
-            this.startRound();
-        }
-    }
-
-    private startRound(): void {
-        this.round += 1;
-        this.peers().forEach((peer) => this.sendAppend(peer));
+        this.reads.add(id);
         this.confirmReads();
     }
 
-    private get confirmedRound(): number {
-        return this.progress.majorityRound(this.voters, this.round);
-    }
-
     private confirmReads(): void {
-        const { confirmedRound } = this;
-        this.confirmedReads.push(...this.pendingReads.filter(({ round }) => round <= confirmedRound).map(({ id }) => id));
-        this.pendingReads = this.pendingReads.filter(({ round }) => round > confirmedRound);
-        if (this.pendingReads.length > 0 && confirmedRound === this.round) {
-            this.startRound();
+        while (this.reads.startNext(this.confirmedRound)) {
+            this.peers().forEach((peer) => this.sendAppend(peer));
         }
+        this.confirmedReads.push(...this.reads.takeConfirmed(this.confirmedRound));
+    }
+
+    private get confirmedRound(): number {
+        return this.progress.majorityRound(this.voters, this.reads.round);
     }
 
     private resign(nowMs: number): void {
@@ -433,12 +391,7 @@
         this.resetElectionTimer(nowMs);
         this.role = QuorumRole.Candidate;
         this.hardState = { term: this.hardState.term + 1, votedFor: this.self };
-        this.candidacyTerm = this.hardState.term;
-        this.votes = new Set();
-        this.refusals = new Set();
-        this.electorate = this.freshPreVoters(nowMs);
-        this.forgetPreVotes();
-        this.electionCount += 1;
+        this.candidacy.start(this.hardState.term, this.voters, nowMs);
         this.notices.push({ kind: QuorumNoticeKind.RoundStarted, term: this.hardState.term, isPreVote: false });
         this.requestVotes(QuorumMessageKind.Vote, this.hardState.term);
     }
@@ -449,43 +402,28 @@
         this.otherVoters().forEach((to) => messages.push({ to, message: { kind, term, lastIndex, lastTerm } }));
     }
 
-    private forgetPreVotes(): void {
-        this.preVotes.clear();
-        this.favouredCandidates.clear();
-    }
-
     private countPreVotes(nowMs: number): void {
-        if (this.freshPreVoters(nowMs).length >= majorityOf(this.voters.length)) {
+        if (this.candidacy.preVoters(this.voters, nowMs).length >= majorityOf(this.voters.length)) {
             this.startElection(nowMs);
         }
     }
 
-    /** Voters whose pre-votes are younger than an election timeout, so that a round may be shorter than a reply takes. */
-    private freshPreVoters(nowMs: number): readonly string[] {
-        const isFresh = (voter: string): boolean => nowMs - (this.preVotes.get(voter) ?? Number.NEGATIVE_INFINITY) < ELECTION_TIMEOUT_MS;
-        return this.voters.filter((voter) => voter === this.self || isFresh(voter));
-    }
-
     private countVotes(nowMs: number): void {
         const majority = majorityOf(this.voters.length);
-        if (this.voters.filter((voter) => this.votes.has(voter)).length >= majority) {
+        if (this.candidacy.votersFor(this.voters).length >= majority) {
             this.becomeLeader(nowMs);
         }
-        else if (this.role === QuorumRole.Candidate && this.hasLostElection) {
+        else if (this.role === QuorumRole.Candidate && this.candidacy.hasLost(this.voters)) {
             this.resetElectionTimer(nowMs);
         }
     }
 
-    private get hasLostElection(): boolean {
-        return this.electorate.filter((voter) => !this.refusals.has(voter)).length < majorityOf(this.voters.length);
-    }
-
     private becomeLeader(nowMs: number): void {
         this.role = QuorumRole.Leader;
         this.leader = this.self;
-        this.electionCount = 0;
+        this.candidacy.recordLeader();
         this.progress.reset(this.peers(), this.log.lastIndex, nowMs);
-        this.pendingReads = [];
+        this.reads.clear();
         this.heartbeatDueAtMs = nowMs;
         this.propose({ kind: EntryKind.Barrier }, nowMs);
     }
@@ -561,9 +499,7 @@
             ? VoteRefusal.OldTerm
             : this.hasRecentVoteForOther(from, nowMs) ? VoteRefusal.RecentVote : this.findRefusal(message, nowMs);
         const granted = refusal === undefined;
-        // Only once: a VM whose requests arrive, but that no reply reaches, would keep all others from standing.
-        if (granted && this.role !== QuorumRole.Candidate && !this.favouredCandidates.has(from)) {
-            this.favouredCandidates.add(from);
+        if (granted && this.role !== QuorumRole.Candidate && this.candidacy.favour(from)) {
             this.resetElectionTimer(nowMs, ELECTION_TIMEOUT_MS);
         }
         this.recordRefusal(from, message, refusal);
@@ -573,10 +509,10 @@
     /** Returns true if this VM's vote may still elect another candidate than the one that asks for a pre-vote. */
     private hasRecentVoteForOther(from: string, nowMs: number): boolean {
         const { votedFor } = this.hardState;
-        if (votedFor === undefined || votedFor === from || (votedFor === this.self && this.hasLostElection)) {
+        if (votedFor === undefined || votedFor === from || (votedFor === this.self && this.candidacy.hasLost(this.voters))) {
             return false;
         }
-        return this.hasPendingHardState() || nowMs - this.votedAtMs < ELECTION_TIMEOUT_MS;
+        return this.writes.hasPendingHardState() || nowMs - this.votedAtMs < ELECTION_TIMEOUT_MS;
     }
 
     private handleVote(from: string, message: VoteRequest, nowMs: number): void {
@@ -597,18 +533,17 @@
 
     private handlePreVoteReply(from: string, message: VoteReply, nowMs: number): void {
         if (this.role === QuorumRole.PreCandidate && message.granted && message.term === this.hardState.term + 1) {
-            this.preVotes.set(from, nowMs);
+            this.candidacy.recordPreVote(from, nowMs);
             this.countPreVotes(nowMs);
         }
     }
 
     private handleVoteReply(from: string, message: VoteReply, nowMs: number): void {
         const isCandidate = this.role === QuorumRole.Candidate || this.role === QuorumRole.PreCandidate;
-        if (!isCandidate || message.term !== this.hardState.term || message.term !== this.candidacyTerm) {
-            return;
+        const isCurrent = isCandidate && message.term === this.hardState.term;
+        if (isCurrent && this.candidacy.recordVote(from, message.term, message.granted)) {
+            this.countVotes(nowMs);
         }
-        (message.granted ? this.votes : this.refusals).add(from);
-        this.countVotes(nowMs);
     }
 
     private findRefusal(message: VoteRequest, nowMs: number): VoteRefusal | undefined {
@@ -635,7 +570,7 @@
         if (!isPreVote && this.role !== QuorumRole.Candidate) {
             return;
         }
-        const granted = isPreVote ? this.freshPreVoters(nowMs) : this.voters.filter((voter) => this.votes.has(voter));
+        const granted = isPreVote ? this.candidacy.preVoters(this.voters, nowMs) : this.candidacy.votersFor(this.voters);
         const missing = this.voters.filter((voter) => !granted.includes(voter));
         this.notices.push({ kind: QuorumNoticeKind.RoundLost, term: this.hardState.term + Number(isPreVote), isPreVote, granted, missing });
     }
@@ -706,8 +641,8 @@
         this.role = QuorumRole.Follower;
         this.leader = leader;
         this.leaderContactAtMs = nowMs;
-        this.electionCount = 0;
-        this.forgetPreVotes();
+        this.candidacy.recordLeader();
+        this.candidacy.endTerm();
         this.resetElectionTimer(nowMs);
     }
 
@@ -746,7 +681,7 @@
         }
         const entries = this.log.slice(nextIndex, previousIndex + MAX_ENTRIES_PER_APPEND);
         this.progress.recordSent(to, previousIndex + entries.length);
-        const { commitIndex, round } = this;
+        const { commitIndex, reads: { round } } = this;
         this.send(to, { kind: QuorumMessageKind.Append, term, previousIndex, previousTerm, entries, commitIndex, round });
     }
 
@@ -762,7 +697,7 @@
     private becomeFollower(term: number, leader: string | undefined, nowMs: number): void {
         if (term > this.hardState.term) {
             this.hardState = { term, votedFor: undefined };
-            this.forgetPreVotes();
+            this.candidacy.endTerm();
         }
         this.role = QuorumRole.Follower;
         this.leader = leader;
