Do not write to the log of a soak after its folder is gone

A process that is killed and exits later than the 5 s for which close waits recorded its exit after the folder had been removed. Such notes are left out.

Not reproduced; the trace is the error itself, whose file is the log of a closed fleet.

--- a/bench/processes/ProcessFleet/index.ts
+++ b/bench/processes/ProcessFleet/index.ts
@@ -45,6 +45,7 @@
     /** Leaves no process behind if the soak itself fails. */
     private readonly killAll = (): void => this.running.forEach(({ child }) => void child.kill("SIGKILL"));
     private isClosed = false;
+    private isFolderRemoved = false;
 
     private constructor(
         private readonly program: string,
@@ -237,12 +238,17 @@
         await Promise.all(names.map((name) => this.waitForExit(name, EXIT_TIMEOUT_MS)));
         process.off("exit", this.killAll);
         if (!keepsFolder) {
+            this.isFolderRemoved = true;
             rmSync(this.folder, { recursive: true });
         }
     }
 
     /** Writes what is done to a process beside the logs of the processes. */
     note(process: string, description: string): void {
+        // A process may exit later than `close` waits for it.
+        if (this.isFolderRemoved) {
+            return;
+        }
         appendFileSync(join(this.folder, SOAK_LOG), `${Math.round(this.nowMs())} ${process} ${description}\n`);
     }
 
