Let the quorum soak catch reads of a leader that was replaced

The soak now freezes and cuts off the leader together at times, and lets other faults wait until it runs on.

--- a/bench/quorum/QuorumWorld/index.ts
+++ b/bench/quorum/QuorumWorld/index.ts
@@ -31,6 +31,7 @@
 const MAX_DOWN_AFTER_VOTE_MS = 3;
 const KILL_AFTER_VOTE_PROBABILITY = 0.5;
 const CUT_EVERY_MS = 700;
+const ISOLATION_EVERY_MS = 8_000;
 const FREEZE_EVERY_MS = 2_500;
 const DISK_LOSS_EVERY_MS = 9_000;
 const DISK_CHANGE_EVERY_MS = 1_500;
@@ -86,6 +87,7 @@
     private replaced = 0;
     private identities = 0;
     private isRecovering = false;
+    private isolationEndsAtMs = 0;
 
     private constructor(seed: number, size: number) {
         this.random = createRandom(seed);
@@ -148,6 +150,7 @@
         this.repeat(200, false, () => this.maintainVoters());
         this.repeatFault(KILL_EVERY_MS, () => this.kill(this.randomVm()));
         this.repeatFault(CUT_EVERY_MS, () => this.cut());
+        this.repeatFault(ISOLATION_EVERY_MS, () => this.isolateLeader());
         this.repeatFault(FREEZE_EVERY_MS, () => this.randomVm().frozenUntilMs = this.clock.nowMs + this.random() * 4_000);
         this.repeatFault(DISK_LOSS_EVERY_MS, () => this.loseDisk(this.randomVm()));
         this.repeatFault(DISK_CHANGE_EVERY_MS, () => this.changeDisk(this.randomVm()));
@@ -173,7 +176,7 @@
 
     private repeatFault(meanMs: number, action: () => void): void {
         this.repeat(meanMs, true, () => {
-            if (!this.isRecovering) {
+            if (!this.isRecovering && this.clock.nowMs >= this.isolationEndsAtMs) {
                 action();
             }
         });
@@ -290,6 +293,22 @@
         this.clock.after(this.random() * 4_000, () => this.cuts.delete(pair));
     }
 
+    /** Cuts off the leader and freezes it, so that it is replaced and then runs on for a while without knowing it. */
+    private isolateLeader(): void {
+        const leader = this.vms.find((vm) => vm.machine?.isReady === true);
+        if (leader === undefined) {
+            return;
+        }
+        const others = this.vms.filter((vm) => vm !== leader);
+        const pairs = others.flatMap(({ identity }) => [`${identity}>${leader.identity}`, `${leader.identity}>${identity}`]);
+        const frozenMs = 1_500 + this.random() * 2_500;
+        pairs.forEach((pair) => this.cuts.add(pair));
+        leader.frozenUntilMs = this.clock.nowMs + frozenMs;
+        // Other faults wait, so that the others can elect a leader meanwhile.
+        this.isolationEndsAtMs = this.clock.nowMs + frozenMs + 500;
+        this.clock.at(this.isolationEndsAtMs, () => pairs.forEach((pair) => this.cuts.delete(pair)));
+    }
+
     private propose(): void {
         this.proposals += 1;
         const change = {
@@ -303,7 +322,8 @@
 
     /** Reads at every VM that takes itself for a leader, among them one that is cut off and does not know it. */
     private read(): void {
-        this.vms.filter((vm) => vm.machine?.isReady === true).forEach((vm) => {
+        const isAwake = (vm: ControlVm): boolean => vm.frozenUntilMs <= this.clock.nowMs;
+        this.vms.filter((vm) => vm.machine?.isReady === true && isAwake(vm)).forEach((vm) => {
             this.readCount += 1;
             this.reads.set(this.readCount, Math.max(0, ...this.committed.keys()));
             this.enqueueEvent(vm, { kind: QuorumEventKind.Read, id: this.readCount });
