Let the watch for pauses wake up with other timers

The watch woke each process up ten times a second on its own, which the large deployments would pay for on every proxy. It now runs with the aligned timers of the links, every 200 ms; a pause counts from 500 ms as before.

Measured: the test of PauseWatch and test/controlDisks.test.ts pass (no link closed by a pause of 5 s).

--- a/src/clock/PauseWatch/index.ts
+++ b/src/clock/PauseWatch/index.ts
@@ -1,6 +1,8 @@
 import { nowMs } from "../nowMs/index.js";
+import { setAlignedInterval } from "../setAlignedInterval/index.js";
 
-const WATCH_INTERVAL_MS = 100;
+/** Interval of observations, in ms; that of other aligned timers, so that a process does not wake up for it. */
+const WATCH_INTERVAL_MS = 200;
 /** Time between two observations from which this process was paused, in ms. */
 const MIN_PAUSE_MS = 500;
 
@@ -11,7 +13,7 @@
 export class PauseWatch {
     private observedAtMs = nowMs();
     private endedAtMs = Number.NEGATIVE_INFINITY;
-    private readonly timer = setInterval(() => this.observe(), WATCH_INTERVAL_MS);
+    private readonly stop = setAlignedInterval(WATCH_INTERVAL_MS, () => this.observe());
 
     private constructor() {}
 
@@ -28,7 +30,7 @@
 
     /** Stops watching. */
     close(): void {
-        clearInterval(this.timer);
+        this.stop();
     }
 
     private observe(): void {
