--- a/src/decisions/quorum/QuorumMachine/index.ts
+++ b/src/decisions/quorum/QuorumMachine/index.ts
@@ -207,7 +207,7 @@
      *
      * @param event - The input.
      * @param nowMs - Current time.
-     * @returns State to persist, messages to send and entries to apply, in this order.
+     * @returns State to persist, messages to send and entries to apply.
      */
     step(event: QuorumEvent, nowMs: number): QuorumOutput {
         this.runningMs += Math.min(nowMs - this.lastEventAtMs, MAX_ELAPSED_MS);
