Do not take a pause of an entry for a gate that does not answer a ping

Cause: the time since a ping counted by the clock. After a pause of its own process an entry handles its timers before the pong that has arrived meanwhile, closed the tunnel, and cut the long responses that its callers were receiving. Change: the time counts as for first replies, by what passes between two ticks, and a tick that comes late counts 50 ms. Measured: a long response across pauses of 450 and 700 ms ends as "the connection was closed" before, and is whole now (TunnelClient/test.ts).

--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -90,6 +90,8 @@
     private failedConnects = 0;
     private lastReplyAtMs = 0;
     private lastPingAtMs = 0;
+    /** Time since the last ping in which this process could have read a reply. */
+    private unansweredPingMs = 0;
     private lastTickAtMs = 0;
     private isUnreachable = false;
     private isUnresponsive = false;
@@ -184,17 +186,19 @@
             return;
         }
         this.refuseUnanswered(atMs, previousAtMs);
+        this.unansweredPingMs += countedMs(atMs - Math.max(previousAtMs, this.lastPingAtMs));
         this.pingIfOverdue(this.socket, atMs);
     }
 
     /** Pings the gate only if a response is overdue; most responses are on time and prove that the connection is alive. */
     private pingIfOverdue(socket: TunnelSocket, atMs: number): void {
         const isAwaitingPong = this.lastPingAtMs > this.lastReplyAtMs;
-        if (isAwaitingPong && atMs - this.lastPingAtMs > PONG_TIMEOUT_MS + this.transferMs) {
+        if (isAwaitingPong && this.unansweredPingMs > PONG_TIMEOUT_MS + this.transferMs) {
             socket.close();
         }
         else if (!isAwaitingPong && atMs - this.lastReplyAtMs >= PING_AFTER_MS && (this.isUnresponsive || this.hasOverdueResponse(atMs))) {
             this.lastPingAtMs = atMs;
+            this.unansweredPingMs = 0;
             socket.send({ kind: FrameKind.Ping });
         }
     }
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -364,6 +364,24 @@
     });
 });
 
+// Guards against an entry that takes its own pause for a gate that does not answer a ping: it cut responses that callers were receiving.
+test.serial("a long response is whole although its entry was held up for longer than a gate may take to answer a ping", async (t) => {
+    await withTunnel(t, async (fixture) => {
+        const { client, tcpProxy } = fixture;
+        const { body, sink } = await startLongResponse(fixture, RequestKind.Repeatable);
+        // The ping is sent between the two pauses, and its answer is not read before the tick after the second one.
+        holdUp(450);
+        client.tick();
+        holdUp(700);
+        client.tick();
+        body.add(Buffer.alloc(1_000));
+        body.end();
+        await waitUntil(() => sink.ends.length > 0);
+        t.deepEqual(sink.ends, ["whole"]);
+        t.is(tcpProxy.count, 1);
+    });
+});
+
 // Guards against callers that get no answer or an invented one: such a status cannot be written, or ends as another one.
 test("a reply with a status that no final response has is reported as broken", async (t) => {
     const statuses: unknown[] = [0, 99, 103, 600, 1_000, 200.5, -200, "200", undefined, null];
