Do not take a pause of an entry for a gate that cannot be connected to

Cause: the timeout of the handshake (400 ms) is a timer of the WebSocket library. Change: the timeout counts as for first replies and pings, by what passes between two ticks, now up to the first frame of the gate; the library's own ends at 4 s, for a connection that nobody ticks. Measured: an offer whose entry is held up for 600 ms while it connects is refused before, and started now (TunnelClient/test.ts). A gate that accepts connections and says nothing is given up as before, from 400 ms on.

--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -178,7 +178,12 @@
     /** Sends a message that concerns no request to another proxy; returns false if it cannot be reached. */
     sendMessage(vm: string, message: ProxyMessage): boolean {
         const record = this.table.find(vm);
-        return record !== undefined && record.isOpen && vm !== this.options.vm && this.getOrCreateTunnel(record).sendMessage(message);
+        if (record === undefined || !record.isOpen || vm === this.options.vm) {
+            return false;
+        }
+        const isSent = this.getOrCreateTunnel(record).sendMessage(message);
+        this.scheduleTick();
+        return isSent;
     }
 
     /** Counts an offer to a gate, so that its load is estimated correctly until its next report. */
@@ -207,6 +212,9 @@
         const isUnopened = ({ vm }: GateRecord): boolean => vm !== this.options.vm && !this.tunnels.has(vm);
         const unopened = gates.slice(0, MAX_TUNNELS_AHEAD).filter(isUnopened);
         unopened.slice(0, TUNNELS_OPENED_PER_REQUEST).forEach((record) => this.getOrCreateTunnel(record).open());
+        if (unopened.length > 0) {
+            this.scheduleTick();
+        }
     }
 
     private scheduleTick(): void {
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -24,6 +24,8 @@
 
 /** Timeout for connecting, in ms: several round trips between failure domains, with margin for a busy gate. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Time after which connecting ends in any case, in ms; `tick` is not called while nothing is offered. */
+const MAX_CONNECT_MS = 4_000;
 /** Timeout for the first reply to an offer, in ms; a gate decides at once. */
 const FIRST_REPLY_TIMEOUT_MS = 150;
 /** Time without a reply after which a connection is pinged if a response is overdue or an offer got no reply, in ms. */
@@ -87,6 +89,8 @@
     /** Size of the frames sent since the last reply from the gate, which may be behind them on the link. */
     private unansweredBytes = 0;
     private lastConnectAtMs = Number.NEGATIVE_INFINITY;
+    /** Time of connecting in which this process could have noticed that the connection is open. */
+    private connectingMs = 0;
     private failedConnects = 0;
     private lastReplyAtMs = 0;
     private lastPingAtMs = 0;
@@ -123,9 +127,9 @@
         return !this.isUnreachable && !this.isUnresponsive;
     }
 
-    /** True while `tick` has to be called: offers are outstanding, responses come, or the gate is unreachable. */
+    /** True while `tick` has to be called: offers are outstanding, responses come, the gate is unreachable or being connected to. */
     get isWaiting(): boolean {
-        return this.outstanding.size > 0 || this.bodies.size > 0 || this.isUnreachable || this.isUnresponsive;
+        return this.outstanding.size > 0 || this.bodies.size > 0 || this.isUnreachable || this.isUnresponsive || this.isConnecting;
     }
 
     offer(offer: WorkOffer, onReply: (reply: GateReply) => void): OfferHandle {
@@ -183,6 +187,10 @@
             return;
         }
         if (this.gateRun === undefined) {
+            this.connectingMs += countedMs(atMs - Math.max(previousAtMs, this.lastConnectAtMs));
+            if (this.connectingMs > CONNECT_TIMEOUT_MS) {
+                this.socket.close();
+            }
             return;
         }
         this.refuseUnanswered(atMs, previousAtMs);
@@ -226,6 +234,10 @@
         this.settleAfterClose("the tunnel was closed");
     }
 
+    private get isConnecting(): boolean {
+        return this.socket !== undefined && this.gateRun === undefined;
+    }
+
     private get retryDelayMs(): number {
         return Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** Math.max(0, this.failedConnects - 1));
     }
@@ -242,10 +254,11 @@
             return;
         }
         this.lastConnectAtMs = nowMs();
+        this.connectingMs = 0;
         let webSocket: WebSocket;
         try {
             webSocket = new WebSocket(`ws://${this.address}/`, {
-                handshakeTimeout: CONNECT_TIMEOUT_MS,
+                handshakeTimeout: MAX_CONNECT_MS,
                 perMessageDeflate: false,
                 maxPayload: this.budget.maxFrameBytes,
                 maxFragments: 1,
--- a/src/tunnel/TunnelClient/test.ts
+++ b/src/tunnel/TunnelClient/test.ts
@@ -364,6 +364,39 @@
     });
 });
 
+// Guards against an entry that takes its own pause for a gate that cannot be connected to, and uses it no more for a while.
+test.serial("an offer starts although its entry was held up while it connected", async (t) => {
+    await withTunnel(t, async ({ gate, client, tcpProxy, replies, offer }) => {
+        offer("1", RequestKind.Repeatable);
+        holdUp(600);
+        client.tick();
+        await waitUntil(() => replies.length > 0);
+        t.deepEqual(kindsOf(replies), [GateReplyKind.Started]);
+        t.deepEqual(gate.started, ["1"]);
+        t.is(tcpProxy.count, 1);
+    });
+});
+
+// Guards against offers that wait for a gate behind which nothing answers.
+test("an offer to a gate that accepts connections and says nothing is refused as not executed", async (t) => {
+    const server = createServer((socket) => socket.on("error", () => undefined)).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const client = TunnelClient.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, TOKEN, CALLBACKS, createBudget());
+    const timer = setInterval(() => client.tick(), 20);
+    t.teardown(() => {
+        clearInterval(timer);
+        client.close();
+        server.close();
+    });
+    const replies: GateReply[] = [];
+    const offeredAtMs = performance.now();
+    client.offer({ key: "1", requestKind: RequestKind.Once, remainingMs: 20_000, usualMs: 500 } as WorkOffer, (reply) => replies.push(reply));
+    await waitUntil(() => replies.length > 0);
+    t.deepEqual(kindsOf(replies), [GateReplyKind.Refused]);
+    t.true(performance.now() - offeredAtMs >= 400);
+    t.false(client.isReachable);
+});
+
 // Guards against an entry that takes its own pause for a gate that does not answer a ping: it cut responses that callers were receiving.
 test.serial("a long response is whole although its entry was held up for longer than a gate may take to answer a ping", async (t) => {
     await withTunnel(t, async (fixture) => {
