Let the test of cut responses exceed what the kernel holds on any machine

Cause: the test takes 24 MB for more than the kernel holds of a response whose caller does not read. Linux lets a receive buffer grow to 32 MB here (tcp_rmem), so that the whole response was in it before the proxy was killed, and its caller rightly got it whole. Change: the two tests that cut a response use 96 MB; the check stays. The planned stops keep 24 MB, which are read within the grace period.

--- a/test/longResponses.test.ts
+++ b/test/longResponses.test.ts
@@ -12,8 +12,10 @@
 /** Proxy that the caller is connected to. */
 const ENTRY_VM = 1;
 const PROXY_COUNT = 2;
-/** More than the kernel takes of it while its caller does not read. */
+/** More than a proxy holds of it, and short enough to be read within the grace period. */
 const LONG_BYTES = 24_000_000;
+/** More than the kernel takes of it while its caller does not read: Linux lets a receive buffer grow to 32 MB (tcp_rmem), and a send buffer to 4 MB. */
+const ENDLESS_BYTES = 96_000_000;
 const WARM_UP_MS = 2_500;
 /** Time that a caller reads before the fault, and the process then has to see a pause, in ms. */
 const PAUSE_MS = 1_000;
@@ -75,6 +77,7 @@
 async function readAcross(
     t: ExecutionContext,
     block: string,
+    lengthBytes: number,
     cause: (fleet: ProcessFleet, endpointSockets: readonly Socket[]) => void,
 ): Promise<PausingCaller> {
     t.timeout(TIMEOUT_MS);
@@ -88,14 +91,14 @@
         const take = vm === GATE_VM ? takeConnection : undefined;
         return EndpointServer.create(vm, fleet.serviceOf(vm), fleet.addressesOf(vm), [], () => performance.now(), () => false, take);
     }));
-    const caller = await delay(WARM_UP_MS).then(() => PausingCaller.create(fleet.addressesOf(ENTRY_VM).outbound, `/w5/s${LONG_BYTES}/`, "long"));
+    const caller = await delay(WARM_UP_MS).then(() => PausingCaller.create(fleet.addressesOf(ENTRY_VM).outbound, `/w5/s${lengthBytes}/`, "long"));
     try {
         t.true(await waitUntil(() => caller.isPaused, END_TIMEOUT_MS), `${caller.receivedBytes} bytes`);
         await delay(PAUSE_MS);
         cause(fleet, sockets);
         await delay(PAUSE_MS);
         caller.socket.resume();
-        await waitUntil(() => caller.isClosed || caller.body.length >= LONG_BYTES, END_TIMEOUT_MS);
+        await waitUntil(() => caller.isClosed || caller.body.length >= lengthBytes, END_TIMEOUT_MS);
         t.deepEqual(fleet.faults.filter(({ kind }) => kind === FaultKind.OwnEnd), []);
         return caller;
     }
@@ -109,7 +112,7 @@
 for (const [index, [name, role]] of ([["beside the endpoint", GATE_VM], ["of the caller", ENTRY_VM]] as const).entries()) {
     // Guards against long responses that a planned stop cuts off.
     test.serial(`a planned stop of the proxy ${name} lets a long response finish`, async (t) => {
-        const caller = await readAcross(t, `127.232.${index + 1}`, (fleet) => fleet.signal(`proxy-${role}`, FaultKind.Terminate));
+        const caller = await readAcross(t, `127.232.${index + 1}`, LONG_BYTES, (fleet) => fleet.signal(`proxy-${role}`, FaultKind.Terminate));
         t.is(caller.body.length, LONG_BYTES);
         t.true(caller.body.equals(responseBody("long", LONG_BYTES)));
     });
@@ -123,8 +126,8 @@
 for (const [index, [fault, cause]] of Object.entries(FAULTS).entries()) {
     // Guards against a caller that takes a part of a response for the whole, or waits for the rest for ever.
     test.serial(`a long response ends incomplete, with its connection, if ${fault}`, async (t) => {
-        const caller = await readAcross(t, `127.232.${index + 3}`, cause);
+        const caller = await readAcross(t, `127.232.${index + 3}`, ENDLESS_BYTES, cause);
         t.true(caller.isClosed);
-        t.true(caller.body.length < LONG_BYTES, `${caller.body.length} bytes`);
+        t.true(caller.body.length < ENDLESS_BYTES, `${caller.body.length} bytes`);
     });
 }
