Find a proxy that has stopped in a full fleet table without a search

Cause: for each further proxy that a full table of 4,096 is told of, it copied and searched all records for one that has stopped. A message with 5,000 invented proxies took 80 ms of the process, and operators of that control VM got no answer while a faulty peer sent such messages. Change: the table keeps the names of the proxies that have stopped.

--- a/src/decisions/fleet/FleetTable/index.ts
+++ b/src/decisions/fleet/FleetTable/index.ts
@@ -11,6 +11,8 @@
     private readonly records = new Map<string, GateRecord>();
     /** VMs by the hash of their gate. */
     private readonly vms = new Map<number, string>();
+    /** VMs of the proxies that have stopped. */
+    private readonly closedVms = new Set<string>();
     private refusedCount = 0;
 
     private constructor() {}
@@ -59,6 +61,12 @@
             }
             this.records.set(record.vm, record);
             this.vms.set(gateHash(record.vm), record.vm);
+            if (record.isOpen) {
+                this.closedVms.delete(record.vm);
+            }
+            else {
+                this.closedVms.add(record.vm);
+            }
             return true;
         });
     }
@@ -68,12 +76,13 @@
         if (this.records.has(vm) || this.records.size < MAX_PROXIES) {
             return true;
         }
-        const closed = this.all.find(({ isOpen }) => !isOpen);
-        if (closed === undefined) {
+        const [closedVm] = this.closedVms;
+        if (closedVm === undefined) {
             return false;
         }
-        this.records.delete(closed.vm);
-        this.vms.delete(gateHash(closed.vm));
+        this.closedVms.delete(closedVm);
+        this.records.delete(closedVm);
+        this.vms.delete(gateHash(closedVm));
         return true;
     }
 
--- a/src/decisions/fleet/FleetTable/test.ts
+++ b/src/decisions/fleet/FleetTable/test.ts
@@ -71,3 +71,13 @@
     t.is(table.size, 4_096);
     t.is(table.refusals, 1);
 });
+
+test("in a full table a proxy that has started again keeps its place", (t) => {
+    const table = FleetTable.create();
+    const records = Array.from({ length: 4_096 }, (_value, index) => ({ ...RECORD, vm: `vm-${index}`, isOpen: index !== 7 && index !== 9 }));
+    table.merge(records);
+    table.merge([{ ...RECORD, vm: "vm-7", run: 2 }]);
+    t.is(table.merge([{ ...RECORD, vm: "added" }, { ...RECORD, vm: "another" }]).length, 1);
+    t.true(table.find("vm-7")?.isOpen);
+    t.is(table.find("vm-9"), undefined);
+});
