Let the soak say what had happened to the proxies that ran a lost request

Cause: a line of a violation names the faults of the entry only. Change: the line lists the faults of the proxies that ran the request as well.

--- a/bench/processes/findViolations/index.ts
+++ b/bench/processes/findViolations/index.ts
@@ -75,7 +75,9 @@
 }
 
 function describe(attempt: AttemptRecord, runs: readonly RunRecord[], faults: readonly FaultRecord[]): string {
-    return `${JSON.stringify({ ...attempt, runs })}; ${describeFaults(`proxy-${attempt.vm}`, attempt.endedAtMs, faults)}`;
+    const processes = new Set([attempt, ...runs].map(({ vm }) => `proxy-${vm}`));
+    const histories = [...processes].map((process) => `${process}: ${describeFaults(process, attempt.endedAtMs, faults) || "no faults"}`);
+    return `${JSON.stringify({ ...attempt, runs })}; ${histories.join("; ")}`;
 }
 
 /** Lists what happened to a process before a time. */
