Take the rest of a long response from a gate that stops, though its caller reads slowly

Cause: a gate that stops lets entries have no more than 256 KB of a response ahead of their callers, until the end of its grace period; then it cuts the response. It takes repeatable requests until 2.5 s after the signal, and after that a caller has 2.6 s to read the whole response. No frame changes. What remains: a caller of a proxy that stops itself is cut off at the end of its grace period as before.

--- a/bench/fleetModel/FleetModel/index.ts
+++ b/bench/fleetModel/FleetModel/index.ts
@@ -345,6 +345,7 @@
             sendMessage: () => false,
             tick: () => undefined,
             resetBackoff: () => undefined,
+            retire: () => undefined,
             close: () => undefined,
             offer: (offer, onReply) => {
                 this.meterOffer(offer, entryDomain, gateDomain);
--- a/src/callers/FleetView/index.ts
+++ b/src/callers/FleetView/index.ts
@@ -243,6 +243,7 @@
         if (!isOpen && tunnel !== undefined) {
             this.tunnels.delete(vm);
             this.retiredTunnels.add(tunnel);
+            tunnel.retire();
             this.scheduleTick();
         }
     }
@@ -316,6 +317,7 @@
             onSent: (lengthBytes) => {
                 this.sentToOtherDomains += failureDomain === this.options.failureDomain ? 0 : lengthBytes;
             },
+            hasRoom: this.options.hasRoom,
             onError: (error) => this.events.recordError(error, { peer: vm }),
         });
         this.tunnels.set(vm, created);
--- a/src/callers/FleetViewOptions.ts
+++ b/src/callers/FleetViewOptions.ts
@@ -11,6 +11,8 @@
     readonly localGate: GatePort;
     /** Called with each message of another proxy that concerns no request; absent if nobody handles them. */
     readonly onMessage?: (vm: string, message: ProxyMessage) => void;
+    /** Returns whether this process can hold more for callers that read slowly; absent if it cannot. */
+    readonly hasRoom?: () => boolean;
     /** Creates a tunnel to the gate at an address; it connects when it is opened or a request is offered. */
     readonly openTunnel: (gateAddress: string, callbacks: TunnelCallbacks) => GateTunnel;
 }
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -164,6 +164,7 @@
             failureDomain: vm.failureDomain,
             localGate: gate,
             onMessage: (proxy, message) => roleReference.role?.quotaClient.handleProxyMessage(proxy, message),
+            hasRoom: () => !holdingBudget.isUnderPressure,
             openTunnel: (gateAddress, callbacks) => TunnelClient.create(gateAddress, token, callbacks, tunnelBudget, vm.failureDomain),
         }, events);
         const quotaClient = QuotaClient.create(
--- a/src/tunnel/GateTunnel.ts
+++ b/src/tunnel/GateTunnel.ts
@@ -15,6 +15,8 @@
     tick(): void;
     /** Resets the reconnect delay, for example after an update about the gate. */
     resetBackoff(): void;
+    /** Records that the gate takes no more requests and is about to stop, so that the rest of its responses is held by this process. */
+    retire(): void;
     /** Closes the connection and settles all outstanding offers. */
     close(): void;
 }
--- a/src/tunnel/TunnelBody/index.ts
+++ b/src/tunnel/TunnelBody/index.ts
@@ -8,6 +8,8 @@
 interface TunnelBodyCallbacks {
     /** Called with the bytes that the gate may send further. */
     readonly onGrant: (bytes: number) => void;
+    /** Returns whether this process can hold more than the window for readers that are slow. */
+    readonly hasRoom: () => boolean;
     /** Called if the reader wants no more. */
     readonly onCancel: () => void;
 }
@@ -19,7 +21,12 @@
     private early: Buffer[] = [];
     private end: { readonly problem: string | undefined } | undefined;
     private unreadBytes = 0;
+    /** Bytes that the gate may still send. */
+    private creditBytes = BODY_WINDOW_BYTES;
     private ungrantedBytes = 0;
+    /** Bytes that were granted before the reader has taken as many. */
+    private aheadBytes = 0;
+    private isHurried = false;
     private isDone = false;
 
     private constructor(private readonly callbacks: TunnelBodyCallbacks) {}
@@ -44,11 +51,16 @@
             return;
         }
         this.unreadBytes += chunk.length;
-        if (this.unreadBytes > BODY_WINDOW_BYTES) {
+        this.creditBytes -= chunk.length;
+        if (this.creditBytes < 0) {
             this.callbacks.onCancel();
             this.handleEnd("the gate has sent more than its credit");
+            return;
+        }
+        if (this.isHurried) {
+            this.grantAhead(chunk.length);
         }
-        else if (this.sink === undefined) {
+        if (this.sink === undefined) {
             this.early.push(chunk);
         }
         else {
@@ -56,6 +68,14 @@
         }
     }
 
+    /** Takes the rest as fast as the gate sends it, because the gate is about to stop. It is held for the reader as far as there is room. */
+    hurry(): void {
+        if (!this.isHurried) {
+            this.isHurried = true;
+            this.grantAhead(this.unreadBytes);
+        }
+    }
+
     /** Handles the end of the body, with a problem if it is not whole. */
     handleEnd(problem: string | undefined): void {
         if (this.isDone) {
@@ -76,12 +96,10 @@
     }
 
     grant(bytes: number): void {
+        const grantedBytes = Math.min(this.aheadBytes, bytes);
         this.unreadBytes -= bytes;
-        this.ungrantedBytes += bytes;
-        if (this.ungrantedBytes >= GRANT_BYTES && !this.isDone) {
-            this.callbacks.onGrant(this.ungrantedBytes);
-            this.ungrantedBytes = 0;
-        }
+        this.aheadBytes -= grantedBytes;
+        this.addGrant(bytes - grantedBytes);
     }
 
     cancel(): void {
@@ -91,4 +109,20 @@
             this.callbacks.onCancel();
         }
     }
+
+    private grantAhead(bytes: number): void {
+        if (this.callbacks.hasRoom()) {
+            this.aheadBytes += bytes;
+            this.addGrant(bytes);
+        }
+    }
+
+    private addGrant(bytes: number): void {
+        this.ungrantedBytes += bytes;
+        if (this.ungrantedBytes >= GRANT_BYTES && !this.isDone) {
+            this.creditBytes += this.ungrantedBytes;
+            this.callbacks.onGrant(this.ungrantedBytes);
+            this.ungrantedBytes = 0;
+        }
+    }
 }
--- a/src/tunnel/TunnelBody/test.ts
+++ b/src/tunnel/TunnelBody/test.ts
@@ -10,9 +10,9 @@
     readonly start: () => void;
 }
 
-function createFixture(): Fixture {
+function createFixture(hasRoom = (): boolean => true): Fixture {
     const calls: string[] = [];
-    const body = TunnelBody.create({ onGrant: (bytes) => calls.push(`grant ${bytes}`), onCancel: () => calls.push("cancel") });
+    const body = TunnelBody.create({ onGrant: (bytes) => calls.push(`grant ${bytes}`), hasRoom, onCancel: () => calls.push("cancel") });
     const start = (): void => body.start({
         handleChunk: ({ length }) => calls.push(`chunk ${length}`),
         handleEnd: (problem) => calls.push(`end ${problem ?? "whole"}`),
@@ -65,3 +65,38 @@
     body.handleEnd("lost");
     t.deepEqual(calls, ["cancel"]);
 });
+
+// Guards against a gate that stops before a slow reader has taken the rest of its response.
+test("once hurried, a body takes pieces ahead of its reader, and grants no byte twice", (t) => {
+    const { body, calls, start } = createFixture();
+    start();
+    body.handleChunk(CHUNK);
+    body.hurry();
+    body.hurry();
+    body.handleChunk(CHUNK);
+    t.deepEqual(calls, ["chunk 65536", "grant 65536", "grant 65536", "chunk 65536"]);
+    body.grant(2 * CHUNK.length);
+    t.is(calls.length, 4);
+    for (let bytes = 0; bytes < 2 * BODY_WINDOW_BYTES; bytes += CHUNK.length) {
+        body.handleChunk(CHUNK);
+    }
+    t.false(calls.includes("cancel"));
+    body.handleEnd(undefined);
+    t.is(calls.at(-1), "end whole");
+});
+
+// Guards against an entry that fills its memory with the responses of a gate that stops.
+test("without room, a hurried body grants only what its reader has taken", (t) => {
+    let hasRoom = false;
+    const { body, calls, start } = createFixture(() => hasRoom);
+    start();
+    body.hurry();
+    body.handleChunk(CHUNK);
+    t.deepEqual(calls, ["chunk 65536"]);
+    body.grant(CHUNK.length);
+    t.deepEqual(calls, ["chunk 65536", "grant 65536"]);
+    hasRoom = true;
+    body.handleChunk(CHUNK);
+    body.grant(CHUNK.length);
+    t.deepEqual(calls.slice(2), ["grant 65536", "chunk 65536"]);
+});
--- a/src/tunnel/TunnelCallbacks.ts
+++ b/src/tunnel/TunnelCallbacks.ts
@@ -11,6 +11,8 @@
     onMessage?(message: ProxyMessage): void;
     /** Called with the size of each frame that is sent to the gate; absent if nobody counts them. */
     onSent?(lengthBytes: number): void;
+    /** Returns whether this process can hold the rest of the responses of a gate that is about to stop; absent if it cannot. */
+    hasRoom?(): boolean;
     /** Called with each unexpected error, which affects only the frame that caused it. */
     onError(error: Error): void;
 }
--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -99,6 +99,7 @@
     private lastTickAtMs = 0;
     private isUnreachable = false;
     private isUnresponsive = false;
+    private isRetired = false;
     private isClosed = false;
 
     private constructor(
@@ -226,6 +227,11 @@
         this.failedConnects = 0;
     }
 
+    retire(): void {
+        this.isRetired = true;
+        this.bodies.forEach((body) => body.hurry());
+    }
+
     /** Closes the connection and settles all outstanding offers. */
     close(): void {
         this.isClosed = true;
@@ -378,12 +384,16 @@
         }
         const stream = TunnelBody.create({
             onGrant: (bytes) => this.socket?.send({ kind: FrameKind.Credit, key, bytes }),
+            hasRoom: () => this.callbacks.hasRoom?.() ?? false,
             onCancel: () => {
                 this.bodies.delete(key);
                 this.socket?.send({ kind: FrameKind.Cancel, key });
             },
         });
         this.bodies.set(key, stream);
+        if (this.isRetired) {
+            stream.hurry();
+        }
         this.handleReply(key, { kind: GateReplyKind.Answered, answer: { status, headers, body: EMPTY, stream }, load });
     }
 
--- a/test/longResponses.test.ts
+++ b/test/longResponses.test.ts
@@ -12,10 +12,12 @@
 /** Proxy that the caller is connected to. */
 const ENTRY_VM = 1;
 const PROXY_COUNT = 2;
-/** More than a proxy holds of it, and short enough to be read within the grace period. */
+/** More than the window of a response, and short enough to be read within the grace period. */
 const LONG_BYTES = 24_000_000;
-/** More than the kernel takes of it while its caller does not read: Linux lets a receive buffer grow to 32 MB (tcp_rmem), and a send buffer to 4 MB. */
+/** More than the kernel takes of it: Linux lets a receive buffer grow to 32 MB (tcp_rmem), and a send buffer to 4 MB. */
 const ENDLESS_BYTES = 96_000_000;
+/** More than the kernel takes of it, and less than a proxy holds in all. */
+const PAUSED_BYTES = 40_000_000;
 const WARM_UP_MS = 2_500;
 /** Time that a caller reads before the fault, and the process then has to see a pause, in ms. */
 const PAUSE_MS = 1_000;
@@ -78,7 +80,7 @@
     t: ExecutionContext,
     block: string,
     lengthBytes: number,
-    cause: (fleet: ProcessFleet, endpointSockets: readonly Socket[]) => void,
+    cause: (fleet: ProcessFleet, endpointSockets: readonly Socket[]) => unknown,
 ): Promise<PausingCaller> {
     t.timeout(TIMEOUT_MS);
     const fleet = await startProcesses(block, PROXY_COUNT);
@@ -95,7 +97,7 @@
     try {
         t.true(await waitUntil(() => caller.isPaused, END_TIMEOUT_MS), `${caller.receivedBytes} bytes`);
         await delay(PAUSE_MS);
-        cause(fleet, sockets);
+        await cause(fleet, sockets);
         await delay(PAUSE_MS);
         caller.socket.resume();
         await waitUntil(() => caller.isClosed || caller.body.length >= lengthBytes, END_TIMEOUT_MS);
@@ -118,6 +120,16 @@
     });
 }
 
+// Guards against a response that a planned stop cuts off because its caller reads on only after the grace period.
+test.serial("a long response whose caller pauses until the proxy beside the endpoint has stopped is whole", async (t) => {
+    const caller = await readAcross(t, "127.232.5", PAUSED_BYTES, (fleet) => {
+        fleet.signal(`proxy-${GATE_VM}`, FaultKind.Terminate);
+        return fleet.waitForExit(`proxy-${GATE_VM}`, END_TIMEOUT_MS);
+    });
+    t.is(caller.body.length, PAUSED_BYTES);
+    t.true(caller.body.equals(responseBody("long", PAUSED_BYTES)));
+});
+
 const FAULTS: Record<string, (fleet: ProcessFleet, endpointSockets: readonly Socket[]) => void> = {
     "the proxy beside the endpoint is killed": (fleet) => fleet.signal(`proxy-${GATE_VM}`, FaultKind.Kill),
     "the endpoint cuts it off": (_fleet, sockets) => sockets.forEach((socket) => socket.resetAndDestroy()),
