Do not take a pause of a proxy for the silence of its endpoint

Cause: a run counts as ended after 4.5 s without a report, by the clock. After a pause that long, a proxy that reads a late report of an earlier run first took that one for the endpoint. Change: silence counts from the end of the latest pause, as for links and voters. Measured: by unit test only (EndpointTracker/test.ts): an earlier run that reports 6 s after the last report and 0.1 s after a pause is not accepted, and is after 4.6 s more. The former code has no notion of a pause, and accepts it (the test for a clock step has the same times).

--- a/src/decisions/fleet/EndpointTracker/index.ts
+++ b/src/decisions/fleet/EndpointTracker/index.ts
@@ -72,9 +72,12 @@
     /**
      * Applies a report unless it is outdated.
      *
+     * @param report - The report.
+     * @param nowMs - Current time.
+     * @param resumedAtMs - End of the latest pause of this process, in which it could not read any report.
      * @returns True if the run, the phase or the number of slots changed.
      */
-    applyReport(report: EndpointReport, nowMs: number): boolean {
+    applyReport(report: EndpointReport, nowMs: number, resumedAtMs = Number.NEGATIVE_INFINITY): boolean {
         const { latest } = this;
         if (report.bornAtMs <= (this.departedAtMs.get(report.id) ?? Number.NEGATIVE_INFINITY)) {
             return false;
@@ -82,7 +85,8 @@
         if (latest !== undefined && isSameRun(report, latest)) {
             return this.applyCurrentRun(report, latest, nowMs);
         }
-        const isSilent = nowMs - this.reportedAtMs > SILENCE_TIMEOUT_MS;
+        const isReplaceable = this.reportedAtMs === Number.NEGATIVE_INFINITY;
+        const isSilent = isReplaceable || nowMs - Math.max(this.reportedAtMs, resumedAtMs) > SILENCE_TIMEOUT_MS;
         if (!isSilent && this.displaced.some((run) => isSameRun(run.report, report))) {
             return this.applyDisplacedRun(report, nowMs);
         }
--- a/src/decisions/fleet/EndpointTracker/test.ts
+++ b/src/decisions/fleet/EndpointTracker/test.ts
@@ -49,6 +49,22 @@
     t.true(tracker.applyReport({ ...READY, id: "i-3", bornAtMs: 4_000 }, 6_000));
 });
 
+// Guards against a proxy that takes its own pause for the silence of its endpoint, and the first late report that it reads for the endpoint's.
+test("a run with an earlier start time is not accepted after a pause of the proxy, in which the current run could not report", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport({ ...READY, id: "i-2", bornAtMs: 5_000 }, 0);
+    t.false(tracker.applyReport({ ...READY, id: "i-3", bornAtMs: 4_000 }, 6_000, 5_900));
+    t.is(tracker.report?.id, "i-2");
+    t.true(tracker.applyReport({ ...READY, id: "i-3", bornAtMs: 4_000 }, 10_500, 5_900));
+});
+
+test("after a pause of the proxy, the next report replaces a run that the endpoint has denied to be", (t) => {
+    const tracker = EndpointTracker.create();
+    tracker.applyReport({ ...READY, id: "i-2", bornAtMs: 5_000 }, 0);
+    tracker.applyPresence({ id: "i-2", bornAtMs: 5_000 }, false, 10);
+    t.true(tracker.applyReport({ ...READY, id: "i-3", bornAtMs: 4_000 }, 6_000, 5_900));
+});
+
 test("a late report does not bring back an endpoint that has left, even if it was not known before", (t) => {
     const tracker = EndpointTracker.create();
     tracker.applyDeparture("i-1", 0, 2_000);
--- a/src/mesh/MeshLinks/index.ts
+++ b/src/mesh/MeshLinks/index.ts
@@ -115,6 +115,11 @@
         return this.links.bytes.sentToOtherDomains;
     }
 
+    /** End of the latest pause of this process, in ms; negative infinity if there was none. */
+    get resumedAtMs(): number {
+        return this.links.resumedAtMs;
+    }
+
     /** Sets the seeds of new settings and connects to them. */
     setSeeds(settings: MeshSettings): void {
         const { firstPort, seeds } = settings.links;
@@ -125,7 +130,7 @@
     /** Returns the time since which a VM is silent while this process runs, in ms; negative infinity if it is not remembered. */
     silentSinceMs(vm: string): number {
         const messageAtMs = this.peers.lastMessageAtMs(vm);
-        return messageAtMs === Number.NEGATIVE_INFINITY ? messageAtMs : Math.max(messageAtMs, this.links.resumedAtMs);
+        return messageAtMs === Number.NEGATIVE_INFINITY ? messageAtMs : Math.max(messageAtMs, this.resumedAtMs);
     }
 
     /** Returns the log position that a VM stated in its last heartbeat. */
--- a/src/mesh/SidecarRole/index.ts
+++ b/src/mesh/SidecarRole/index.ts
@@ -282,7 +282,7 @@
             this.events.record(EventNumber.ReportRefused, { endpoint: copyText(report.id, MAX_LOGGED_CHARACTERS), problem });
             return isKnownService || this.hasItems ? ReportVerdict.Refused : ReportVerdict.Undecided;
         }
-        if (this.endpointTracker.applyReport(report, nowMs())) {
+        if (this.endpointTracker.applyReport(report, nowMs(), this.links?.resumedAtMs)) {
             this.publishEndpoint();
         }
         return ReportVerdict.Accepted;
