--- a/src/tunnel/TunnelClient/index.ts
+++ b/src/tunnel/TunnelClient/index.ts
@@ -24,7 +24,7 @@
 
 /** Timeout for connecting, in ms: several round trips between failure domains, with margin for a busy gate. */
 const CONNECT_TIMEOUT_MS = 400;
-/** Time after which connecting ends in any case, in ms; `tick` is not called while nothing is offered. */
+/** Time after which the handshake of a connection ends also if `tick` is not called, in ms. */
 const MAX_CONNECT_MS = 4_000;
 /** Timeout for the first reply to an offer, in ms; a gate decides at once. */
 const FIRST_REPLY_TIMEOUT_MS = 150;
