Do not take a pause of a gate for a hang of its endpoint

Cause: a running request counts as hung, and as a failure of its endpoint, after 1.5 s or four times the usual time by the clock. After a pause of the gate its timer came before the response that had arrived meanwhile: two such requests are enough to eject an endpoint that has answered. Found by going through the timers that wait behind a peer; no run of processes shows it. Change: a tick that comes 500 ms late or more ends a pause, and a request counts as hung by the time since then. Slots whose confirmation is late are voided as before: that an entry may have given up meanwhile is what that check is for.

--- a/src/serving/ServingGate/index.ts
+++ b/src/serving/ServingGate/index.ts
@@ -43,6 +43,8 @@
 
 /** Interval at which accepted offers are checked for timeouts while there are any, in ms. */
 const TICK_INTERVAL_MS = 100;
+/** Time after which a tick is so late that this process was paused, in ms; responses have not been read meanwhile. */
+const MIN_PAUSE_MS = 500;
 /** Interval at which unusable connections are closed, in ms. */
 const CLEANUP_INTERVAL_MS = 2_000;
 /** Time within which a healthy endpoint must get a request, in ms. */
@@ -130,6 +132,8 @@
     private readonly acceptedOffers = new Map<string, AcceptedOffer>();
     private readonly openResponses = new Map<string, OpenResponse>();
     private tickTimer: NodeJS.Timeout | undefined;
+    /** End of the latest pause of this process while requests were running. */
+    private resumedAtMs = Number.NEGATIVE_INFINITY;
     private limitTimer: NodeJS.Timeout | undefined;
     private readonly cleanupTimer: NodeJS.Timeout;
     private outlierDetector = OutlierDetector.create();
@@ -706,7 +710,7 @@
             if (accepted.startedAtMs > 0 && atMs > accepted.deadlineAtMs + ABANDON_DELAY_MS) {
                 accepted.exchange?.cancel();
             }
-            if (!accepted.isHung && accepted.startedAtMs > 0 && atMs - accepted.startedAtMs > hungAfterMs) {
+            if (!accepted.isHung && accepted.startedAtMs > 0 && atMs - Math.max(accepted.startedAtMs, this.resumedAtMs) > hungAfterMs) {
                 accepted.isHung = true;
                 this.outlierDetector.observe(ObservedOutcome.Failure, atMs, accepted.startedAtMs);
                 this.handleGradeChange(atMs);
@@ -729,8 +733,13 @@
     }
 
     private scheduleTick(): void {
-        this.tickTimer ??= setTimeout(() => {
+        if (this.tickTimer !== undefined) {
+            return;
+        }
+        const scheduledAtMs = nowMs();
+        this.tickTimer = setTimeout(() => {
             this.tickTimer = undefined;
+            this.resumedAtMs = nowMs() - scheduledAtMs >= MIN_PAUSE_MS ? nowMs() : this.resumedAtMs;
             this.tick();
             if (this.offerCount > 0) {
                 this.scheduleTick();
--- a/src/serving/ServingGate/test.ts
+++ b/src/serving/ServingGate/test.ts
@@ -196,6 +196,30 @@
     });
 });
 
+/** Keeps this process from doing anything else, as if it were suspended. */
+function holdUp(forMs: number): void {
+    const untilMs = performance.now() + forMs;
+    while (performance.now() < untilMs) { /* until then */ }
+}
+
+// Guards against a gate that takes its own pause for a hang of its endpoint, and ejects it.
+test.serial("an endpoint that has answered while its gate was held up stays trusted", async (t) => {
+    let requests = 0;
+    const respondAndHoldUp = (socket: Socket): void => {
+        respond(socket, 200);
+        requests += 1;
+        if (requests === 2) {
+            holdUp(2_000);
+        }
+    };
+    await withGate(t, respondAndHoldUp, async ({ gate, offer }) => {
+        const offers = ["1", "2"].map((key) => offer(key, { remainingMs: 8_000 }));
+        await waitUntil(() => offers.every(({ replies }) => replies.at(-1)?.kind === GateReplyKind.Answered));
+        t.deepEqual(offers.map(({ replies }) => replies.at(-1)?.kind), [GateReplyKind.Answered, GateReplyKind.Answered]);
+        t.is(gate.load.grade, Grade.Trusted);
+    });
+});
+
 // Guards against slots that a malformed offer of another process holds for ever.
 test("a slot of an offer with a malformed size of its body is freed like any other", async (t) => {
     await withGate(t, (socket) => respond(socket, 200), async ({ offer }) => {
